--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: run test setup format lint types unit dist clean
+
+$(STAMP): requirements-dev.lock
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check \
+		--requirement requirements-dev.lock
+	touch $(STAMP)
+
+setup: $(STAMP)
+
+run: setup
+	$(BIN)/python -m filbertlb demo
+
+test: lint types unit
+
+format: setup
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/flake8 --select=H --ignore=H301,H306 filbertlb tests benchmarks
+
+types: setup
+	$(BIN)/mypy
+
+unit: setup
+	$(BIN)/python -m pytest
+
+clean:
+	rm -rf dist build
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,3 @@
+"""Measurements."""
+
+from __future__ import annotations
--- /dev/null
+++ b/filbertlb/api/__init__.py
@@ -0,0 +1,3 @@
+"""HTTP interface for callers and operators."""
+
+from __future__ import annotations
--- /dev/null
+++ b/filbertlb/backend/__init__.py
@@ -0,0 +1,3 @@
+"""Runners and workers behind one narrow interface each."""
+
+from __future__ import annotations
--- /dev/null
+++ b/filbertlb/cli/__init__.py
@@ -0,0 +1,3 @@
+"""Command line."""
+
+from __future__ import annotations
--- /dev/null
+++ b/filbertlb/core/__init__.py
@@ -0,0 +1,3 @@
+"""Pure decisions and the data they are taken on."""
+
+from __future__ import annotations
--- /dev/null
+++ b/filbertlb/routing/__init__.py
@@ -0,0 +1,3 @@
+"""Endpoint choice policies behind one narrow interface."""
+
+from __future__ import annotations
--- /dev/null
+++ b/filbertlb/settings/__init__.py
@@ -0,0 +1,3 @@
+"""Checked settings of a process."""
+
+from __future__ import annotations
--- /dev/null
+++ b/filbertlb/transport/__init__.py
@@ -0,0 +1,3 @@
+"""Authenticated messages between the system's own processes."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,3 @@
+"""Tests."""
+
+from __future__ import annotations
