--- a/filbertlb/transport/link.py
+++ b/filbertlb/transport/link.py
@@ -15,6 +15,7 @@
 
 import attrs
 import pynng
+from gevent import sleep
 from gevent import spawn
 from gevent import Timeout
 from gevent.event import AsyncResult
