--- a/filbertlb/client.py
+++ b/filbertlb/client.py
@@ -128,7 +128,7 @@
             raise ServerNotReachedError(f"not reached: {error}") from error
         except (OSError, ValueError) as error:
             raise AnswerLostError(f"the answer was lost: {error}") from error
-        kind = response.get("content-type", "")
+        kind = str(response.get("content-type", ""))
         return Answer(response.status_code, content, kind)
 
     def json(
