--- /dev/null
+++ b/filbertlb/cli/main.py
@@ -0,0 +1,45 @@
+"""The ``filbertlb`` command."""
+
+from __future__ import annotations
+
+import click
+
+from filbertlb import __version__
+from filbertlb.cli.context import Context
+from filbertlb.cli.jobs import job
+
+DEFAULT_URL = "http://127.0.0.1:8080"
+
+
+@click.group()
+@click.version_option(__version__)
+@click.option(
+    "--url",
+    envvar="FILBERTLB_URL",
+    default=DEFAULT_URL,
+    show_default=True,
+    help="An entry instance or the balancer before several.",
+)
+@click.option(
+    "--token",
+    envvar="FILBERTLB_TOKEN",
+    default="",
+    help="Token of the caller or operator.",
+)
+@click.option(
+    "--organisation", default="", help="Organisation an operator acts for."
+)
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+@click.pass_context
+def main(
+    ctx: click.Context, url: str, token: str, organisation: str, as_json: bool
+) -> None:
+    """Scheduler for multi-accelerator jobs under guarantees."""
+    ctx.obj = Context(url, token, as_json, organisation)
+
+
+main.add_command(job)
+
+
+if __name__ == "__main__":
+    main()
--- a/filbertlb/client.py
+++ b/filbertlb/client.py
@@ -184,6 +184,11 @@
         query = _query(organisation=organisation)
         return self.json("POST", f"/v1/jobs/{quote(job_id)}/cancel{query}")
 
+    def why(self, job_id: str, organisation: str = "") -> dict[str, Any]:
+        """Return why a job waits."""
+        query = _query(organisation=organisation)
+        return self.json("GET", f"/v1/jobs/{quote(job_id)}/why{query}")
+
     def invoke(
         self,
         path: str,
