Reach the platform and the endpoints over HTTP

Cause: separate processes need the table service, the object store, runners and workers over the network, and a lost answer must never be taken for 'did not run'.

With PUT in place of POST the once-only test fails, as the library sends it again; without the length check the partial answer test fails.

Conclusion: bare timeouts of gevent were ruled out, as the library then keeps the socket's place in its pool; a TimeoutError gives it back.

--- a/filbertlb/backend/base.py
+++ b/filbertlb/backend/base.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from typing import Protocol
-from typing import TYPE_CHECKING
 
 import attrs
 
@@ -11,9 +10,7 @@
 from filbertlb.errors import ConflictError
 from filbertlb.errors import OutcomeUnknownError
 from filbertlb.errors import UnavailableError
-
-if TYPE_CHECKING:
-    from filbertlb.messages import TaskPhase
+from filbertlb.messages import TaskPhase
 
 
 class BackendRefusedError(UnavailableError):
--- /dev/null
+++ b/filbertlb/httpcall.py
@@ -0,0 +1,195 @@
+"""HTTP calls that tell 'never sent' from 'no whole answer'."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+from gevent import Timeout
+from geventhttpclient import HTTPClient
+from geventhttpclient.connectionpool import ConnectionPool
+from geventhttpclient.response import HTTPParseError
+from geventhttpclient.url import URL
+
+from filbertlb.errors import OutcomeUnknownError
+from filbertlb.errors import UnavailableError
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+    from typing import Any
+
+    from geventhttpclient.response import HTTPSocketPoolResponse
+
+DEFAULT_CONNECTIONS = 16
+HTTP_PORT = 80
+CONNECT_TIMEOUT_S = 2.0
+MAX_TIMEOUT_S = 24 * 3600.0
+READ_BLOCK_BYTES = 64 * 1024
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+
+
+class CallNotSentError(UnavailableError):
+    """No connection was made; the server has seen nothing."""
+
+    code = "call_not_sent"
+
+
+class CallOutcomeUnknownError(OutcomeUnknownError):
+    """The call was sent, but no whole answer came back."""
+
+    code = "call_outcome_unknown"
+
+
+@attrs.frozen
+class Reply:
+    """A whole HTTP response."""
+
+    status: int
+    body: bytes
+    content_type: str
+
+
+class _NoConnectionError(Exception):
+    """Raised in place of any failure to get a connection."""
+
+
+class _Pool(ConnectionPool):
+    """Pool whose failures to connect have their own type."""
+
+    def get_socket(self) -> Any:
+        """Return a connected socket."""
+        try:
+            return super().get_socket()
+        except (OSError, RuntimeError) as error:
+            raise _NoConnectionError(str(error)) from error
+
+
+class _Client(HTTPClient):
+    """Client of one server with the pool above."""
+
+    def __init__(self, url: URL, connections: int) -> None:
+        port = url.port or HTTP_PORT
+        super().__init__(url.host, port, block_size=READ_BLOCK_BYTES)
+        self._connection_pool = _Pool(
+            url.host,
+            port,
+            url.host,
+            port,
+            size=connections,
+            connection_timeout=CONNECT_TIMEOUT_S,
+            # Each call has its own timeout; this only bounds one read.
+            network_timeout=MAX_TIMEOUT_S,
+        )
+
+
+class HttpCaller:
+    """Calls one server over kept connections.
+
+    Only POST is used where a call changes something: the client
+    library sends other methods again after a lost connection.
+
+    Parameters
+    ----------
+    base_url : str
+        Such as ``http://10.0.0.1:8080``.
+    connections : int
+        Most connections at once; further calls wait.
+    """
+
+    def __init__(
+        self, base_url: str, connections: int = DEFAULT_CONNECTIONS
+    ) -> None:
+        url = URL(base_url)
+        self._base_url = base_url
+        self._base_path = url.path.rstrip("/")
+        self._client = _Client(url, connections)
+
+    def post(
+        self,
+        path: str,
+        body: bytes,
+        timeout_s: float,
+        headers: Mapping[str, str] | None = None,
+    ) -> Reply:
+        """Send one POST at most once and return its whole answer.
+
+        Raises
+        ------
+        CallNotSentError
+            If no connection was made.
+        CallOutcomeUnknownError
+            If the connection or the time ended before the whole answer.
+        """
+        return self._call("POST", path, body, timeout_s, headers)
+
+    def get(
+        self,
+        path: str,
+        timeout_s: float,
+        headers: Mapping[str, str] | None = None,
+    ) -> Reply:
+        """Send a GET, again if needed, and return its whole answer.
+
+        Raises
+        ------
+        CallNotSentError
+            If no connection was made.
+        CallOutcomeUnknownError
+            If the connection or the time ended before the whole answer.
+        """
+        return self._call("GET", path, b"", timeout_s, headers)
+
+    def close(self) -> None:
+        """Close the kept connections."""
+        self._client.close()
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        timeout_s: float,
+        headers: Mapping[str, str] | None,
+    ) -> Reply:
+        # An OSError, unlike a bare Timeout, makes the library give the
+        # socket back on each way out.
+        expired = TimeoutError(f"no answer within {timeout_s!r} s")
+        target = self._base_path + path
+        try:
+            with Timeout(timeout_s, expired):
+                response = self._client.request(
+                    method, target, body, dict(headers or {})
+                )
+                return _whole(response)
+        except _NoConnectionError as error:
+            raise CallNotSentError(
+                f"no connection to {self._base_url!r}: {error}; check that "
+                "the server runs there"
+            ) from error
+        except (OSError, HTTPParseError) as error:
+            raise CallOutcomeUnknownError(
+                f"{method} {self._base_url + path!r} got no whole answer: "
+                f"{error}"
+            ) from error
+
+
+def _whole(response: HTTPSocketPoolResponse) -> Reply:
+    """Read a response to its end, or fail."""
+    announced = response.content_length
+    if announced is not None and announced > MAX_ANSWER_BYTES:
+        response.release()
+        raise HTTPParseError(f"answer of {announced!r} bytes is too large")
+    if announced is None and "transfer-encoding" not in response:
+        response.release()
+        # Its end would look the same as a lost connection.
+        raise HTTPParseError("answer states no length")
+    parts = []
+    while part := response.read(READ_BLOCK_BYTES):
+        parts.append(part)
+    body = b"".join(parts)
+    if not response.message_complete or announced not in (None, len(body)):
+        raise HTTPParseError(
+            f"answer ended after {len(body)!r} of {announced!r} bytes"
+        )
+    content_type = response.get("content-type", "")
+    return Reply(response.status_code, body, str(content_type))
--- /dev/null
+++ b/filbertlb/table/http.py
@@ -0,0 +1,79 @@
+"""Table service over HTTP."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+from filbertlb.httpcall import HttpCaller
+from filbertlb.table.base import RowConflictError
+from filbertlb.table.base import TableUnavailableError
+from filbertlb.table.base import WriteOutcomeUnknownError
+from filbertlb.table.wire import CommitCall
+from filbertlb.table.wire import CommitReply
+from filbertlb.table.wire import GetCall
+from filbertlb.table.wire import GetReply
+from filbertlb.table.wire import ScanCall
+from filbertlb.table.wire import ScanReply
+from filbertlb.typedcall import TypedCaller
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from filbertlb.table.base import Row
+    from filbertlb.table.base import Write
+
+TABLE_TIMEOUT_S = 2.0
+
+_T = TypeVar("_T")
+
+
+class HttpTable:
+    """Adapter to a table service that speaks HTTP.
+
+    Parameters
+    ----------
+    base_url : str
+        Such as ``http://10.0.0.1:8080``.
+    timeout_s : float
+        Longest wait for one answer in seconds.
+    """
+
+    def __init__(
+        self, base_url: str, timeout_s: float = TABLE_TIMEOUT_S
+    ) -> None:
+        self._caller = HttpCaller(base_url)
+        self._typed = TypedCaller(
+            self._caller,
+            timeout_s,
+            refused=TableUnavailableError,
+            unknown=WriteOutcomeUnknownError,
+            errors=(RowConflictError,),
+        )
+
+    def get(self, key: str) -> Row | None:
+        """Return the row of a key, or None."""
+        return self._read("/table/get", GetCall(key), GetReply).row
+
+    def scan(
+        self, prefix: str, *, after: str = "", limit: int = 1000
+    ) -> list[Row]:
+        """Return rows whose keys start with a prefix, in key order."""
+        call = ScanCall(prefix, after, limit)
+        return list(self._read("/table/scan", call, ScanReply).rows)
+
+    def commit(self, writes: Sequence[Write]) -> tuple[int, ...]:
+        """Apply all writes or none and return their new versions."""
+        call = CommitCall(tuple(writes))
+        return self._typed.call("/table/commit", call, CommitReply).versions
+
+    def close(self) -> None:
+        """Close the kept connections."""
+        self._caller.close()
+
+    def _read(self, path: str, call: object, reply_type: type[_T]) -> _T:
+        try:
+            return self._typed.call(path, call, reply_type)
+        except WriteOutcomeUnknownError as error:
+            # A read changes nothing, so its loss leaves no doubt.
+            raise TableUnavailableError(error.message) from error
