--- /dev/null
+++ b/filbertlb/metrics.py
@@ -0,0 +1,138 @@
+"""Metrics of one role, readable by Prometheus.
+
+Each role owns a :class:`Metrics`; nothing is kept globally, so several
+roles can live in one process.
+"""
+
+from __future__ import annotations
+
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.resources import Resource
+from prometheus_client import CollectorRegistry
+from prometheus_client import CONTENT_TYPE_LATEST
+from prometheus_client import generate_latest
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from opentelemetry.metrics import Histogram
+
+METRICS_CONTENT_TYPE = CONTENT_TYPE_LATEST
+DURATION_BOUNDS_S = (
+    *(0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5),
+    *(1.0, 2.5, 5.0, 10.0, 30.0, 60.0, 300.0, 1800.0, 7200.0),
+)
+
+
+class Metrics:
+    """Instruments of one role, created once.
+
+    Parameters
+    ----------
+    role : str
+        Such as ``entry`` or ``agent``.
+    instance_id : str
+        Entry or endpoint that is measured.
+
+    Attributes
+    ----------
+    requests : Counter
+        Requests by ``organisation`` and ``code``.
+    request_s : Histogram
+        Time from a request to its whole answer, in seconds.
+    requests_in_flight : UpDownCounter
+        Requests without an answer yet.
+    jobs_submitted : Counter
+        Jobs accepted, by ``organisation`` and ``job_class``.
+    jobs_ended : Counter
+        Jobs with a final outcome, by ``state`` and ``job_class``.
+    job_wait_s : Histogram
+        Time from submission to start, in seconds, by ``job_class``.
+    job_completion_s : Histogram
+        Time from submission to the outcome, by ``job_class``.
+    refusals : Counter
+        Work refused, by ``code``.
+    retries : Counter
+        Attempts after the first, by ``code`` of the failure.
+    table_calls : Counter
+        Calls to the table service, by ``operation`` and ``code``.
+    table_s : Histogram
+        Time of one table call, in seconds, by ``operation``.
+    messages : Counter
+        Messages between processes, by ``kind`` and ``direction``.
+    endpoints : Gauge
+        Endpoints known, by ``role`` and ``state``.
+    tasks : Gauge
+        Members at an agent, by ``phase``.
+    queued_jobs : Gauge
+        Jobs that wait, by ``reason``.
+    guarantees_at_risk : Gauge
+        Guaranteed shapes without a placement, by ``organisation``.
+    revision : Gauge
+        Configuration revision in force.
+    leader : Gauge
+        1 while this instance holds the lease of ``scope``.
+    """
+
+    def __init__(self, role: str, instance_id: str) -> None:
+        self._registry = CollectorRegistry()
+        reader = PrometheusMetricReader(
+            prefix="filbertlb",
+            scope_info_enabled=False,
+            registry=self._registry,
+        )
+        resource = Resource({"role": role, "instance_id": instance_id})
+        self._provider = MeterProvider(
+            (reader,), resource, shutdown_on_exit=False
+        )
+        meter = self._provider.get_meter("filbertlb")
+
+        def duration(name: str) -> Histogram:
+            return meter.create_histogram(
+                name, explicit_bucket_boundaries_advisory=DURATION_BOUNDS_S
+            )
+
+        counter = meter.create_counter
+        gauge = meter.create_gauge
+        self.requests = counter("requests")
+        self.request_s = duration("request_seconds")
+        self.requests_in_flight = meter.create_up_down_counter(
+            "requests_in_flight"
+        )
+        self.jobs_submitted = counter("jobs_submitted")
+        self.jobs_ended = counter("jobs_ended")
+        self.job_wait_s = duration("job_wait_seconds")
+        self.job_completion_s = duration("job_completion_seconds")
+        self.refusals = counter("refusals")
+        self.retries = counter("retries")
+        self.table_calls = counter("table_calls")
+        self.table_s = duration("table_seconds")
+        self.messages = counter("messages")
+        self.endpoints = gauge("endpoints")
+        self.tasks = gauge("tasks")
+        self.queued_jobs = gauge("queued_jobs")
+        self.guarantees_at_risk = gauge("guarantees_at_risk")
+        self.revision = gauge("revision")
+        self.leader = gauge("leader")
+
+    def render(self) -> bytes:
+        """Return all values in the text format of Prometheus."""
+        return generate_latest(self._registry)
+
+    def close(self) -> None:
+        """Stop collecting."""
+        self._provider.shutdown()
+
+
+@contextmanager
+def metrics_of(role: str, instance_id: str) -> Iterator[Metrics]:
+    """Own the metrics of one role while it runs."""
+    metrics = Metrics(role, instance_id)
+    try:
+        yield metrics
+    finally:
+        metrics.close()
--- /dev/null
+++ b/tests/test_logs_metrics.py
@@ -0,0 +1,73 @@
+from __future__ import annotations
+
+from io import StringIO
+from json import loads
+
+import gevent
+import pytest
+from loguru import logger
+
+from filbertlb.logs import log_context
+from filbertlb.logs import logging_to
+from filbertlb.logs import LogSettings
+from filbertlb.metrics import metrics_of
+
+SECRET = "s3cr3t-value"
+
+
+def test_json_lines_carry_the_ids_of_their_greenlet():
+    stream = StringIO()
+
+    def work(job_id):
+        with log_context(job_id=job_id, revision=3):
+            gevent.sleep(0)
+            logger.info("started {}", job_id)
+
+    with logging_to(LogSettings(json_lines=True), stream):
+        gevent.joinall([gevent.spawn(work, f"j{n}") for n in range(3)])
+        logger.bind(request_id="r1").warning("late")
+        logger.debug("not shown")
+    logger.error("after the block")
+    records = [loads(line) for line in stream.getvalue().splitlines()]
+    assert [r.get("job_id") for r in records] == ["j0", "j1", "j2", None]
+    assert records[0]["message"] == "started j0"
+    assert records[0]["revision"] == 3
+    assert records[3]["request_id"] == "r1"
+    assert records[3]["level"] == "WARNING"
+
+
+@pytest.mark.parametrize("json_lines", [True, False])
+@pytest.mark.parametrize("name", ["token", "api_key", "Authorization", "key"])
+def test_secrets_are_masked(json_lines, name):
+    stream = StringIO()
+    settings = LogSettings(level="DEBUG", json_lines=json_lines)
+    with logging_to(settings, stream):
+        logger.bind(**{name: SECRET}).info("header Bearer {}", SECRET)
+        try:
+            local = SECRET
+            raise ValueError(f"Authorization: Bearer {local}")
+        except ValueError:
+            logger.exception("failed")
+    assert "Traceback" in stream.getvalue()
+    assert stream.getvalue().count("Bearer ***") >= 2
+    assert SECRET not in stream.getvalue()
+
+
+def test_metrics_of_two_roles_do_not_mix():
+    with (
+        metrics_of("entry", "e1") as entry,
+        metrics_of("agent", "a1") as agent,
+    ):
+        entry.requests.add(2, {"organisation": "o", "code": "ok"})
+        entry.request_s.record(0.3)
+        entry.endpoints.set(4, {"role": "runner", "state": "up"})
+        agent.requests.add(1, {"organisation": "o", "code": "ok"})
+        lines = entry.render().decode().splitlines()
+        other = agent.render().decode().splitlines()
+    wanted = 'filbertlb_requests_total{code="ok",organisation="o"}'
+    assert f"{wanted} 2.0" in lines
+    assert f"{wanted} 1.0" in other
+    assert 'filbertlb_request_seconds_bucket{le="0.5"} 1.0' in lines
+    assert 'filbertlb_request_seconds_bucket{le="0.25"} 0.0' in lines
+    assert 'filbertlb_endpoints{role="runner",state="up"} 4.0' in lines
+    assert not any("request_seconds" in line for line in other)
