--- /dev/null
+++ b/filbertlb/agent/book.py
@@ -0,0 +1,446 @@
+"""An agent's record of what is held and running on its worker.
+
+The worker starts whatever it is given, so every start passes through
+this book. It checks fencing epoch, incarnation, fit and the order of
+commands, and starts each member at most once.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from attrs import evolve
+
+from filbertlb.agent.closed import ClosedToken
+from filbertlb.agent.closed import ClosedTokens
+from filbertlb.agent.closed import member_key
+from filbertlb.agent.effects import BookAnswer
+from filbertlb.agent.effects import ForgetTask
+from filbertlb.agent.effects import ReportEnd
+from filbertlb.agent.effects import StartTask
+from filbertlb.agent.effects import StopTask
+from filbertlb.agent.member import BookMember
+from filbertlb.core.model import Resources
+from filbertlb.core.refusals import AgentDrainingError
+from filbertlb.core.refusals import AlreadyStartedError
+from filbertlb.core.refusals import NoCapacityError
+from filbertlb.core.refusals import NotArmedError
+from filbertlb.core.refusals import NotHeldError
+from filbertlb.core.refusals import ReportBacklogError
+from filbertlb.core.refusals import ReservationContendedError
+from filbertlb.core.refusals import StaleEpochError
+from filbertlb.core.refusals import StaleIncarnationError
+from filbertlb.core.refusals import TokenClosedError
+from filbertlb.core.refusals import TokenTooOldError
+from filbertlb.core.task_phase import ENDED_PHASES
+from filbertlb.core.task_phase import OCCUPYING_PHASES
+from filbertlb.core.task_phase import STARTING_PHASES
+from filbertlb.errors import FilbertlbError
+from filbertlb.errors import Ran
+from filbertlb.messages import Abort
+from filbertlb.messages import Arm
+from filbertlb.messages import Done
+from filbertlb.messages import Refused
+from filbertlb.messages import Release
+from filbertlb.messages import Reserve
+from filbertlb.messages import Stop
+from filbertlb.messages import StopMode
+from filbertlb.messages import TaskEnded
+from filbertlb.messages import TaskEndedAck
+from filbertlb.messages import TaskPhase
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from filbertlb.agent.closed import MemberKey
+    from filbertlb.agent.effects import BookEffect
+    from filbertlb.messages import TaskStatus
+    from filbertlb.messages import Token
+
+BookCommand = Reserve | Arm | Release | Abort | Stop | TaskEndedAck
+
+_CLOSED_LIMIT = 4096
+_CLOSED_KEEP_S = 600.0
+_UNACKNOWLEDGED_LIMIT = 4096
+_REPORT_PERIOD_S = 1.0
+
+
+class ReservationBook:
+    """What is held and running on one worker.
+
+    Parameters
+    ----------
+    incarnation : str
+        This agent's incarnation; tokens must name it.
+    capacity : Resources
+        What the worker has.
+    closed_limit : int
+        Most closed members that are remembered.
+    closed_keep_s : float
+        Longest time for which they are remembered, in seconds.
+    """
+
+    def __init__(
+        self,
+        incarnation: str,
+        capacity: Resources,
+        *,
+        closed_limit: int = _CLOSED_LIMIT,
+        closed_keep_s: float = _CLOSED_KEEP_S,
+    ) -> None:
+        self.incarnation = incarnation
+        self.capacity = capacity
+        self.draining = False
+        self._epoch_by_scope: dict[str, int] = {}
+        self._by_key: dict[MemberKey, BookMember] = {}
+        self._closed = ClosedTokens(closed_limit, closed_keep_s)
+
+    @property
+    def free(self) -> Resources:
+        """Return what is neither held nor in use."""
+        return self._free_without(())
+
+    def next_due_s(self) -> float:
+        """Return the time of the next tick that has work to do."""
+        due = (
+            min(member.expires_s, member.stop_due_s, member.report_due_s)
+            for member in self._by_key.values()
+        )
+        return min(due, default=math.inf)
+
+    def statuses(self) -> tuple[TaskStatus, ...]:
+        """Return all members held, running or not yet acknowledged."""
+        return tuple(member.status for member in self._by_key.values())
+
+    def drain(self) -> None:
+        """Refuse all new members from now on."""
+        self.draining = True
+
+    def adopt(self, status: TaskStatus) -> None:
+        """Take over a task that outlived the agent's former self.
+
+        Parameters
+        ----------
+        status : TaskStatus
+            The task as the worker knows it, running or ended; the
+            token's incarnation becomes this agent's.
+        """
+        token = evolve(status.token, incarnation=self.incarnation)
+        has_ended = status.phase in ENDED_PHASES
+        self._by_key[member_key(token)] = BookMember(
+            token=token,
+            job_id=status.job_id,
+            organisation_id=status.organisation_id,
+            needs=status.needs,
+            phase=status.phase,
+            checkpoint=status.checkpoint,
+            detail=status.detail,
+            report_due_s=-math.inf if has_ended else math.inf,
+        )
+
+    def handle(self, command: BookCommand, now_s: float) -> BookAnswer:
+        """Carry out one command, or refuse it without effect.
+
+        Parameters
+        ----------
+        now_s : float
+            The agent's own monotonic time in seconds.
+
+        Returns
+        -------
+        BookAnswer
+            Reply and the effects that come before it.
+        """
+        self._expire(now_s)
+        try:
+            return self._dispatch(command, now_s)
+        except FilbertlbError as error:
+            refused = Refused(error.code, error.message, error.ran)
+            return BookAnswer(refused)
+
+    def ended(
+        self,
+        token: Token,
+        phase: TaskPhase,
+        now_s: float,
+        *,
+        detail: str = "",
+        checkpoint: str = "",
+    ) -> list[BookEffect]:
+        """Record that the worker has ended a member, and report it."""
+        member = self._by_key.get(member_key(token))
+        if member is None or member.phase is not TaskPhase.RUNNING:
+            return []
+        member.phase = phase
+        member.detail = detail
+        member.checkpoint = checkpoint or member.checkpoint
+        member.stop_due_s = math.inf
+        return [self._report(member, now_s)]
+
+    def tick(self, now_s: float) -> list[BookEffect]:
+        """Expire holds, enforce stops and repeat unheard reports."""
+        self._expire(now_s)
+        self._closed.prune(now_s)
+        effects: list[BookEffect] = []
+        for member in self._by_key.values():
+            if member.stop_due_s <= now_s:
+                member.stop_mode = StopMode.CANCEL
+                member.stop_due_s = now_s + _REPORT_PERIOD_S
+                effects.append(StopTask(member.token, StopMode.CANCEL, 0.0))
+            if member.report_due_s <= now_s:
+                effects.append(self._report(member, now_s))
+        return effects
+
+    def _dispatch(self, command: BookCommand, now_s: float) -> BookAnswer:
+        if isinstance(command, TaskEndedAck):
+            return self._acknowledge(command, now_s)
+        self._check_fence(command.token)
+        match command:
+            case Reserve():
+                return self._reserve(command, now_s)
+            case Arm():
+                return self._arm(command, now_s)
+            case Release():
+                return self._release(command, now_s)
+            case Abort():
+                return self._abort(command, now_s)
+            case Stop():
+                return self._stop(command, now_s)
+
+    def _check_fence(self, token: Token) -> None:
+        highest = self._epoch_by_scope.get(token.scope, token.epoch)
+        if token.epoch < highest:
+            raise StaleEpochError(
+                f"epoch {token.epoch!r} of scope {token.scope!r} was "
+                f"superseded by {highest!r}; give up the scope",
+                ran=self._known_ran(token),
+            )
+        self._epoch_by_scope[token.scope] = token.epoch
+        if token.incarnation != self.incarnation:
+            raise StaleIncarnationError(
+                f"token for incarnation {token.incarnation!r} met "
+                f"{self.incarnation!r}; read the agent's announcement",
+                ran=self._known_ran(token),
+            )
+
+    def _known_ran(self, token: Token) -> Ran:
+        """Return what holds whatever any decider does next."""
+        member = self._by_key.get(member_key(token))
+        if member is not None and member.phase not in STARTING_PHASES:
+            return Ran.YES
+        closed = self._closed.get(token)
+        return Ran.UNKNOWN if closed is None else closed.ran
+
+    def _reserve(self, command: Reserve, now_s: float) -> BookAnswer:
+        member = self._by_key.get(member_key(command.token))
+        if member is not None:
+            return self._done(member, command.token)
+        self._check_not_closed(command.token)
+        self._check_accepts_work()
+        self._make_room(command, now_s)
+        member = BookMember(
+            token=command.token,
+            job_id=command.job_id,
+            organisation_id=command.organisation_id,
+            needs=command.needs,
+            phase=TaskPhase.HELD,
+            expires_s=now_s + command.hold_s,
+        )
+        self._by_key[member_key(command.token)] = member
+        return self._done(member, command.token)
+
+    def _arm(self, command: Arm, now_s: float) -> BookAnswer:
+        member = self._find(command.token, now_s)
+        if member.phase is TaskPhase.HELD:
+            if self.draining:
+                raise AgentDrainingError("the agent is leaving")
+            member.phase = TaskPhase.ARMED
+            member.expires_s = now_s + command.hold_s
+            member.command = command.command
+            member.checkpoint = command.checkpoint
+        return self._done(member, command.token)
+
+    def _release(self, command: Release, now_s: float) -> BookAnswer:
+        member = self._find(command.token, now_s)
+        if member.phase is TaskPhase.HELD:
+            # The reply proves that it did not run, so no later copy of
+            # this command may start it.
+            self._close(member, now_s, "released before it was armed")
+            raise NotArmedError(
+                f"member {command.token.member!r} of "
+                f"{command.token.attempt_id!r} was not armed"
+            )
+        if member.phase is not TaskPhase.ARMED:
+            return self._done(member, command.token)
+        member.phase = TaskPhase.RUNNING
+        member.expires_s = math.inf
+        start = StartTask(
+            token=command.token,
+            job_id=member.job_id,
+            organisation_id=member.organisation_id,
+            needs=member.needs,
+            command=member.command,
+            checkpoint=member.checkpoint,
+        )
+        return self._done(member, command.token, start)
+
+    def _abort(self, command: Abort, now_s: float) -> BookAnswer:
+        member = self._by_key.get(member_key(command.token))
+        if member is None:
+            return self._abort_unknown(command.token, now_s)
+        if member.phase not in STARTING_PHASES:
+            raise AlreadyStartedError(
+                f"member {command.token.member!r} of "
+                f"{command.token.attempt_id!r} is {member.phase.value!r}; "
+                "stop it instead",
+                ran=Ran.YES,
+            )
+        self._close(member, now_s, "aborted")
+        return BookAnswer(Done(command.token, TaskPhase.STOPPED, "aborted"))
+
+    def _abort_unknown(self, token: Token, now_s: float) -> BookAnswer:
+        closed = self._closed.get(token)
+        if closed is not None and closed.ran is not Ran.NO:
+            raise TokenClosedError(closed.reason, ran=closed.ran)
+        if closed is None:
+            self._leave_tombstone(token, now_s, "aborted before it came")
+        return BookAnswer(Done(token, TaskPhase.STOPPED, "aborted"))
+
+    def _stop(self, command: Stop, now_s: float) -> BookAnswer:
+        member = self._by_key.get(member_key(command.token))
+        if member is None or member.phase in STARTING_PHASES:
+            return self._abort(Abort(command.token), now_s)
+        if member.phase is not TaskPhase.RUNNING:
+            return self._done(member, command.token)
+        if not member.is_softer_than(command.mode):
+            return self._done(member, command.token)
+        member.stop_mode = command.mode
+        due_s = now_s + command.within_s
+        member.stop_due_s = min(member.stop_due_s, due_s)
+        stop = StopTask(command.token, command.mode, command.within_s)
+        return self._done(member, command.token, stop)
+
+    def _acknowledge(self, command: TaskEndedAck, now_s: float) -> BookAnswer:
+        member = self._by_key.get(member_key(command.token))
+        if member is None:
+            return BookAnswer(Done(command.token, TaskPhase.STOPPED))
+        if member.phase not in ENDED_PHASES:
+            raise AlreadyStartedError(
+                f"member {command.token.member!r} of "
+                f"{command.token.attempt_id!r} has not ended",
+                ran=self._known_ran(command.token),
+            )
+        self._close(member, now_s, "ended", Ran.YES)
+        forget = ForgetTask(member.token)
+        return self._done(member, command.token, forget)
+
+    def _find(self, token: Token, now_s: float) -> BookMember:
+        """Return a known member, and take over its token's epoch."""
+        member = self._by_key.get(member_key(token))
+        if member is not None:
+            member.token = token
+            return member
+        self._check_not_closed(token)
+        self._leave_tombstone(token, now_s, "came before its reservation")
+        raise NotHeldError(
+            f"nothing is held for member {token.member!r} of "
+            f"{token.attempt_id!r}"
+        )
+
+    def _check_not_closed(self, token: Token) -> None:
+        closed = self._closed.get(token)
+        if closed is not None:
+            raise TokenClosedError(
+                f"member {token.member!r} of {token.attempt_id!r} is "
+                f"closed: {closed.reason}",
+                ran=closed.ran,
+            )
+        self._check_not_too_old(token)
+
+    def _check_not_too_old(self, token: Token) -> None:
+        if self._closed.is_too_old(token):
+            raise TokenTooOldError(
+                f"attempt {token.attempt_id!r} is older than what is "
+                "remembered; start a new attempt",
+                ran=Ran.UNKNOWN,
+            )
+
+    def _check_accepts_work(self) -> None:
+        if self.draining:
+            raise AgentDrainingError("the agent is leaving")
+        ended = sum(
+            member.phase in ENDED_PHASES for member in self._by_key.values()
+        )
+        if ended >= _UNACKNOWLEDGED_LIMIT:
+            raise ReportBacklogError(
+                f"{ended!r} ended members wait to be acknowledged"
+            )
+
+    def _make_room(self, command: Reserve, now_s: float) -> None:
+        """Give up weaker holds, as few as are needed."""
+        weaker = sorted(
+            (m for m in self._by_key.values() if m.yields_to(command)),
+            key=lambda member: member.job_id,
+            reverse=True,
+        )
+        held = [m for m in weaker if m.phase is TaskPhase.HELD]
+        for count in range(len(held) + 1):
+            if self._free_without(held[:count]).fits(command.needs):
+                for victim in held[:count]:
+                    self._close(victim, now_s, "gave way to another gang")
+                return
+        starting = [m for m in weaker if m.phase in STARTING_PHASES]
+        if self._free_without(starting).fits(command.needs):
+            raise ReservationContendedError(
+                "a weaker gang is armed; ask again until it starts or ends"
+            )
+        raise NoCapacityError(
+            f"{command.needs!r} does not fit into {self.free!r}"
+        )
+
+    def _free_without(self, victims: Iterable[BookMember]) -> Resources:
+        given_up = {member_key(victim.token) for victim in victims}
+        used = Resources()
+        for key, member in self._by_key.items():
+            if member.phase in OCCUPYING_PHASES and key not in given_up:
+                used += member.needs
+        return self.capacity.minus(used)
+
+    def _expire(self, now_s: float) -> None:
+        expired = [
+            member
+            for member in self._by_key.values()
+            if member.expires_s <= now_s
+        ]
+        for member in expired:
+            self._close(member, now_s, f"{member.phase.value} too long")
+
+    def _close(
+        self,
+        member: BookMember,
+        now_s: float,
+        reason: str,
+        ran: Ran = Ran.NO,
+    ) -> None:
+        del self._by_key[member_key(member.token)]
+        self._closed.add(
+            ClosedToken(member.token, member.phase, ran, reason, now_s)
+        )
+
+    def _leave_tombstone(
+        self, token: Token, now_s: float, reason: str
+    ) -> None:
+        self._check_not_too_old(token)
+        self._closed.add(
+            ClosedToken(token, TaskPhase.STOPPED, Ran.NO, reason, now_s)
+        )
+
+    def _report(self, member: BookMember, now_s: float) -> ReportEnd:
+        member.report_due_s = now_s + _REPORT_PERIOD_S
+        return ReportEnd(TaskEnded(member.status))
+
+    def _done(
+        self, member: BookMember, token: Token, *effects: BookEffect
+    ) -> BookAnswer:
+        return BookAnswer(Done(token, member.phase, member.detail), effects)
--- /dev/null
+++ b/filbertlb/core/gang_recovery.py
@@ -0,0 +1,180 @@
+"""What a new decider does with the attempts that it finds."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from filbertlb.core.gang import Gang
+from filbertlb.core.gang_plan import GangPlan
+from filbertlb.core.gang_result import StopCause
+from filbertlb.core.gang_run import GangRun
+from filbertlb.core.model import JobState
+from filbertlb.core.scheduling import JobEnd
+from filbertlb.core.task_phase import ENDED_PHASES
+from filbertlb.core.task_phase import STARTING_PHASES
+from filbertlb.messages import Abort
+from filbertlb.messages import Stop
+from filbertlb.messages import StopMode
+from filbertlb.messages import TaskEndedAck
+from filbertlb.messages import TaskPhase
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from filbertlb.core.gang_plan import GangBounds
+    from filbertlb.core.gang_plan import GangEffect
+    from filbertlb.core.job_record import JobRecord
+    from filbertlb.messages import TaskStatus
+
+
+@attrs.frozen
+class AgentReport:
+    """Newest announcement of an agent, as far as gangs need it."""
+
+    incarnation: str
+    statuses: tuple[TaskStatus, ...] = ()
+
+
+@attrs.frozen
+class Recovery:
+    """A gang that was taken over, and what is to be done first."""
+
+    gang: Gang
+    effects: tuple[GangEffect, ...]
+
+
+def recover(
+    record: JobRecord,
+    epoch: int,
+    report_by_endpoint_id: Mapping[str, AgentReport],
+    bounds: GangBounds,
+    now_s: float,
+) -> Recovery | None:
+    """Take an attempt over under a new epoch.
+
+    Call it once the agents have had the time to announce themselves.
+    Without a record nothing was released: holds expire by themselves
+    and None is returned.
+
+    Parameters
+    ----------
+    record : JobRecord
+        The job's row.
+    epoch : int
+        Epoch of the new decider.
+    report_by_endpoint_id : mapping
+        Announcements that were received since the takeover began.
+    now_s : float
+        The decider's monotonic time in seconds.
+    """
+    if record.attempt is None:
+        return None
+    plan = _plan(record, epoch)
+    run = GangRun(plan, bounds)
+    if record.state is JobState.RUNNING:
+        effects = run.adopt()
+    elif record.state is JobState.STARTING and _is_at_barrier(
+        plan, report_by_endpoint_id
+    ):
+        effects = run.claim()
+    else:
+        effects = run.give_up(
+            now_s,
+            _give_up_cause(record),
+            _give_up_mode(record),
+            bounds.stop_within_s,
+        )
+    gang = Gang(plan, bounds, run)
+    for endpoint_id in dict.fromkeys(m.endpoint_id for m in plan.members):
+        report = report_by_endpoint_id.get(endpoint_id)
+        if report is not None:
+            effects += gang.heard(
+                endpoint_id, report.incarnation, report.statuses, now_s
+            )
+    return Recovery(gang, tuple(effects))
+
+
+def settle_status(
+    status: TaskStatus, record: JobRecord | None, epoch: int
+) -> Abort | Stop | TaskEndedAck | None:
+    """Return what to do with a member that no gang of ours accounts for.
+
+    Parameters
+    ----------
+    status : TaskStatus
+        A member as its agent announced it; its scope is ours.
+    record : JobRecord, optional
+        The job's row, read after the announcement came; None if there
+        is no such row.
+    epoch : int
+        Our epoch.
+
+    Returns
+    -------
+    Abort, Stop, TaskEndedAck or None
+        None if the row carries the attempt, which is to be recovered.
+    """
+    attempt_id = status.token.attempt_id
+    if record is not None and record.carries(attempt_id):
+        return None
+    token = attrs.evolve(status.token, epoch=epoch)
+    if status.phase in ENDED_PHASES:
+        return TaskEndedAck(token)
+    if status.phase in STARTING_PHASES:
+        return Abort(token)
+    return Stop(token, StopMode.CANCEL, 0.0)
+
+
+def _plan(record: JobRecord, epoch: int) -> GangPlan:
+    assert record.attempt is not None
+    spec = record.spec
+    return GangPlan(
+        attempt_id=record.attempt.attempt_id,
+        job_id=spec.job_id,
+        organisation_id=spec.organisation_id,
+        scope=record.attempt.scope,
+        epoch=epoch,
+        members=record.attempt.members,
+        needs=spec.shape.each,
+        command=spec.command,
+        checkpoints=record.checkpoints,
+    )
+
+
+def _is_at_barrier(
+    plan: GangPlan, report_by_endpoint_id: Mapping[str, AgentReport]
+) -> bool:
+    """Tell whether every member is armed or has started."""
+    passed = {
+        (status.token.member, endpoint_id)
+        for endpoint_id, report in report_by_endpoint_id.items()
+        for status in report.statuses
+        if status.token.attempt_id == plan.attempt_id
+        and status.phase is not TaskPhase.HELD
+    }
+    return all(
+        (index, member.endpoint_id) in passed
+        for index, member in enumerate(plan.members)
+    )
+
+
+def _give_up_cause(record: JobRecord) -> StopCause:
+    if record.cancel_requested:
+        return StopCause(JobEnd.CANCELLED)
+    if record.state is JobState.STOPPING:
+        return StopCause(JobEnd.STOPPED)
+    return StopCause(
+        JobEnd.WORKER_LOST,
+        "start_interrupted",
+        "the start was taken over before every member was armed",
+    )
+
+
+def _give_up_mode(record: JobRecord) -> StopMode:
+    if record.cancel_requested:
+        return StopMode.CANCEL
+    if record.spec.checkpointable:
+        return StopMode.CHECKPOINT
+    return StopMode.STOP
--- /dev/null
+++ b/filbertlb/core/gang_start.py
@@ -0,0 +1,229 @@
+"""Start of a gang up to the barrier: all members armed, or none left.
+
+No member is released here, so whatever ends a start early leaves the
+proof that it did not run: a release was never sent.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from filbertlb.core.gang_plan import Closed
+from filbertlb.core.gang_plan import GangOutcome
+from filbertlb.core.gang_plan import GangPhase
+from filbertlb.core.gang_plan import WriteDecision
+from filbertlb.core.gang_plan import Written
+from filbertlb.core.gang_round import CommandRound
+from filbertlb.core.refusals import ReservationContendedError
+from filbertlb.core.refusals import StaleEpochError
+from filbertlb.core.scheduling import JobEnd
+from filbertlb.errors import Ran
+from filbertlb.messages import Abort
+from filbertlb.messages import Arm
+from filbertlb.messages import Refused
+from filbertlb.messages import Reserve
+
+if TYPE_CHECKING:
+    from filbertlb.core.gang_plan import GangBounds
+    from filbertlb.core.gang_plan import GangCommand
+    from filbertlb.core.gang_plan import GangEffect
+    from filbertlb.core.gang_plan import GangPlan
+    from filbertlb.messages import Done
+
+
+class GangStart:
+    """One attempt from its reservations to the barrier.
+
+    Every method returns the effects that the caller carries out. The
+    start is over when ``phase`` is ``READY`` or ``CLOSED``.
+
+    Parameters
+    ----------
+    plan : GangPlan
+        The attempt.
+    bounds : GangBounds
+        Times of each step.
+    """
+
+    def __init__(self, plan: GangPlan, bounds: GangBounds) -> None:
+        self.plan = plan
+        self.phase = GangPhase.RESERVING
+        self.outcome: GangOutcome | None = None
+        self._bounds = bounds
+        self._round = CommandRound(bounds.resend_s)
+        self._deadline_s = math.inf
+        self._written = Written.NOT_SENT
+        self._may_be_recorded = False
+        self._write_due_s = math.inf
+        self._end = JobEnd.NOT_STARTED
+        self._code = ""
+        self._detail = ""
+        self._failed: tuple[int, ...] = ()
+        self._is_superseded = False
+
+    def begin(self, now_s: float) -> list[GangEffect]:
+        """Ask all agents to hold what the members need."""
+        self._deadline_s = now_s + self._bounds.reserve_s
+        plan = self.plan
+        reserves: dict[int, GangCommand] = {
+            member: Reserve(
+                token=plan.token(member),
+                job_id=plan.job_id,
+                organisation_id=plan.organisation_id,
+                needs=plan.needs,
+                hold_s=self._bounds.hold_s,
+            )
+            for member in range(len(plan.members))
+        }
+        return [*self._round.replace(reserves, plan, now_s)]
+
+    def answered(
+        self,
+        member: int,
+        command: GangCommand,
+        reply: Done | Refused,
+        now_s: float,
+    ) -> list[GangEffect]:
+        """Take an agent's reply to one command."""
+        if not self._round.is_awaited(member, command):
+            return []
+        if isinstance(reply, Refused):
+            return self._refused(member, reply, now_s)
+        self._round.settle(member)
+        if self._round.members:
+            return []
+        match self.phase:
+            case GangPhase.RESERVING:
+                return self._decide(now_s)
+            case GangPhase.ARMING:
+                self.phase = GangPhase.READY
+                return []
+            case _:
+                return self._close()
+
+    def decision_written(
+        self, written: Written, now_s: float
+    ) -> list[GangEffect]:
+        """Take the result of the conditional write."""
+        if self._written is not Written.OK:
+            self._written = written
+        if written is not Written.CONFLICT:
+            self._may_be_recorded = True
+        if self.phase is not GangPhase.DECIDING:
+            return []
+        if written is Written.OK:
+            return self._arm(now_s)
+        if written is Written.CONFLICT:
+            return self._abort(now_s, "decision_conflict")
+        self._write_due_s = now_s + self._bounds.resend_s
+        return []
+
+    def member_lost(self, member: int, now_s: float) -> list[GangEffect]:
+        """Give the start up: an agent is gone or has restarted."""
+        if self.phase is GangPhase.ABORTING:
+            return self._settle_abort(member)
+        self._failed = (member,)
+        return self._abort(now_s, "member_lost")
+
+    def cancel(self, now_s: float, end: JobEnd) -> list[GangEffect]:
+        """Give the start up on request."""
+        self._end = end
+        return self._abort(now_s, end.value)
+
+    def tick(self, now_s: float) -> list[GangEffect]:
+        """Repeat unanswered commands and enforce the step's bound."""
+        if self._deadline_s > now_s:
+            return self._repeat(now_s)
+        if self.phase is GangPhase.ABORTING:
+            return self._close()
+        self._failed = self._round.members
+        return self._abort(now_s, f"{self.phase.value}_timeout")
+
+    def next_due_s(self) -> float:
+        """Return the time of the next tick that has work to do."""
+        return min(
+            self._deadline_s, self._write_due_s, self._round.next_due_s()
+        )
+
+    def _repeat(self, now_s: float) -> list[GangEffect]:
+        if self._write_due_s <= now_s:
+            self._write_due_s = math.inf
+            return [WriteDecision(self.plan)]
+        return [*self._round.tick(self.plan, now_s)]
+
+    def _refused(
+        self, member: int, refused: Refused, now_s: float
+    ) -> list[GangEffect]:
+        if refused.code == StaleEpochError.code:
+            self._is_superseded = True
+            self._code = refused.code
+            return self._close()
+        if self.phase is GangPhase.ABORTING:
+            return self._settle_abort(member)
+        if refused.code == ReservationContendedError.code:
+            # Left outstanding: the weaker gang ends or gives way.
+            return []
+        self._failed = (member,)
+        self._detail = refused.message
+        return self._abort(now_s, refused.code)
+
+    def _decide(self, now_s: float) -> list[GangEffect]:
+        self.phase = GangPhase.DECIDING
+        self._deadline_s = now_s + self._bounds.decide_s
+        return [WriteDecision(self.plan)]
+
+    def _arm(self, now_s: float) -> list[GangEffect]:
+        self.phase = GangPhase.ARMING
+        self._deadline_s = now_s + self._bounds.barrier_s
+        self._write_due_s = math.inf
+        plan = self.plan
+        arms: dict[int, GangCommand] = {
+            member: Arm(
+                token=plan.token(member),
+                hold_s=self._bounds.arm_hold_s,
+                command=plan.command,
+                checkpoint=plan.checkpoint(member),
+            )
+            for member in range(len(plan.members))
+        }
+        return [*self._round.replace(arms, plan, now_s)]
+
+    def _abort(self, now_s: float, code: str) -> list[GangEffect]:
+        if self.phase in {GangPhase.ABORTING, GangPhase.CLOSED}:
+            return []
+        self._code = code
+        self.phase = GangPhase.ABORTING
+        self._deadline_s = now_s + self._bounds.abort_s
+        self._write_due_s = math.inf
+        plan = self.plan
+        aborts: dict[int, GangCommand] = {
+            member: Abort(plan.token(member))
+            for member in range(len(plan.members))
+        }
+        return [*self._round.replace(aborts, plan, now_s)]
+
+    def _settle_abort(self, member: int) -> list[GangEffect]:
+        self._round.settle(member)
+        return [] if self._round.members else self._close()
+
+    def _close(self) -> list[GangEffect]:
+        self.phase = GangPhase.CLOSED
+        self._deadline_s = math.inf
+        self._round.replace({}, self.plan, 0.0)
+        has_successor = (
+            self._is_superseded or self._written is Written.CONFLICT
+        )
+        # A successor may go on from the record and release.
+        is_open = has_successor and self._may_be_recorded
+        self.outcome = GangOutcome(
+            attempt_id=self.plan.attempt_id,
+            end=self._end,
+            ran=Ran.UNKNOWN if is_open else Ran.NO,
+            code=self._code,
+            detail=self._detail,
+            failed_members=self._failed,
+            written=self._written,
+            is_superseded=has_successor,
+        )
+        return [Closed(self.outcome)]
