Lease scopes to deciders and settle lost answers by reading

Cause: one process must hold the right to place work in a scope, on instances that keep nothing and a table whose answers can be lost. Change: commit_settled reads the writer's token back and sends the same conditional transaction again only while the proof row is unchanged; LeaseKeeper counts the holder's lifetime from before the write was sent and the challenger's from when it first saw the version, renews the row in the transaction of every fenced commit, and raises the epoch with each takeover; spread_scopes ranks entries for each scope. Seen to fail first: belief counted from the answer and a challenger that waits half the lifetime (two believe), an epoch that does not grow (one epoch with two holders), a lapse that a late answer revives, and a superseded proof row taken for an unchanged one. Conclusion: without clock jumps at most one process believes; with them only the highest epoch writes. A separate check-only write was ruled out because the table has none.

--- /dev/null
+++ b/tests/test_lease.py
@@ -0,0 +1,370 @@
+from __future__ import annotations
+
+import attrs
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
+from msgspec.json import decode
+
+from filbertlb.core.clock import VirtualClock
+from filbertlb.core.lease import LEASE_MARGIN_S
+from filbertlb.core.lease import LEASE_TTL_S
+from filbertlb.core.lease import LeaseRecord
+from filbertlb.core.lease import LeaseSettingError
+from filbertlb.core.lease import LeaseTracker
+from filbertlb.core.lease import NotHolderError
+from filbertlb.core.spread import spread_scopes
+from filbertlb.errors import FilbertlbError
+from filbertlb.table.base import ABSENT
+from filbertlb.table.base import RowConflictError
+from filbertlb.table.base import TableUnavailableError
+from filbertlb.table.base import Write
+from filbertlb.table.base import WriteOutcomeUnknownError
+from filbertlb.table.lease import LeaseKeeper
+from filbertlb.table.memory import MemoryTable
+from filbertlb.table.settled import commit_settled
+from filbertlb.table.settled import new_token
+from filbertlb.table.settled import Proof
+from filbertlb.table.settled import UnprovableWriteError
+
+
+@attrs.define
+class SkewedClock:
+    base: VirtualClock
+    offset_s: float = 0.0
+
+    def monotonic(self):
+        return self.base.monotonic() + self.offset_s
+
+    def wall(self):
+        return self.base.wall()
+
+
+class HookedTable(MemoryTable):
+    """Runs hooks around the effect of the next commit."""
+
+    before = after = None
+
+    def commit(self, writes):
+        before, after = self.before, self.after
+        self.before = self.after = None
+        if before is not None:
+            before()
+        try:
+            return super().commit(writes)
+        finally:
+            if after is not None:
+                after()
+
+
+@attrs.define
+class Claimant:
+    keeper: LeaseKeeper
+    clock: SkewedClock
+
+
+CLAIMANTS = st.integers(0, 2)
+SECONDS = st.sampled_from([0.05, 0.3, 0.5, 1.0, 2.4, 2.5, 3.0, 3.6, 9.0])
+
+
+class LeaseMachine(RuleBasedStateMachine):
+    """Three claimants and all faults at once."""
+
+    def __init__(self):
+        super().__init__()
+        self.table = HookedTable()
+        self.clock = VirtualClock(100.0)
+        self.started = 0
+        self.claimants = [self.start() for _ in range(3)]
+        self.jumped = False
+        self.row_epoch = 0
+        self.holder_by_epoch = {}
+        self.lapsed_epochs = set()
+        self.commits = 0
+
+    def start(self):
+        self.started += 1
+        clock = SkewedClock(self.clock, self.started * 1000.0)
+        name = f"entry-{self.started}"
+        return Claimant(LeaseKeeper(self.table, "s", name, clock), clock)
+
+    def note(self, index):
+        """Record who believes, so that no epoch has two holders."""
+        lease = self.claimants[index].keeper.held()
+        if lease is not None:
+            keeper = self.claimants[index].keeper
+            known = self.holder_by_epoch.setdefault(lease.epoch, keeper)
+            assert known is keeper
+            assert lease.epoch not in self.lapsed_epochs
+        else:
+            self.lapsed_epochs |= {
+                epoch
+                for epoch, keeper in self.holder_by_epoch.items()
+                if keeper is self.claimants[index].keeper
+            }
+        return lease
+
+    @rule(index=CLAIMANTS, seconds=SECONDS)
+    def poll(self, index, seconds):
+        self.step(index)
+        self.clock.advance(seconds)
+        self.step(index)
+
+    @rule(index=CLAIMANTS)
+    def step(self, index):
+        self.claimants[index].keeper.step()
+        self.note(index)
+
+    @rule(index=CLAIMANTS, other=CLAIMANTS, waits=st.lists(SECONDS))
+    def step_paused_after_write(self, index, other, waits):
+        """Others go on while the answer to a write is on its way."""
+
+        def pause():
+            for seconds in waits:
+                self.clock.advance(seconds)
+                if other != index:
+                    self.step(other)
+
+        self.table.after = pause
+        self.step(index)
+        self.table.after = None
+
+    @rule(index=CLAIMANTS, other=CLAIMANTS, seconds=SECONDS)
+    def step_paused_before_write(self, index, other, seconds):
+        """Let a write arrive after another process has acted."""
+
+        def pause():
+            self.clock.advance(seconds)
+            if other != index:
+                self.step(other)
+                self.clock.advance(seconds)
+                self.step(other)
+
+        self.table.before = pause
+        self.step(index)
+        self.table.before = None
+
+    @rule(index=CLAIMANTS)
+    def act(self, index):
+        lease = self.note(index)
+        if lease is None:
+            return
+        highest = max(self.holder_by_epoch)
+        key = f"decision/{self.commits}"
+        self.commits += 1
+        try:
+            self.claimants[index].keeper.commit(
+                [Write(key, new_token().encode(), ABSENT)]
+            )
+        except (RowConflictError, NotHolderError, TableUnavailableError):
+            if not self.table.faults.down:
+                assert self.table.get(key) is None
+        except WriteOutcomeUnknownError:
+            pass
+        else:
+            assert lease.epoch == highest, "a fenced holder wrote"
+
+    @rule(index=CLAIMANTS)
+    def release(self, index):
+        keeper = self.claimants[index].keeper
+        try:
+            keeper.release()
+        except FilbertlbError as error:
+            assert error.code != "internal"
+        assert keeper.held() is None
+
+    @rule(index=CLAIMANTS)
+    def restart(self, index):
+        self.claimants[index] = self.start()
+
+    @rule(seconds=SECONDS)
+    def advance(self, seconds):
+        self.clock.advance(seconds)
+
+    @rule(index=CLAIMANTS, seconds=st.sampled_from([-5.0, 3.0, 600.0]))
+    def jump(self, index, seconds):
+        self.jumped = True
+        self.claimants[index].clock.offset_s += seconds
+
+    @rule(count=st.integers(1, 4))
+    def lose_acks(self, count):
+        self.table.faults.lose_acks = count
+
+    @rule(down=st.booleans())
+    def outage(self, down):
+        self.table.faults.down = down
+
+    @invariant()
+    def at_most_one_believes(self):
+        believers = [
+            index
+            for index in range(len(self.claimants))
+            if self.note(index) is not None
+        ]
+        assert self.jumped or len(believers) <= 1
+
+    @invariant()
+    def epoch_in_the_row_never_goes_down(self):
+        if self.table.faults.down:
+            return
+        row = self.table.get("lease/s")
+        if row is not None:
+            epoch = decode(row.value, type=LeaseRecord).epoch
+            assert epoch >= self.row_epoch
+            self.row_epoch = epoch
+
+
+class SteadyLeaseMachine(LeaseMachine):
+    """The same without clock jumps: only one may believe."""
+
+    jump = None
+
+
+LIMITS = settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=60,
+    stateful_step_count=40,
+)
+TestLease = LeaseMachine.TestCase
+TestLease.settings = LIMITS
+TestSteadyLease = SteadyLeaseMachine.TestCase
+TestSteadyLease.settings = LIMITS
+
+
+def keepers(table, clock, count=2):
+    return [
+        LeaseKeeper(table, "s", f"entry-{index}", clock)
+        for index in range(count)
+    ]
+
+
+def run_until_held(keeper, clock):
+    started_s = clock.monotonic()
+    while keeper.step() is None:
+        clock.advance(keeper.next_due_s() - clock.monotonic())
+    return clock.monotonic() - started_s
+
+
+def test_takeover_after_a_crash_within_ttl_of_first_sight():
+    table, clock = MemoryTable(), VirtualClock()
+    first, second = keepers(table, clock)
+    assert first.step().epoch == 1
+    assert run_until_held(second, clock) == pytest.approx(LEASE_TTL_S)
+    assert second.held().epoch == 2
+    assert first.held() is None
+
+
+def test_release_hands_over_at_once_with_a_higher_epoch():
+    table, clock = MemoryTable(), VirtualClock()
+    first, second = keepers(table, clock)
+    first.step()
+    first.release()
+    assert second.step().epoch == 2
+
+
+def test_outage_longer_than_the_lease_ends_belief_and_renews_epoch():
+    table, clock = MemoryTable(), VirtualClock()
+    first, second = keepers(table, clock)
+    first.step()
+    table.faults.down = True
+    clock.advance(LEASE_TTL_S - LEASE_MARGIN_S)
+    assert first.step() is None
+    assert first.failure.code == "table_unavailable"
+    assert second.step() is None
+    clock.advance(60.0)
+    table.faults.down = False
+    assert first.step().epoch == 2
+    assert second.step() is None
+
+
+def test_lost_row_does_not_bring_back_epochs_that_agents_refuse():
+    table, clock = MemoryTable(), VirtualClock()
+    keeper = keepers(table, clock)[0]
+    keeper.saw_epoch(41)
+    assert keeper.step().epoch == 42
+
+
+def test_margin_must_be_less_than_ttl():
+    with pytest.raises(LeaseSettingError, match=r"3\.0"):
+        LeaseTracker("s", "entry", ttl_s=3.0, margin_s=3.0)
+
+
+@pytest.mark.parametrize(
+    ("scopes", "entries", "most"), [(7, 7, 1), (7, 3, 3), (2, 3, 1)]
+)
+def test_scopes_spread_over_entries(scopes, entries, most):
+    ids = [f"entry-{index}" for index in range(entries)]
+    ranked_by_scope = spread_scopes(map(str, range(scopes)), ids)
+    firsts = [ranked[0] for ranked in ranked_by_scope.values()]
+    assert max(map(firsts.count, firsts)) == most
+    for ranked in ranked_by_scope.values():
+        assert sorted(ranked) == ids
+
+
+def interfere(table, how):
+    if how == "down":
+        table.faults.down = True
+    elif how == "overwritten":
+        table.commit([Write("a", b"other")])
+
+
+@pytest.mark.parametrize("applied", [True, False])
+@pytest.mark.parametrize(
+    ("how", "write_once", "failure"),
+    [
+        ("", False, None),
+        ("down", False, WriteOutcomeUnknownError),
+        ("overwritten", False, WriteOutcomeUnknownError),
+        ("overwritten", True, RowConflictError),
+    ],
+)
+def test_lost_answer_is_settled(applied, how, write_once, failure):
+    class LossyTable(MemoryTable):
+        commits = 0
+
+        def commit(self, writes):
+            if self.commits:
+                return super().commit(writes)
+            self.commits += 1
+            if applied:
+                super().commit(writes)
+            interfere(super(), how)
+            raise WriteOutcomeUnknownError("the answer was lost")
+
+    table = LossyTable()
+    writes = [Write("a", b"mine", ABSENT), Write("b", b"1", None)]
+    proof = Proof("a", write_once)
+    if failure is None:
+        assert commit_settled(table, writes, proof) == (1, 2)
+        assert table.writes == len(writes)
+        return
+    with pytest.raises(failure):
+        commit_settled(table, writes, proof)
+    assert table.writes <= len(writes) + 1
+
+
+@pytest.mark.parametrize(
+    "write", [Write("a", b"1"), Write("a", None, 1), Write("b", b"1", 1)]
+)
+def test_unprovable_write_is_refused(write):
+    with pytest.raises(UnprovableWriteError, match="'a'"):
+        commit_settled(MemoryTable(), [write], Proof("a"))
+
+
+def test_renewal_that_is_settled_after_the_lapse_does_not_revive_it():
+    table, clock = HookedTable(), VirtualClock()
+    keeper = keepers(table, clock)[0]
+    keeper.step()
+    clock.advance(LEASE_TTL_S - 2 * LEASE_MARGIN_S)
+    table.faults.lose_acks = 1
+    table.after = lambda: setattr(table.faults, "down", True)
+    assert keeper.step().epoch == 1
+    assert keeper.failure.code == "write_outcome_unknown"
+    clock.advance(2 * LEASE_MARGIN_S)
+    assert keeper.held() is None
+    table.faults.down = False
+    assert keeper.step().epoch == 2
