Interpret life cycles from state charts in JSON

Cause: life cycles stand in files that the code interprets, and an unreachable state or a dead end must show before it ships.

Change: a loader that refuses contradictions, one shared transitions machine for each chart with light objects, the job's and the reservation's charts, and a page of diagrams written by the module.

Conclusion: the machine's add_model was ruled out: it keeps every object it was ever given.

--- /dev/null
+++ b/tests/test_charts.py
@@ -0,0 +1,121 @@
+from __future__ import annotations
+
+from json import dumps
+from pathlib import Path
+
+import pytest
+
+from filbertlb.core.charts import chart_by_name
+from filbertlb.core.charts import ChartNotFoundError
+from filbertlb.core.charts import dead_ends
+from filbertlb.core.charts import IllegalTransitionError
+from filbertlb.core.charts import InvalidChartError
+from filbertlb.core.charts import PAGE_PATH
+from filbertlb.core.charts import parse_chart
+from filbertlb.core.charts import render_page
+from filbertlb.core.charts import state_chart
+from filbertlb.core.charts import unreachable_states
+from filbertlb.core.model import FINAL_JOB_STATES
+from filbertlb.core.model import JobState
+from filbertlb.messages import TaskPhase
+
+ROOT = Path(__file__).parent.parent
+
+
+def chart_text(**changes):
+    chart = {
+        "name": "lamp",
+        "initial": "off",
+        "states": ["off", "on", "broken"],
+        "final": ["broken"],
+        "transitions": [
+            {"trigger": "press", "source": "off", "dest": "on"},
+            {"trigger": "press", "source": "on", "dest": "off"},
+            {"trigger": "drop", "source": "on", "dest": "broken"},
+        ],
+    }
+    return dumps(chart | changes)
+
+
+@pytest.mark.parametrize("name", sorted(chart_by_name()))
+def test_every_chart_is_reachable_and_ends(name):
+    chart = chart_by_name()[name]
+    assert unreachable_states(chart) == frozenset()
+    assert dead_ends(chart) == frozenset()
+
+
+def test_every_file_is_loaded():
+    files = (ROOT / "filbertlb" / "charts").glob("*.json")
+    assert {path.stem for path in files} == set(chart_by_name())
+
+
+def test_page_is_current():
+    page = (ROOT / PAGE_PATH).read_text(encoding="utf-8")
+    assert page == render_page(chart_by_name().values())
+
+
+def test_walk_finds_unreachable_states_and_dead_ends():
+    moves = [
+        {"trigger": "press", "source": "off", "dest": "on"},
+        {"trigger": "press", "source": "on", "dest": "off"},
+    ]
+    chart = parse_chart(chart_text(transitions=moves), "lamp.json")
+    assert unreachable_states(chart) == {"broken"}
+    assert dead_ends(chart) == {"off", "on"}
+
+
+@pytest.mark.parametrize(
+    ("changes", "message"),
+    [
+        ({"initial": "dim"}, "'dim' is used"),
+        ({"final": ["on", "broken"]}, "'on' has a way out"),
+        ({"states": "off"}, "states"),
+        (
+            {
+                "transitions": [
+                    {"trigger": "press", "source": "off", "dest": "on"},
+                    {"trigger": "press", "source": "off", "dest": "broken"},
+                ]
+            },
+            "leads to 2 states",
+        ),
+    ],
+)
+def test_contradictions_are_refused(changes, message):
+    with pytest.raises(InvalidChartError, match=message) as caught:
+        parse_chart(chart_text(**changes), "lamp.json")
+    assert "lamp.json" in caught.value.message
+
+
+@pytest.mark.parametrize("name", sorted(chart_by_name()))
+def test_interpreter_follows_the_file(name):
+    chart = chart_by_name()[name]
+    interpreter = state_chart(name)
+    dest_by_arrow = {(m.source, m.trigger): m.dest for m in chart.transitions}
+    for state in chart.states:
+        for trigger in {m.trigger for m in chart.transitions} | {"no_such"}:
+            dest = dest_by_arrow.get((state, trigger))
+            assert interpreter.allows(state, trigger) == (dest is not None)
+            if dest is not None:
+                assert interpreter.after(state, trigger) == dest
+                continue
+            with pytest.raises(IllegalTransitionError, match=repr(state)):
+                interpreter.after(state, trigger)
+
+
+def test_lives_are_apart():
+    interpreter = state_chart("job")
+    first, second = interpreter.new(), interpreter.new()
+    interpreter.fire(first, "place")
+    assert (first.state, second.state) == ("starting", "queued")
+    assert state_chart("job") is interpreter
+    with pytest.raises(ChartNotFoundError, match="reservation"):
+        state_chart("none")
+
+
+def test_charts_agree_with_the_model():
+    job = chart_by_name()["job"]
+    assert set(job.states) == set(JobState)
+    assert set(job.final) == FINAL_JOB_STATES
+    reservation = chart_by_name()["reservation"]
+    assert set(TaskPhase) <= set(reservation.states)
