--- /dev/null
+++ b/filbertlb/core/estimates.py
@@ -0,0 +1,76 @@
+"""Run times learned by organisation and class from what ran.
+
+Declared run times are never used.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+import attrs
+
+if TYPE_CHECKING:
+    from filbertlb.core.model import JobClass
+
+_Key = TypeVar("_Key")
+
+_NEWEST_SHARE = 0.1
+_UPPER_FACTOR = 2.0
+
+
+@attrs.define
+class _Average:
+    mean_s: float
+    deviation_s: float
+
+
+@attrs.define
+class RunTimes:
+    """Exponentially weighted run times.
+
+    Parameters
+    ----------
+    default_s : float
+        Estimate while nothing of a class has run, in seconds.
+    """
+
+    default_s: float
+    by_key: dict[tuple[str, JobClass], _Average] = attrs.field(factory=dict)
+    by_class: dict[JobClass, _Average] = attrs.field(factory=dict)
+
+    def learn(
+        self, organisation_id: str, job_class: JobClass, run_s: float
+    ) -> None:
+        """Take in the run time of a job that succeeded."""
+        _learn(self.by_key, (organisation_id, job_class), run_s)
+        _learn(self.by_class, job_class, run_s)
+
+    def expected_s(self, organisation_id: str, job_class: JobClass) -> float:
+        """Return the expected run time in seconds."""
+        average = self._average(organisation_id, job_class)
+        return self.default_s if average is None else average.mean_s
+
+    def upper_s(self, organisation_id: str, job_class: JobClass) -> float:
+        """Return a run time that few runs exceed, in seconds."""
+        average = self._average(organisation_id, job_class)
+        if average is None:
+            return self.default_s * _UPPER_FACTOR
+        return average.mean_s + _UPPER_FACTOR * average.deviation_s
+
+    def _average(
+        self, organisation_id: str, job_class: JobClass
+    ) -> _Average | None:
+        average = self.by_key.get((organisation_id, job_class))
+        return average or self.by_class.get(job_class)
+
+
+def _learn(by_key: dict[_Key, _Average], key: _Key, run_s: float) -> None:
+    average = by_key.get(key)
+    if average is None:
+        by_key[key] = _Average(run_s, run_s / 2)
+        return
+    error_s = run_s - average.mean_s
+    average.mean_s += _NEWEST_SHARE * error_s
+    change_s = abs(error_s) - average.deviation_s
+    average.deviation_s += _NEWEST_SHARE * change_s
--- /dev/null
+++ b/filbertlb/core/queueing.py
@@ -0,0 +1,265 @@
+"""Order of waiting jobs: ageing, fair share and quota."""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from bisect import insort
+from typing import TYPE_CHECKING
+
+import attrs
+
+from filbertlb.core.amounts import needed
+from filbertlb.core.model import JobClass
+from filbertlb.scheduling.config import WeightProfile
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from filbertlb.core.amounts import Amount
+    from filbertlb.core.model import JobSpec
+    from filbertlb.core.model import Organisation
+    from filbertlb.core.model import Shape
+    from filbertlb.core.scheduling import WaitReason
+
+BucketKey = tuple[str, JobClass, "Shape", bool, str]
+Place = tuple[float, int, str]
+"""Time of submission in seconds, order of submission and job."""
+
+
+@attrs.define(eq=False)
+class Waiting:
+    """A job that waits.
+
+    Parameters
+    ----------
+    place : Place
+        Place in the order, kept when the job is stopped and queued
+        again.
+    avoid : set of str
+        Workers on which it has failed.
+    ready_at_s : float
+        Time before which it is not tried again, in seconds.
+    """
+
+    job: JobSpec
+    need: Amount
+    place: Place
+    avoid: set[str] = attrs.field(factory=set)
+    ready_at_s: float = 0.0
+
+
+@attrs.define(eq=False)
+class Bucket:
+    """Waiting jobs that differ only in age.
+
+    Parameters
+    ----------
+    blocked_at : int, optional
+        State of the cluster in which the oldest did not fit.
+    """
+
+    organisation_id: str
+    job_class: JobClass
+    shape: Shape
+    need: Amount
+    stoppable: bool
+    guarantee_id: str
+    places: list[Place] = attrs.field(factory=list)
+    blocked_at: int | None = None
+    reason: WaitReason | None = None
+
+    @property
+    def signature(self) -> tuple[Shape, bool]:
+        """Return what decides whether a job fits."""
+        return (self.shape, self.stoppable)
+
+
+def bucket_key(job: JobSpec) -> BucketKey:
+    """Return the key of the bucket that a job waits in."""
+    return (
+        job.organisation_id,
+        job.job_class,
+        job.shape,
+        job.stoppable,
+        job.guarantee_id or "",
+    )
+
+
+@attrs.define(eq=False)
+class JobQueue:
+    """Waiting jobs by bucket, oldest first within each."""
+
+    by_id: dict[str, Waiting] = attrs.field(factory=dict)
+    by_key: dict[BucketKey, Bucket] = attrs.field(factory=dict)
+    delayed: list[tuple[float, str]] = attrs.field(factory=list)
+    places: list[Place] = attrs.field(factory=list)
+
+    def push(self, waiting: Waiting, now_s: float) -> None:
+        """Queue a job in its place, or later if it is backing off."""
+        job_id = waiting.job.job_id
+        self.by_id[job_id] = waiting
+        insort(self.places, waiting.place)
+        if waiting.ready_at_s > now_s:
+            insort(self.delayed, (waiting.ready_at_s, job_id))
+        else:
+            self._enter_bucket(waiting)
+
+    def pop(self, job_id: str) -> Waiting | None:
+        """Take a job out, or return None if it does not wait."""
+        waiting = self.by_id.pop(job_id, None)
+        if waiting is None:
+            return None
+        _remove(self.places, waiting.place)
+        item = (waiting.ready_at_s, job_id)
+        index = bisect_left(self.delayed, item)
+        if index < len(self.delayed) and self.delayed[index] == item:
+            del self.delayed[index]
+        else:
+            self._leave_bucket(waiting)
+        return waiting
+
+    def wake(self, now_s: float) -> bool:
+        """Move jobs whose backoff is over; tell whether any was."""
+        woken = False
+        while self.delayed and self.delayed[0][0] <= now_s:
+            _, job_id = self.delayed.pop(0)
+            self._enter_bucket(self.by_id[job_id])
+            woken = True
+        return woken
+
+    def next_wake_s(self) -> float:
+        """Return when the next backoff ends, in seconds."""
+        return self.delayed[0][0] if self.delayed else float("inf")
+
+    def is_delayed(self, waiting: Waiting) -> bool:
+        """Tell whether a job is backing off."""
+        item = (waiting.ready_at_s, waiting.job.job_id)
+        index = bisect_left(self.delayed, item)
+        return index < len(self.delayed) and self.delayed[index] == item
+
+    def head(self, bucket: Bucket) -> Waiting | None:
+        """Return the oldest job of a bucket."""
+        if not bucket.places:
+            return None
+        return self.by_id[bucket.places[0][2]]
+
+    def oldest(self) -> Iterator[Waiting]:
+        """Yield waiting jobs, oldest first."""
+        for place in self.places:
+            yield self.by_id[place[2]]
+
+    def _enter_bucket(self, waiting: Waiting) -> None:
+        key = bucket_key(waiting.job)
+        bucket = self.by_key.get(key)
+        if bucket is None:
+            bucket = Bucket(
+                waiting.job.organisation_id,
+                waiting.job.job_class,
+                waiting.job.shape,
+                waiting.need,
+                waiting.job.stoppable,
+                waiting.job.guarantee_id or "",
+            )
+            self.by_key[key] = bucket
+        insort(bucket.places, waiting.place)
+        if bucket.places[0] == waiting.place:
+            bucket.blocked_at = None
+
+    def _leave_bucket(self, waiting: Waiting) -> None:
+        key = bucket_key(waiting.job)
+        bucket = self.by_key[key]
+        if bucket.places[0] == waiting.place:
+            bucket.blocked_at = None
+        _remove(bucket.places, waiting.place)
+        if not bucket.places:
+            del self.by_key[key]
+
+
+def score(
+    profile: WeightProfile,
+    expected_run_s: float,
+    accelerators: int,
+    wait_s: float,
+    ageing_s: float,
+    excess: float,
+) -> float:
+    """Return the urge to start a job; the lowest goes first.
+
+    Parameters
+    ----------
+    expected_run_s : float
+        Learned run time in seconds.
+    accelerators : int
+        Accelerators of all members together.
+    wait_s : float
+        Time since submission in seconds.
+    ageing_s : float
+        Wait that halves the score, in seconds.
+    excess : float
+        Organisation's use as a multiple of its fair share.
+    """
+    base = expected_run_s
+    if profile is WeightProfile.FRAGMENTATION:
+        base = expected_run_s / (1 + accelerators)
+    return base * (1.0 + excess) / (1.0 + wait_s / ageing_s)
+
+
+@attrs.define(eq=False)
+class Shares:
+    """Use by organisation, against quotas and fair shares.
+
+    Parameters
+    ----------
+    borrowed_by_id : dict
+        Accelerators in use beyond guarantees, by organisation.
+    """
+
+    by_id: dict[str, Organisation] = attrs.field(factory=dict)
+    guaranteed_by_id: dict[str, int] = attrs.field(factory=dict)
+    borrowed_by_id: dict[str, int] = attrs.field(factory=dict)
+    weight_sum: float = 1.0
+
+    def change(self, organisations: dict[str, Organisation]) -> None:
+        """Follow a change of organisations."""
+        self.by_id = dict(organisations)
+        self.weight_sum = (
+            sum(item.weight for item in organisations.values()) or 1.0
+        )
+        self.guaranteed_by_id = {
+            name: guaranteed_accelerators(item)
+            for name, item in organisations.items()
+        }
+
+    def count(self, organisation_id: str, accelerators: int) -> None:
+        """Add to what an organisation uses beyond its guarantees."""
+        used = self.borrowed_by_id.get(organisation_id, 0)
+        self.borrowed_by_id[organisation_id] = used + accelerators
+
+    def allows(self, organisation_id: str, accelerators: int) -> bool:
+        """Tell whether the quota allows more use beyond guarantees."""
+        organisation = self.by_id.get(organisation_id)
+        if organisation is None or organisation.quota_accelerators is None:
+            return True
+        used = self.borrowed_by_id.get(organisation_id, 0)
+        guaranteed = self.guaranteed_by_id.get(organisation_id, 0)
+        quota = organisation.quota_accelerators
+        return not accelerators or used + accelerators + guaranteed <= quota
+
+    def excess(self, organisation_id: str, capacity: int) -> float:
+        """Return use as a multiple of the organisation's fair share."""
+        organisation = self.by_id.get(organisation_id)
+        weight = organisation.weight if organisation else 1.0
+        share = max(1.0, capacity * weight / self.weight_sum)
+        return self.borrowed_by_id.get(organisation_id, 0) / share
+
+
+def guaranteed_accelerators(organisation: Organisation) -> int:
+    """Return the accelerators of all guarantees together."""
+    return sum(
+        needed(item.shape.each)[0] * item.shape.members * item.count
+        for item in organisation.guarantees
+    )
+
+
+def _remove(places: list[Place], place: Place) -> None:
+    del places[bisect_left(places, place)]
--- /dev/null
+++ b/filbertlb/core/reclaim.py
@@ -0,0 +1,135 @@
+"""Choice of the runs to stop so that others can start."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from filbertlb.core.amounts import covers
+from filbertlb.core.amounts import minus
+from filbertlb.core.amounts import plus
+from filbertlb.core.model import JobClass
+
+if TYPE_CHECKING:
+    from filbertlb.core.amounts import Amount
+    from filbertlb.core.cluster import Cluster
+    from filbertlb.core.cluster import WorkerState
+    from filbertlb.core.runs import Run
+
+Eligible = Callable[["Run"], bool]
+
+# A checkpoint keeps all but the work since it was begun.
+_CHECKPOINT_LOSS_SHARE = 0.02
+_URGENT_PENALTY = 1000.0
+
+
+def lost_work(run: Run, now_s: float) -> float:
+    """Return the member-seconds that a stop throws away, at least 1."""
+    elapsed_s = max(0.0, now_s - run.started_at_s)
+    if run.job.checkpointable:
+        elapsed_s *= _CHECKPOINT_LOSS_SHARE
+    loss = 1.0 + elapsed_s * len(run.worker_ids)
+    if run.job.job_class is JobClass.URGENT:
+        loss *= _URGENT_PENALTY
+    return loss
+
+
+def room_after_stops(state: WorkerState, eligible: Eligible) -> Amount:
+    """Return what is free once all eligible runs have been stopped."""
+    room = state.free
+    for run in state.runs_by_id.values():
+        if run.stopping or eligible(run):
+            room = plus(room, run.amount_on(state.worker_id))
+    return room
+
+
+def choose_victims(
+    cluster: Cluster,
+    wanted_by_worker: dict[str, Amount],
+    eligible: Eligible,
+    now_s: float,
+) -> list[Run] | None:
+    """Choose runs to stop, least lost work first.
+
+    Parameters
+    ----------
+    wanted_by_worker : dict
+        What is to become free on each worker.
+
+    Returns
+    -------
+    list of Run or None
+        Runs to stop besides those being stopped already; None where
+        stopping all that are eligible does not free enough.
+    """
+    room_by_id = {
+        name: room_after_stops(cluster.by_id[name], _none)
+        for name in wanted_by_worker
+    }
+    candidates = _candidates(cluster, wanted_by_worker, eligible, now_s)
+    chosen: list[Run] = []
+    for run in candidates:
+        short = _short(room_by_id, wanted_by_worker)
+        if not short:
+            break
+        if any(name in short for name in run.members_by_worker):
+            chosen.append(run)
+            _free(run, room_by_id, 1)
+    if _short(room_by_id, wanted_by_worker):
+        return None
+    return _without_needless(chosen, room_by_id, wanted_by_worker)
+
+
+def _candidates(
+    cluster: Cluster,
+    wanted_by_worker: dict[str, Amount],
+    eligible: Eligible,
+    now_s: float,
+) -> list[Run]:
+    by_id: dict[str, Run] = {}
+    for name in wanted_by_worker:
+        for job_id, run in cluster.by_id[name].runs_by_id.items():
+            if not run.stopping and eligible(run):
+                by_id[job_id] = run
+    return sorted(
+        by_id.values(),
+        key=lambda run: (lost_work(run, now_s), run.job.job_id),
+    )
+
+
+def _without_needless(
+    chosen: list[Run],
+    room_by_id: dict[str, Amount],
+    wanted_by_worker: dict[str, Amount],
+) -> list[Run]:
+    kept = []
+    for run in reversed(chosen):
+        _free(run, room_by_id, -1)
+        if _short(room_by_id, wanted_by_worker):
+            _free(run, room_by_id, 1)
+            kept.append(run)
+    kept.reverse()
+    return kept
+
+
+def _short(
+    room_by_id: dict[str, Amount], wanted_by_worker: dict[str, Amount]
+) -> set[str]:
+    return {
+        name
+        for name, wanted in wanted_by_worker.items()
+        if not covers(room_by_id[name], wanted)
+    }
+
+
+def _free(run: Run, room_by_id: dict[str, Amount], sign: int) -> None:
+    change = plus if sign > 0 else minus
+    for name in run.members_by_worker:
+        if name in room_by_id:
+            amount = run.amount_on(name)
+            room_by_id[name] = change(room_by_id[name], amount)
+
+
+def _none(run: Run) -> bool:
+    del run
+    return False
--- /dev/null
+++ b/filbertlb/core/runs.py
@@ -0,0 +1,178 @@
+"""Runs of jobs and the plans that wait for capacity."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+import attrs
+
+from filbertlb.core.amounts import covers
+from filbertlb.core.amounts import times
+
+if TYPE_CHECKING:
+    from filbertlb.core.amounts import Amount
+    from filbertlb.core.cluster import Cluster
+    from filbertlb.core.cluster import WorkerState
+    from filbertlb.core.model import JobSpec
+    from filbertlb.core.witness import Unit
+
+
+@attrs.define(eq=False)
+class Run:
+    """One run of a job, or a plan for one.
+
+    Parameters
+    ----------
+    worker_ids : tuple of str
+        Worker of each member.
+    members_by_worker : dict
+        Number of members by worker.
+    unit : Unit, optional
+        The guaranteed shape that the run claims.
+    stopping : bool
+        A stop was decided and its end is not yet known.
+    excess : Amount
+        Measured use of a member beyond its need.
+    """
+
+    job: JobSpec
+    need: Amount
+    worker_ids: tuple[str, ...]
+    started_at_s: float
+    members_by_worker: dict[str, int]
+    unit: Unit | None = None
+    stopping: bool = False
+    excess: Amount = (0, 0, 0)
+
+    @classmethod
+    def create(
+        cls,
+        job: JobSpec,
+        need: Amount,
+        worker_ids: tuple[str, ...],
+        now_s: float,
+        unit: Unit | None = None,
+    ) -> Run:
+        """Return a run whose members are on the given workers."""
+        return cls(
+            job, need, worker_ids, now_s, dict(Counter(worker_ids)), unit
+        )
+
+    @property
+    def firm(self) -> bool:
+        """Tell whether the run may not be stopped and claims nothing."""
+        return self.unit is None and not self.job.stoppable
+
+    @property
+    def borrowed(self) -> bool:
+        """Tell whether the run may be stopped for others."""
+        return self.unit is None and self.job.stoppable
+
+    def amount_on(self, worker_id: str) -> Amount:
+        """Return what all members on one worker use."""
+        need, excess = self.need, self.excess
+        each = (
+            need[0] + excess[0],
+            need[1] + excess[1],
+            need[2] + excess[2],
+        )
+        return times(each, self.members_by_worker.get(worker_id, 0))
+
+
+@attrs.define(eq=False)
+class RunTable:
+    """Keeps runs and plans and counts them on their workers."""
+
+    cluster: Cluster
+    by_id: dict[str, Run] = attrs.field(factory=dict)
+    plan_by_id: dict[str, Run] = attrs.field(factory=dict)
+
+    def start(self, run: Run) -> None:
+        """Count a run on its workers."""
+        self.by_id[run.job.job_id] = run
+        for state in self.workers(run):
+            self._count(run, state)
+
+    def end(self, run: Run) -> None:
+        """Free what a run occupies."""
+        del self.by_id[run.job.job_id]
+        for state in self.workers(run):
+            self._uncount(run, state)
+
+    def plan(self, run: Run) -> None:
+        """Keep capacity for a run that waits for stops."""
+        self.plan_by_id[run.job.job_id] = run
+        for state in self.workers(run):
+            self.cluster.plan(state, run.amount_on(state.worker_id))
+            if run.firm:
+                self.cluster.close(state, run.amount_on(state.worker_id))
+
+    def unplan(self, run: Run) -> None:
+        """Give back what ``plan`` keeps."""
+        del self.plan_by_id[run.job.job_id]
+        for state in self.workers(run):
+            self.cluster.unplan(state, run.amount_on(state.worker_id))
+            if run.firm:
+                self.cluster.reopen(state, run.amount_on(state.worker_id))
+
+    def plan_fits(self, run: Run) -> bool:
+        """Tell whether everything a plan waits for has ended."""
+        for worker_id in run.members_by_worker:
+            state = self.cluster.by_id[worker_id]
+            amount = run.amount_on(worker_id)
+            room = (
+                state.capacity[0] - state.used[0],
+                state.capacity[1] - state.used[1],
+                state.capacity[2] - state.used[2],
+            )
+            if not state.usable or not covers(room, amount):
+                return False
+        return True
+
+    def set_claim(self, run: Run, unit: Unit | None) -> None:
+        """Change what a run claims."""
+        firm_before = run.firm
+        run.unit = unit
+        if firm_before == run.firm:
+            return
+        for state in self.workers(run):
+            change = self.cluster.close if run.firm else self.cluster.reopen
+            change(state, run.amount_on(state.worker_id))
+
+    def set_excess(self, run: Run, excess: Amount) -> None:
+        """Change what a run is measured to use beyond its need."""
+        if excess == run.excess:
+            return
+        for state in self.workers(run):
+            self._uncount(run, state)
+        run.excess = excess
+        for state in self.workers(run):
+            self._count(run, state)
+
+    def count_on_new_worker(self, state: WorkerState) -> None:
+        """Count adopted runs on a worker that was not known to them."""
+        for run in self.by_id.values():
+            known = run.job.job_id in state.runs_by_id
+            if state.worker_id in run.members_by_worker and not known:
+                self._count(run, state)
+
+    def workers(self, run: Run) -> list[WorkerState]:
+        """Return the known workers of a run."""
+        by_id = self.cluster.by_id
+        names = run.members_by_worker
+        return [by_id[name] for name in names if name in by_id]
+
+    def _count(self, run: Run, state: WorkerState) -> None:
+        amount = run.amount_on(state.worker_id)
+        state.runs_by_id[run.job.job_id] = run
+        self.cluster.occupy(state, amount)
+        if run.firm:
+            self.cluster.close(state, amount)
+
+    def _uncount(self, run: Run, state: WorkerState) -> None:
+        amount = run.amount_on(state.worker_id)
+        del state.runs_by_id[run.job.job_id]
+        self.cluster.vacate(state, amount)
+        if run.firm:
+            self.cluster.reopen(state, amount)
--- /dev/null
+++ b/filbertlb/core/search.py
@@ -0,0 +1,201 @@
+"""Search for workers that can hold the members of a shape."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from itertools import islice
+from typing import TYPE_CHECKING
+
+from filbertlb.core.amounts import copies
+from filbertlb.core.amounts import covers
+from filbertlb.core.amounts import times
+from filbertlb.core.model import Adjacency
+
+if TYPE_CHECKING:
+    from collections.abc import Container
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+    from filbertlb.core.amounts import Amount
+    from filbertlb.core.cluster import Cluster
+    from filbertlb.core.cluster import Group
+    from filbertlb.core.cluster import WorkerState
+    from filbertlb.core.model import Shape
+
+Room = Callable[["WorkerState"], "Amount"]
+"""What a worker offers to the work that is being placed."""
+
+_MAX_CANDIDATES_PER_LEVEL = 32
+
+
+def on_one_worker(shape: Shape) -> bool:
+    """Tell whether all members go to the same worker."""
+    return shape.members == 1 or shape.adjacency is Adjacency.WORKER
+
+
+def find_free(
+    cluster: Cluster,
+    shape: Shape,
+    need: Amount,
+    room: Room,
+    avoid: Container[str] = (),
+    among: Mapping[str, WorkerState] | None = None,
+) -> tuple[str, ...] | None:
+    """Find workers with free room, leaving the rest as whole as can be.
+
+    Parameters
+    ----------
+    room : Room
+        Never more than the worker's free amount.
+    avoid : container of str
+        Workers that will not do.
+    among : mapping, optional
+        Only placements that use one of these workers are looked for.
+    """
+    if not on_one_worker(shape):
+        return find_group(cluster, shape, need, room, avoid, among)
+    total = times(need, shape.members)
+    if among is not None:
+        levels: Iterable[Iterable[WorkerState]] = (among.values(),)
+    else:
+        by_key = cluster.by_index_key
+        keys = cluster.index_keys(total)
+        levels = (by_key[key].values() for key in keys)
+    for level in levels:
+        fitting = (
+            state
+            for state in level
+            if _allowed(state, shape, avoid) and covers(room(state), total)
+        )
+        best = min(
+            islice(fitting, _MAX_CANDIDATES_PER_LEVEL),
+            key=lambda state: _waste(state, total),
+            default=None,
+        )
+        if best is not None:
+            return (best.worker_id,) * shape.members
+    return None
+
+
+def find_group(
+    cluster: Cluster,
+    shape: Shape,
+    need: Amount,
+    room: Room,
+    avoid: Container[str] = (),
+    among: Mapping[str, WorkerState] | None = None,
+) -> tuple[str, ...] | None:
+    """Find the rack or domain that a gang fills best with free room."""
+    wanted = need[0] * shape.members
+    groups = sorted(
+        (
+            group
+            for group in groups_of(cluster, shape, among)
+            if group.free_accelerators >= wanted
+        ),
+        key=lambda group: group.free_accelerators,
+    )
+    for group in groups:
+        chosen = fill(group, shape, need, room, avoid)
+        if chosen is not None:
+            return chosen
+    return None
+
+
+def find_anywhere(
+    cluster: Cluster,
+    shape: Shape,
+    need: Amount,
+    room: Room,
+    avoid: Container[str] = (),
+) -> tuple[str, ...] | None:
+    """Find workers by any measure of room; tightest group first."""
+    if on_one_worker(shape):
+        total = times(need, shape.members)
+        best = min(
+            (
+                state
+                for state in cluster.by_id.values()
+                if _allowed(state, shape, avoid) and covers(room(state), total)
+            ),
+            key=lambda state: sum(room(state)),
+            default=None,
+        )
+        return None if best is None else (best.worker_id,) * shape.members
+    groups = groups_of(cluster, shape, None)
+    sized = [(_group_room(group, room), group.name, group) for group in groups]
+    for _, _, group in sorted(sized, key=lambda item: item[:2]):
+        chosen = fill(group, shape, need, room, avoid)
+        if chosen is not None:
+            return chosen
+    return None
+
+
+def groups_of(
+    cluster: Cluster,
+    shape: Shape,
+    among: Mapping[str, WorkerState] | None,
+) -> list[Group]:
+    """Return the racks or domains in which a shape may lie."""
+    rack = shape.adjacency is Adjacency.RACK
+    by_name = cluster.rack_by_name if rack else cluster.domain_by_name
+    groups: Iterable[Group] = by_name.values()
+    if among is not None:
+        workers = among.values()
+        near = [state.rack if rack else state.domain for state in workers]
+        groups = {group.name: group for group in near}.values()
+    domain = shape.failure_domain
+    return [
+        group
+        for group in groups
+        if domain is None or group.failure_domain == domain
+    ]
+
+
+def fill(
+    group: Group,
+    shape: Shape,
+    need: Amount,
+    room: Room,
+    avoid: Container[str] = (),
+) -> tuple[str, ...] | None:
+    """Place members on a group's workers, or return None."""
+    counted = []
+    for state in group.workers:
+        if state.usable and state.worker_id not in avoid:
+            count = copies(room(state), need)
+            if count:
+                counted.append((state, min(count, shape.members)))
+    if sum(count for _, count in counted) < shape.members:
+        return None
+    counted.sort(key=lambda item: (item[0].rack.free_accelerators, -item[1]))
+    chosen: list[str] = []
+    for state, count in counted:
+        wanted = min(count, shape.members - len(chosen))
+        chosen.extend([state.worker_id] * wanted)
+    return tuple(chosen)
+
+
+def _allowed(state: WorkerState, shape: Shape, avoid: Container[str]) -> bool:
+    domain = shape.failure_domain
+    return (
+        state.usable
+        and state.worker_id not in avoid
+        and (domain is None or state.worker.failure_domain == domain)
+    )
+
+
+def _group_room(group: Group, room: Room) -> int:
+    return sum(max(0, room(state)[0]) for state in group.workers)
+
+
+def _waste(state: WorkerState, total: Amount) -> tuple[int, int, int]:
+    # Spoils guaranteed and reserved capacity last, then keeps whole
+    # workers and whole racks free.
+    after = state.free[0] - total[0]
+    kept = state.held[0] + state.promised_accelerators
+    return (
+        max(0, kept - after) if total[0] else 0,
+        state.rack.free_accelerators,
+        state.free[1],
+    )
--- /dev/null
+++ b/filbertlb/scheduling/__init__.py
@@ -0,0 +1,3 @@
+"""Policies that decide what runs where."""
+
+from __future__ import annotations
--- /dev/null
+++ b/filbertlb/scheduling/claims.py
@@ -0,0 +1,129 @@
+"""Claims of guarantees: start at once, or stop borrowers first."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from filbertlb.core.amounts import copies
+from filbertlb.core.amounts import least
+from filbertlb.core.amounts import times
+from filbertlb.core.reclaim import choose_victims
+from filbertlb.core.search import find_free
+from filbertlb.core.witness import room_besides
+from filbertlb.scheduling.admission import fits_guarantee
+
+if TYPE_CHECKING:
+    from filbertlb.core.amounts import Amount
+    from filbertlb.core.queueing import Bucket
+    from filbertlb.core.queueing import Waiting
+    from filbertlb.core.runs import Run
+    from filbertlb.core.witness import Unit
+    from filbertlb.scheduling.state import Decisions
+    from filbertlb.scheduling.state import SchedulerState
+
+
+def serve_claims(state: SchedulerState, now_s: float, out: Decisions) -> None:
+    """Start or plan every queued job that can claim a unit."""
+    for bucket in list(state.queue.by_key.values()):
+        if bucket.guarantee_id:
+            _serve_bucket(state, bucket, now_s, out)
+
+
+def _serve_bucket(
+    state: SchedulerState, bucket: Bucket, now_s: float, out: Decisions
+) -> None:
+    key = (bucket.organisation_id, bucket.guarantee_id)
+    while len(out) < state.config.max_decisions:
+        waiting = state.queue.head(bucket)
+        unit = state.witness.unclaimed(key)
+        if waiting is None or unit is None:
+            return
+        if not fits_guarantee(bucket.shape, unit.guarantee):
+            return
+        if not _start_free(state, waiting, unit, now_s, out):
+            _start_after_stops(state, waiting, unit, now_s, out)
+
+
+def _start_free(
+    state: SchedulerState,
+    waiting: Waiting,
+    unit: Unit,
+    now_s: float,
+    out: Decisions,
+) -> bool:
+    """Start on free workers: the unit's own, or others it can move to."""
+    chosen = _own_workers(state, waiting, unit, free_only=True)
+    if chosen is None:
+        moved = find_free(
+            state.cluster,
+            unit.guarantee.shape,
+            unit.need,
+            lambda worker: least(worker.free, room_besides(worker, unit)),
+            waiting.avoid,
+        )
+        if moved is None:
+            return False
+        state.witness.set_placement(unit, moved)
+        chosen = moved[: waiting.job.shape.members]
+    out.append(state.start(waiting, chosen, now_s, unit))
+    return True
+
+
+def _start_after_stops(
+    state: SchedulerState,
+    waiting: Waiting,
+    unit: Unit,
+    now_s: float,
+    out: Decisions,
+) -> None:
+    """Stop borrowers on the unit's workers and plan the start there."""
+    chosen = _own_workers(state, waiting, unit, free_only=False)
+    assert chosen is not None
+    wanted = {
+        name: times(waiting.need, members)
+        for name, members in Counter(chosen).items()
+    }
+    victims = choose_victims(state.cluster, wanted, _is_borrower, now_s)
+    if victims is None:
+        _drop_borrowed_plans(state, wanted, now_s)
+        victims = choose_victims(state.cluster, wanted, _is_borrower, now_s)
+    within_s = state.config.reclaim_within_s
+    for run in victims or ():
+        out.append(state.stop(run, within_s, waiting.job.job_id))
+    started = state.plan(waiting, chosen, now_s, unit)
+    if started is not None:
+        out.append(started)
+
+
+def _own_workers(
+    state: SchedulerState, waiting: Waiting, unit: Unit, *, free_only: bool
+) -> tuple[str, ...] | None:
+    """Choose among the unit's workers, those with free room first."""
+    need = waiting.need
+    by_id = state.cluster.by_id
+    members_by_worker = Counter(unit.worker_ids)
+    free_by_id = {
+        name: min(members, copies(by_id[name].free, need))
+        for name, members in members_by_worker.items()
+    }
+    limit_by_id = free_by_id if free_only else members_by_worker
+    chosen: list[str] = []
+    for name in sorted(limit_by_id, key=lambda name: -free_by_id[name]):
+        wanted = waiting.job.shape.members - len(chosen)
+        chosen.extend([name] * min(wanted, limit_by_id[name]))
+    if len(chosen) < waiting.job.shape.members:
+        return None
+    return tuple(chosen)
+
+
+def _drop_borrowed_plans(
+    state: SchedulerState, wanted: dict[str, Amount], now_s: float
+) -> None:
+    for run in list(state.runs.plan_by_id.values()):
+        if run.borrowed and any(name in wanted for name in run.worker_ids):
+            state.drop_plan(run, now_s)
+
+
+def _is_borrower(run: Run) -> bool:
+    return run.borrowed
--- /dev/null
+++ b/filbertlb/scheduling/explaining.py
@@ -0,0 +1,63 @@
+"""Tells why a queued job waits."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from filbertlb.core.amounts import copies
+from filbertlb.core.queueing import bucket_key
+from filbertlb.core.scheduling import WaitReason
+from filbertlb.core.search import find_anywhere
+from filbertlb.core.search import find_free
+
+if TYPE_CHECKING:
+    from filbertlb.core.queueing import Waiting
+    from filbertlb.scheduling.state import SchedulerState
+
+
+def why_waiting(state: SchedulerState, job_id: str) -> WaitReason | None:
+    """Return why a job waits, or None if it does not."""
+    if job_id in state.runs.plan_by_id:
+        return WaitReason.RECLAIM
+    waiting = state.queue.by_id.get(job_id)
+    if waiting is None:
+        return None
+    if state.queue.is_delayed(waiting):
+        return WaitReason.BACKOFF
+    organisation_id = waiting.job.organisation_id
+    wanted = waiting.need[0] * waiting.job.shape.members
+    if not state.shares.allows(organisation_id, wanted):
+        return WaitReason.QUOTA
+    if not _fits_online(state, waiting):
+        return WaitReason.OFFLINE
+    bucket = state.queue.by_key[bucket_key(waiting.job)]
+    if bucket.places[0] != waiting.place:
+        return WaitReason.QUEUE
+    return _lack(state, waiting)
+
+
+def _fits_online(state: SchedulerState, waiting: Waiting) -> bool:
+    workers = find_anywhere(
+        state.cluster,
+        waiting.job.shape,
+        waiting.need,
+        lambda worker: worker.capacity,
+        waiting.avoid,
+    )
+    return workers is not None
+
+
+def _lack(state: SchedulerState, waiting: Waiting) -> WaitReason:
+    """Return what the free capacity lacks for a job."""
+    shape, need = waiting.job.shape, waiting.need
+    fits = find_free(
+        state.cluster, shape, need, state.borrow_room, waiting.avoid
+    )
+    if fits is not None and waiting.job.stoppable:
+        return WaitReason.QUEUE
+    if fits is not None:
+        return WaitReason.GUARANTEE
+    usable = (worker for worker in state.cluster.by_id.values())
+    room = sum(copies(worker.free, need) for worker in usable if worker.usable)
+    enough = room >= shape.members
+    return WaitReason.ADJACENCY if enough else WaitReason.CAPACITY
--- /dev/null
+++ b/tests/test_scheduling_machine.py
@@ -0,0 +1,381 @@
+from __future__ import annotations
+
+from collections import Counter
+
+import attrs
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
+from hypothesis.stateful import precondition
+from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
+
+from filbertlb.core.model import Adjacency
+from filbertlb.core.model import Guarantee
+from filbertlb.core.model import JobClass
+from filbertlb.core.model import JobSpec
+from filbertlb.core.model import Organisation
+from filbertlb.core.model import Resources
+from filbertlb.core.model import Shape
+from filbertlb.core.model import Worker
+from filbertlb.core.scheduling import GuaranteeRefusedError
+from filbertlb.core.scheduling import ImpossibleJobError
+from filbertlb.core.scheduling import JobEnd
+from filbertlb.core.scheduling import RunEnd
+from filbertlb.core.scheduling import StartJob
+from filbertlb.core.scheduling import StopJob
+from filbertlb.scheduling.admission import fits_guarantee
+from filbertlb.scheduling.config import SchedulerConfig
+from filbertlb.scheduling.guaranteed import GuaranteedScheduler
+
+CAPACITY = Resources(accelerators=4, cores=8, memory_gib=16)
+WORKERS = tuple(
+    Worker(f"w{n}", f"r{n // 2}", f"d{n // 4}", CAPACITY) for n in range(8)
+)
+BY_ID = {worker.worker_id: worker for worker in WORKERS}
+CONFIG = SchedulerConfig(reserve_after_s=10, starvation_s=100)
+FIRST_ORGANISATIONS = (
+    Organisation(
+        "a",
+        (
+            Guarantee("g", Shape(2, Resources(4, 4, 4)), 2),
+            Guarantee("h", Shape(1, Resources(2, 1, 1)), 2),
+        ),
+    ),
+    Organisation(
+        "b",
+        (Guarantee("g", Shape(3, Resources(2, 4, 4), Adjacency.DOMAIN)),),
+    ),
+)
+
+shapes = st.builds(
+    Shape,
+    members=st.integers(1, 4),
+    each=st.builds(
+        Resources,
+        accelerators=st.integers(0, 4),
+        cores=st.sampled_from((0.5, 2, 8)),
+        memory_gib=st.sampled_from((1, 4)),
+    ),
+    adjacency=st.sampled_from(Adjacency),
+    failure_domain=st.sampled_from((None, None, "d0")),
+)
+organisation_lists = st.lists(
+    st.builds(
+        Organisation,
+        organisation_id=st.sampled_from(("a", "b")),
+        guarantees=st.lists(
+            st.builds(
+                Guarantee,
+                guarantee_id=st.sampled_from(("g", "h")),
+                shape=shapes,
+                count=st.integers(1, 2),
+            ),
+            max_size=2,
+            unique_by=lambda item: item.guarantee_id,
+        ).map(tuple),
+    ),
+    max_size=2,
+    unique_by=lambda item: item.organisation_id,
+)
+
+
+def near(shape, worker_ids):
+    """Tell whether workers satisfy a shape's adjacency and domain."""
+    workers = [BY_ID[name] for name in worker_ids]
+    domains = {worker.failure_domain for worker in workers}
+    if shape.failure_domain is not None:
+        domains.add(shape.failure_domain)
+    kind = {
+        Adjacency.WORKER: "worker_id",
+        Adjacency.RACK: "rack",
+        Adjacency.DOMAIN: "failure_domain",
+    }[shape.adjacency]
+    same = len({getattr(worker, kind) for worker in workers}) == 1
+    return same and len(domains) == 1
+
+
+def overfull(members):
+    """Return workers whose members exceed the capacity."""
+    used = {}
+    for name, need in members:
+        used[name] = used.get(name, Resources()) + need
+    return {name for name, sum_ in used.items() if not CAPACITY.fits(sum_)}
+
+
+def fits_besides(shape, members, online):
+    """Tell whether a shape fits beside the given members."""
+    used = Counter()
+    for name, need in members:
+        used[name, 0] += need.accelerators
+        used[name, 1] += need.cores
+        used[name, 2] += need.memory_gib
+    each = (shape.each.accelerators, shape.each.cores, shape.each.memory_gib)
+    total = (CAPACITY.accelerators, CAPACITY.cores, CAPACITY.memory_gib)
+    places = Counter()
+    for name in online:
+        worker = BY_ID[name]
+        if shape.failure_domain in (None, worker.failure_domain):
+            count = min(
+                (total[part] - used[name, part]) // each[part]
+                for part in range(3)
+                if each[part]
+            )
+            key = {
+                Adjacency.WORKER: name,
+                Adjacency.RACK: worker.rack,
+                Adjacency.DOMAIN: worker.failure_domain,
+            }[shape.adjacency]
+            places[key] += int(max(0, count))
+    return max(places.values(), default=0) >= shape.members
+
+
+class SchedulingMachine(RuleBasedStateMachine):
+    """Drives the policy and mirrors what was decided."""
+
+    def __init__(self):
+        super().__init__()
+        self.policy = GuaranteedScheduler(CONFIG)
+        self.now_s = 0.0
+        self.online = set()
+        self.jobs = {}
+        self.running = {}
+        self.stopping = set()
+        self.count = 0
+
+    @initialize()
+    def start_workers(self):
+        for worker in WORKERS:
+            self.policy.add_worker(worker, 0.0)
+            self.online.add(worker.worker_id)
+        self.policy.set_organisations(FIRST_ORGANISATIONS, 0.0)
+
+    @rule(organisations=organisation_lists)
+    def change_organisations(self, organisations):
+        before = self.policy.risks()
+        placed = [
+            (unit, unit.worker_ids)
+            for unit in self.policy.state.witness.units()
+        ]
+        try:
+            self.policy.set_organisations(organisations, self.now_s)
+        except GuaranteeRefusedError:
+            assert self.policy.risks() == before
+            after = self.policy.state.witness.units()
+            assert [(u, u.worker_ids) for u in after] == placed
+
+    @rule(
+        shape=shapes,
+        organisation=st.sampled_from(("a", "b", "c")),
+        job_class=st.sampled_from(JobClass),
+        idempotent=st.booleans(),
+        checkpointable=st.booleans(),
+        copies=st.sampled_from((1, 1, 6)),
+    )
+    def submit(
+        self, shape, organisation, job_class, idempotent, checkpointable,
+        copies,
+    ):  # fmt: skip
+        for _ in range(copies):
+            self.send(
+                JobSpec(
+                    "",
+                    organisation,
+                    shape,
+                    job_class,
+                    idempotent,
+                    checkpointable,
+                )  # fmt: skip
+            )
+
+    @rule(data=st.data(), idempotent=st.booleans())
+    def claim(self, data, idempotent):
+        units = list(self.policy.state.witness.units())
+        if units:
+            unit = data.draw(st.sampled_from(units))
+            self.send(
+                JobSpec(
+                    "",
+                    unit.organisation_id,
+                    unit.guarantee.shape,
+                    idempotent=idempotent,
+                    guarantee_id=unit.guarantee.guarantee_id,
+                )
+            )
+
+    def send(self, job):
+        self.count += 1
+        job = attrs.evolve(
+            job, job_id=f"j{self.count}", submitted_at_s=self.now_s
+        )
+        try:
+            self.policy.submit(job, self.now_s)
+        except ImpossibleJobError:
+            return
+        self.jobs[job.job_id] = job
+
+    @precondition(lambda self: self.running)
+    @rule(data=st.data(), end=st.sampled_from(JobEnd))
+    def end(self, data, end):
+        self.finish(data.draw(st.sampled_from(sorted(self.running))), end)
+
+    def finish(self, job_id, end):
+        job, workers = self.jobs[job_id], self.running.pop(job_id)
+        self.stopping.discard(job_id)
+        kept = job.checkpointable
+        failed = workers[:1] if end is JobEnd.FAILED else ()
+        run_end = RunEnd(job_id, end, failed, checkpointed=kept)
+        self.policy.ended(run_end, self.now_s)
+        if self.policy.why(job_id, self.now_s) is None:
+            del self.jobs[job_id]
+
+    @precondition(lambda self: self.jobs)
+    @rule(data=st.data())
+    def cancel(self, data):
+        job_id = data.draw(st.sampled_from(sorted(self.jobs)))
+        was_running = job_id in self.running
+        cancelled = self.policy.cancel(job_id, self.now_s)
+        assert cancelled is not was_running
+        if cancelled:
+            del self.jobs[job_id]
+
+    @rule(group=st.sampled_from(("w0", "w5", "r0", "r3", "d0", "d1")))
+    def lose(self, group):
+        lost = set()
+        for worker in WORKERS:
+            if group in (worker.worker_id, worker.rack, worker.failure_domain):
+                self.online.discard(worker.worker_id)
+                lost.update(
+                    self.policy.remove_worker(worker.worker_id, self.now_s)
+                )
+        for job_id in sorted(lost & self.running.keys()):
+            self.finish(job_id, JobEnd.WORKER_LOST)
+
+    @rule()
+    def put_back(self):
+        for worker in WORKERS:
+            if worker.worker_id not in self.online:
+                self.policy.add_worker(worker, self.now_s)
+                self.online.add(worker.worker_id)
+
+    @rule(seconds=st.sampled_from((0, 1, 20, 200)))
+    def pass_time(self, seconds):
+        self.now_s += seconds
+        self.decide()
+
+    def decide(self):
+        decisions = self.policy.decide(self.now_s)
+        for decision in decisions:
+            if isinstance(decision, StopJob):
+                self.stop(decision)
+            else:
+                self.start(decision)
+        return decisions
+
+    def start(self, decision: StartJob):
+        job_id = decision.assignment.job_id
+        workers = decision.assignment.worker_ids
+        job = self.jobs[job_id]
+        assert job_id not in self.running
+        assert len(workers) == job.shape.members
+        assert near(job.shape, workers)
+        assert self.online >= set(workers)
+        self.running[job_id] = workers
+        assert not overfull(self.members(self.running))
+
+    def stop(self, decision: StopJob):
+        job = self.jobs[decision.job_id]
+        assert decision.job_id in self.running.keys() - self.stopping
+        assert job.stoppable
+        assert decision.job_id not in self.claimed()
+        assert decision.checkpoint is job.checkpointable
+        self.stopping.add(decision.job_id)
+
+    @rule(seconds=st.sampled_from((0, 200)))
+    def settle(self, seconds):
+        self.now_s += seconds
+        while self.decide() or self.stopping:
+            for job_id in sorted(self.stopping):
+                self.finish(job_id, JobEnd.STOPPED)
+        assert not self.policy.decide(self.now_s)
+        self.check_claims_are_served()
+        self.check_oldest_is_served()
+
+    def check_claims_are_served(self):
+        for unit in self.policy.state.witness.units():
+            key = (unit.organisation_id, unit.guarantee.guarantee_id)
+            free = unit.worker_ids and not unit.claimed_by
+            for job_id in self.jobs.keys() - self.running.keys():
+                job = self.jobs[job_id]
+                reason = self.policy.why(job_id, self.now_s)
+                same = (job.organisation_id, job.guarantee_id) == key
+                if same and fits_guarantee(job.shape, unit.guarantee):
+                    assert not free or reason == "waits_after_failures"
+
+    def check_oldest_is_served(self):
+        queue = self.policy.state.queue
+        waiting = next(
+            (item for item in queue.oldest() if not queue.is_delayed(item)),
+            None,
+        )
+        if waiting is None or not waiting.job.stoppable:
+            return
+        if self.now_s - waiting.place[0] < CONFIG.starvation_s:
+            return
+        claimed = self.claimed()
+        fixed = {
+            job_id: workers
+            for job_id, workers in self.running.items()
+            if not self.jobs[job_id].stoppable
+            or job_id in claimed
+            or self.jobs[job_id].job_class is JobClass.URGENT
+            or self.policy.state.waiting_by_id[job_id].place < waiting.place
+        }
+        aside = set(self.policy.state.health.aside) | waiting.avoid
+        probed = self.policy.state.health.by_worker.keys()
+        online = self.online - aside - probed
+        assert not fits_besides(waiting.job.shape, self.members(fixed), online)
+
+    def claimed(self):
+        units = self.policy.state.witness.units()
+        return {unit.claimed_by for unit in units if unit.claimed_by}
+
+    def members(self, assignments):
+        return [
+            (name, self.jobs[job_id].shape.each)
+            for job_id, workers in assignments.items()
+            for name in workers
+        ]
+
+    @invariant()
+    def every_guarantee_has_a_witness_or_a_risk(self):
+        claimed = self.claimed()
+        firm = {
+            job_id: workers
+            for job_id, workers in self.running.items()
+            if not self.jobs[job_id].stoppable and job_id not in claimed
+        }
+        members = self.members(firm)
+        missing = Counter()
+        for unit in self.policy.state.witness.units():
+            shape = unit.guarantee.shape
+            if not unit.worker_ids:
+                missing[unit.organisation_id, unit.guarantee.guarantee_id] += 1
+                continue
+            assert near(shape, unit.worker_ids) or unit.claimed_by
+            assert self.online >= set(unit.worker_ids) or unit.claimed_by
+            if not unit.claimed_by:
+                assert len(unit.worker_ids) == shape.members
+            members += [(name, shape.each) for name in unit.worker_ids]
+        assert not overfull(members)
+        assert missing == {
+            (risk.organisation_id, risk.guarantee_id): risk.missing
+            for risk in self.policy.risks()
+        }
+
+
+SchedulingMachine.TestCase.settings = settings(
+    derandomize=True, deadline=None, max_examples=100, stateful_step_count=40
+)
+TestSchedulingMachine = SchedulingMachine.TestCase
