Ship one executable file that runs as one process

Cause: the system ships as one file, and no process may start another.

Conclusion: compiling at the first start was ruled out for its pool of processes.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: run test setup format lint types unit dist clean
+.PHONY: run test setup format lint types unit dist dist-test clean
 
 $(STAMP): requirements-dev.lock
 	$(PYTHON) -m venv $(VENV)
@@ -33,5 +33,11 @@
 unit: setup
 	$(BIN)/python -m pytest
 
+dist: setup
+	$(BIN)/python scripts/build_dist.py
+
+dist-test: dist
+	$(BIN)/python -m pytest -n 2 -m dist tests/test_dist.py
+
 clean:
 	rm -rf dist build
--- a/filbertlb/cli/main.py
+++ b/filbertlb/cli/main.py
@@ -7,6 +7,7 @@
 from filbertlb import __version__
 from filbertlb.cli.context import Context
 from filbertlb.cli.jobs import job
+from filbertlb.cli.standin import standin
 
 DEFAULT_URL = "http://127.0.0.1:8080"
 
@@ -39,6 +40,7 @@
 
 
 main.add_command(job)
+main.add_command(standin)
 
 
 if __name__ == "__main__":
