Print the stand-in's URL as JSON and drop an unused setting

Cause: the role commands print one JSON line once they serve, and agents find entries in the table, not in their settings.

Change: the standin command and its test follow the line's format; entry_addresses is gone from the process settings.

Conclusion: one form of ready line for all roles.

--- a/filbertlb/cli/standin.py
+++ b/filbertlb/cli/standin.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from contextlib import contextmanager
+from json import dumps
 from signal import SIGINT
 from signal import SIGTERM
 from typing import TYPE_CHECKING
@@ -36,7 +37,7 @@
     "kind", type=click.Choice(list(_service_by_kind)), default="platform"
 )
 @click.option(
-    "--address",
+    "--host",
     default="127.0.0.1",
     show_default=True,
     help="IP number to listen on.",
@@ -48,15 +49,15 @@
     type=click.IntRange(0, MAX_PORT),
     help="Port; 0 lets the system choose.",
 )
-def standin(kind: str, address: str, port: int) -> None:
+def standin(kind: str, host: str, port: int) -> None:
     """Serve a small stand-in of the platform, a runner or a worker.
 
-    Prints its URL, then runs until SIGTERM or SIGINT. It keeps
+    Prints its URL as JSON, then runs until SIGTERM or SIGINT. It keeps
     everything in memory: for tests and trials only.
     """
     service = _service_by_kind[kind]()
-    with stop_event() as stop, serving(service, address, port) as url:
-        click.echo(url)
+    with stop_event() as stop, serving(service, host, port) as url:
+        click.echo(dumps({"url": url}))
         stop.wait()
 
 
--- a/filbertlb/settings/process.py
+++ b/filbertlb/settings/process.py
@@ -122,8 +122,6 @@
         system choose.
     region, failure_domain, rack : str
         Where the process is.
-    entry_addresses : tuple of str
-        ``IP:PORT`` links of entries that an agent announces itself to.
     table_url, objects_url : str
         Where the platform's services are.
     keys : tuple of str
@@ -138,7 +136,6 @@
     region: str = "main"
     failure_domain: str = ""
     rack: str = ""
-    entry_addresses: tuple[str, ...] = ()
     table_url: str = _url()
     objects_url: str = _url()
     table_timeout_s: float = _positive(2.0)
--- a/tests/test_dist.py
+++ b/tests/test_dist.py
@@ -4,6 +4,7 @@
 
 from contextlib import closing
 from contextlib import contextmanager
+from json import loads
 from os import environ
 from pathlib import Path
 from signal import SIGTERM
@@ -63,7 +64,7 @@
     command = [executable, str(DIST), "standin", "platform"]
     process = Popen(command, env=env, stdout=PIPE, text=True)
     try:
-        yield process, process.stdout.readline().strip()
+        yield process, loads(process.stdout.readline())["url"]
     finally:
         process.kill()
         process.wait()
