Serve HTTP within limits and drain at a stop

Cause: body, header, connection and time limits had settings but nothing that enforced them, and stopping gevent's server cuts what is in flight.

Change: a server that reads each request whole within its limits before the application sees it, answers what breaks one with the coded error body, bounds connections, closes idle ones, and on a stop ends what is in flight with 'Connection: close'. Settings that nothing read are gone.

Conclusion: bounding the body inside the application was ruled out: the server then still reads an oversized body to its end.

--- a/filbertlb/settings/process.py
+++ b/filbertlb/settings/process.py
@@ -59,24 +59,22 @@
         Largest body of a request.
     header_bytes : int
         Largest sum of a request's headers.
+    body_s : float
+        Longest time that a request's body may take to arrive.
     connections : int
-        Most connections from callers at once.
+        Most connections from callers at once; further ones wait.
     connection_idle_s : float
-        Time after which a silent connection is closed.
-    request_s : float
-        Longest time that a caller may ask to wait for an answer.
-    queue_length : int
-        Most requests that wait for a slot.
+        Time after which a silent connection is closed; also the longest
+        time that headers may take to arrive.
     drain_s : float
         Time that a planned stop gives to work in flight.
     """
 
     body_bytes: int = _positive(4 * MIB)
     header_bytes: int = _positive(16 * 1024)
+    body_s: float = _positive(30.0)
     connections: int = _positive(1024)
     connection_idle_s: float = _positive(60.0)
-    request_s: float = _positive(300.0)
-    queue_length: int = _positive(512)
     drain_s: float = _positive(30.0)
 
 
--- /dev/null
+++ b/tests/test_httpserver.py
@@ -0,0 +1,188 @@
+from __future__ import annotations
+
+from contextlib import contextmanager
+from json import loads
+
+import gevent
+import pytest
+from gevent.event import Event
+from gevent.socket import create_connection
+from gevent.socket import SHUT_WR
+
+from filbertlb.httpcall import HttpCaller
+from filbertlb.httpserver import serving_http
+from filbertlb.settings.process import Limits
+
+SMALL = Limits(
+    body_bytes=100,
+    header_bytes=300,
+    body_s=0.1,
+    connections=2,
+    connection_idle_s=0.1,
+    drain_s=30.0,
+)
+POST = b"POST /x HTTP/1.1\r\nHost: h\r\n"
+
+
+class Echo:
+    """Application that may wait and counts its calls."""
+
+    def __init__(self):
+        self.calls = 0
+        self.in_flight = 0
+        self.peak = 0
+        self.entered = Event()
+        self.go_on = Event()
+        self.go_on.set()
+
+    def __call__(self, environ, start_response):
+        self.calls += 1
+        self.in_flight += 1
+        self.peak = max(self.peak, self.in_flight)
+        self.entered.set()
+        self.go_on.wait()
+        self.in_flight -= 1
+        start_response("200 OK", [("Content-Type", "text/plain")])
+        return [environ["wsgi.input"].read()]
+
+
+@contextmanager
+def connected(url):
+    host, port = url.removeprefix("http://").split(":")
+    sock = create_connection((host, int(port)))
+    try:
+        yield sock
+    finally:
+        sock.close()
+
+
+def read_all(sock):
+    with gevent.Timeout(30):
+        return b"".join(iter(lambda: sock.recv(65536), b""))
+
+
+@pytest.mark.parametrize(
+    ("sent", "half_close", "status", "code"),
+    [
+        (POST + b"Content-Length: 101\r\n\r\n", False, 413, "body_too_large"),
+        (
+            POST + b"Content-Length: 4000000\r\n\r\n" + b"x" * 4_000_000,
+            False,
+            413,
+            "body_too_large",
+        ),
+        (POST + b"X: " + b"x" * 400, False, 431, "headers_too_large"),
+        (
+            POST + b"Transfer-Encoding: chunked\r\n\r\n",
+            False,
+            411,
+            "length_required",
+        ),
+        (
+            POST + b"Content-Length: 9\r\n\r\nab",
+            True,
+            400,
+            "malformed_request",
+        ),
+        (POST + b"Content-Length: x\r\n\r\n", False, 400, "malformed_request"),
+        (b"garbage\r\n\r\n", False, 400, "malformed_request"),
+        (POST, False, 408, "request_too_slow"),
+        (
+            POST + b"Content-Length: 9\r\n\r\nab",
+            False,
+            408,
+            "request_too_slow",
+        ),
+    ],
+)
+def test_request_over_a_limit_gets_its_code(sent, half_close, status, code):
+    echo = Echo()
+    with (
+        serving_http(echo, "127.0.0.1", 0, SMALL) as url,
+        connected(url) as sock,
+    ):
+        # A line without its end is read as far as the limit.
+        sock.sendall(sent + (b"\r\n" if status == 431 else b""))
+        if half_close:
+            sock.shutdown(SHUT_WR)
+        head, _, body = read_all(sock).partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 %d " % status)
+    assert loads(body)["error"]["code"] == code
+    assert loads(body)["error"]["ran"] == "no"
+    assert echo.calls == 0
+
+
+def test_idle_connection_is_closed_without_an_answer():
+    with (
+        serving_http(Echo(), "127.0.0.1", 0, SMALL) as url,
+        connected(url) as sock,
+    ):
+        assert read_all(sock) == b""
+
+
+def test_requests_follow_each_other_on_one_connection():
+    request = POST + b"Content-Length: 3\r\n\r\n"
+    last = POST + b"Connection: close\r\nExpect: 100-continue\r\n"
+    with (
+        serving_http(Echo(), "127.0.0.1", 0, SMALL) as url,
+        connected(url) as sock,
+    ):
+        sock.sendall(request + b"one" + request + b"two")
+        sock.sendall(last + b"Content-Length: 5\r\n\r\nthree")
+        answers = read_all(sock)
+    bodies = [part.split(b"\r\n")[0] for part in answers.split(b"\r\n\r\n")]
+    assert [body[:3] for body in bodies[1:]] == [
+        b"one",
+        b"two",
+        b"HTT",
+        b"thr",
+    ]
+
+
+def test_connections_are_bounded():
+    echo = Echo()
+    echo.go_on.clear()
+    with serving_http(echo, "127.0.0.1", 0, SMALL) as url:
+        callers = [HttpCaller(url, 1) for _ in range(6)]
+
+        def call(caller):
+            reply = caller.post("/x", b"hi", 30.0)
+            caller.close()
+            return reply.body
+
+        tasks = [gevent.spawn(call, caller) for caller in callers]
+        echo.entered.wait()
+        for _ in range(100):
+            gevent.idle()
+        echo.go_on.set()
+        gevent.joinall(tasks)
+    assert [task.value for task in tasks] == [b"hi"] * 6
+    assert echo.calls == 6
+    assert echo.peak == SMALL.connections
+
+
+def test_drain_ends_what_is_in_flight():
+    echo = Echo()
+    echo.go_on.clear()
+
+    def connect():
+        return create_connection(("127.0.0.1", int(url.split(":")[-1])))
+
+    def go_on_once_refused():
+        with pytest.raises(ConnectionRefusedError):
+            while True:
+                connect().close()
+                gevent.idle()
+        for _ in range(100):
+            gevent.idle()
+        echo.go_on.set()
+
+    with gevent.Timeout(30):
+        with serving_http(echo, "127.0.0.1", 0, Limits(drain_s=30.0)) as url:
+            idle = connect()
+            caller = HttpCaller(url)
+            task = gevent.spawn(caller.post, "/x", b"whole", 30.0)
+            echo.entered.wait()
+            gevent.spawn(go_on_once_refused)
+        assert task.get().body == b"whole"
+        assert idle.recv(1) == b""
