Refuse a path that cannot stand in an HTTP request

Cause: callers' paths reach the runner; the client library fails on some with a bare ValueError and keeps the connection's place in its pool.

Change: the caller checks the target first and raises a coded error that says nothing was sent.

Conclusion: escaping the path here was ruled out, as the caller's own escapes would be escaped again.

--- a/filbertlb/httpcall.py
+++ b/filbertlb/httpcall.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from re import compile as compile_pattern
 from typing import TYPE_CHECKING
 
 import attrs
@@ -11,6 +12,7 @@
 from geventhttpclient.response import HTTPParseError
 from geventhttpclient.url import URL
 
+from filbertlb.errors import InvalidInputError
 from filbertlb.errors import OutcomeUnknownError
 from filbertlb.errors import UnavailableError
 
@@ -27,6 +29,14 @@
 READ_BLOCK_BYTES = 64 * 1024
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
+_TARGET = compile_pattern(r"/(?!/)[!-~]*")
+
+
+class InvalidTargetError(InvalidInputError):
+    """The path cannot stand in an HTTP request; nothing was sent."""
+
+    code = "invalid_target"
+
 
 class CallNotSentError(UnavailableError):
     """No connection was made; the server has seen nothing."""
@@ -115,6 +125,8 @@
 
         Raises
         ------
+        InvalidTargetError
+            If the path is not one of an HTTP request.
         CallNotSentError
             If no connection was made.
         CallOutcomeUnknownError
@@ -132,6 +144,8 @@
 
         Raises
         ------
+        InvalidTargetError
+            If the path is not one of an HTTP request.
         CallNotSentError
             If no connection was made.
         CallOutcomeUnknownError
@@ -151,10 +165,16 @@
         timeout_s: float,
         headers: Mapping[str, str] | None,
     ) -> Reply:
+        target = self._base_path + path
+        # The library would keep the connection on such a failure.
+        if not _TARGET.fullmatch(target):
+            raise InvalidTargetError(
+                f"path {path!r} does not start with one '/' or holds "
+                "characters that must be escaped; escape it"
+            )
         # An OSError, unlike a bare Timeout, makes the library give the
         # socket back on each way out.
         expired = TimeoutError(f"no answer within {timeout_s!r} s")
-        target = self._base_path + path
         try:
             with Timeout(timeout_s, expired):
                 response = self._client.request(
--- a/tests/test_backend_http.py
+++ b/tests/test_backend_http.py
@@ -16,6 +16,7 @@
 from filbertlb.core.clock import VirtualClock
 from filbertlb.core.model import Resources
 from filbertlb.errors import InvalidInputError
+from filbertlb.errors import Ran
 from filbertlb.messages import TaskPhase
 from filbertlb.standin.endpoint import runner_service
 from filbertlb.standin.endpoint import worker_service
@@ -76,6 +77,21 @@
         assert runner.invoke("/r", b"{}", 5.0).body == b"abc"
 
 
+@pytest.mark.parametrize("path", ["", "r", "//r", "/a b", "/é", "/a\r\nX: y"])
+def test_path_that_cannot_be_sent_is_refused(path):
+    fake = FakeRunner()
+    with (
+        serving(runner_service(fake)) as url,
+        closing(HttpRunner(url, connections=1)) as runner,
+    ):
+        for _ in range(2):
+            with pytest.raises(InvalidInputError) as caught:
+                runner.invoke(path, b"{}", 5.0)
+        assert runner.invoke("/%C3%A9?q=1", b"{}", 5.0).status == 200
+    assert caught.value.ran == Ran.NO
+    assert fake.ledger.starts_by_task_id.total() == 1
+
+
 def test_runner_over_http():
     runner = FakeRunner()
     with (
