--- a/filbertlb/settings/process.py
+++ b/filbertlb/settings/process.py
@@ -59,24 +59,22 @@
         Largest body of a request.
     header_bytes : int
         Largest sum of a request's headers.
+    body_s : float
+        Longest time that a request's body may take to arrive.
     connections : int
-        Most connections from callers at once.
+        Most connections from callers at once; further ones wait.
     connection_idle_s : float
-        Time after which a silent connection is closed.
-    request_s : float
-        Longest time that a caller may ask to wait for an answer.
-    queue_length : int
-        Most requests that wait for a slot.
+        Time after which a silent connection is closed; also the longest
+        time that headers may take to arrive.
     drain_s : float
         Time that a planned stop gives to work in flight.
     """
 
     body_bytes: int = _positive(4 * MIB)
     header_bytes: int = _positive(16 * 1024)
+    body_s: float = _positive(30.0)
     connections: int = _positive(1024)
     connection_idle_s: float = _positive(60.0)
-    request_s: float = _positive(300.0)
-    queue_length: int = _positive(512)
     drain_s: float = _positive(30.0)
 
 
@@ -122,8 +120,6 @@
         system choose.
     region, failure_domain, rack : str
         Where the process is.
-    entry_addresses : tuple of str
-        ``IP:PORT`` links of entries that an agent announces itself to.
     table_url, objects_url : str
         Where the platform's services are.
     keys : tuple of str
@@ -138,7 +134,6 @@
     region: str = "main"
     failure_domain: str = ""
     rack: str = ""
-    entry_addresses: tuple[str, ...] = ()
     table_url: str = _url()
     objects_url: str = _url()
     table_timeout_s: float = _positive(2.0)
