--- /dev/null
+++ b/filbertlb/agent/slots.py
@@ -0,0 +1,299 @@
+"""The book of a runner's agent: which tokens wait, run or have ended.
+
+The agent alone decides whether a request starts on its runner. A token
+starts once at most; one for a former incarnation, a tombstoned one and
+one whose time has passed on the agent's own clock never start. Every
+refusal is remembered, so that a late duplicate of a refused request
+cannot start after the refusal was taken as proof of "not run".
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+import attrs
+
+from filbertlb.agent.slot_records import EndedRecords
+from filbertlb.agent.slot_records import Reply
+from filbertlb.agent.slot_records import SlotLimits
+from filbertlb.agent.slot_records import SlotRecord
+from filbertlb.agent.slot_records import SlotState
+from filbertlb.agent.slot_records import Start
+from filbertlb.agent.slot_records import Waiting
+from filbertlb.errors import Ran
+from filbertlb.messages import InvokeResult
+from filbertlb.messages import Refused
+from filbertlb.messages import Tombstoned
+
+if TYPE_CHECKING:
+    from filbertlb.agent.slot_records import Action
+    from filbertlb.messages import Invoke
+    from filbertlb.messages import Token
+
+
+@attrs.define
+class SlotBook:
+    """Pure state of a runner's agent.
+
+    Parameters
+    ----------
+    incarnation : str
+        Incarnation of this agent; tokens for another one are refused.
+    limits : SlotLimits
+        Bounds.
+    draining : bool
+        Whether new work is refused.
+    """
+
+    incarnation: str
+    limits: SlotLimits = SlotLimits()
+    draining: bool = False
+    _ended: EndedRecords = attrs.field(init=False)
+    _live_by_token: dict[Token, SlotRecord] = attrs.Factory(dict)
+    _urgent: deque[Token] = attrs.Factory(deque)
+    _normal: deque[Token] = attrs.Factory(deque)
+    _scopes: set[str] = attrs.Factory(set)
+    _running: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        self._ended = EndedRecords(
+            self.limits.max_records, self.limits.max_result_bytes
+        )
+
+    @property
+    def running(self) -> int:
+        """Return the number of requests that hold a slot."""
+        return self._running
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of requests that wait or run."""
+        return len(self._live_by_token)
+
+    @property
+    def unacknowledged(self) -> int:
+        """Return the number of answers kept until acknowledged."""
+        return len(self._ended.result_tokens)
+
+    @property
+    def idle(self) -> bool:
+        """Tell whether a draining agent may exit without losing work."""
+        return not self._live_by_token and not self.unacknowledged
+
+    def offer(self, invoke: Invoke, now_s: float) -> list[Action]:
+        """Take a request, or tell what is known about its token.
+
+        Parameters
+        ----------
+        invoke : Invoke
+            The request as received.
+        now_s : float
+            The agent's monotonic time in seconds.
+
+        Returns
+        -------
+        list of Action
+            What to do, in this order; the last one is about the
+            request itself.
+        """
+        token = invoke.token
+        known = self._known(token)
+        if known is not None:
+            return [known]
+        actions = self.expire(now_s)
+        self._scopes.add(token.scope)
+        refusal = self._admission(invoke)
+        if refusal is not None:
+            return [*actions, self._refuse(token, *refusal)]
+        self._live_by_token[token] = SlotRecord(
+            token, SlotState.QUEUED, invoke, now_s + invoke.within_s
+        )
+        self._queue(invoke.urgent).append(token)
+        started = self._start(now_s)
+        if any(action.invoke.token == token for action in started):
+            return [*actions, *started]
+        return [*actions, *started, Waiting(token)]
+
+    def finish(self, result: InvokeResult, now_s: float) -> list[Action]:
+        """End a running token with the runner's whole answer."""
+        return self._end(result.token, result, now_s)
+
+    def fail(
+        self, token: Token, refusal: Refused, now_s: float
+    ) -> list[Action]:
+        """End a running token that has no whole answer.
+
+        Parameters
+        ----------
+        refusal : Refused
+            ``ran`` is ``NO`` only if no byte of the request was sent to
+            the runner, and ``UNKNOWN`` if the runner broke off.
+        """
+        return self._end(token, refusal, now_s)
+
+    def tombstone(self, token: Token) -> tuple[Tombstoned, list[Action]]:
+        """Make sure that a token never starts, unless it has already.
+
+        Returns
+        -------
+        tuple
+            The answer, and what to do beside sending it.
+        """
+        if token.incarnation != self.incarnation:
+            return Tombstoned(token, Ran.UNKNOWN), []
+        live = self._live_by_token.get(token)
+        if live is not None and live.state is SlotState.QUEUED:
+            reply = self._withdraw(live, "tombstoned", "it was tombstoned")
+            return Tombstoned(token, Ran.NO), [reply]
+        record = live or self._ended.record_by_token.get(token)
+        if record is not None:
+            return Tombstoned(token, record.ran), []
+        if self._is_beyond(token.scope):
+            return Tombstoned(token, Ran.NO), []
+        if self._ended.forgotten(token):
+            return Tombstoned(token, Ran.UNKNOWN), []
+        self._scopes.add(token.scope)
+        self._refuse(token, "tombstoned", "the token was tombstoned")
+        return Tombstoned(token, Ran.NO), []
+
+    def acknowledge(self, token: Token) -> None:
+        """Give up an answer that is recorded elsewhere."""
+        self._ended.drop_result(
+            token,
+            "result_recorded",
+            "the work ran and its answer is recorded in its attempt",
+        )
+
+    def expire(self, now_s: float) -> list[Action]:
+        """Refuse the waiting requests whose time has passed."""
+        late = [
+            record
+            for record in self._live_by_token.values()
+            if record.state is SlotState.QUEUED and now_s >= record.start_by_s
+        ]
+        return [
+            self._withdraw(
+                record, "expired", "its time to start passed in the queue"
+            )
+            for record in late
+        ]
+
+    def drain(self) -> list[Action]:
+        """Refuse new work from now on, and what has not started."""
+        self.draining = True
+        waiting = [
+            record
+            for record in self._live_by_token.values()
+            if record.state is SlotState.QUEUED
+        ]
+        return [
+            self._withdraw(record, "draining", "the endpoint is leaving")
+            for record in waiting
+        ]
+
+    def _known(self, token: Token) -> Action | None:
+        if token.incarnation != self.incarnation:
+            return _refusal(
+                token,
+                "former_incarnation",
+                f"the token is for incarnation {token.incarnation!r} and "
+                f"this is {self.incarnation!r}; resolve the attempt",
+                Ran.UNKNOWN,
+            )
+        if token in self._live_by_token:
+            return Waiting(token)
+        record = self._ended.record_by_token.get(token)
+        if record is not None:
+            assert record.reply is not None
+            return Reply(token, record.reply)
+        if self._is_beyond(token.scope):
+            # Refused for as long as this incarnation lives, so the
+            # refusal needs no record.
+            return _refusal(
+                token,
+                "too_many_entries",
+                f"entry {token.scope!r} is beyond the "
+                f"{self.limits.max_scopes} that are remembered; restart "
+                "the agent",
+                Ran.NO,
+            )
+        if self._ended.forgotten(token):
+            return _refusal(
+                token,
+                "token_too_old",
+                f"dispatch {token.epoch} of {token.scope!r} is older than "
+                "what is remembered; resolve the attempt",
+                Ran.UNKNOWN,
+            )
+        return None
+
+    def _admission(self, invoke: Invoke) -> tuple[str, str] | None:
+        if self.draining:
+            return "draining", "the endpoint is leaving; try another one"
+        if invoke.within_s <= 0:
+            return "expired", "the time to start had passed on arrival"
+        if self._running < self.limits.slots:
+            return None
+        bound = self.limits.queue
+        if invoke.urgent:
+            bound = self.limits.urgent_queue
+        if len(self._queue(invoke.urgent)) < bound:
+            return None
+        return "queue_full", f"all {bound} places in the queue are taken"
+
+    def _is_beyond(self, scope: str) -> bool:
+        if scope in self._scopes:
+            return False
+        return len(self._scopes) >= self.limits.max_scopes
+
+    def _queue(self, urgent: bool) -> deque[Token]:
+        return self._urgent if urgent else self._normal
+
+    def _start(self, now_s: float) -> list[Start]:
+        started = []
+        while self._running < self.limits.slots:
+            queue = self._urgent or self._normal
+            if not queue:
+                break
+            record = self._live_by_token[queue.popleft()]
+            record.state = SlotState.RUNNING
+            self._running += 1
+            assert record.invoke is not None
+            left_s = record.start_by_s - now_s
+            started.append(Start(attrs.evolve(record.invoke, within_s=left_s)))
+        return started
+
+    def _end(
+        self, token: Token, reply: InvokeResult | Refused, now_s: float
+    ) -> list[Action]:
+        record = self._live_by_token.get(token)
+        if record is None or record.state is not SlotState.RUNNING:
+            return []
+        del self._live_by_token[token]
+        self._running -= 1
+        self._remember(token, reply)
+        actions = self.expire(now_s)
+        return [Reply(token, reply), *actions, *self._start(now_s)]
+
+    def _withdraw(self, record: SlotRecord, code: str, why: str) -> Reply:
+        assert record.invoke is not None
+        del self._live_by_token[record.token]
+        self._queue(record.invoke.urgent).remove(record.token)
+        return self._refuse(
+            record.token, code, f"the request did not start: {why}"
+        )
+
+    def _refuse(self, token: Token, code: str, message: str) -> Reply:
+        reply = _refusal(token, code, message, Ran.NO)
+        self._remember(token, reply.message)
+        return reply
+
+    def _remember(self, token: Token, reply: InvokeResult | Refused) -> None:
+        self._ended.add(
+            SlotRecord(token, SlotState.ENDED, start_by_s=0.0, reply=reply)
+        )
+
+
+def _refusal(token: Token, code: str, message: str, ran: Ran) -> Reply:
+    return Reply(token, Refused(code, message, ran, token))
--- /dev/null
+++ b/filbertlb/core/attempt_session.py
@@ -0,0 +1,333 @@
+"""One entry's dealings with one attempt, as effects and their outcomes.
+
+A session holds no socket. Each call hands it the outcome of the effect
+that it returned last and returns the next one, so the task around it
+only reads, writes, sends and waits. The session ends with a telling.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import StrEnum
+
+import attrs
+
+from filbertlb.core.attempt_effects import Ask
+from filbertlb.core.attempt_effects import ChooseEndpoint
+from filbertlb.core.attempt_effects import Effect
+from filbertlb.core.attempt_effects import Finish
+from filbertlb.core.attempt_effects import KeepWaiting
+from filbertlb.core.attempt_effects import ReadRow
+from filbertlb.core.attempt_effects import TellUnknown
+from filbertlb.core.attempt_effects import WriteRow
+from filbertlb.core.attempt_rows import attempt_row_key
+from filbertlb.core.attempt_rows import AttemptRow
+from filbertlb.core.attempt_rows import AttemptState
+from filbertlb.core.attempt_rows import KeyedRequest
+from filbertlb.core.attempt_rows import Stamp
+from filbertlb.core.attempt_steps import DispatchAttempt
+from filbertlb.core.attempt_steps import ExpireAttempt
+from filbertlb.core.attempt_steps import JoinDispatch
+from filbertlb.core.attempt_steps import next_step
+from filbertlb.core.attempt_steps import OpenAttempt
+from filbertlb.core.attempt_steps import ReopenAttempt
+from filbertlb.core.attempt_steps import TellAnswer
+from filbertlb.core.attempt_steps import TellNotRun
+from filbertlb.core.attempts import answer
+from filbertlb.core.attempts import dispatch
+from filbertlb.core.attempts import join
+from filbertlb.core.attempts import lose
+from filbertlb.core.attempts import open_attempt
+from filbertlb.core.attempts import prove_not_run
+from filbertlb.core.attempts import refuse
+from filbertlb.core.attempts import reopen
+from filbertlb.core.attempts import settle
+from filbertlb.core.attempts import Settled
+from filbertlb.errors import Ran
+from filbertlb.messages import Invoke
+from filbertlb.messages import InvokeResult
+from filbertlb.messages import Refused
+from filbertlb.messages import Token
+from filbertlb.messages import Tombstone
+from filbertlb.messages import Tombstoned
+from filbertlb.table.base import ABSENT
+
+MAX_DISPATCHES = 4
+
+
+class Purpose(StrEnum):
+    """Why a session runs."""
+
+    RUN = "run"
+    ASK = "ask"
+
+
+@attrs.define
+class AttemptSession:
+    """Carries one request through its attempt.
+
+    Parameters
+    ----------
+    request : KeyedRequest
+        What the caller asks for.
+    invoke : Invoke
+        The request for the agent; its token and time are replaced.
+    owner : str
+        Incarnation of the entry.
+    new_id : callable
+        Returns a unique string at every call.
+    new_token : callable
+        Returns a fresh token for an attempt and an incarnation.
+    purpose : Purpose
+        ``ASK`` never starts anything.
+    max_dispatches : int
+        Dispatches of one generation before it is refused.
+    """
+
+    request: KeyedRequest
+    invoke: Invoke
+    owner: str
+    new_id: Callable[[], str]
+    new_token: Callable[[str, str], Token]
+    purpose: Purpose = Purpose.RUN
+    max_dispatches: int = MAX_DISPATCHES
+    _row: AttemptRow | None = None
+    _version: int = ABSENT
+    _write: WriteRow | None = None
+    _before: str = ""
+    _must_settle: bool = False
+    _tried: frozenset[str] = frozenset()
+    _unsent: Token | None = None
+    _lost: Token | None = None
+    _refusal: tuple[str, str] = ("no_endpoint", "no endpoint was available")
+
+    @property
+    def key(self) -> str:
+        """Return the key of the attempt's row."""
+        return attempt_row_key(
+            self.request.organisation_id, self.request.caller_key
+        )
+
+    def begin(self) -> Effect:
+        """Return the first effect."""
+        return ReadRow(self.key)
+
+    def on_row(
+        self, row: AttemptRow | None, version: int, now_s: float
+    ) -> Effect:
+        """Go on from the row as read; ``now_s`` is wall time."""
+        if self._must_settle and self._write is not None:
+            self._must_settle = False
+            match settle(self._write.row.write_id, row, self._before):
+                case Settled.WRITTEN:
+                    return self.on_written(version, now_s)
+                case Settled.NOT_WRITTEN:
+                    return self._write
+        self._row = row
+        self._version = version
+        return self._next(now_s)
+
+    def on_written(self, version: int, now_s: float) -> Effect:
+        """Go on after the row was written."""
+        assert self._write is not None
+        row = self._write.row
+        self._row = row
+        self._version = version
+        match row.state:
+            case AttemptState.DISPATCHED | AttemptState.UNKNOWN:
+                return self._after_dispatch_row(row, now_s)
+            case AttemptState.SUCCEEDED:
+                assert row.answer is not None
+                return Finish(
+                    TellAnswer(row.answer),
+                    row.endpoint_id,
+                    acknowledge=row.token,
+                )
+        return self._next(now_s)
+
+    def on_conflict(self) -> Effect:
+        """Look again after another entry wrote the row first."""
+        return ReadRow(self.key)
+
+    def on_write_unknown(self) -> Effect:
+        """Read back after the ack of a write was lost."""
+        self._must_settle = True
+        return ReadRow(self.key)
+
+    def on_table_unavailable(self) -> Effect:
+        """End the session with what is certain without the table."""
+        write = self._write
+        if write is not None and write.row.answer is not None:
+            return Finish(
+                TellAnswer(write.row.answer),
+                write.row.endpoint_id,
+                unwritten=write,
+            )
+        if self._row is None:
+            return self._unknown(
+                "not_accepted",
+                "the table service is down, so the request was not "
+                "accepted and starts nothing; send it again with its key",
+                accepted=False,
+            )
+        return self._unknown(
+            "outcome_unknown",
+            "the table service is down; ask for the key later",
+        )
+
+    def on_endpoint(
+        self, endpoint_id: str, address: str, incarnation: str
+    ) -> Effect:
+        """Dispatch to the endpoint that was chosen."""
+        assert self._row is not None
+        token = self.new_token(self._row.attempt_id, incarnation)
+        row = dispatch(self._row, token, endpoint_id, address, self._stamp())
+        self._unsent = token
+        return self._to_write(row)
+
+    def on_no_endpoint(self) -> Effect:
+        """Refuse the attempt, since nothing can take it."""
+        return self._refuse(*self._refusal)
+
+    def on_reply(self, reply: InvokeResult | Refused | Tombstoned) -> Effect:
+        """Go on after an agent's reply; another token's is ignored."""
+        row = self._row
+        assert row is not None
+        if reply.token != row.token:
+            return KeepWaiting()
+        self._unsent = None
+        if isinstance(reply, InvokeResult):
+            return self._to_write(answer(row, reply, self._stamp()))
+        match reply.ran:
+            case Ran.NO:
+                return self._proved(reply)
+            case Ran.YES:
+                return self._has_run(reply)
+        return self._ambiguous(f"the agent cannot tell: {reply!r}")
+
+    def on_lost(self, sent: bool) -> Effect:
+        """Go on after no reply came, also when the connection broke.
+
+        Parameters
+        ----------
+        sent : bool
+            Whether any byte of the message may have left.
+        """
+        row = self._row
+        assert row is not None
+        # Others join only after a write of their own, so with the row
+        # as this session wrote it nobody can have sent the token.
+        if sent or self._unsent is None or self._unsent != row.token:
+            return self._ambiguous("no reply came from the agent")
+        return self._proved(
+            Refused(
+                "unreachable",
+                f"endpoint {row.endpoint_id!r} cannot be reached",
+                Ran.NO,
+                row.token,
+            )
+        )
+
+    def _next(self, now_s: float) -> Effect:
+        step = next_step(self._row, self.request, now_s)
+        match step:
+            case TellAnswer() | TellNotRun():
+                return Finish(step)
+            case JoinDispatch(may_start=may_start):
+                return self._join(may_start)
+            case ExpireAttempt():
+                return self._refuse("expired", "its time to start has passed")
+        if self.purpose is Purpose.ASK:
+            return self._unknown("not_started", "nothing has started yet")
+        return self._go_on(step)
+
+    def _go_on(
+        self, step: OpenAttempt | ReopenAttempt | DispatchAttempt
+    ) -> Effect:
+        if isinstance(step, OpenAttempt):
+            row = open_attempt(self.request, self.new_id(), self._stamp())
+            return self._to_write(row)
+        assert self._row is not None
+        if isinstance(step, ReopenAttempt):
+            row = reopen(self._row, self.request, self.new_id(), self._stamp())
+            return self._to_write(row)
+        if self._row.dispatches >= self.max_dispatches:
+            return self._refuse(*self._refusal)
+        return ChooseEndpoint(self._tried)
+
+    def _join(self, may_start: bool) -> Effect:
+        assert self._row is not None
+        if self.purpose is Purpose.ASK and may_start:
+            return self._unknown("in_progress", "it may still run")
+        if self._lost == self._row.token:
+            return self._unknown(
+                "outcome_unknown", "no reply came from the agent"
+            )
+        self._unsent = None
+        return self._to_write(join(self._row, self._stamp()))
+
+    def _after_dispatch_row(self, row: AttemptRow, now_s: float) -> Effect:
+        assert row.token is not None
+        if row.token == self._lost:
+            return self._unknown(row.code, row.message)
+        self._tried |= {row.endpoint_id}
+        may_start = self.purpose is Purpose.RUN and now_s < row.start_by_s
+        if not may_start:
+            return self._ask(Tombstone(row.token))
+        return self._ask_invoke(row.start_by_s - now_s)
+
+    def _ask(self, message: Invoke | Tombstone) -> Ask:
+        assert self._row is not None
+        return Ask(self._row.endpoint_id, self._row.address, message)
+
+    def _ask_invoke(self, within_s: float) -> Ask:
+        assert self._row is not None and self._row.token is not None
+        invoke = attrs.evolve(
+            self.invoke, token=self._row.token, within_s=within_s
+        )
+        return self._ask(invoke)
+
+    def _proved(self, proof: Refused | Tombstoned) -> Effect:
+        assert self._row is not None
+        if isinstance(proof, Refused):
+            self._refusal = (proof.code, proof.message)
+        return self._to_write(prove_not_run(self._row, proof, self._stamp()))
+
+    def _has_run(self, reply: Refused | Tombstoned) -> Effect:
+        if isinstance(reply, Tombstoned):
+            # It has started, so this can only fetch its answer.
+            return self._ask_invoke(0.0)
+        if reply.code == "result_recorded":
+            return ReadRow(self.key)
+        return self._unknown(reply.code, reply.message, ran=Ran.YES)
+
+    def _ambiguous(self, why: str) -> Effect:
+        assert self._row is not None
+        self._lost = self._row.token
+        if self._row.state is AttemptState.DISPATCHED:
+            row = lose(self._row, self._stamp())
+            row = attrs.evolve(row, code="outcome_unknown", message=why)
+            return self._to_write(row)
+        return self._unknown("outcome_unknown", why)
+
+    def _refuse(self, code: str, message: str) -> Effect:
+        assert self._row is not None
+        return self._to_write(refuse(self._row, code, message, self._stamp()))
+
+    def _to_write(self, row: AttemptRow) -> WriteRow:
+        self._before = "" if self._row is None else self._row.write_id
+        self._write = WriteRow(self.key, row, self._version)
+        return self._write
+
+    def _stamp(self) -> Stamp:
+        return Stamp(self.new_id(), self.owner)
+
+    def _unknown(
+        self,
+        code: str,
+        message: str,
+        *,
+        accepted: bool = True,
+        ran: Ran = Ran.UNKNOWN,
+    ) -> Finish:
+        return Finish(TellUnknown(code, message, accepted, ran))
--- /dev/null
+++ b/filbertlb/core/attempts.py
@@ -0,0 +1,243 @@
+"""Attempts of non-idempotent requests: rows, rules and transitions.
+
+The row of an attempt is written before its request is dispatched and
+names the token of the only dispatch that may start. Whoever reads the
+row, the entry that wrote it or another one, goes on from it: a token
+starts once at most, so joining a dispatch with its own token is always
+safe, and another dispatch needs proof that the token never started.
+"""
+
+from __future__ import annotations
+
+import json
+from enum import StrEnum
+from importlib.resources import files
+
+import attrs
+from transitions import Machine
+
+from filbertlb.core.attempt_rows import Answer
+from filbertlb.core.attempt_rows import AttemptRow
+from filbertlb.core.attempt_rows import AttemptState
+from filbertlb.core.attempt_rows import AttemptTransitionError
+from filbertlb.core.attempt_rows import KeyedRequest
+from filbertlb.core.attempt_rows import Stamp
+from filbertlb.errors import Ran
+from filbertlb.messages import InvokeResult
+from filbertlb.messages import Refused
+from filbertlb.messages import Token
+from filbertlb.messages import Tombstoned
+
+
+class Settled(StrEnum):
+    """What reading back tells about a write with a lost ack."""
+
+    WRITTEN = "written"
+    NOT_WRITTEN = "not_written"
+    MOVED_ON = "moved_on"
+
+
+def _load_machine() -> Machine:
+    chart = json.loads(
+        files("filbertlb").joinpath("charts/attempt.json").read_text("utf-8")
+    )
+    return Machine(
+        model=None,
+        states=chart["states"],
+        initial=chart["initial"],
+        transitions=chart["transitions"],
+        auto_transitions=False,
+    )
+
+
+_MACHINE = _load_machine()
+
+
+def _after(row: AttemptRow, trigger: str) -> AttemptState:
+    found = _MACHINE.get_transitions(trigger, row.state.value)
+    if not found or found[0].dest is None:
+        raise AttemptTransitionError(
+            f"attempt {row.attempt_id!r} is {row.state.value!r}, which "
+            f"does not allow {trigger!r}; read the row again"
+        )
+    return AttemptState(found[0].dest)
+
+
+def open_attempt(
+    request: KeyedRequest, attempt_id: str, stamp: Stamp
+) -> AttemptRow:
+    """Return the first row of a key, to be written if there is none."""
+    return AttemptRow(
+        organisation_id=request.organisation_id,
+        caller_key=request.caller_key,
+        body_digest=request.body_digest,
+        attempt_id=attempt_id,
+        write_id=stamp.write_id,
+        owner=stamp.owner,
+        start_by_s=request.start_by_s,
+    )
+
+
+def block_key(
+    request: KeyedRequest, attempt_id: str, stamp: Stamp
+) -> AttemptRow:
+    """Return a first row under which the key can never run."""
+    row = open_attempt(request, attempt_id, stamp)
+    return attrs.evolve(
+        row,
+        state=AttemptState.CANCELLED,
+        code="cancelled",
+        message="the caller cancelled the key before it was used",
+    )
+
+
+def reopen(
+    row: AttemptRow, request: KeyedRequest, attempt_id: str, stamp: Stamp
+) -> AttemptRow:
+    """Return the next generation of a refused key."""
+    return attrs.evolve(
+        open_attempt(request, attempt_id, stamp),
+        state=_after(row, "reopen"),
+        generation=row.generation + 1,
+    )
+
+
+def dispatch(
+    row: AttemptRow,
+    token: Token,
+    endpoint_id: str,
+    address: str,
+    stamp: Stamp,
+) -> AttemptRow:
+    """Return the row that has to be written before the token is sent."""
+    return attrs.evolve(
+        row,
+        state=_after(row, "dispatch"),
+        token=token,
+        endpoint_id=endpoint_id,
+        address=address,
+        dispatches=row.dispatches + 1,
+        write_id=stamp.write_id,
+        owner=stamp.owner,
+    )
+
+
+def join(row: AttemptRow, stamp: Stamp) -> AttemptRow:
+    """Return the row to be written before joining another's dispatch.
+
+    The write takes from the entry that wrote the token its right to
+    say that the token was never sent.
+    """
+    return attrs.evolve(
+        row,
+        state=_after(row, "join"),
+        write_id=stamp.write_id,
+        owner=stamp.owner,
+    )
+
+
+def prove_not_run(
+    row: AttemptRow, proof: Refused | Tombstoned, stamp: Stamp
+) -> AttemptRow:
+    """Return the row after proof that its dispatch never started.
+
+    Parameters
+    ----------
+    proof : Refused or Tombstoned
+        The agent's answer; for a token that was never sent, a refusal
+        made by the entry that wrote the row's present version.
+
+    Raises
+    ------
+    AttemptTransitionError
+        If the proof is about another token or proves nothing.
+    """
+    state = _after(row, "prove_not_run")
+    if proof.token != row.token or proof.ran is not Ran.NO:
+        raise AttemptTransitionError(
+            f"{proof!r} does not prove that dispatch {row.token!r} never "
+            "started; ask its agent"
+        )
+    return attrs.evolve(
+        row, state=state, write_id=stamp.write_id, owner=stamp.owner
+    )
+
+
+def lose(row: AttemptRow, stamp: Stamp) -> AttemptRow:
+    """Return the row once the entry cannot tell whether it ran."""
+    return attrs.evolve(
+        row,
+        state=_after(row, "lose"),
+        write_id=stamp.write_id,
+        owner=stamp.owner,
+    )
+
+
+def answer(row: AttemptRow, result: InvokeResult, stamp: Stamp) -> AttemptRow:
+    """Return the row that keeps the whole answer.
+
+    Raises
+    ------
+    AttemptTransitionError
+        If the answer belongs to another dispatch.
+    """
+    state = _after(row, "answer")
+    if result.token != row.token:
+        raise AttemptTransitionError(
+            f"the answer to {result.token!r} does not belong to attempt "
+            f"{row.attempt_id!r}, whose dispatch is {row.token!r}"
+        )
+    return attrs.evolve(
+        row,
+        state=state,
+        answer=Answer(result.status, result.body, result.content_type),
+        write_id=stamp.write_id,
+        owner=stamp.owner,
+    )
+
+
+def refuse(
+    row: AttemptRow, code: str, message: str, stamp: Stamp
+) -> AttemptRow:
+    """Return the row under which this generation never runs."""
+    return attrs.evolve(
+        row,
+        state=_after(row, "refuse"),
+        code=code,
+        message=message,
+        write_id=stamp.write_id,
+        owner=stamp.owner,
+    )
+
+
+def cancel(row: AttemptRow, stamp: Stamp) -> AttemptRow:
+    """Return the row under which the key never runs again."""
+    return attrs.evolve(
+        row,
+        state=_after(row, "cancel"),
+        code="cancelled",
+        message="the caller cancelled the request before it started",
+        write_id=stamp.write_id,
+        owner=stamp.owner,
+    )
+
+
+def settle(write_id: str, row: AttemptRow | None, before: str) -> Settled:
+    """Tell from the row read back whether a write took effect.
+
+    Parameters
+    ----------
+    write_id : str
+        The write whose ack was lost.
+    row : AttemptRow, optional
+        The row as read after the lost ack.
+    before : str
+        ``write_id`` of the row on which the write was based; empty if
+        there was none.
+    """
+    current = "" if row is None else row.write_id
+    if current == write_id:
+        return Settled.WRITTEN
+    if current == before:
+        return Settled.NOT_WRITTEN
+    return Settled.MOVED_ON
--- a/filbertlb/messages.py
+++ b/filbertlb/messages.py
@@ -55,9 +55,11 @@
     incarnation : str
         Incarnation of the agent for which the token was issued.
     scope : str
-        Scope of the decider that issued it; empty for requests.
+        Scope of the decider that issued it; for requests the
+        incarnation of the entry that issued it.
     epoch : int
-        Fencing epoch of the decider; 0 for requests.
+        Fencing epoch of the decider; for requests a serial that grows
+        with every token that the entry issues.
     """
 
     attempt_id: str
@@ -213,11 +215,15 @@
         Code of the error class.
     ran : Ran
         What the agent knows about the work that the token stands for.
+    token : Token, optional
+        The token that is refused; always given for requests, so that
+        a refusal which arrives late is not taken for another one's.
     """
 
     code: str
     message: str
     ran: Ran = Ran.NO
+    token: Token | None = None
 
 
 @attrs.frozen
--- /dev/null
+++ b/tests/test_at_most_once.py
@@ -0,0 +1,364 @@
+from __future__ import annotations
+
+from random import Random
+
+import attrs
+import pytest
+from hypothesis import HealthCheck
+from hypothesis import Phase
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import precondition
+from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import run_state_machine_as_test
+
+from filbertlb.agent.slots import SlotBook
+from filbertlb.core import attempt_session
+from filbertlb.core.attempt_effects import Ask
+from filbertlb.core.attempt_effects import TellUnknown
+from filbertlb.core.attempt_session import AttemptSession
+from filbertlb.core.attempt_session import Purpose
+from filbertlb.core.attempt_steps import TellNotRun
+from filbertlb.errors import Ran
+from filbertlb.messages import Refused
+from filbertlb.messages import Tombstoned
+from tests.attempt_world import Packet
+from tests.attempt_world import Run
+from tests.attempt_world import World
+
+SETTINGS = settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=150,
+    stateful_step_count=25,
+    suppress_health_check=list(HealthCheck),
+    print_blob=False,
+    report_multiple_bugs=False,
+)
+SEEDS = st.integers(0, 1_000_000)
+AGENTS = ("r1", "r2")
+ENTRIES = ("e1", "e2")
+KEYS = ("a", "b", "c")
+FAULTS = (
+    "drop",
+    "restart",
+    "drain",
+    "kill_entry",
+    "pass_time",
+    "trouble_table",
+    "end_outage",
+)
+MOVES = (
+    *("_step",) * 5,
+    *("_deliver",) * 3,
+    *("_end",) * 2,
+    "_cross",
+    "_time_out",
+    "_cannot_connect",
+    "_lose_ack",
+    "drain",
+)
+OLD_SHARE = 0.1
+DUPLICATE_SHARE = 0.4
+OUTAGE_SHARE = 0.4
+
+
+class AtMostOnce(RuleBasedStateMachine):
+    """A journal of what ran, against all that callers are told."""
+
+    session_type = AttemptSession
+    book_type = SlotBook
+    max_records = 3
+
+    def __init__(self):
+        super().__init__()
+        self.world = World(self.session_type, self.book_type, self.max_records)
+        # An agent that remembers so little forgets answers.
+        self.lossy = self.max_records == 1
+
+    @rule(
+        key=st.sampled_from(KEYS),
+        entry=st.sampled_from(ENTRIES),
+        other_body=st.integers(0, 5),
+    )
+    def send(self, key, entry, other_body):
+        body = f"{key}:{other_body // 5}".encode()
+        self.world.send(key, body, entry)
+        if other_body < 2:
+            self.world.send(key, body, "e2")
+
+    @rule(key=st.sampled_from(KEYS), entry=st.sampled_from(ENTRIES))
+    def ask(self, key, entry):
+        self.world.send(key, b"", entry, purpose=Purpose.ASK)
+
+    @precondition(lambda self: self._told(TellNotRun))
+    @rule(pick=st.integers(0, 30), entry=st.sampled_from(ENTRIES))
+    def send_again(self, pick, entry):
+        run = _pick(self._told(TellNotRun), pick)
+        if run.body:
+            generation = run.telling.generation
+            self.world.send(run.key, run.body, entry, retry_of=generation)
+
+    @rule(rng=SEEDS.map(Random), moves=st.integers(1, 40))
+    def go_on(self, rng, moves):
+        """Step, deliver and end in any order, with odd moves between."""
+        for _ in range(moves):
+            getattr(self, rng.choice(MOVES))(rng)
+
+    @rule(rng=SEEDS.map(Random), fault=st.sampled_from(FAULTS))
+    def fault(self, rng, fault):
+        getattr(self, fault)(rng)
+
+    def _step(self, rng):
+        if busy := self._busy():
+            old = rng.random() < OLD_SHARE
+            agent = rng.choice(AGENTS)
+            self.world.step(rng.choice(busy), agent, -2 if old else -1)
+
+    def _deliver(self, rng):
+        if self.world.net:
+            packet = rng.choice(self.world.net)
+            if rng.random() > DUPLICATE_SHARE:
+                self.world.net.remove(packet)
+            self.world.deliver(packet)
+
+    def _cross(self, rng):
+        replies = [one for one in self.world.net if one.agent_id is None]
+        if replies and (waiting := self._waiting()):
+            crossed = rng.choice(replies)
+            run = rng.choice(waiting)
+            self.world.deliver(attrs.evolve(crossed, run=run))
+
+    def _time_out(self, rng):
+        if waiting := self._waiting():
+            run = rng.choice(waiting)
+            self.world.take(run, run.session.on_lost(sent=True))
+
+    def _cannot_connect(self, rng):
+        unsent = [one for one in self.world.net if self._is_unsent(one)]
+        if unsent:
+            packet = rng.choice(unsent)
+            self.world.net.remove(packet)
+            lost = packet.run.session.on_lost(sent=False)
+            self.world.take(packet.run, lost)
+
+    def _is_unsent(self, packet):
+        effect = packet.run.effect
+        return (
+            isinstance(effect, Ask)
+            and effect.message is packet.message
+            and packet.run in self.world.runs
+            and packet not in self.world.delivered
+        )
+
+    def _end(self, rng):
+        how = rng.choice([Ran.YES, Ran.YES, Ran.YES, *Ran])
+        self.lossy |= how is Ran.UNKNOWN
+        self.world.end(self.world.agents[rng.choice(AGENTS)], how)
+
+    def _lose_ack(self, rng):
+        self.world.table.faults.lose_acks = 1
+
+    def drop(self, rng):
+        if self.world.net:
+            self.world.net.remove(rng.choice(self.world.net))
+
+    def restart(self, rng):
+        self.lossy = True
+        self.world.restart(rng.choice(AGENTS))
+
+    def drain(self, rng):
+        """Drain an agent for a moment, so that others find it back."""
+        agent = self.world.agents[rng.choice(AGENTS)]
+        self.world.act(agent, agent.book.drain())
+        agent.book.draining = False
+
+    def kill_entry(self, rng):
+        entry = rng.choice(ENTRIES)
+        kept = [run for run in self.world.runs if run.entry != entry]
+        self.world.runs = kept
+
+    def pass_time(self, rng):
+        self.world.now_s += rng.choice([4.0, 11.0])
+
+    def trouble_table(self, rng):
+        self.world.table.faults.down = rng.random() < OUTAGE_SHARE
+        self.world.table.faults.lose_acks = rng.choice([0, 1, 2])
+
+    def end_outage(self, rng):
+        self.world.table.faults.down = False
+
+    def teardown(self):
+        """Every outcome is resolved once the faults are over.
+
+        All that was ever sent to an agent arrives once more, and what
+        is still under way arrives after the last answers.
+        """
+        world = self.world
+        world.table.faults.down = False
+        world.table.faults.lose_acks = 0
+        world.now_s += 100.0
+        for agent in world.agents.values():
+            world.act(agent, agent.book.expire(world.now_s))
+        late = list(world.net)
+        world.net.clear()
+        self._replay(list(world.delivered))
+        for key in world.attempts_by_key:
+            run = world.send(key, b"", "e3", purpose=Purpose.ASK)
+            self._finish(run)
+            unknown = isinstance(run.telling, TellUnknown)
+            assert not unknown or self.lossy, run.telling
+        self._replay([*late, *world.delivered])
+
+    def _replay(self, packets: list[Packet]) -> None:
+        for packet in packets:
+            self.world.deliver(packet)
+            for agent in self.world.agents.values():
+                while agent.running:
+                    self.world.end(agent, Ran.YES)
+        self.world.net.clear()
+
+    def _finish(self, run: Run) -> None:
+        for _ in range(50):
+            self.world.step(run, "r1")
+            for packet in list(self.world.net):
+                self.world.net.remove(packet)
+                self.world.deliver(packet)
+            if run.telling is not None:
+                return
+        raise AssertionError(f"no end: {run.effect!r}")
+
+    def _told(self, kind):
+        runs = self.world.runs
+        return [run for run in runs if isinstance(run.telling, kind)]
+
+    def _busy(self):
+        return [
+            run
+            for run in self.world.runs
+            if run.telling is None and not isinstance(run.effect, Ask)
+        ]
+
+    def _waiting(self):
+        runs = self.world.runs
+        return [run for run in runs if isinstance(run.effect, Ask)]
+
+
+def _pick(items, number):
+    return items[number % len(items)]
+
+
+class AnyIncarnation(SlotBook):
+    """Starts what was issued to its former self."""
+
+    def offer(self, invoke, now_s):
+        self.incarnation = invoke.token.incarnation
+        return super().offer(invoke, now_s)
+
+
+class ForgetsRefusals(SlotBook):
+    """Lets a late duplicate start after a refusal."""
+
+    def _refuse(self, token, code, message):
+        reply = super()._refuse(token, code, message)
+        self._ended.record_by_token.pop(token, None)
+        return reply
+
+
+class ForgetsAll(SlotBook):
+    """Keeps no floor of the serials of forgotten tokens."""
+
+    def _known(self, token):
+        self._ended.floor_by_scope.clear()
+        return super()._known(token)
+
+
+class TombstonesOnlyKnown(SlotBook):
+    """Calls a token that never arrived not run, and lets it arrive."""
+
+    def tombstone(self, token):
+        if token in self._live_by_token or self._known(token):
+            return super().tombstone(token)
+        return Tombstoned(token, Ran.NO), []
+
+
+class SilenceIsProof(AttemptSession):
+    """Dispatches again when no reply comes."""
+
+    def on_lost(self, sent):
+        token = self._row.token
+        return self._proved(Refused("silence", "", Ran.NO, token))
+
+
+class JoinsUnmarked(AttemptSession):
+    """Joins a dispatch without taking its writer's right to deny it."""
+
+    def _join(self, may_start):
+        self._write = attempt_session.WriteRow(
+            self.key, self._row, self._version
+        )
+        self._unsent = None
+        return self._after_dispatch_row(self._row, 0.0)
+
+
+class WritesBlindly(AttemptSession):
+    """Takes a lost ack for a write that did not happen."""
+
+    def on_write_unknown(self):
+        self._write = attrs.evolve(self._write, expected_version=None)
+        return self._write
+
+
+class TrustsAnyReply(AttemptSession):
+    """Takes whatever reply comes for its own."""
+
+    def on_reply(self, reply):
+        token = self._row.token
+        return super().on_reply(attrs.evolve(reply, token=token))
+
+
+class DeniesWithoutRow(AttemptSession):
+    """Says not run because the table is down."""
+
+    def on_table_unavailable(self):
+        told = TellNotRun("not_accepted", "", 1)
+        return attempt_session.Finish(told)
+
+
+class ShortMemory(AtMostOnce):
+    """Agents that forget almost at once."""
+
+    max_records = 1
+
+
+@pytest.mark.parametrize("machine", [AtMostOnce, ShortMemory])
+def test_at_most_once_and_nothing_false_is_told(machine):
+    run_state_machine_as_test(machine, settings=SETTINGS)
+
+
+@pytest.mark.parametrize(
+    "broken",
+    [
+        AnyIncarnation,
+        ForgetsRefusals,
+        ForgetsAll,
+        TombstonesOnlyKnown,
+        SilenceIsProof,
+        JoinsUnmarked,
+        WritesBlindly,
+        TrustsAnyReply,
+        DeniesWithoutRow,
+    ],
+)
+def test_machine_finds(broken):
+    class Broken(ShortMemory if broken is ForgetsAll else AtMostOnce):
+        pass
+
+    if issubclass(broken, SlotBook):
+        Broken.book_type = broken
+    else:
+        Broken.session_type = broken
+    quick = settings(SETTINGS, phases=[Phase.generate], max_examples=1000)
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(Broken, settings=quick)
