--- a/filbertlb/core/attempts.py
+++ b/filbertlb/core/attempts.py
@@ -9,12 +9,9 @@
 
 from __future__ import annotations
 
-import json
 from enum import StrEnum
-from importlib.resources import files
 
 import attrs
-from transitions import Machine
 
 from filbertlb.core.attempt_rows import Answer
 from filbertlb.core.attempt_rows import AttemptRow
@@ -22,12 +19,16 @@
 from filbertlb.core.attempt_rows import AttemptTransitionError
 from filbertlb.core.attempt_rows import KeyedRequest
 from filbertlb.core.attempt_rows import Stamp
+from filbertlb.core.charts import IllegalTransitionError
+from filbertlb.core.charts import state_chart
 from filbertlb.errors import Ran
 from filbertlb.messages import InvokeResult
 from filbertlb.messages import Refused
 from filbertlb.messages import Token
 from filbertlb.messages import Tombstoned
 
+CHART_NAME = "attempt"
+
 
 class Settled(StrEnum):
     """What reading back tells about a write with a lost ack."""
@@ -37,30 +38,15 @@
     MOVED_ON = "moved_on"
 
 
-def _load_machine() -> Machine:
-    chart = json.loads(
-        files("filbertlb").joinpath("charts/attempt.json").read_text("utf-8")
-    )
-    return Machine(
-        model=None,
-        states=chart["states"],
-        initial=chart["initial"],
-        transitions=chart["transitions"],
-        auto_transitions=False,
-    )
-
-
-_MACHINE = _load_machine()
-
-
 def _after(row: AttemptRow, trigger: str) -> AttemptState:
-    found = _MACHINE.get_transitions(trigger, row.state.value)
-    if not found or found[0].dest is None:
+    chart = state_chart(CHART_NAME)
+    try:
+        return AttemptState(chart.after(row.state.value, trigger))
+    except IllegalTransitionError as error:
         raise AttemptTransitionError(
             f"attempt {row.attempt_id!r} is {row.state.value!r}, which "
             f"does not allow {trigger!r}; read the row again"
-        )
-    return AttemptState(found[0].dest)
+        ) from error
 
 
 def open_attempt(
