Keep configuration as revisions with an audit trail

Cause: operators race each other with changes, answers of the table get lost, and an accepted change must hold everywhere and never revert. Change: SiteConfig is read from a base file with an overlay and checked strictly; a change is one transaction of the revision, the head and the audit entry, settled by the write-once revision row; a conflict shows the other's change; a repeated request meets its own revision; rollback is a new revision.

--- /dev/null
+++ b/filbertlb/core/revisions.py
@@ -0,0 +1,209 @@
+"""Revisions of a site's configuration: how one follows another."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from filbertlb.core.config_diff import diff
+from filbertlb.core.config_diff import render_diff
+from filbertlb.core.site import SiteConfig
+from filbertlb.errors import ConflictError
+from filbertlb.errors import InvalidInputError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+    from filbertlb.core.config_diff import Change
+
+    Check = Callable[[SiteConfig], Sequence[str]]
+
+NO_REVISION = 0
+"""Number that stands for no configuration at all."""
+
+
+class RevisionConflictError(ConflictError):
+    """Another operator's change came first.
+
+    Parameters
+    ----------
+    head : Revision, optional
+        The revision that is the head now.
+    """
+
+    code = "revision_conflict"
+
+    def __init__(self, message: str, head: Revision | None) -> None:
+        super().__init__(message)
+        self.head = head
+
+
+class ConfigRefusedError(InvalidInputError):
+    """The configuration would break what must hold.
+
+    Parameters
+    ----------
+    problems : sequence of str
+        What it would break, such as guarantees without a placement.
+    """
+
+    code = "config_refused"
+    status = 409
+
+    def __init__(self, problems: Sequence[str]) -> None:
+        lines = "\n".join(f"- {problem}" for problem in problems)
+        super().__init__(f"the change is refused:\n{lines}")
+        self.problems = tuple(problems)
+
+
+@attrs.frozen
+class Revision:
+    """One accepted configuration; never changed afterwards.
+
+    Parameters
+    ----------
+    number : int
+        From 1, without gaps.
+    author : str
+        Operator who applied it.
+    at_s : float
+        Wall time of acceptance in seconds since the Unix epoch.
+    token : str
+        Token of the request that applied it; a repeated request with
+        the same token meets this revision.
+    note : str
+        The operator's reason.
+    rolled_back_to : int
+        Revision whose configuration it brings back, or NO_REVISION.
+    """
+
+    number: int
+    config: SiteConfig
+    author: str
+    at_s: float
+    token: str
+    note: str = ""
+    rolled_back_to: int = NO_REVISION
+
+
+@attrs.frozen
+class ChangeRequest:
+    """An operator's wish for another configuration.
+
+    Parameters
+    ----------
+    based_on : int
+        Revision that the operator saw; must still be the head.
+    """
+
+    config: SiteConfig
+    based_on: int
+    author: str
+    token: str
+    note: str = ""
+    rolled_back_to: int = NO_REVISION
+
+
+@attrs.frozen
+class Plan:
+    """What a change would do.
+
+    Parameters
+    ----------
+    revision : Revision
+        The revision that it would become.
+    changes : tuple of Change
+        Differences from the head.
+    problems : tuple of str
+        What it would break; empty if it may be applied.
+    """
+
+    revision: Revision
+    changes: tuple[Change, ...]
+    problems: tuple[str, ...]
+
+    def render(self) -> str:
+        """Return the changes and the problems as lines of text."""
+        text = render_diff(self.changes)
+        if not self.problems:
+            return text
+        lines = "\n".join(f"- {problem}" for problem in self.problems)
+        return f"{text}\n\nwould break:\n{lines}"
+
+
+def plan_change(
+    request: ChangeRequest,
+    head: Revision | None,
+    base: Revision | None,
+    now_s: float,
+    check: Check,
+) -> Plan:
+    """Return what a change would do, without doing it.
+
+    Parameters
+    ----------
+    head : Revision, optional
+        The latest revision; None if there is none.
+    base : Revision, optional
+        The revision that the request is based on, for the message of a
+        conflict.
+    now_s : float
+        Wall time in seconds.
+    check : callable
+        Returns what a configuration would break.
+
+    Raises
+    ------
+    RevisionConflictError
+        If the head is not the revision that the request is based on.
+    """
+    number = NO_REVISION if head is None else head.number
+    if request.based_on != number:
+        raise conflict(request, head, base)
+    config = None if head is None else head.config
+    revision = Revision(
+        number=number + 1,
+        config=request.config,
+        author=request.author,
+        at_s=now_s,
+        token=request.token,
+        note=request.note,
+        rolled_back_to=request.rolled_back_to,
+    )
+    problems = [*_identity_problems(config, request.config)]
+    problems += check(request.config)
+    return Plan(revision, diff(config, request.config), tuple(problems))
+
+
+def conflict(
+    request: ChangeRequest, head: Revision | None, base: Revision | None
+) -> RevisionConflictError:
+    """Return the error that shows what the other operator changed."""
+    if head is None:
+        message = (
+            f"there is no revision yet, so none {request.based_on!r} to "
+            "base a change on; base it on 0"
+        )
+        return RevisionConflictError(message, head)
+    theirs = render_diff(diff(base.config if base else None, head.config))
+    message = (
+        f"the change is based on revision {request.based_on!r} but the head "
+        f"is {head.number}, by {head.author!r}"
+        f"{f' ({head.note})' if head.note else ''}; "
+        f"changed since:\n{theirs}\n"
+        f"look at it and apply again, based on {head.number}"
+    )
+    return RevisionConflictError(message, head)
+
+
+def _identity_problems(
+    before: SiteConfig | None, after: SiteConfig
+) -> list[str]:
+    if before is None or before.site == after.site:
+        return []
+    return [
+        f"site: {after.site!r} is not this site, {before.site!r}; take the "
+        "overlay of this site"
+    ]
--- /dev/null
+++ b/filbertlb/core/site.py
@@ -0,0 +1,351 @@
+"""Configuration of a site, shared by all its processes.
+
+It is written as one base file with an overlay for each site and read
+by ``load_settings``: objects are merged key by key; every other value
+of the overlay, also a list or null, replaces that of the base.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+from attrs.validators import ge
+from attrs.validators import gt
+from attrs.validators import matches_re
+from attrs.validators import optional
+
+from filbertlb.core.lease import LEASE_MARGIN_S
+from filbertlb.core.lease import LEASE_TTL_S
+from filbertlb.core.membership_times import MembershipTimes
+from filbertlb.core.model import Guarantee
+from filbertlb.core.model import Organisation
+from filbertlb.core.model import Resources
+from filbertlb.core.model import Shape
+from filbertlb.core.model import Worker
+from filbertlb.scheduling.config import SchedulerConfig
+from filbertlb.settings.decode import InvalidValueError
+from filbertlb.settings.load import load_settings
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+    from collections.abc import Sequence
+    from pathlib import Path
+
+NAME_PATTERN = r"[a-z0-9][a-z0-9-]*"
+
+
+@attrs.frozen
+class RackConfig:
+    """Workers that a rack is expected to hold.
+
+    Parameters
+    ----------
+    workers : int
+        Number of workers.
+    each : Resources
+        What each worker has.
+    """
+
+    workers: int = attrs.field(validator=ge(1))
+    each: Resources
+
+
+@attrs.frozen
+class FailureDomainConfig:
+    """One failure domain.
+
+    Parameters
+    ----------
+    region : str
+        Region that holds it.
+    scope : str, optional
+        Scope whose decider places work in it; by default the region.
+    racks : dict
+        Expected racks by name.
+    """
+
+    region: str = attrs.field(validator=matches_re(NAME_PATTERN))
+    scope: str | None = attrs.field(
+        default=None, validator=optional(matches_re(NAME_PATTERN))
+    )
+    racks: dict[str, RackConfig] = attrs.Factory(dict)
+
+    @property
+    def scope_name(self) -> str:
+        """Return the scope whose decider places work here."""
+        return self.region if self.scope is None else self.scope
+
+
+@attrs.frozen
+class GuaranteeConfig:
+    """Shapes that an organisation can claim at any time.
+
+    Parameters
+    ----------
+    shape : Shape
+        The shape that is guaranteed.
+    count : int
+        How many such shapes may be claimed at once.
+    """
+
+    shape: Shape
+    count: int = attrs.field(default=1, validator=ge(1))
+
+
+@attrs.frozen
+class OrganisationConfig:
+    """One organisation.
+
+    Parameters
+    ----------
+    guarantees : dict
+        Guarantees by name.
+    quota_accelerators : int, optional
+        Most accelerators in use at once; None is without limit.
+    weight : float
+        Share of capacity beyond guarantees, relative to others.
+    """
+
+    guarantees: dict[str, GuaranteeConfig] = attrs.Factory(dict)
+    quota_accelerators: int | None = attrs.field(
+        default=None, validator=optional(ge(0))
+    )
+    weight: float = attrs.field(default=1.0, validator=gt(0))
+
+    @property
+    def guaranteed_accelerators(self) -> int:
+        """Return the accelerators of all guaranteed shapes together."""
+        return sum(
+            guarantee.shape.total.accelerators * guarantee.count
+            for guarantee in self.guarantees.values()
+        )
+
+
+@attrs.frozen
+class LeaseConfig:
+    """Times of the deciders' leases.
+
+    Parameters
+    ----------
+    ttl_s : float
+        Lifetime in seconds.
+    margin_s : float
+        Time before its end at which the holder stops, in seconds.
+    """
+
+    ttl_s: float = attrs.field(default=LEASE_TTL_S, validator=gt(0))
+    margin_s: float = attrs.field(default=LEASE_MARGIN_S, validator=gt(0))
+
+    def __attrs_post_init__(self) -> None:
+        if self.margin_s >= self.ttl_s:
+            raise InvalidValueError(
+                "lease.margin_s",
+                f"{self.margin_s!r} is not less than ttl_s {self.ttl_s!r}",
+            )
+
+
+@attrs.frozen
+class SiteLimits:
+    """Bounds that hold for the whole site.
+
+    Parameters
+    ----------
+    gang_members : int
+        Most members of one job.
+    queued_jobs_per_organisation : int
+        Most jobs of one organisation that wait at once.
+    retry_share : float
+        Retries allowed for each first attempt of an organisation.
+    table_writes_per_s : float
+        Writes a second that all processes together may send.
+    control_bytes_per_s : float
+        Bytes a second that one daemon may spend on control.
+    """
+
+    gang_members: int = attrs.field(default=64, validator=ge(1))
+    queued_jobs_per_organisation: int = attrs.field(
+        default=1000, validator=ge(1)
+    )
+    retry_share: float = attrs.field(default=0.1, validator=ge(0))
+    table_writes_per_s: float = attrs.field(default=200.0, validator=gt(0))
+    control_bytes_per_s: float = attrs.field(default=9000.0, validator=gt(0))
+
+
+@attrs.frozen
+class SiteConfig:
+    """Everything that operators can change at a running site.
+
+    Parameters
+    ----------
+    site : str
+        Name of the site.
+    failure_domains : dict
+        Failure domains by name.
+    organisations : dict
+        Organisations by name.
+    scheduler : SchedulerConfig
+        Profile, thresholds and weights of placement.
+    lease : LeaseConfig
+        Times of the deciders' leases.
+    membership : MembershipTimes
+        Times of announcements and of failure detection.
+    limits : SiteLimits
+        Bounds that hold for the whole site.
+
+    Raises
+    ------
+    InvalidValueError
+        If values contradict each other.
+    """
+
+    site: str = attrs.field(validator=matches_re(NAME_PATTERN))
+    failure_domains: dict[str, FailureDomainConfig]
+    organisations: dict[str, OrganisationConfig] = attrs.Factory(dict)
+    scheduler: SchedulerConfig = SchedulerConfig()
+    lease: LeaseConfig = LeaseConfig()
+    membership: MembershipTimes = MembershipTimes()
+    limits: SiteLimits = SiteLimits()
+
+    def __attrs_post_init__(self) -> None:
+        for path, problem in _contradictions(self):
+            raise InvalidValueError(path, problem)
+
+    @property
+    def scopes(self) -> tuple[str, ...]:
+        """Return all scopes, sorted."""
+        domains = self.failure_domains.values()
+        return tuple(sorted({domain.scope_name for domain in domains}))
+
+    def scope_of(self, failure_domain: str) -> str | None:
+        """Return the scope of a failure domain, or None if unknown."""
+        domain = self.failure_domains.get(failure_domain)
+        return None if domain is None else domain.scope_name
+
+    def model_organisations(self) -> tuple[Organisation, ...]:
+        """Return the organisations as the scheduler takes them."""
+        return tuple(
+            Organisation(
+                organisation_id=name,
+                guarantees=tuple(
+                    Guarantee(key, item.shape, item.count)
+                    for key, item in sorted(config.guarantees.items())
+                ),
+                quota_accelerators=config.quota_accelerators,
+                weight=config.weight,
+            )
+            for name, config in sorted(self.organisations.items())
+        )
+
+    def expected_workers(self) -> tuple[Worker, ...]:
+        """Return a worker for each place of the expected racks.
+
+        Their identifiers are ``RACK/INDEX``; they stand for workers
+        that have not announced themselves yet.
+        """
+        return tuple(
+            Worker(f"{rack}/{index}", rack, name, item.each, domain.region)
+            for name, domain in sorted(self.failure_domains.items())
+            for rack, item in sorted(domain.racks.items())
+            for index in range(item.workers)
+        )
+
+
+def load_site(paths: Sequence[Path]) -> SiteConfig:
+    """Return the configuration in a base file with its overlays.
+
+    Raises
+    ------
+    SettingsError
+        If a file can't be read or holds a mistake; the message names
+        the file, the key, the bad value and the mend.
+    """
+    return load_settings(paths, SiteConfig)
+
+
+def _contradictions(config: SiteConfig) -> Iterator[tuple[str, str]]:
+    """Yield the paths of values that contradict others."""
+    if not config.failure_domains:
+        yield "failure_domains", "is empty; add a failure domain"
+    yield from _bad_names(config)
+    yield from _racks_in_two_domains(config)
+    for name, organisation in config.organisations.items():
+        path = f"organisations.{name}"
+        yield from _bad_guarantees(config, organisation, path)
+        quota = organisation.quota_accelerators
+        guaranteed = organisation.guaranteed_accelerators
+        if quota is not None and quota < guaranteed:
+            yield (
+                f"{path}.quota_accelerators",
+                f"{quota!r} is less than the {guaranteed} accelerators that "
+                "are guaranteed; raise it or lower the guarantees",
+            )
+    yield from _too_much_guaranteed(config)
+
+
+def _bad_names(config: SiteConfig) -> Iterator[tuple[str, str]]:
+    named: dict[str, Iterable[str]] = {
+        "failure_domains": config.failure_domains,
+        "organisations": config.organisations,
+    }
+    check = matches_re(NAME_PATTERN)
+    field = attrs.fields(SiteConfig).site
+    for path, keys in named.items():
+        for key in keys:
+            try:
+                check(None, field, key)
+            except ValueError:
+                yield (
+                    f"{path}.{key}",
+                    f"{key!r} is no name; use small letters, digits and '-'",
+                )
+
+
+def _racks_in_two_domains(config: SiteConfig) -> Iterator[tuple[str, str]]:
+    domain_by_rack: dict[str, str] = {}
+    for name, domain in config.failure_domains.items():
+        for rack in domain.racks:
+            other = domain_by_rack.setdefault(rack, name)
+            if other != name:
+                yield (
+                    f"failure_domains.{name}.racks.{rack}",
+                    f"rack {rack!r} is also in {other!r}; rename one",
+                )
+
+
+def _bad_guarantees(
+    config: SiteConfig, organisation: OrganisationConfig, path: str
+) -> Iterator[tuple[str, str]]:
+    for name, guarantee in organisation.guarantees.items():
+        shape = guarantee.shape
+        shape_path = f"{path}.guarantees.{name}.shape"
+        domain = shape.failure_domain
+        if domain is not None and domain not in config.failure_domains:
+            yield (
+                f"{shape_path}.failure_domain",
+                f"{domain!r} is no failure domain; use one of "
+                f"{sorted(config.failure_domains)!r}",
+            )
+        if shape.members > config.limits.gang_members:
+            yield (
+                f"{shape_path}.members",
+                f"{shape.members!r} is more than limits.gang_members "
+                f"{config.limits.gang_members!r}",
+            )
+
+
+def _too_much_guaranteed(config: SiteConfig) -> Iterator[tuple[str, str]]:
+    expected = sum(
+        worker.capacity.accelerators for worker in config.expected_workers()
+    )
+    guaranteed = sum(
+        organisation.guaranteed_accelerators
+        for organisation in config.organisations.values()
+    )
+    if expected and guaranteed > expected:
+        yield (
+            "organisations",
+            f"{guaranteed} accelerators are guaranteed but the racks hold "
+            f"{expected}; lower guarantees or add racks",
+        )
--- /dev/null
+++ b/filbertlb/table/audit.py
@@ -0,0 +1,150 @@
+"""The audit trail in the table service."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+from msgspec.json import encode
+
+from filbertlb.core.audit import append
+from filbertlb.core.audit import AuditEntry
+from filbertlb.core.audit import AuditHead
+from filbertlb.core.audit import head_of
+from filbertlb.core.audit import verify
+from filbertlb.table.base import ABSENT
+from filbertlb.table.base import RowConflictError
+from filbertlb.table.base import Write
+from filbertlb.table.rows import decode_row
+from filbertlb.table.settled import commit_settled
+from filbertlb.table.settled import new_token
+from filbertlb.table.settled import Proof
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+
+    from filbertlb.core.audit import AuditEvent
+    from filbertlb.table.base import TableService
+
+AUDIT_HEAD_KEY = "audit/head"
+AUDIT_PREFIX = "audit/entry/"
+PAGE_ROWS = 500
+APPEND_ATTEMPTS = 8
+
+
+@attrs.frozen
+class _StoredEntry:
+    """An entry with the token of its write."""
+
+    entry: AuditEntry
+    token: str
+
+
+class AuditLog:
+    """Appends to the audit trail and reads it.
+
+    Parameters
+    ----------
+    table : TableService
+        The platform's table service.
+    """
+
+    def __init__(self, table: TableService) -> None:
+        self._table = table
+
+    def head(self) -> AuditHead:
+        """Return the end of the trail.
+
+        Raises
+        ------
+        TableUnavailableError
+            If the service does not answer.
+        """
+        return self._read_head()[0]
+
+    def writes(self, event: AuditEvent) -> tuple[Write, Write]:
+        """Return the writes that append an event to the present trail.
+
+        The first is a proof row that is written once.
+
+        Raises
+        ------
+        TableUnavailableError
+            If the service does not answer.
+        """
+        head, version = self._read_head()
+        entry = append(head, event)
+        stored = _StoredEntry(entry, new_token())
+        return (
+            Write(_entry_key(entry.number), encode(stored), ABSENT),
+            Write(AUDIT_HEAD_KEY, encode(head_of(entry)), version),
+        )
+
+    def record(self, event: AuditEvent) -> None:
+        """Append an event that goes with no other write.
+
+        Raises
+        ------
+        RowConflictError
+            If others append all the time.
+        TableUnavailableError, WriteOutcomeUnknownError
+            If the service fails.
+        """
+        for attempt in range(1, APPEND_ATTEMPTS + 1):
+            writes = self.writes(event)
+            try:
+                commit_settled(
+                    self._table, writes, Proof(writes[0].key, write_once=True)
+                )
+            except RowConflictError:
+                if attempt == APPEND_ATTEMPTS:
+                    raise
+            else:
+                return
+
+    def entries(self, after: int = 0) -> Iterator[AuditEntry]:
+        """Yield the entries after a number, in order.
+
+        Raises
+        ------
+        TableUnavailableError
+            If the service does not answer.
+        """
+        key = _entry_key(after)
+        while True:
+            rows = self._table.scan(AUDIT_PREFIX, after=key, limit=PAGE_ROWS)
+            for row in rows:
+                key = row.key
+                yield decode_row(row, _StoredEntry).entry
+            if len(rows) < PAGE_ROWS:
+                return
+
+    def verify(self, noted: Iterable[AuditHead] = ()) -> AuditHead:
+        """Check the whole trail and return its head.
+
+        Entries that are appended meanwhile are left out.
+
+        Raises
+        ------
+        AuditChainError
+            If the trail was changed after it was written.
+        TableUnavailableError
+            If the service does not answer.
+        """
+        head = self.head()
+        entries = (
+            entry for entry in self.entries() if entry.number <= head.number
+        )
+        verify(entries, head, noted)
+        return head
+
+    def _read_head(self) -> tuple[AuditHead, int]:
+        row = self._table.get(AUDIT_HEAD_KEY)
+        if row is None:
+            return AuditHead(), ABSENT
+        return decode_row(row, AuditHead), row.version
+
+
+def _entry_key(number: int) -> str:
+    return f"{AUDIT_PREFIX}{number:012d}"
--- a/filbertlb/table/lease.py
+++ b/filbertlb/table/lease.py
@@ -6,8 +6,6 @@
 from typing import TYPE_CHECKING
 
 from gevent.lock import RLock
-from msgspec import DecodeError
-from msgspec.json import decode
 from msgspec.json import encode
 
 from filbertlb.core.lease import LEASE_MARGIN_S
@@ -18,6 +16,7 @@
 from filbertlb.table.base import ABSENT
 from filbertlb.table.base import RowConflictError
 from filbertlb.table.base import Write
+from filbertlb.table.rows import decode_row
 from filbertlb.table.settled import commit_settled
 from filbertlb.table.settled import new_token
 from filbertlb.table.settled import Proof
@@ -33,12 +32,6 @@
 LEASE_PREFIX = "lease/"
 
 
-class LeaseRowError(FilbertlbError):
-    """A lease row can't be read."""
-
-    code = "lease_row_unreadable"
-
-
 class LeaseKeeper:
     """Takes, renews and gives up the lease of one scope.
 
@@ -214,7 +207,7 @@
         if row is None:
             self._tracker.saw(None, ABSENT, now_s)
         else:
-            self._tracker.saw(_decode(row.value), row.version, now_s)
+            self._tracker.saw(decode_row(row, LeaseRecord), row.version, now_s)
 
     @contextmanager
     def _row_changes(self) -> Generator[None]:
@@ -240,13 +233,3 @@
             self._observe()
         else:
             self._tracker.written(versions[0], self._clock.monotonic())
-
-
-def _decode(value: bytes) -> LeaseRecord:
-    try:
-        return decode(value, type=LeaseRecord)
-    except DecodeError as error:
-        raise LeaseRowError(
-            f"lease row {value!r} can't be read: {error}; write one "
-            "with an epoch above the last that was in use"
-        ) from error
--- /dev/null
+++ b/tests/test_site.py
@@ -0,0 +1,91 @@
+from __future__ import annotations
+
+from importlib.resources import files
+from json import dumps
+from json import loads
+
+import pytest
+from msgspec.json import decode
+from msgspec.json import encode
+
+from filbertlb.core.site import load_site
+from filbertlb.core.site import SiteConfig
+from filbertlb.scheduling.config import WeightProfile
+from filbertlb.settings.load import SettingsError
+
+EXAMPLES = files("filbertlb") / "examples"
+
+
+def example(site):
+    return load_site(
+        [EXAMPLES / "base.json", EXAMPLES / site / "overlay.json"]
+    )
+
+
+@pytest.mark.parametrize(
+    ("site", "domains", "cores", "profile"),
+    [
+        ("jadran", 3, 30.0, WeightProfile.COMPLETION_TIME),
+        ("qureshi", 4, 130.0, WeightProfile.FRAGMENTATION),
+    ],
+)
+def test_examples_are_the_sites_of_today(site, domains, cores, profile):
+    config = example(site)
+    assert config.site == site
+    assert len(config.failure_domains) == domains
+    assert len(config.scopes) == 1
+    assert len(config.model_organisations()) == 4
+    assert config.scheduler.profile is profile
+    workers = config.expected_workers()
+    assert len({worker.worker_id for worker in workers}) == 10
+    assert {worker.capacity.cores for worker in workers} == {cores}
+    assert decode(encode(config), type=SiteConfig) == config
+
+
+def put(tree, path, value):
+    *parents, last = path.split("/")
+    for key in parents:
+        tree = tree.setdefault(key, {})
+    tree[last] = value
+
+
+ARCHIVE = "organisations/archive"
+SHAPE = f"{ARCHIVE}/guarantees/transcodes/shape"
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "message"),
+    [
+        ("limits/gang_member", 3, "did you mean 'gang_members'"),
+        ("limits/gang_members", "3", "limits.gang_members: '3'"),
+        ("limits/gang_members", 0, "limits.gang_members: 0"),
+        ("site", "Jadran", "site: 'Jadran'"),
+        ("scheduler/profile", "fast", "'fast' does not fit; write one of"),
+        ("failure_domains/Split C", {"region": "x"}, "'Split C' is no name"),
+        (
+            "failure_domains/split-b/racks/split-a-1",
+            {"workers": 1, "each": {}},
+            "rack 'split-a-1' is also in 'split-a'",
+        ),
+        (f"{SHAPE}/failure_domain", "split-z", "use one of ['split-a'"),
+        (f"{SHAPE}/members", 65, "65 is more than limits.gang_members 64"),
+        (f"{ARCHIVE}/quota_accelerators", 3, "3 is less than the 4"),
+        (f"{SHAPE}/members", 40, "organisations.archive.quota_accelerators"),
+        ("lease/margin_s", 3.0, "3.0 is not less than ttl_s 3.0"),
+        (
+            "organisations/dive-footage/guarantees/stabilisation/count",
+            4,
+            "116 accelerators are guaranteed but the racks hold 80",
+        ),
+    ],
+)
+def test_mistake_names_file_key_value_and_mend(tmp_path, path, value, message):
+    overlay = EXAMPLES / "jadran" / "overlay.json"
+    tree = loads(overlay.read_text())
+    put(tree, path, value)
+    changed = tmp_path / "overlay.json"
+    changed.write_text(dumps(tree))
+    with pytest.raises(SettingsError) as caught:
+        load_site([EXAMPLES / "base.json", changed])
+    assert message in caught.value.message
+    assert str(changed) in caught.value.message
