--- a/filbertlb/core/gang_plan.py
+++ b/filbertlb/core/gang_plan.py
@@ -190,6 +190,8 @@
         Members whose task failed or whose agent refused.
     lost_members : tuple of int
         Members whose end is not known.
+    may_have_succeeded : bool
+        Every member whose end is known succeeded.
     checkpoints : tuple of str
         Checkpoints that this attempt took, by member; empty unless
         every member took one.
@@ -206,6 +208,7 @@
     detail: str = ""
     failed_members: tuple[int, ...] = ()
     lost_members: tuple[int, ...] = ()
+    may_have_succeeded: bool = False
     checkpoints: tuple[str, ...] = ()
     written: Written = Written.NOT_SENT
     is_superseded: bool = False
--- a/filbertlb/core/gang_recovery.py
+++ b/filbertlb/core/gang_recovery.py
@@ -96,6 +96,28 @@
     return Recovery(gang, tuple(effects))
 
 
+def has_news(
+    record: JobRecord,
+    report_by_endpoint_id: Mapping[str, AgentReport],
+) -> bool:
+    """Tell whether a row under way is worth a recovery now.
+
+    An unresolved job is recovered once an agent announces a member
+    whose end was awaited.
+    """
+    if record.attempt is None:
+        return False
+    if record.state is not JobState.UNKNOWN:
+        return True
+    attempt = record.attempt
+    return any(
+        status.token.member in attempt.unresolved
+        for report in report_by_endpoint_id.values()
+        for status in report.statuses
+        if status.token.attempt_id == attempt.attempt_id
+    )
+
+
 def settle_status(
     status: TaskStatus, record: JobRecord | None, epoch: int
 ) -> Abort | Stop | TaskEndedAck | None:
--- a/filbertlb/core/gang_result.py
+++ b/filbertlb/core/gang_result.py
@@ -134,6 +134,10 @@
         detail="" if cause is None else cause.detail,
         failed_members=failed,
         lost_members=lost,
+        may_have_succeeded=all(
+            result.has_succeeded or result.stage is MemberStage.LOST
+            for result in results
+        ),
         # Only a whole set of checkpoints is consistent.
         checkpoints=checkpoints if all(checkpoints) else (),
         written=written,
--- a/filbertlb/core/job_record.py
+++ b/filbertlb/core/job_record.py
@@ -56,12 +56,15 @@
         Counts the job's attempts from 1.
     members : tuple of GangMember
         Agents by member index, as they were at the decision.
+    unresolved : tuple of int
+        Members whose end is awaited while the job is ``UNKNOWN``.
     """
 
     attempt_id: str
     number: int
     scope: str
     members: tuple[GangMember, ...]
+    unresolved: tuple[int, ...] = ()
 
 
 @attrs.frozen
@@ -289,11 +292,10 @@
         not_before_s=not_before_s,
     )
     state = _state_after(ended, outcome, max_failures)
-    # The attempt of an unresolved job is still to be asked about.
-    is_open = state is JobState.UNKNOWN
-    return evolve(
-        ended, state=state, attempt=record.attempt if is_open else None
-    )
+    attempt = None
+    if state is JobState.UNKNOWN:
+        attempt = evolve(record.attempt, unresolved=outcome.lost_members)
+    return evolve(ended, state=state, attempt=attempt)
 
 
 def _never_decided(
@@ -314,7 +316,7 @@
 ) -> JobState:
     if outcome.end is JobEnd.SUCCEEDED:
         return JobState.SUCCEEDED
-    if outcome.lost_members and not record.spec.idempotent:
+    if outcome.lost_members and _is_open(record, outcome):
         return JobState.UNKNOWN
     if record.cancel_requested or outcome.end is JobEnd.CANCELLED:
         return JobState.CANCELLED
@@ -325,6 +327,17 @@
     )
 
 
+def _is_open(record: JobRecord, outcome: GangOutcome) -> bool:
+    """Tell whether a lost member's end can change the job's answer.
+
+    It cannot if the job may simply run again, or if it is known that
+    the attempt started and did not succeed as a whole.
+    """
+    if record.spec.idempotent:
+        return False
+    return outcome.ran is Ran.UNKNOWN or outcome.may_have_succeeded
+
+
 def _may_run_again(record: JobRecord, outcome: GangOutcome) -> bool:
     """Tell whether a further attempt executes nothing twice.
 
--- a/tests/gang_world.py
+++ b/tests/gang_world.py
@@ -22,6 +22,7 @@
 from filbertlb.core.gang_plan import WriteDecision
 from filbertlb.core.gang_plan import Written
 from filbertlb.core.gang_recovery import AgentReport
+from filbertlb.core.gang_recovery import has_news
 from filbertlb.core.gang_recovery import recover
 from filbertlb.core.gang_recovery import settle_status
 from filbertlb.core.job_record import cancelled
@@ -110,6 +111,7 @@
     decided: set = Factory(set)
     not_run: set = Factory(set)
     begun: set = Factory(set)
+    succeeded: set = Factory(set)
     problems: list[str] = field(factory=list)
 
     # Set-up
@@ -180,6 +182,8 @@
                 continue
             if record.attempt.scope != decider.scope:
                 continue
+            if not has_news(record, reports):
+                continue
             recovery = recover(
                 record, decider.epoch, reports, BOUNDS, self.now_s
             )
@@ -397,6 +401,8 @@
             return
         status = evolve(status, phase=phase, checkpoint=checkpoint)
         agent.status_by_key[key] = status
+        if phase is TaskPhase.SUCCEEDED:
+            self.succeeded.add(key)
         effects = agent.book.ended(
             status.token, phase, self.now_s, checkpoint=checkpoint
         )
