--- /dev/null
+++ b/filbertlb/agent/app.py
@@ -0,0 +1,183 @@
+"""An agent: the process beside a runner or a worker."""
+
+from __future__ import annotations
+
+import secrets
+from contextlib import contextmanager
+from contextlib import ExitStack
+from random import Random
+from typing import TYPE_CHECKING
+
+import attrs
+
+from filbertlb.agent.announcer import Announcer
+from filbertlb.agent.book import ReservationBook
+from filbertlb.agent.runner import DrainNow
+from filbertlb.agent.runner import RunnerAgent
+from filbertlb.agent.slot_records import SlotLimits
+from filbertlb.agent.slots import SlotBook
+from filbertlb.agent.worker import WorkerAgent
+from filbertlb.core.model import Resources
+from filbertlb.entry.registry import look_up_entries
+from filbertlb.messages import Announce
+from filbertlb.messages import AnnounceAck
+from filbertlb.messages import Role
+from filbertlb.tasks import Mailbox
+from filbertlb.tasks import running_task
+from filbertlb.transport.link import open_link
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from filbertlb.backend.base import RunnerBackend
+    from filbertlb.backend.base import WorkerBackend
+    from filbertlb.core.clock import Clock
+    from filbertlb.table.base import TableService
+    from filbertlb.transport.codec import MessageCodec
+    from filbertlb.transport.link import Link
+
+INCARNATION_BYTES = 6
+MAX_RUN_S = 300.0
+
+
+@attrs.frozen
+class AgentSetup:
+    """What an agent needs to start.
+
+    Parameters
+    ----------
+    host : str
+        IP address to listen at.
+    link_port : int
+        Port for processes of the system; 0 lets the system choose.
+    slots : int
+        Requests that a runner takes at once.
+    capacity : Resources
+        What a worker has.
+    """
+
+    endpoint_id: str
+    host: str
+    region: str
+    failure_domain: str
+    rack: str
+    link_port: int = 0
+    slots: int = 8
+    capacity: Resources = Resources()
+
+
+class Agent:
+    """One running agent.
+
+    Parameters
+    ----------
+    setup : AgentSetup
+        What it was started with.
+    role : Role
+        Kind of its endpoint.
+    link : Link
+        Its link.
+    """
+
+    def __init__(self, setup: AgentSetup, role: Role, link: Link) -> None:
+        self.setup = setup
+        self.incarnation = secrets.token_hex(INCARNATION_BYTES)
+        self.slot_book = SlotBook(
+            self.incarnation, SlotLimits(slots=setup.slots)
+        )
+        self.task_book = ReservationBook(self.incarnation, setup.capacity)
+        self.mailbox = Mailbox(setup.endpoint_id)
+        self._role = role
+        self._link = link
+
+    def drain(self) -> None:
+        """Refuse all new work from now on."""
+        self.mailbox.post(DrainNow())
+
+    def idle(self) -> bool:
+        """Tell whether nothing is left to end or to report."""
+        return self.slot_book.idle and not self.task_book.statuses()
+
+    def describe(self, sequence: int) -> Announce:
+        """Return the announcement of now."""
+        setup = self.setup
+        return Announce(
+            endpoint_id=setup.endpoint_id,
+            incarnation=self.incarnation,
+            role=self._role,
+            address=self._link.address,
+            region=setup.region,
+            failure_domain=setup.failure_domain,
+            rack=setup.rack,
+            sequence=sequence,
+            capacity=setup.capacity,
+            slots=setup.slots if self._role == Role.RUNNER else 0,
+            in_flight=self.slot_book.in_flight,
+            draining=self.slot_book.draining or self.task_book.draining,
+            tasks=self.task_book.statuses(),
+        )
+
+
+@contextmanager
+def open_runner_agent(
+    setup: AgentSetup,
+    backend: RunnerBackend,
+    table: TableService,
+    codec: MessageCodec,
+    clock: Clock,
+) -> Iterator[Agent]:
+    """Run the agent beside a runner while the block runs."""
+    with ExitStack() as stack:
+        link = stack.enter_context(
+            open_link(setup.host, setup.link_port, codec, clock)
+        )
+        agent = Agent(setup, Role.RUNNER, link)
+        behaviour = RunnerAgent(
+            link, agent.slot_book, backend, agent.mailbox, MAX_RUN_S
+        )
+        stack.enter_context(running_task(behaviour, agent.mailbox, clock))
+        stack.enter_context(_announcing(agent, link, table, clock))
+        yield agent
+
+
+@contextmanager
+def open_worker_agent(
+    setup: AgentSetup,
+    backend: WorkerBackend,
+    table: TableService,
+    codec: MessageCodec,
+    clock: Clock,
+) -> Iterator[Agent]:
+    """Run the agent beside a worker while the block runs.
+
+    Raises
+    ------
+    FilbertlbError
+        If the worker does not answer at the start.
+    """
+    with ExitStack() as stack:
+        link = stack.enter_context(
+            open_link(setup.host, setup.link_port, codec, clock)
+        )
+        agent = Agent(setup, Role.WORKER, link)
+        behaviour = WorkerAgent(link, agent.task_book, backend, agent.mailbox)
+        behaviour.adopt_running()
+        stack.enter_context(running_task(behaviour, agent.mailbox, clock))
+        stack.enter_context(_announcing(agent, link, table, clock))
+        yield agent
+
+
+@contextmanager
+def _announcing(
+    agent: Agent, link: Link, table: TableService, clock: Clock
+) -> Iterator[None]:
+    def look_up() -> tuple[str, ...]:
+        return tuple(row.address for row in look_up_entries(table))
+
+    announcer = Announcer(
+        link, agent.describe, look_up, Random(agent.incarnation)
+    )
+    mailbox = Mailbox("announcer")
+    link.subscribe(AnnounceAck, mailbox.deliver)
+    with running_task(announcer, mailbox, clock):
+        yield
--- /dev/null
+++ b/filbertlb/agent/labels.py
@@ -0,0 +1,61 @@
+"""Names of tasks at the worker, from which a new agent learns them.
+
+Agents keep nothing, but the worker knows its tasks by name. The name
+holds what a restarted agent needs to take its tasks over.
+"""
+
+from __future__ import annotations
+
+import base64
+
+import msgspec
+
+from filbertlb.errors import InvalidInputError
+from filbertlb.messages import TaskPhase
+from filbertlb.messages import TaskStatus
+
+LABEL_PREFIX = "flb."
+
+
+class ForeignTaskError(InvalidInputError):
+    """A task of the worker was not started by an agent."""
+
+    code = "foreign_task"
+
+
+def encode_label(status: TaskStatus) -> str:
+    """Return the name under which a member is started."""
+    packed = msgspec.msgpack.encode(
+        (status.token, status.job_id, status.organisation_id, status.needs)
+    )
+    text = base64.urlsafe_b64encode(packed).decode().rstrip("=")
+    return LABEL_PREFIX + text
+
+
+def decode_label(label: str) -> TaskStatus:
+    """Return the running member that a name stands for.
+
+    Raises
+    ------
+    ForeignTaskError
+        If the name was not made by ``encode_label``.
+    """
+    text = label.removeprefix(LABEL_PREFIX)
+    padded = text + "=" * (-len(text) % 4)
+    try:
+        packed = base64.urlsafe_b64decode(padded)
+        token, job_id, organisation_id, needs = msgspec.msgpack.decode(packed)
+        return msgspec.convert(
+            {
+                "token": token,
+                "job_id": job_id,
+                "organisation_id": organisation_id,
+                "phase": TaskPhase.RUNNING.value,
+                "needs": needs,
+            },
+            TaskStatus,
+        )
+    except (ValueError, TypeError, msgspec.MsgspecError) as error:
+        raise ForeignTaskError(
+            f"task {label!r} is not an agent's; stop it at the worker"
+        ) from error
--- /dev/null
+++ b/filbertlb/agent/runner.py
@@ -0,0 +1,149 @@
+"""The agent beside a runner: carries out what its slot book decides."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+import attrs
+from gevent import spawn
+
+from filbertlb.agent.slot_records import Reply
+from filbertlb.agent.slot_records import Start
+from filbertlb.errors import FilbertlbError
+from filbertlb.messages import Invoke
+from filbertlb.messages import InvokeResult
+from filbertlb.messages import Refused
+from filbertlb.messages import TaskEndedAck
+from filbertlb.messages import Token
+from filbertlb.messages import Tombstone
+from filbertlb.transport.codec import Envelope
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from filbertlb.agent.slot_records import Action
+    from filbertlb.agent.slots import SlotBook
+    from filbertlb.backend.base import RunnerBackend
+    from filbertlb.tasks import Mailbox
+    from filbertlb.transport.link import Link
+
+EXPIRY_PERIOD_S = 0.1
+
+
+@attrs.frozen
+class _Finished:
+    """A runner's answer, or why there is none."""
+
+    token: Token
+    message: InvokeResult | Refused
+
+
+@attrs.frozen
+class DrainNow:
+    """Tells an agent's task that its endpoint is leaving."""
+
+
+class RunnerAgent:
+    """Behaviour of the agent beside a runner.
+
+    Parameters
+    ----------
+    link : Link
+        This process's link.
+    book : SlotBook
+        Decides what starts.
+    backend : RunnerBackend
+        The runner.
+    mailbox : Mailbox
+        This task's own mailbox, for the ends of its requests.
+    max_run_s : float
+        Longest time that the runner may take, in seconds.
+    """
+
+    def __init__(
+        self,
+        link: Link,
+        book: SlotBook,
+        backend: RunnerBackend,
+        mailbox: Mailbox,
+        max_run_s: float,
+    ) -> None:
+        self._link = link
+        self._book = book
+        self._backend = backend
+        self._mailbox = mailbox
+        self._max_run_s = max_run_s
+        self._waiters_by_token: dict[Token, dict[str, Envelope]] = {}
+        for cls in (Invoke, Tombstone, TaskEndedAck):
+            link.subscribe(cls, mailbox.deliver)
+
+    def receive(self, message: Any, now_s: float) -> None:
+        """Take a message of an entry or of an own request."""
+        if isinstance(message, Envelope):
+            self._take(message, now_s)
+        elif isinstance(message, _Finished):
+            self._finish(message, now_s)
+        elif isinstance(message, DrainNow):
+            self._carry_out(self._book.drain())
+
+    def tick(self, now_s: float) -> None:
+        """Refuse what has waited past its time."""
+        self._carry_out(self._book.expire(now_s))
+
+    def next_due_s(self, now_s: float) -> float:
+        """Return the time of the next tick in seconds."""
+        return now_s + EXPIRY_PERIOD_S
+
+    def _take(self, envelope: Envelope, now_s: float) -> None:
+        message = envelope.message
+        if isinstance(message, Invoke):
+            waiters = self._waiters_by_token.setdefault(message.token, {})
+            waiters[envelope.sender] = envelope
+            self._carry_out(self._book.offer(message, now_s))
+        elif isinstance(message, Tombstone):
+            answer, actions = self._book.tombstone(message.token)
+            self._link.reply(envelope, answer)
+            self._carry_out(actions)
+        elif isinstance(message, TaskEndedAck):
+            self._book.acknowledge(message.token)
+
+    def _finish(self, finished: _Finished, now_s: float) -> None:
+        message = finished.message
+        if isinstance(message, InvokeResult):
+            actions = self._book.finish(message, now_s)
+        else:
+            actions = self._book.fail(finished.token, message, now_s)
+        self._carry_out(actions)
+
+    def _carry_out(self, actions: Iterable[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Start):
+                spawn(self._invoke, action.invoke)
+            elif isinstance(action, Reply):
+                self._answer(action)
+
+    def _answer(self, reply: Reply) -> None:
+        waiters = self._waiters_by_token.pop(reply.token, {})
+        for envelope in waiters.values():
+            self._link.reply(envelope, reply.message)
+
+    def _invoke(self, invoke: Invoke) -> None:
+        message: InvokeResult | Refused
+        try:
+            answer = self._backend.invoke(
+                invoke.path, invoke.body, self._max_run_s
+            )
+        except FilbertlbError as error:
+            message = Refused(
+                error.code, error.message, error.ran, invoke.token
+            )
+        else:
+            message = InvokeResult(
+                invoke.token,
+                invoke.request_id,
+                answer.status,
+                answer.body,
+                answer.content_type,
+            )
+        self._mailbox.post(_Finished(invoke.token, message))
--- /dev/null
+++ b/filbertlb/agent/worker.py
@@ -0,0 +1,258 @@
+"""The agent beside a worker: carries out what its book decides."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+import attrs
+from gevent import sleep
+from gevent import spawn
+from loguru import logger
+
+from filbertlb.agent.effects import ForgetTask
+from filbertlb.agent.effects import ReportEnd
+from filbertlb.agent.effects import StartTask
+from filbertlb.agent.effects import StopTask
+from filbertlb.agent.labels import decode_label
+from filbertlb.agent.labels import encode_label
+from filbertlb.agent.labels import ForeignTaskError
+from filbertlb.agent.runner import DrainNow
+from filbertlb.errors import FilbertlbError
+from filbertlb.messages import Abort
+from filbertlb.messages import Arm
+from filbertlb.messages import Release
+from filbertlb.messages import Reserve
+from filbertlb.messages import Stop
+from filbertlb.messages import StopMode
+from filbertlb.messages import TaskEndedAck
+from filbertlb.messages import TaskPhase
+from filbertlb.messages import TaskStatus
+from filbertlb.messages import Token
+from filbertlb.transport.codec import Envelope
+from filbertlb.transport.link import OutboxFullError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from filbertlb.agent.book import ReservationBook
+    from filbertlb.agent.effects import BookEffect
+    from filbertlb.backend.base import TaskReport
+    from filbertlb.backend.base import WorkerBackend
+    from filbertlb.tasks import Mailbox
+    from filbertlb.transport.link import Link
+
+POLL_PERIOD_S = 0.1
+RETRY_PERIOD_S = 0.5
+COMMANDS = (Reserve, Arm, Release, Abort, Stop, TaskEndedAck)
+ENDED_PHASES = (TaskPhase.SUCCEEDED, TaskPhase.FAILED, TaskPhase.STOPPED)
+
+
+@attrs.frozen
+class _Ended:
+    """The end of a member as the worker tells it."""
+
+    token: Token
+    phase: TaskPhase
+    detail: str = ""
+    checkpoint: str = ""
+
+
+@attrs.frozen
+class _Reply:
+    """Answers a command once its effects are carried out."""
+
+    envelope: Envelope
+    message: Any
+
+
+class WorkerAgent:
+    """Behaviour of the agent beside a worker.
+
+    Parameters
+    ----------
+    link : Link
+        This process's link.
+    book : ReservationBook
+        Decides what is held, started and stopped.
+    backend : WorkerBackend
+        The worker.
+    mailbox : Mailbox
+        This task's own mailbox.
+    """
+
+    def __init__(
+        self,
+        link: Link,
+        book: ReservationBook,
+        backend: WorkerBackend,
+        mailbox: Mailbox,
+    ) -> None:
+        self._link = link
+        self._book = book
+        self._backend = backend
+        self._mailbox = mailbox
+        self._label_by_token: dict[Token, str] = {}
+        self._decider_by_scope: dict[str, tuple[int, str]] = {}
+        for cls in COMMANDS:
+            link.subscribe(cls, mailbox.deliver)
+
+    def adopt_running(self) -> None:
+        """Take over the tasks that outlived this agent's former self.
+
+        Raises
+        ------
+        FilbertlbError
+            If the worker does not answer.
+        """
+        for label in self._backend.usage().task_ids:
+            report = self._backend.status(label)
+            if report is None:
+                continue
+            try:
+                status = decode_label(label)
+            except ForeignTaskError as error:
+                logger.warning("{}", error.message)
+                continue
+            self._adopt(label, status, report)
+
+    def receive(self, message: Any, now_s: float) -> None:
+        """Take a command, or news from an own helper task."""
+        if isinstance(message, Envelope):
+            self._take(message, now_s)
+        elif isinstance(message, _Ended):
+            effects = self._book.ended(
+                message.token,
+                message.phase,
+                now_s,
+                detail=message.detail,
+                checkpoint=message.checkpoint,
+            )
+            self._carry_out(effects)
+        elif isinstance(message, _Reply):
+            self._link.reply(message.envelope, message.message)
+        elif isinstance(message, DrainNow):
+            self._book.drain()
+
+    def tick(self, now_s: float) -> None:
+        """Do what is due in the book."""
+        self._carry_out(self._book.tick(now_s))
+
+    def next_due_s(self, now_s: float) -> float:
+        """Return the time of the next tick in seconds."""
+        return self._book.next_due_s()
+
+    def _take(self, envelope: Envelope, now_s: float) -> None:
+        command = envelope.message
+        token = command.token
+        epoch, _ = self._decider_by_scope.get(token.scope, (0, ""))
+        if token.epoch >= epoch:
+            self._decider_by_scope[token.scope] = (
+                token.epoch,
+                envelope.sender,
+            )
+        answer = self._book.handle(command, now_s)
+        starts = [e for e in answer.effects if isinstance(e, StartTask)]
+        self._carry_out(e for e in answer.effects if e not in starts)
+        for start in starts:
+            spawn(self._start, start, _Reply(envelope, answer.reply))
+        if not starts:
+            self._link.reply(envelope, answer.reply)
+
+    def _carry_out(self, effects: Iterable[BookEffect]) -> None:
+        for effect in effects:
+            match effect:
+                case StopTask():
+                    spawn(self._stop, effect)
+                case ReportEnd():
+                    self._report(effect)
+                case ForgetTask():
+                    self._label_by_token.pop(_plain(effect.token), None)
+                case StartTask():
+                    spawn(self._start, effect, None)
+
+    def _report(self, effect: ReportEnd) -> None:
+        scope = effect.message.status.token.scope
+        _, address = self._decider_by_scope.get(scope, (0, ""))
+        if not address:
+            return
+        try:
+            self._link.send(address, effect.message)
+        except OutboxFullError as error:
+            logger.warning("report waits: {}", error.message)
+
+    def _adopt(
+        self, label: str, status: TaskStatus, report: TaskReport
+    ) -> None:
+        adopted = attrs.evolve(
+            status,
+            phase=report.phase,
+            detail=report.detail,
+            checkpoint=report.checkpoint,
+        )
+        self._book.adopt(adopted)
+        self._label_by_token[_plain(status.token)] = label
+        if report.phase not in ENDED_PHASES:
+            spawn(self._watch, status.token, label)
+
+    def _start(self, start: StartTask, reply: _Reply | None) -> None:
+        label = encode_label(
+            TaskStatus(
+                start.token,
+                start.job_id,
+                start.organisation_id,
+                TaskPhase.RUNNING,
+                start.needs,
+            )
+        )
+        self._label_by_token[_plain(start.token)] = label
+        try:
+            self._backend.start(
+                label, start.command, start.needs, start.checkpoint
+            )
+        except FilbertlbError as error:
+            # Whether it started or not, the worker's own word decides.
+            logger.warning("start of {}: {}", label, error.message)
+        if reply is not None:
+            self._mailbox.post(reply)
+        self._watch(start.token, label)
+
+    def _watch(self, token: Token, label: str) -> None:
+        report = self._poll(label)
+        while report is not None and report.phase == TaskPhase.RUNNING:
+            sleep(POLL_PERIOD_S)
+            report = self._poll(label)
+        if report is None:
+            ended = _Ended(token, TaskPhase.FAILED, "the worker lost it")
+        else:
+            ended = _Ended(
+                token, report.phase, report.detail, report.checkpoint
+            )
+        self._mailbox.post(ended)
+
+    def _poll(self, label: str) -> TaskReport | None:
+        while True:
+            try:
+                return self._backend.status(label)
+            except FilbertlbError:
+                sleep(RETRY_PERIOD_S)
+
+    def _stop(self, effect: StopTask) -> None:
+        label = self._label_by_token.get(_plain(effect.token))
+        if label is None:
+            return
+        if effect.mode == StopMode.CHECKPOINT:
+            self._try(self._backend.checkpoint, label)
+        self._try(self._backend.stop, label)
+
+    def _try(self, call: Any, label: str) -> None:
+        try:
+            call(label)
+        except FilbertlbError as error:
+            # The book asks again until the member has ended.
+            logger.warning("task {}: {}", label, error.message)
+
+
+def _plain(token: Token) -> Token:
+    """Return what stays of a token when epoch or agent change."""
+    return attrs.evolve(token, incarnation="", scope="", epoch=0)
--- a/filbertlb/api/app.py
+++ b/filbertlb/api/app.py
@@ -26,6 +26,7 @@
 from filbertlb.errors import InvalidInputError
 from filbertlb.errors import NotFoundError
 from filbertlb.errors import Ran
+from filbertlb.errors import UnavailableError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -37,6 +38,7 @@
     from filbertlb.api.calls import Reply
 
 REQUEST_ID_BYTES = 8
+RETRY_AFTER_DRAINING_S = 1.0
 ANONYMOUS = Identity("anonymous")
 
 
@@ -55,6 +57,12 @@
     status = 405
 
 
+class InstanceDrainingError(UnavailableError):
+    """The instance is leaving; another one takes the work."""
+
+    code = "instance_draining"
+
+
 class InternalError(FilbertlbError):
     """A fault of the server; the outcome may not be known."""
 
@@ -106,6 +114,8 @@
         route_sets: Iterable[RouteSet],
         max_body_bytes: int,
     ) -> None:
+        self.in_flight = 0
+        self.draining = False
         self._tokens = tokens
         self._max_body_bytes = max_body_bytes
         routes = [route for group in route_sets for route in group.routes()]
@@ -121,8 +131,12 @@
     ) -> Iterable[bytes]:
         """Serve one request."""
         request_id = secrets.token_hex(REQUEST_ID_BYTES)
-        with logger.contextualize(request_id=request_id):
-            reply = self._serve(environ, request_id)
+        self.in_flight += 1
+        try:
+            with logger.contextualize(request_id=request_id):
+                reply = self._serve(environ, request_id)
+        finally:
+            self.in_flight -= 1
         response = Response(
             reply.body, reply.status, content_type=reply.content_type
         )
@@ -146,6 +160,11 @@
         request = Request(environ)
         request.max_content_length = self._max_body_bytes
         route, params = self._match(environ, request)
+        if self.draining and route.method != "GET":
+            raise InstanceDrainingError(
+                "the instance is leaving; send it to another one",
+                retry_after_s=RETRY_AFTER_DRAINING_S,
+            )
         identity = self._identify(request, route.access)
         call = Call(
             identity,
--- a/filbertlb/api/calls.py
+++ b/filbertlb/api/calls.py
@@ -5,6 +5,7 @@
 from http import HTTPStatus
 from typing import Any
 from typing import TYPE_CHECKING
+from typing import TypeVar
 
 import attrs
 import msgspec
@@ -12,6 +13,7 @@
 from filbertlb.errors import FilbertlbError
 from filbertlb.errors import InvalidInputError
 from filbertlb.errors import Ran
+from filbertlb.settings.decode import convert
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -19,6 +21,14 @@
 JSON_TYPE = "application/json"
 MIN_RETRY_AFTER_S = 1
 
+_T = TypeVar("_T")
+
+
+class MalformedBodyError(InvalidInputError):
+    """The body is not JSON."""
+
+    code = "malformed_json"
+
 
 class ForbiddenError(FilbertlbError):
     """The caller's token does not allow the call."""
@@ -94,6 +104,24 @@
             raise InvalidInputError("name the organisation: ?organisation=ID")
         return named
 
+    def json(self, cls: type[_T]) -> _T:
+        """Return the object that the body describes.
+
+        Raises
+        ------
+        MalformedBodyError
+            If the body is not JSON.
+        InvalidValueError
+            If a member is unknown, missing or of a wrong type or value.
+        """
+        try:
+            value = msgspec.json.decode(self.body)
+        except msgspec.DecodeError as error:
+            raise MalformedBodyError(
+                f"the body is not JSON: {error}"
+            ) from error
+        return convert(value, cls)
+
     def number(self, name: str, default: float, most: float) -> float:
         """Return a number of the query between 0 and ``most``.
 
--- a/filbertlb/cli/main.py
+++ b/filbertlb/cli/main.py
@@ -6,8 +6,12 @@
 
 from filbertlb import __version__
 from filbertlb.cli.context import Context
+from filbertlb.cli.demo import demo
 from filbertlb.cli.jobs import job
+from filbertlb.cli.roles import agent
+from filbertlb.cli.roles import entry
 from filbertlb.cli.standin import standin
+from filbertlb.cli.tokens import token
 
 DEFAULT_URL = "http://127.0.0.1:8080"
 
@@ -39,8 +43,8 @@
     ctx.obj = Context(url, token, as_json, organisation)
 
 
-main.add_command(job)
-main.add_command(standin)
+for command in (agent, demo, entry, job, standin, token):
+    main.add_command(command)
 
 
 if __name__ == "__main__":
--- a/filbertlb/client.py
+++ b/filbertlb/client.py
@@ -8,22 +8,23 @@
 from typing import TYPE_CHECKING
 from urllib.parse import quote
 from urllib.parse import urlencode
-from urllib.parse import urlsplit
 
 import attrs
 import msgspec
-from geventhttpclient import HTTPClient
 
 from filbertlb.errors import FilbertlbError
 from filbertlb.errors import OutcomeUnknownError
 from filbertlb.errors import Ran
 from filbertlb.errors import UnavailableError
+from filbertlb.httpcall import CallNotSentError
+from filbertlb.httpcall import CallOutcomeUnknownError
+from filbertlb.httpcall import HttpCaller
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
     from collections.abc import Mapping
 
-CONNECT_TIMEOUT_S = 3.0
+CONNECTIONS = 64
 NETWORK_TIMEOUT_S = 60.0
 KEY_BYTES = 12
 JSON_HEADERS = {"Content-Type": "application/json"}
@@ -73,8 +74,20 @@
     content_type: str
 
     def json(self) -> Any:
-        """Return the body decoded from JSON."""
-        return msgspec.json.decode(self.body)
+        """Return the body decoded from JSON.
+
+        Raises
+        ------
+        AnswerLostError
+            If it is not JSON: an instance that is cut off, or a
+            balancer without one, answers in other words.
+        """
+        try:
+            return msgspec.json.decode(self.body)
+        except msgspec.DecodeError as error:
+            raise AnswerLostError(
+                f"status {self.status} came without a JSON body"
+            ) from error
 
 
 class Client:
@@ -89,16 +102,8 @@
     """
 
     def __init__(self, base_url: str, token: str = "") -> None:
-        parts = urlsplit(base_url)
         self._headers = {"Authorization": f"Bearer {token}"}
-        self._http = HTTPClient(
-            parts.hostname or "127.0.0.1",
-            parts.port or (443 if parts.scheme == "https" else 80),
-            ssl=parts.scheme == "https",
-            connection_timeout=CONNECT_TIMEOUT_S,
-            network_timeout=NETWORK_TIMEOUT_S,
-            concurrency=64,
-        )
+        self._http = HttpCaller(base_url, CONNECTIONS)
 
     def close(self) -> None:
         """Close all connections."""
@@ -122,14 +127,15 @@
         """
         sent = {**self._headers, **(headers or {})}
         try:
-            response = self._http.request(method, path, body, sent)
-            content = bytes(response.read())
-        except ConnectionRefusedError as error:
-            raise ServerNotReachedError(f"not reached: {error}") from error
-        except (OSError, ValueError) as error:
-            raise AnswerLostError(f"the answer was lost: {error}") from error
-        kind = str(response.get("content-type", ""))
-        return Answer(response.status_code, content, kind)
+            if method == "GET":
+                reply = self._http.get(path, NETWORK_TIMEOUT_S, sent)
+            else:
+                reply = self._http.post(path, body, NETWORK_TIMEOUT_S, sent)
+        except CallNotSentError as error:
+            raise ServerNotReachedError(error.message) from error
+        except CallOutcomeUnknownError as error:
+            raise AnswerLostError(error.message) from error
+        return Answer(reply.status, reply.body, reply.content_type)
 
     def json(
         self,
--- a/filbertlb/core/job_record.py
+++ b/filbertlb/core/job_record.py
@@ -250,6 +250,18 @@
             return requested
 
 
+def refused(record: JobRecord, code: str, detail: str) -> JobRecord:
+    """Record that a queued job can never run.
+
+    Raises
+    ------
+    JobStateError
+        If the job is not queued.
+    """
+    _check_state(record, JobState.QUEUED)
+    return evolve(record, state=JobState.FAILED, code=code, detail=detail)
+
+
 def closed(
     record: JobRecord,
     outcome: GangOutcome,
--- /dev/null
+++ b/filbertlb/entry/app.py
@@ -0,0 +1,306 @@
+"""An entry instance: callers' front door, and decider when it leads."""
+
+from __future__ import annotations
+
+import secrets
+from contextlib import contextmanager
+from contextlib import ExitStack
+from random import Random
+from typing import Any
+from typing import TYPE_CHECKING
+
+import attrs
+from gevent.pool import Pool
+from gevent.pywsgi import WSGIServer
+
+from filbertlb.api.app import Application
+from filbertlb.api.auth import TokenStore
+from filbertlb.api.jobs import JobRoutes
+from filbertlb.api.requests import RequestRoutes
+from filbertlb.api.service import ServiceRoutes
+from filbertlb.core.gang_plan import GangBounds
+from filbertlb.entry.decider import Decider
+from filbertlb.entry.directory import Directory
+from filbertlb.entry.endpoint_views import RunnerChooser
+from filbertlb.entry.events import EndpointLost
+from filbertlb.entry.events import EndpointSeen
+from filbertlb.entry.job_table import JobTable
+from filbertlb.entry.job_writer import JobWriter
+from filbertlb.entry.jobs import JobService
+from filbertlb.entry.leadership import leading
+from filbertlb.entry.registry import EntryRow
+from filbertlb.entry.registry import registered
+from filbertlb.entry.requests import RequestService
+from filbertlb.entry.requests import TokenSource
+from filbertlb.messages import Announce
+from filbertlb.messages import EntryHello
+from filbertlb.messages import JobHint
+from filbertlb.messages import TaskEnded
+from filbertlb.metrics import metrics_of
+from filbertlb.routing.near_first import NearFirst
+from filbertlb.scheduling.first_fit import FirstFitScheduler
+from filbertlb.table.lease import LeaseKeeper
+from filbertlb.tasks import Mailbox
+from filbertlb.tasks import running_task
+from filbertlb.transport.link import open_link
+from filbertlb.transport.link import OutboxFullError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from filbertlb.api.auth import TokenRecord
+    from filbertlb.core.clock import Clock
+    from filbertlb.core.job_record import JobRecord
+    from filbertlb.core.model import Shape
+    from filbertlb.metrics import Metrics
+    from filbertlb.table.base import TableService
+    from filbertlb.transport.codec import Envelope
+    from filbertlb.transport.codec import MessageCodec
+    from filbertlb.transport.link import Link
+
+MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_CONNECTIONS = 1024
+INCARNATION_BYTES = 6
+
+
+@attrs.frozen
+class EntrySetup:
+    """What an entry needs to start.
+
+    Parameters
+    ----------
+    host : str
+        IP address to listen at.
+    http_port, link_port : int
+        Ports for callers and for processes of the system; 0 lets the
+        system choose.
+    scope : str
+        Scope that the entry may decide for.
+    max_body_bytes : int
+        Largest body of a request.
+    max_connections : int
+        Most connections from callers at once.
+    operator : TokenRecord, optional
+        Operator's token that is valid without the table service.
+    """
+
+    entry_id: str
+    host: str
+    failure_domain: str
+    http_port: int = 0
+    link_port: int = 0
+    scope: str = "main"
+    max_body_bytes: int = MAX_BODY_BYTES
+    max_connections: int = MAX_CONNECTIONS
+    operator: TokenRecord | None = None
+
+
+class _DeciderFeed:
+    """Passes endpoints on to the decider's mailbox."""
+
+    def __init__(self, mailbox: Mailbox) -> None:
+        self._mailbox = mailbox
+
+    def endpoint_seen(self, announce: Announce) -> None:
+        """Take an announcement."""
+        self._mailbox.post(EndpointSeen(announce))
+
+    def endpoint_lost(self, announce: Announce) -> None:
+        """Take the silence of an endpoint."""
+        self._mailbox.post(EndpointLost(announce))
+
+
+class Entry:
+    """One running entry instance.
+
+    Parameters
+    ----------
+    setup : EntrySetup
+        What it was started with.
+    link : Link
+        Its link.
+    table : TableService
+        The platform's table service.
+    clock : Clock
+        Source of time.
+    metrics : Metrics
+        Its metrics.
+    """
+
+    def __init__(
+        self,
+        setup: EntrySetup,
+        link: Link,
+        table: TableService,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self.setup = setup
+        self.link = link
+        self.table = table
+        self.clock = clock
+        self.url = ""
+        self.incarnation = secrets.token_hex(INCARNATION_BYTES)
+        self.directory = Directory(link, setup.entry_id, self._greeting)
+        self.tokens = TokenStore(table, clock, setup.operator)
+        self.keeper = LeaseKeeper(table, setup.scope, self._holder_id(), clock)
+        self.jobs = JobService(
+            JobTable(table), self._scope_of, self.announce_job, clock
+        )
+        self.requests = RequestService(
+            link,
+            table,
+            RunnerChooser(
+                self.directory,
+                NearFirst(setup.failure_domain),
+                Random(self.incarnation),
+                clock,
+            ),
+            TokenSource(self.incarnation),
+            clock,
+        )
+        self.decider_mailbox = Mailbox("decider")
+        self.decider = self._make_decider()
+        route_sets = (
+            JobRoutes(self.jobs, self._why),
+            RequestRoutes(self.requests),
+            ServiceRoutes(self.ready, self.status, metrics),
+        )
+        self.application = Application(
+            self.tokens, route_sets, setup.max_body_bytes
+        )
+
+    def ready(self) -> bool:
+        """Tell whether the instance takes new work."""
+        return not self.application.draining
+
+    def drain(self) -> None:
+        """Refuse new work from now on; work in flight goes on."""
+        self.application.draining = True
+
+    def idle(self) -> bool:
+        """Tell whether no call is in flight."""
+        return self.application.in_flight == 0
+
+    def status(self) -> dict[str, Any]:
+        """Return what operators are shown about the instance."""
+        return {
+            "entry_id": self.setup.entry_id,
+            "scope": self.setup.scope,
+            "epoch": self.decider.epoch,
+            "entries": sorted(self.directory.entry_by_id),
+            "endpoints": sorted(self.directory.endpoint_by_id),
+            "traffic": attrs.asdict(self.link.traffic),
+        }
+
+    def announce_job(self, hint: JobHint) -> None:
+        """Tell all entries, this one too, that a job has changed."""
+        for address in self.directory.entry_addresses():
+            try:
+                self.link.send(address, hint)
+            except OutboxFullError:
+                # Rows are also read again by themselves.
+                continue
+
+    def take_hint(self, envelope: Envelope) -> None:
+        """Wake who waits for a job and let the decider look at it."""
+        self.jobs.changed(envelope.message)
+        self.decider_mailbox.post(envelope)
+
+    def learn_entries(self, rows: list[EntryRow]) -> None:
+        """Greet the entries that the table service names."""
+        self.directory.seed(row.address for row in rows)
+
+    def _make_decider(self) -> Decider:
+        writer = JobWriter(
+            JobTable(self.table),
+            self.keeper,
+            self.setup.scope,
+            self.decider_mailbox,
+        )
+        return Decider(
+            self.setup.scope,
+            self.link,
+            writer,
+            self.decider_mailbox,
+            FirstFitScheduler,
+            self.announce_job,
+            GangBounds(),
+        )
+
+    def _holder_id(self) -> str:
+        return f"{self.setup.entry_id}.{self.incarnation}"
+
+    def _scope_of(self, shape: Shape) -> str:
+        return self.setup.scope
+
+    def _why(self, record: JobRecord) -> str:
+        reason = self.decider.why(record.spec.job_id, self.clock.monotonic())
+        return record.state.value if reason is None else reason.value
+
+    def _greeting(self) -> EntryHello:
+        return EntryHello(
+            self.setup.entry_id,
+            self.incarnation,
+            self.link.address,
+            self.setup.failure_domain,
+            draining=not self.ready(),
+        )
+
+
+@contextmanager
+def open_entry(
+    setup: EntrySetup, table: TableService, codec: MessageCodec, clock: Clock
+) -> Iterator[Entry]:
+    """Run an entry instance while the block runs.
+
+    Parameters
+    ----------
+    setup : EntrySetup
+        Where it listens and what it decides for.
+    table : TableService
+        The platform's table service.
+    codec : MessageCodec
+        Seals messages with the site's keys.
+    clock : Clock
+        Source of time.
+    """
+    with ExitStack() as stack:
+        metrics = stack.enter_context(metrics_of("entry", setup.entry_id))
+        link = stack.enter_context(
+            open_link(setup.host, setup.link_port, codec, clock)
+        )
+        entry = Entry(setup, link, table, clock, metrics)
+        _run_tasks(entry, stack)
+        server = WSGIServer(
+            (setup.host, setup.http_port),
+            entry.application,
+            log=None,
+            spawn=Pool(setup.max_connections),
+        )
+        server.start()
+        stack.callback(server.stop, timeout=0)
+        entry.url = f"http://{setup.host}:{server.server_port}"
+        row = EntryRow(setup.entry_id, link.address, entry.url)
+        stack.enter_context(registered(table, row, entry.learn_entries))
+        yield entry
+
+
+def _run_tasks(entry: Entry, stack: ExitStack) -> None:
+    link = entry.link
+    clock = entry.clock
+    directory_mailbox = Mailbox("directory")
+    link.subscribe(Announce, directory_mailbox.deliver)
+    link.subscribe(EntryHello, directory_mailbox.deliver)
+    link.subscribe(JobHint, entry.take_hint)
+    link.subscribe(TaskEnded, entry.decider_mailbox.deliver)
+    entry.directory.listeners.append(_DeciderFeed(entry.decider_mailbox))
+    stack.enter_context(
+        running_task(entry.directory, directory_mailbox, clock)
+    )
+    stack.enter_context(
+        running_task(entry.decider, entry.decider_mailbox, clock)
+    )
+    stack.enter_context(
+        leading(entry.keeper, entry.decider_mailbox, clock, lambda: 0.0)
+    )
--- /dev/null
+++ b/filbertlb/entry/decider.py
@@ -0,0 +1,443 @@
+"""The decider of a scope: places jobs and drives their gangs.
+
+It acts only under the lease of its scope. When the lease is lost it
+forgets everything; when it is gained, state is rebuilt from the job
+rows and from the agents' announcements.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from filbertlb.core.gang import Gang
+from filbertlb.core.gang_plan import GangBounds
+from filbertlb.core.gang_plan import GangMember
+from filbertlb.core.gang_plan import GangPlan
+from filbertlb.core.gang_recovery import AgentReport
+from filbertlb.core.gang_recovery import recover
+from filbertlb.core.gang_recovery import settle_status
+from filbertlb.core.job_record import new_attempt_id
+from filbertlb.core.model import Assignment
+from filbertlb.core.model import JobState
+from filbertlb.core.model import Worker
+from filbertlb.core.scheduling import ImpossibleJobError
+from filbertlb.core.scheduling import RunEnd
+from filbertlb.core.scheduling import StartJob
+from filbertlb.core.scheduling import StopJob
+from filbertlb.entry.events import Answered
+from filbertlb.entry.events import DecisionWritten
+from filbertlb.entry.events import Deposed
+from filbertlb.entry.events import Elected
+from filbertlb.entry.events import EndpointLost
+from filbertlb.entry.events import EndpointSeen
+from filbertlb.entry.events import JobRead
+from filbertlb.entry.events import JobsLoaded
+from filbertlb.entry.events import OrganisationsChanged
+from filbertlb.entry.events import OutcomeWritten
+from filbertlb.entry.gang_driver import GangDriver
+from filbertlb.entry.job_table import OpenJob
+from filbertlb.messages import JobHint
+from filbertlb.messages import Role
+from filbertlb.messages import TaskEnded
+from filbertlb.transport.codec import Envelope
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from filbertlb.core.gang_plan import GangOutcome
+    from filbertlb.core.job_record import JobRecord
+    from filbertlb.core.model import Organisation
+    from filbertlb.core.scheduling import Decision
+    from filbertlb.core.scheduling import SchedulingPolicy
+    from filbertlb.core.scheduling import WaitReason
+    from filbertlb.entry.gang_driver import RunningGang
+    from filbertlb.entry.job_writer import JobWriter
+    from filbertlb.messages import Announce
+    from filbertlb.messages import TaskStatus
+    from filbertlb.tasks import Mailbox
+    from filbertlb.transport.link import Link
+
+DECIDE_DELAY_S = 0.005
+DECIDE_PERIOD_S = 0.25
+RESCAN_PERIOD_S = 5.0
+TAKEOVER_GRACE_S = 2.5
+
+
+class Decider:
+    """Behaviour that places jobs in one scope.
+
+    Parameters
+    ----------
+    scope : str
+        Scope that it decides for.
+    link : Link
+        This process's link.
+    writer : JobWriter
+        Reads and writes the job rows.
+    mailbox : Mailbox
+        This task's own mailbox.
+    make_policy : callable
+        Returns a fresh scheduling policy.
+    announce : callable
+        Tells all entries that a job's row has changed.
+    bounds : GangBounds
+        Times of the gang start protocol.
+    """
+
+    def __init__(
+        self,
+        scope: str,
+        link: Link,
+        writer: JobWriter,
+        mailbox: Mailbox,
+        make_policy: Callable[[], SchedulingPolicy],
+        announce: Callable[[JobHint], None],
+        bounds: GangBounds,
+    ) -> None:
+        self._scope = scope
+        self._link = link
+        self._writer = writer
+        self._make_policy = make_policy
+        self._bounds = bounds
+        self._endpoint_by_id: dict[str, Announce] = {}
+        self._gangs = GangDriver(
+            link, writer, mailbox, self._endpoint_by_id, announce
+        )
+        self._organisations: tuple[Organisation, ...] = ()
+        self._rescan_due_s = math.inf
+        self._forget()
+
+    @property
+    def epoch(self) -> int:
+        """Return the epoch under which it acts; 0 if it does not."""
+        return self._epoch
+
+    def why(self, job_id: str, now_s: float) -> WaitReason | None:
+        """Return why a queued job waits, or None."""
+        return self._policy.why(job_id, now_s)
+
+    def receive(self, message: Any, now_s: float) -> None:
+        """Take one message."""
+        match message:
+            case Envelope():
+                self._take_envelope(message, now_s)
+            case EndpointSeen():
+                self._endpoint_seen(message.announce, now_s)
+            case EndpointLost():
+                self._endpoint_lost(message.announce, now_s)
+            case Answered():
+                self._answered(message, now_s)
+            case _:
+                self._take_own(message, now_s)
+
+    def tick(self, now_s: float) -> None:
+        """Repeat, enforce bounds, scan again and decide."""
+        if not self._epoch:
+            return
+        for running in self._gangs.running():
+            if running.gang.next_due_s() <= now_s:
+                self._gangs.carry_out(running, running.gang.tick(now_s))
+        if now_s >= self._rescan_due_s:
+            self._rescan_due_s = now_s + RESCAN_PERIOD_S
+            self._writer.load(self._epoch)
+        if self._loaded and now_s >= self._decide_due_s:
+            self._decide(now_s)
+
+    def next_due_s(self, now_s: float) -> float:
+        """Return the time of the next tick in seconds."""
+        if not self._epoch:
+            return math.inf
+        dues = [running.gang.next_due_s() for running in self._gangs.running()]
+        if self._loaded:
+            dues.append(self._decide_due_s)
+        return min([*dues, self._rescan_due_s])
+
+    def _take_own(self, message: Any, now_s: float) -> None:
+        match message:
+            case Elected():
+                self._elected(message, now_s)
+            case Deposed():
+                logger.warning("lease of scope {} lost", self._scope)
+                self._forget()
+            case OrganisationsChanged():
+                self._organisations = message.organisations
+                self._set_organisations(now_s)
+            case JobsLoaded():
+                self._jobs_loaded(message, now_s)
+            case JobRead():
+                self._job_read(message.job, now_s)
+            case DecisionWritten():
+                self._decision_written(message, now_s)
+            case OutcomeWritten():
+                self._outcome_written(message, now_s)
+
+    def _take_envelope(self, envelope: Envelope, now_s: float) -> None:
+        message = envelope.message
+        if not self._epoch:
+            return
+        if isinstance(message, JobHint):
+            self._writer.read(OpenJob(message.organisation_id, message.job_id))
+        elif isinstance(message, TaskEnded):
+            status = message.status
+            running = self._gangs.get(status.token.attempt_id)
+            if running is not None:
+                effects = running.gang.ended(status, now_s)
+                self._gangs.carry_out(running, effects)
+
+    def _forget(self) -> None:
+        self._epoch = 0
+        self._serial = 0
+        self._loaded = False
+        self._elected_at_s = math.inf
+        self._decide_due_s = math.inf
+        self._rescan_due_s = math.inf
+        self._policy = self._make_policy()
+        self._gangs.clear()
+        self._job_by_id: dict[str, JobRecord] = {}
+
+    def _elected(self, elected: Elected, now_s: float) -> None:
+        self._forget()
+        self._epoch = elected.lease.epoch
+        self._elected_at_s = now_s
+        self._rescan_due_s = now_s + RESCAN_PERIOD_S
+        logger.info("decides for {} in epoch {}", self._scope, self._epoch)
+        for announce in self._endpoint_by_id.values():
+            self._add_worker(announce, now_s)
+        self._set_organisations(now_s)
+        self._writer.load(self._epoch)
+
+    def _set_organisations(self, now_s: float) -> None:
+        if self._epoch:
+            self._policy.set_organisations(self._organisations, now_s)
+            self._wake(now_s)
+
+    def _endpoint_seen(self, announce: Announce, now_s: float) -> None:
+        if announce.role != Role.WORKER:
+            return
+        known = self._endpoint_by_id.get(announce.endpoint_id)
+        self._endpoint_by_id[announce.endpoint_id] = announce
+        if not self._epoch:
+            return
+        if _has_changed(known, announce):
+            self._add_worker(announce, now_s)
+        for running in self._gangs.running():
+            effects = running.gang.heard(
+                announce.endpoint_id,
+                announce.incarnation,
+                announce.tasks,
+                now_s,
+            )
+            self._gangs.carry_out(running, effects)
+        self._settle_unknown(announce)
+
+    def _add_worker(self, announce: Announce, now_s: float) -> None:
+        if announce.draining:
+            self._policy.remove_worker(announce.endpoint_id, now_s)
+        else:
+            self._policy.add_worker(_worker(announce), now_s)
+        self._wake(now_s)
+
+    def _endpoint_lost(self, announce: Announce, now_s: float) -> None:
+        if self._endpoint_by_id.pop(announce.endpoint_id, None) is None:
+            return
+        if not self._epoch:
+            return
+        self._policy.remove_worker(announce.endpoint_id, now_s)
+        for running in self._gangs.running():
+            effects = running.gang.lost(announce.endpoint_id, now_s)
+            self._gangs.carry_out(running, effects)
+        self._wake(now_s)
+
+    def _settle_unknown(self, announce: Announce) -> None:
+        """Clear members of attempts that no row carries."""
+        if not self._loaded:
+            return
+        for status in announce.tasks:
+            if self._is_accounted(status):
+                continue
+            job = self._job_by_id.get(status.job_id)
+            command = settle_status(status, job, self._epoch)
+            if command is not None:
+                self._gangs.send(announce.address, command)
+
+    def _is_accounted(self, status: TaskStatus) -> bool:
+        token = status.token
+        if token.scope != self._scope or token.epoch >= self._epoch:
+            return True
+        return self._gangs.get(token.attempt_id) is not None
+
+    def _jobs_loaded(self, loaded: JobsLoaded, now_s: float) -> None:
+        if loaded.epoch != self._epoch:
+            return
+        for job in loaded.jobs:
+            self._job_read(job, now_s)
+        self._loaded = True
+        self._wake(now_s)
+
+    def _job_read(self, job: JobRecord, now_s: float) -> None:
+        job_id = job.spec.job_id
+        running = self._gangs.of_job(job_id)
+        if running is not None:
+            if job.cancel_requested and not running.is_closed:
+                self._gangs.carry_out(running, running.gang.cancel(now_s))
+            return
+        known = self._job_by_id.get(job_id)
+        if job.is_final:
+            self._job_by_id.pop(job_id, None)
+            self._policy.cancel(job_id, now_s)
+        elif job.attempt is not None:
+            self._recover(job, now_s)
+        elif known is None:
+            self._queue(job, now_s)
+        self._wake(now_s)
+
+    def _queue(self, job: JobRecord, now_s: float) -> None:
+        try:
+            self._policy.submit(job.spec, now_s)
+        except ImpossibleJobError as error:
+            self._writer.write_failed(_open_job(job), error)
+            return
+        self._job_by_id[job.spec.job_id] = job
+
+    def _recover(self, job: JobRecord, now_s: float) -> None:
+        if job.state == JobState.UNKNOWN:
+            return
+        report_by_id = {
+            endpoint_id: AgentReport(announce.incarnation, announce.tasks)
+            for endpoint_id, announce in self._endpoint_by_id.items()
+        }
+        assert job.attempt is not None
+        ids = tuple(member.endpoint_id for member in job.attempt.members)
+        is_known = all(endpoint_id in report_by_id for endpoint_id in ids)
+        if not is_known and now_s < self._elected_at_s + TAKEOVER_GRACE_S:
+            # Its agents may still announce themselves.
+            self._rescan_due_s = min(self._rescan_due_s, now_s + 0.5)
+            return
+        recovery = recover(job, self._epoch, report_by_id, self._bounds, now_s)
+        if recovery is None:
+            return
+        self._job_by_id[job.spec.job_id] = job
+        self._policy.adopt(job.spec, Assignment(job.spec.job_id, ids))
+        running = self._gangs.add(recovery.gang, job)
+        self._gangs.carry_out(running, recovery.effects)
+        for endpoint_id in set(ids) - set(report_by_id):
+            effects = running.gang.lost(endpoint_id, now_s)
+            self._gangs.carry_out(running, effects)
+
+    def _wake(self, now_s: float) -> None:
+        self._decide_due_s = min(self._decide_due_s, now_s + DECIDE_DELAY_S)
+
+    def _decide(self, now_s: float) -> None:
+        self._decide_due_s = now_s + DECIDE_PERIOD_S
+        for decision in self._policy.decide(now_s):
+            self._act(decision, now_s)
+
+    def _act(self, decision: Decision, now_s: float) -> None:
+        if isinstance(decision, StartJob):
+            self._start(decision.assignment, now_s)
+        elif isinstance(decision, StopJob):
+            self._stop(decision, now_s)
+
+    def _start(self, assignment: Assignment, now_s: float) -> None:
+        job = self._job_by_id[assignment.job_id]
+        self._serial += 1
+        spec = job.spec
+        plan = GangPlan(
+            attempt_id=new_attempt_id(spec.job_id, self._epoch, self._serial),
+            job_id=spec.job_id,
+            organisation_id=spec.organisation_id,
+            scope=self._scope,
+            epoch=self._epoch,
+            members=tuple(
+                GangMember(
+                    worker_id, self._endpoint_by_id[worker_id].incarnation
+                )
+                for worker_id in assignment.worker_ids
+            ),
+            needs=spec.shape.each,
+            command=spec.command,
+            checkpoints=job.checkpoints,
+        )
+        running = self._gangs.add(Gang(plan, self._bounds), job)
+        self._gangs.carry_out(running, running.gang.begin(now_s))
+
+    def _stop(self, stop: StopJob, now_s: float) -> None:
+        running = self._gangs.of_job(stop.job_id)
+        if running is None or running.is_closed:
+            return
+        effects = running.gang.stop(
+            now_s, checkpoint=stop.checkpoint, within_s=stop.within_s
+        )
+        self._gangs.carry_out(running, effects)
+
+    def _answered(self, answered: Answered, now_s: float) -> None:
+        running = self._gangs.get(answered.attempt_id)
+        if running is None:
+            return
+        effects = running.gang.answered(
+            answered.member, answered.command, answered.reply, now_s
+        )
+        self._gangs.carry_out(running, effects)
+
+    def _decision_written(
+        self, message: DecisionWritten, now_s: float
+    ) -> None:
+        running = self._gangs.get(message.attempt_id)
+        if running is not None:
+            effects = running.gang.decision_written(message.written, now_s)
+            self._gangs.carry_out(running, effects)
+
+    def _outcome_written(self, message: OutcomeWritten, now_s: float) -> None:
+        running = self._gangs.remove(message.attempt_id)
+        if running is None or message.job is None:
+            return
+        outcome = running.gang.outcome
+        assert outcome is not None
+        job = message.job
+        job_id = job.spec.job_id
+        self._policy.ended(_run_end(running, outcome), now_s)
+        if job.is_final or job.state == JobState.UNKNOWN:
+            self._job_by_id.pop(job_id, None)
+            self._policy.cancel(job_id, now_s)
+        else:
+            self._job_by_id[job_id] = job
+            if self._policy.why(job_id, now_s) is None:
+                self._policy.submit(job.spec, now_s)
+        self._wake(now_s)
+
+
+def _run_end(running: RunningGang, outcome: GangOutcome) -> RunEnd:
+    members = running.gang.plan.members
+    failed = tuple(
+        members[index].endpoint_id for index in outcome.failed_members
+    )
+    return RunEnd(
+        outcome.attempt_id.rsplit(".", 1)[-1],
+        outcome.end,
+        failed,
+        checkpointed=bool(outcome.checkpoints),
+    )
+
+
+def _worker(announce: Announce) -> Worker:
+    return Worker(
+        announce.endpoint_id,
+        announce.rack,
+        announce.failure_domain,
+        announce.capacity,
+        announce.region,
+    )
+
+
+def _has_changed(known: Announce | None, announce: Announce) -> bool:
+    if known is None or known.draining != announce.draining:
+        return True
+    return _worker(known) != _worker(announce)
+
+
+def _open_job(job: JobRecord) -> OpenJob:
+    return OpenJob(job.spec.organisation_id, job.spec.job_id)
--- /dev/null
+++ b/filbertlb/entry/endpoint_views.py
@@ -0,0 +1,99 @@
+"""Runners as the routing policy sees them from this entry."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+
+from filbertlb.messages import Role
+from filbertlb.routing.base import eligible
+from filbertlb.routing.base import EndpointView
+from filbertlb.routing.latency import LatencyAverage
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from random import Random
+
+    from filbertlb.core.clock import Clock
+    from filbertlb.entry.directory import Directory
+    from filbertlb.entry.directory import KnownEndpoint
+    from filbertlb.messages import Announce
+    from filbertlb.routing.base import RoutingPolicy
+
+
+class RunnerChooser:
+    """Chooses runners and keeps what this entry measures of them.
+
+    Parameters
+    ----------
+    directory : Directory
+        Announced endpoints.
+    policy : RoutingPolicy
+        Chooses among them.
+    rng : random.Random
+        Source of the policy's random choices.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        policy: RoutingPolicy,
+        rng: Random,
+        clock: Clock,
+    ) -> None:
+        self._directory = directory
+        self._policy = policy
+        self._rng = rng
+        self._clock = clock
+        self._in_flight_by_id: dict[str, int] = defaultdict(int)
+        self._latency_by_id: dict[str, LatencyAverage] = {}
+
+    def choose(self, avoid: frozenset[str]) -> Announce | None:
+        """Return the announcement of a runner, or None."""
+        now_s = self._clock.monotonic()
+        known_by_id = {
+            known.announce.endpoint_id: known
+            for known in self._directory.endpoints(Role.RUNNER)
+        }
+        views = [self._view(known, now_s) for known in known_by_id.values()]
+        chosen = self._policy.choose(eligible(views, avoid), self._rng)
+        if chosen is None:
+            return None
+        return known_by_id[chosen.endpoint_id].announce
+
+    def address_of(self, endpoint_id: str) -> str | None:
+        """Return the address of an endpoint, or None if unknown."""
+        known = self._directory.endpoint_by_id.get(endpoint_id)
+        return None if known is None else known.announce.address
+
+    @contextmanager
+    def measured(self, endpoint_id: str) -> Iterator[None]:
+        """Count a request and measure its time while the block runs."""
+        started_s = self._clock.monotonic()
+        self._in_flight_by_id[endpoint_id] += 1
+        try:
+            yield
+        finally:
+            self._in_flight_by_id[endpoint_id] -= 1
+            ended_s = self._clock.monotonic()
+            average = self._latency_by_id.setdefault(
+                endpoint_id, LatencyAverage()
+            )
+            average.add(ended_s - started_s, ended_s)
+
+    def _view(self, known: KnownEndpoint, now_s: float) -> EndpointView:
+        announce = known.announce
+        average = self._latency_by_id.get(announce.endpoint_id)
+        return EndpointView(
+            endpoint_id=announce.endpoint_id,
+            failure_domain=announce.failure_domain,
+            slots=announce.slots,
+            announced_in_flight=announce.in_flight,
+            local_in_flight=self._in_flight_by_id[announce.endpoint_id],
+            latency_s=average.value_s(now_s) if average else 0.0,
+            draining=announce.draining,
+            announced_age_s=now_s - known.heard_at_s,
+        )
--- /dev/null
+++ b/filbertlb/entry/registry.py
@@ -0,0 +1,130 @@
+"""Rows by which agents and entries find the entries."""
+
+from __future__ import annotations
+
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+
+import attrs
+import msgspec
+from gevent import sleep
+from gevent import spawn
+from loguru import logger
+
+from filbertlb.errors import FilbertlbError
+from filbertlb.table.base import Write
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterator
+
+    from filbertlb.table.base import TableService
+
+ENTRY_PREFIX = "entries/"
+REFRESH_PERIOD_S = 15.0
+RETRY_PERIOD_S = 1.0
+STALE_REFRESHES = 4
+
+
+@attrs.frozen
+class EntryRow:
+    """Where an entry listens.
+
+    Parameters
+    ----------
+    beat : int
+        Grows with every refresh; a row whose beat stands still is of an
+        entry that is gone.
+    """
+
+    entry_id: str
+    address: str
+    url: str
+    beat: int = 0
+
+
+def look_up_entries(table: TableService) -> list[EntryRow]:
+    """Return the rows of all entries.
+
+    Raises
+    ------
+    TableUnavailableError
+        If the service does not answer.
+    """
+    return [
+        msgspec.json.decode(row.value, type=EntryRow)
+        for row in table.scan(ENTRY_PREFIX)
+    ]
+
+
+class _Registrar:
+    """Refreshes an entry's row and clears those of dead entries."""
+
+    def __init__(
+        self,
+        table: TableService,
+        row: EntryRow,
+        learn: Callable[[list[EntryRow]], None],
+    ) -> None:
+        self._table = table
+        self._row = row
+        self._learn = learn
+        self._still_by_id: dict[str, tuple[int, int]] = {}
+
+    def run(self) -> None:
+        """Refresh until killed."""
+        while True:
+            try:
+                self.refresh()
+                sleep(REFRESH_PERIOD_S)
+            except FilbertlbError as error:
+                logger.warning("entry not registered: {}", error.message)
+                sleep(RETRY_PERIOD_S)
+
+    def refresh(self) -> None:
+        """Write the own row and read the others."""
+        self._row = attrs.evolve(self._row, beat=self._row.beat + 1)
+        value = msgspec.json.encode(self._row)
+        key = ENTRY_PREFIX + self._row.entry_id
+        self._table.commit((Write(key, value),))
+        rows = look_up_entries(self._table)
+        self._learn([row for row in rows if not self._is_stale(row)])
+
+    def _is_stale(self, row: EntryRow) -> bool:
+        beat, still = self._still_by_id.get(row.entry_id, (-1, 0))
+        still = still + 1 if beat == row.beat else 0
+        self._still_by_id[row.entry_id] = (row.beat, still)
+        if still < STALE_REFRESHES:
+            return False
+        self._table.commit((Write(ENTRY_PREFIX + row.entry_id, None),))
+        return True
+
+    def withdraw(self) -> None:
+        """Delete the own row."""
+        key = ENTRY_PREFIX + self._row.entry_id
+        try:
+            self._table.commit((Write(key, None),))
+        except FilbertlbError as error:
+            logger.warning("entry's row is left behind: {}", error.message)
+
+
+@contextmanager
+def registered(
+    table: TableService,
+    row: EntryRow,
+    learn: Callable[[list[EntryRow]], None],
+) -> Iterator[None]:
+    """Keep an entry's row while the block runs.
+
+    Parameters
+    ----------
+    learn : callable
+        Takes the rows of all live entries at every refresh.
+    """
+    registrar = _Registrar(table, row, learn)
+    task = spawn(registrar.run)
+    try:
+        yield
+    finally:
+        task.kill()
+        registrar.withdraw()
--- /dev/null
+++ b/filbertlb/entry/requests.py
@@ -0,0 +1,270 @@
+"""Requests to runners as callers see them."""
+
+from __future__ import annotations
+
+import secrets
+from itertools import count
+from typing import TYPE_CHECKING
+
+import attrs
+
+from filbertlb.core.attempt_effects import Finish
+from filbertlb.core.attempt_rows import Answer
+from filbertlb.core.attempt_rows import KeyedRequest
+from filbertlb.core.attempt_rows import request_digest
+from filbertlb.core.attempt_session import AttemptSession
+from filbertlb.core.attempt_session import Purpose
+from filbertlb.core.attempt_steps import TellAnswer
+from filbertlb.core.attempt_steps import TellNotRun
+from filbertlb.entry.attempt_runner import AttemptRunner
+from filbertlb.errors import FilbertlbError
+from filbertlb.errors import OutcomeUnknownError
+from filbertlb.errors import Ran
+from filbertlb.errors import UnavailableError
+from filbertlb.messages import Invoke
+from filbertlb.messages import InvokeResult
+from filbertlb.messages import Refused
+from filbertlb.messages import TaskEndedAck
+from filbertlb.messages import Token
+from filbertlb.transport.link import OutboxFullError
+from filbertlb.transport.link import ReplyTimeoutError
+
+if TYPE_CHECKING:
+    from filbertlb.core.clock import Clock
+    from filbertlb.entry.endpoint_views import RunnerChooser
+    from filbertlb.messages import Announce
+    from filbertlb.table.base import TableService
+    from filbertlb.transport.link import Link
+
+MAX_TRIES = 4
+ID_BYTES = 8
+NO_REPLY_S = 10.0
+RESULT_GRACE_S = 30.0
+
+
+class RequestNotRunError(UnavailableError):
+    """The request did not run and will not run by itself.
+
+    Parameters
+    ----------
+    inner_code : str
+        Code of the last refusal.
+    """
+
+    code = "not_run"
+
+    def __init__(self, inner_code: str, message: str) -> None:
+        super().__init__(f"{inner_code}: {message}")
+
+
+class RequestUnknownError(OutcomeUnknownError):
+    """The request may have run; its key can be asked for."""
+
+    code = "outcome_unknown"
+
+
+class RequestRanError(FilbertlbError):
+    """The request ran, but its answer is not to be had."""
+
+    code = "answer_missing"
+    status = 502
+    default_ran = Ran.YES
+
+
+@attrs.frozen
+class RunnerRequest:
+    """One request of a caller.
+
+    Parameters
+    ----------
+    key : str
+        Idempotency key of the caller.
+    deadline_s : float
+        Time from now in which it must start, in seconds.
+    """
+
+    organisation_id: str
+    key: str
+    path: str
+    body: bytes
+    idempotent: bool
+    deadline_s: float
+    urgent: bool = False
+
+
+class TokenSource:
+    """Issues the tokens of one entry's requests.
+
+    Parameters
+    ----------
+    incarnation : str
+        This entry's incarnation; the scope of its tokens.
+    """
+
+    def __init__(self, incarnation: str) -> None:
+        self.incarnation = incarnation
+        self._serials = count(1)
+
+    def issue(self, attempt_id: str, agent_incarnation: str) -> Token:
+        """Return a token that no one else has."""
+        return Token(
+            attempt_id,
+            0,
+            agent_incarnation,
+            self.incarnation,
+            next(self._serials),
+        )
+
+
+class RequestService:
+    """Carries requests to runners and tells callers the truth.
+
+    Parameters
+    ----------
+    link : Link
+        This process's link.
+    table : TableService
+        Holds the attempts of non-idempotent requests.
+    chooser : RunnerChooser
+        Chooses runners.
+    tokens : TokenSource
+        Issues tokens.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        link: Link,
+        table: TableService,
+        chooser: RunnerChooser,
+        tokens: TokenSource,
+        clock: Clock,
+    ) -> None:
+        self._link = link
+        self._chooser = chooser
+        self._tokens = tokens
+        self._clock = clock
+        self._attempts = AttemptRunner(link, table, chooser, clock)
+
+    def run(self, request: RunnerRequest) -> Answer:
+        """Run a request and return its whole answer.
+
+        Raises
+        ------
+        RequestNotRunError
+            If it did not run.
+        RequestUnknownError
+            If it may have run; ``outcome`` tells later.
+        KeyReusedError
+            If the key stands for another body.
+        """
+        if request.idempotent:
+            return self._run_idempotent(request)
+        return self._finish(self._session(request, Purpose.RUN))
+
+    def outcome(self, organisation_id: str, key: str) -> Answer:
+        """Return the answer to the non-idempotent request of a key.
+
+        Raises
+        ------
+        RequestNotRunError
+            If it did not run.
+        RequestUnknownError
+            If that is still unknown, or it is under way.
+        """
+        request = RunnerRequest(organisation_id, key, "", b"", False, 0.0)
+        session = self._session(request, Purpose.ASK)
+        return self._finish(session)
+
+    def _session(
+        self, request: RunnerRequest, purpose: Purpose
+    ) -> AttemptSession:
+        digest = ""
+        if purpose is Purpose.RUN:
+            digest = request_digest(request.path, request.body)
+        keyed = KeyedRequest(
+            request.organisation_id,
+            request.key,
+            digest,
+            self._clock.wall() + request.deadline_s,
+        )
+        return AttemptSession(
+            keyed,
+            self._invoke_of(request),
+            self._tokens.incarnation,
+            _new_id,
+            self._tokens.issue,
+            purpose,
+        )
+
+    def _finish(self, session: AttemptSession) -> Answer:
+        finish = self._attempts.carry(session)
+        return _tell(finish)
+
+    def _invoke_of(self, request: RunnerRequest) -> Invoke:
+        return Invoke(
+            Token("", 0, ""),
+            _new_id(),
+            request.organisation_id,
+            request.path,
+            request.body,
+            request.deadline_s,
+            request.idempotent,
+            request.urgent,
+        )
+
+    def _run_idempotent(self, request: RunnerRequest) -> Answer:
+        start_by_s = self._clock.monotonic() + request.deadline_s
+        invoke = self._invoke_of(request)
+        avoid: frozenset[str] = frozenset()
+        last: FilbertlbError = RequestNotRunError(
+            "no_endpoint", "no runner can take the request now"
+        )
+        for _ in range(MAX_TRIES):
+            left_s = start_by_s - self._clock.monotonic()
+            endpoint = self._chooser.choose(avoid)
+            if left_s <= 0 or endpoint is None:
+                break
+            avoid |= {endpoint.endpoint_id}
+            result = self._try(endpoint, invoke, left_s)
+            if isinstance(result, Answer):
+                return result
+            last = result
+        raise last
+
+    def _try(
+        self, endpoint: Announce, invoke: Invoke, left_s: float
+    ) -> Answer | FilbertlbError:
+        token = self._tokens.issue(_new_id(), endpoint.incarnation)
+        sent = attrs.evolve(invoke, token=token, within_s=left_s)
+        try:
+            with self._chooser.measured(endpoint.endpoint_id):
+                reply = self._link.request(
+                    endpoint.address, sent, left_s + RESULT_GRACE_S
+                )
+        except OutboxFullError as error:
+            return RequestNotRunError(error.code, error.message)
+        except ReplyTimeoutError as error:
+            return RequestUnknownError(error.message)
+        if isinstance(reply, InvokeResult) and reply.token == token:
+            self._link.send(endpoint.address, TaskEndedAck(token))
+            return Answer(reply.status, reply.body, reply.content_type)
+        if isinstance(reply, Refused) and reply.ran is Ran.NO:
+            return RequestNotRunError(reply.code, reply.message)
+        return RequestUnknownError(f"the runner's agent said {reply!r}")
+
+
+def _new_id() -> str:
+    return secrets.token_hex(ID_BYTES)
+
+
+def _tell(finish: Finish) -> Answer:
+    telling = finish.telling
+    if isinstance(telling, TellAnswer):
+        return telling.answer
+    if isinstance(telling, TellNotRun):
+        raise RequestNotRunError(telling.code, telling.message)
+    if telling.ran is Ran.YES:
+        raise RequestRanError(f"{telling.code}: {telling.message}")
+    raise RequestUnknownError(f"{telling.code}: {telling.message}")
--- a/filbertlb/settings/process.py
+++ b/filbertlb/settings/process.py
@@ -124,6 +124,10 @@
         Where the platform's services are.
     keys : tuple of str
         Site keys as ``ID:BASE64``; the first seals and all open.
+    operator_token_hash : str
+        Hash of an operator's token as ``filbertlb token operator``
+        shows
+        it; valid also while the table service is down.
     """
 
     role: ProcessRole
@@ -138,6 +142,9 @@
     objects_url: str = _url()
     table_timeout_s: float = _positive(2.0)
     keys: tuple[str, ...] = secret(default=())
+    operator_token_hash: str = attrs.field(
+        default="", validator=matches_re(r"([0-9a-f]+:[0-9a-f]{64})?")
+    )
     logs: LogSettings = LogSettings()
     limits: Limits = Limits()
     endpoint: EndpointSettings | None = None
--- a/filbertlb/transport/link.py
+++ b/filbertlb/transport/link.py
@@ -71,6 +71,12 @@
     frames_dropped: int = 0
 
 
+@attrs.frozen
+class _Expected:
+    on_reply: Callable[[Any], None]
+    until_s: float
+
+
 @attrs.define
 class _Outbox:
     socket: Any
@@ -114,7 +120,7 @@
         self._prefix = secrets.token_hex(4)
         self._numbers = count()
         self._handler_by_class: dict[type, Callable[[Envelope], None]] = {}
-        self._result_by_id: dict[str, AsyncResult] = {}
+        self._expected_by_id: dict[str, _Expected] = {}
         self._outbox_by_address: dict[str, _Outbox] = {}
         self._tasks = [spawn(self._receive_loop), spawn(self._sweep_loop)]
 
@@ -165,8 +171,7 @@
             If the message was not sent.
         """
         result = AsyncResult()
-        message_id = self.send(address, message)
-        self._result_by_id[message_id] = result
+        message_id = self.ask(address, message, result.set, timeout_s)
         try:
             with Timeout(timeout_s):
                 return result.get()
@@ -175,7 +180,33 @@
                 f"no answer from {address!r} in {timeout_s} s"
             ) from None
         finally:
-            del self._result_by_id[message_id]
+            self._expected_by_id.pop(message_id, None)
+
+    def ask(
+        self,
+        address: str,
+        message: Any,
+        on_reply: Callable[[Any], None],
+        within_s: float,
+    ) -> str:
+        """Send a message and pass its answer on, if one comes.
+
+        Parameters
+        ----------
+        on_reply : callable
+            Takes the answer; must not block.
+        within_s : float
+            Time after which an answer is ignored, in seconds.
+
+        Raises
+        ------
+        OutboxFullError
+            If the message was not sent.
+        """
+        message_id = self.send(address, message)
+        until_s = self._clock.monotonic() + within_s
+        self._expected_by_id[message_id] = _Expected(on_reply, until_s)
+        return message_id
 
     def close(self) -> None:
         """Stop all tasks and close all sockets."""
@@ -221,9 +252,9 @@
             return
         self.on_revision(envelope.revision)
         if envelope.reply_to:
-            result = self._result_by_id.get(envelope.reply_to)
-            if result is not None:
-                result.set(envelope.message)
+            expected = self._expected_by_id.pop(envelope.reply_to, None)
+            if expected is not None:
+                expected.on_reply(envelope.message)
             return
         handler = self._handler_by_class.get(type(envelope.message))
         if handler is not None:
@@ -268,10 +299,20 @@
     def _sweep_loop(self) -> None:
         while True:
             sleep(SWEEP_PERIOD_S)
-            limit_s = self._clock.monotonic() - IDLE_OUTBOX_S
-            for address, outbox in list(self._outbox_by_address.items()):
-                if outbox.last_used_s < limit_s and outbox.queue.empty():
-                    self._drop_outbox(address)
+            self._sweep(self._clock.monotonic())
+
+    def _sweep(self, now_s: float) -> None:
+        for address, outbox in list(self._outbox_by_address.items()):
+            is_idle = outbox.last_used_s < now_s - IDLE_OUTBOX_S
+            if is_idle and outbox.queue.empty():
+                self._drop_outbox(address)
+        late = [
+            message_id
+            for message_id, expected in self._expected_by_id.items()
+            if expected.until_s < now_s
+        ]
+        for message_id in late:
+            del self._expected_by_id[message_id]
 
     def _drop_outbox(self, address: str) -> None:
         outbox = self._outbox_by_address.pop(address)
