--- a/benchmarks/fragmentation.py
+++ b/benchmarks/fragmentation.py
@@ -24,8 +24,11 @@
 
 def fragmentation(
     site: Site, running: Iterable[Job], lost: set[str]
-) -> float | None:
-    """Return the share, weighted by demand; None where nothing is free."""
+) -> tuple[int, float] | None:
+    """Return free accelerators and the share, weighted by demand.
+
+    None where nothing is free.
+    """
     free = {
         worker.worker_id: offered(worker.capacity)
         for worker in site.workers
@@ -44,7 +47,7 @@
         weight * (1 - min(total, _usable(site, shape, free)) / total)
         for shape, weight in weight_by_shape.items()
     )
-    return unusable / sum(weight_by_shape.values())
+    return total, unusable / sum(weight_by_shape.values())
 
 
 def _usable(site: Site, shape: Shape, free: dict[str, Amount]) -> int:
--- a/benchmarks/replay.py
+++ b/benchmarks/replay.py
@@ -12,6 +12,7 @@
 
 from benchmarks.arrivals import HOUR_S
 from benchmarks.fragmentation import fragmentation
+from filbertlb.core.model import Resources
 from filbertlb.core.scheduling import ImpossibleJobError
 from filbertlb.core.scheduling import JobEnd
 from filbertlb.core.scheduling import RunEnd
@@ -31,7 +32,6 @@
 FAIL_AFTER_S = 5.0
 STOP_TAKES_S = 0.2
 CHECKPOINT_TAKES_S = 5.0
-DRAIN_HOURS = 72.0
 
 
 @attrs.define
@@ -65,7 +65,7 @@
     jobs: dict[str, Job] = attrs.field(factory=dict)
     refused: int = 0
     decision_us: list[float] = attrs.field(factory=list)
-    fragmentation: list[float] = attrs.field(factory=list)
+    fragmentation: list[tuple[int, float]] = attrs.field(factory=list)
     lost_to_stops_s: float = 0.0
     lost_to_faults_s: float = 0.0
     busy_s: float = 0.0
@@ -82,11 +82,14 @@
 
     site: Site
     policy: SchedulingPolicy
+    drain_hours: float = 72.0
     outcome: Outcome = attrs.field(factory=Outcome)
     now_s: float = 0.0
     running: dict[str, Job] = attrs.field(factory=dict)
     lost: set[str] = attrs.field(factory=set)
     bad: set[str] = attrs.field(factory=set)
+    by_worker: dict[str, list[Job]] = attrs.field(factory=dict)
+    capacity: dict[str, Resources] = attrs.field(factory=dict)
     tasks: int = 0
     _heap: list[tuple[float, int, Callable[[], None]]] = attrs.field(
         factory=list
@@ -100,6 +103,8 @@
         began_s = perf_counter()
         for worker in self.site.workers:
             self.policy.add_worker(worker, 0.0)
+            self.by_worker[worker.worker_id] = []
+            self.capacity[worker.worker_id] = worker.capacity
         self.policy.set_organisations(self.site.organisations, 0.0)
         self._waiting_arrivals = len(arrivals)
         for arrival in arrivals:
@@ -109,7 +114,7 @@
             self.at(fault.end_s, self._mend, fault)
         self.at(TICK_S, self._tick)
         self.at(SAMPLE_S, self._sample)
-        limit_s = (self.site.hours + DRAIN_HOURS) * HOUR_S
+        limit_s = (self.site.hours + self.drain_hours) * HOUR_S
         while self._heap and self._heap[0][0] <= limit_s:
             self._step()
         self.outcome.wall_s = perf_counter() - began_s
@@ -206,7 +211,10 @@
         if job.first_start_s is None:
             job.first_start_s = self.now_s
         self.running[decision.assignment.job_id] = job
+        for name in job.worker_ids:
+            self.by_worker[name].append(job)
         self.tasks += len(job.worker_ids)
+        self._check_capacity(job)
         self.outcome.most_tasks = max(self.outcome.most_tasks, self.tasks)
         failed = tuple(sorted(self.bad.intersection(job.worker_ids)))
         if job.arrival.bad and not failed:
@@ -218,6 +226,15 @@
             end = RunEnd("", JobEnd.SUCCEEDED)
             self.at(self.now_s + job.left_s, self._end, job, job.run, end)
 
+    def _check_capacity(self, job: Job) -> None:
+        """Count workers that were given more than they have."""
+        for name in set(job.worker_ids):
+            used = Resources()
+            for member in self.by_worker[name]:
+                used += member.arrival.job.shape.each
+            if not self.capacity[name].fits(used):
+                self.outcome.overfull += 1
+
     def _stop(self, decision: StopJob) -> None:
         job = self.running[decision.job_id]
         self.outcome.stops += 1
@@ -233,6 +250,8 @@
             return
         self._changed = True
         del self.running[job_id]
+        for name in job.worker_ids:
+            self.by_worker[name].remove(job)
         self.tasks -= len(job.worker_ids)
         self._account(job, end)
         self.policy.ended(attrs.evolve(end, job_id=job_id), self.now_s)
--- a/benchmarks/sites.py
+++ b/benchmarks/sites.py
@@ -182,7 +182,11 @@
                 0.6,
             ),
         ),
-        SchedulerConfig(profile=WeightProfile.FRAGMENTATION),
+        SchedulerConfig(
+            profile=WeightProfile.FRAGMENTATION,
+            reserve_after_s=30.0,
+            starvation_s=900.0,
+        ),
         0.7,
         0.4,
         (300, 1800),
--- a/filbertlb/core/cluster.py
+++ b/filbertlb/core/cluster.py
@@ -67,6 +67,7 @@
     worker: Worker
     rack: Group
     domain: Group
+    order: int
     capacity: Amount
     used: Amount = NOTHING
     free: Amount = NOTHING
@@ -216,6 +217,7 @@
             worker=worker,
             rack=self._rack(worker),
             domain=self._domain(worker),
+            order=len(self.by_id),
             capacity=capacity,
             free=capacity,
             open=capacity,
--- a/filbertlb/core/reclaim.py
+++ b/filbertlb/core/reclaim.py
@@ -20,15 +20,17 @@
 
 # A checkpoint keeps all but the work since it was begun.
 _CHECKPOINT_LOSS_SHARE = 0.02
+_RESTART_S = 10.0
 _URGENT_PENALTY = 1000.0
 
 
 def lost_work(run: Run, now_s: float) -> float:
-    """Return the member-seconds that a stop throws away, at least 1."""
-    elapsed_s = max(0.0, now_s - run.started_at_s)
+    """Return the accelerator-seconds that a stop throws away."""
+    lost_s = max(0.0, now_s - run.started_at_s)
     if run.job.checkpointable:
-        elapsed_s *= _CHECKPOINT_LOSS_SHARE
-    loss = 1.0 + elapsed_s * len(run.worker_ids)
+        lost_s *= _CHECKPOINT_LOSS_SHARE
+    size = len(run.worker_ids) * max(1, run.need[0])
+    loss = (_RESTART_S + lost_s) * size
     if run.job.job_class is JobClass.URGENT:
         loss *= _URGENT_PENALTY
     return loss
--- a/filbertlb/core/search.py
+++ b/filbertlb/core/search.py
@@ -197,5 +197,5 @@
     return (
         max(0, kept - after) if total[0] else 0,
         state.rack.free_accelerators,
-        state.free[1],
+        state.order,
     )
--- a/filbertlb/scheduling/config.py
+++ b/filbertlb/scheduling/config.py
@@ -34,6 +34,8 @@
         Wait after which a reservation stops younger work, in seconds.
     max_reservations : int
         Reservations held at once, oldest job first.
+    large_accelerators : int
+        Accelerators from which a job counts as large.
     ageing_s : float
         Wait that halves a job's score, in seconds.
     default_run_s : float
@@ -61,6 +63,7 @@
     reserve_after_s: float = attrs.field(default=600.0, validator=ge(0))
     starvation_s: float = attrs.field(default=14400.0, validator=gt(0))
     max_reservations: int = attrs.field(default=4, validator=ge(1))
+    large_accelerators: int = attrs.field(default=8, validator=ge(1))
     ageing_s: float = attrs.field(default=3600.0, validator=gt(0))
     default_run_s: float = attrs.field(default=600.0, validator=gt(0))
     max_decisions: int = attrs.field(default=64, validator=ge(1))
--- a/filbertlb/scheduling/reservations.py
+++ b/filbertlb/scheduling/reservations.py
@@ -10,6 +10,7 @@
 
 from collections import Counter
 from functools import partial
+from itertools import islice
 from typing import TYPE_CHECKING
 
 from filbertlb.core.amounts import least
@@ -18,6 +19,8 @@
 from filbertlb.core.model import JobClass
 from filbertlb.core.reclaim import room_after_stops
 from filbertlb.core.search import find_anywhere
+from filbertlb.scheduling.config import WeightProfile
+from filbertlb.scheduling.state import accelerators
 from filbertlb.scheduling.stops import carry_out
 from filbertlb.scheduling.stops import find_takeover
 
@@ -34,6 +37,13 @@
     from filbertlb.scheduling.state import SchedulerState
 
 
+LARGER_VICTIM_FACTOR = 4
+"""Multiple of the starvation bound after which larger work is stopped,
+where fragmentation weighs most."""
+
+_MAX_SCANNED = 256
+
+
 def hold_for_risks(state: SchedulerState) -> None:
     """Hold capacity against firm work for guarantees at risk."""
     for key in list(state.holds_by_key):
@@ -68,7 +78,7 @@
         if starves and _start_starving(state, waiting, now_s, out):
             continue
         if waiting.job.job_id not in state.holds_by_key:
-            _reserve(state, waiting)
+            _reserve(state, waiting, now_s)
 
 
 def earliest_due_s(state: SchedulerState) -> float:
@@ -85,24 +95,40 @@
 
 
 def _long_waiting(state: SchedulerState, now_s: float) -> Iterator[Waiting]:
-    left = state.config.max_reservations
-    for waiting in state.queue.oldest():
-        if not left or now_s - waiting.place[0] < state.config.reserve_after_s:
+    """Yield the oldest jobs, and the oldest large ones where they count."""
+    config = state.config
+    large_first = config.profile is WeightProfile.FRAGMENTATION
+    left = config.max_reservations
+    large_left = config.max_reservations if large_first else 0
+    for waiting in islice(state.queue.oldest(), _MAX_SCANNED):
+        if now_s - waiting.place[0] < config.reserve_after_s:
             return
-        job = waiting.job
-        wanted = waiting.need[0] * job.shape.members
-        if state.queue.is_delayed(waiting):
+        large = waiting.need[0] * waiting.job.shape.members
+        if not left and large < config.large_accelerators:
             continue
-        if state.shares.allows(job.organisation_id, wanted):
+        if not _is_ready(state, waiting):
+            continue
+        if left:
             left -= 1
             yield waiting
+        elif large_left:
+            large_left -= 1
+            yield waiting
+
+
+def _is_ready(state: SchedulerState, waiting: Waiting) -> bool:
+    job = waiting.job
+    wanted = waiting.need[0] * job.shape.members
+    return not state.queue.is_delayed(waiting) and state.shares.allows(
+        job.organisation_id, wanted
+    )
 
 
 def _start_starving(
     state: SchedulerState, waiting: Waiting, now_s: float, out: Decisions
 ) -> bool:
     takeover = find_takeover(
-        state, waiting, _younger_than(state, waiting), now_s
+        state, waiting, _may_stop(state, waiting, now_s), now_s
     )
     if takeover is None:
         return False
@@ -111,8 +137,8 @@
     return True
 
 
-def _reserve(state: SchedulerState, waiting: Waiting) -> None:
-    eligible = _younger_than(state, waiting)
+def _reserve(state: SchedulerState, waiting: Waiting, now_s: float) -> None:
+    eligible = _may_stop(state, waiting, now_s)
     for room in (_soon_room, _later_room):
         workers = find_anywhere(
             state.cluster,
@@ -151,13 +177,39 @@
     return minus(state.guarantee_room(worker), worker.held)
 
 
-def _younger_than(state: SchedulerState, waiting: Waiting) -> Eligible:
+def _may_stop(
+    state: SchedulerState, waiting: Waiting, now_s: float
+) -> Eligible:
+    """Return which runs may be stopped for a job that starves.
+
+    Younger runs; where fragmentation weighs most, larger ones only
+    after a multiple of the bound, and older ones that are smaller and
+    had not starved themselves when they started. A job that is stopped
+    too often thus starves and is then stopped for older work only, so
+    that two jobs cannot go on stopping each other.
+    """
+    config = state.config
+    by_size = config.profile is WeightProfile.FRAGMENTATION
+    size = waiting.need[0] * waiting.job.shape.members
+    patience_s = config.starvation_s * LARGER_VICTIM_FACTOR
+    may_stop_larger = now_s - waiting.place[0] >= patience_s
+
     def eligible(run: Run) -> bool:
+        if (
+            not run.borrowed
+            or run.stopping
+            or run.job.job_class is JobClass.URGENT
+        ):
+            return False
+        place = state.place(run)
+        victim_size = accelerators(run)
+        if place > waiting.place:
+            return not by_size or may_stop_larger or victim_size <= size
+        waited_s = run.started_at_s - place[0]
         return (
-            run.borrowed
-            and not run.stopping
-            and run.job.job_class is not JobClass.URGENT
-            and state.place(run) > waiting.place
+            by_size
+            and waited_s < config.starvation_s
+            and victim_size * 2 <= size
         )
 
     return eligible
