Know members from what they announce

Cause: there is no list of endpoints; messages get lost or late, and endpoints, links and the observer itself pause. AnnounceAck gains a sequence and wants_full, and Beat is new among the messages. Seen to fail first: an old sequence that counts as news, a former incarnation that takes the newer one's place, a leaving that isn't repeated or counts an earlier answer as its own (known after more than 3 s with six messages lost in a row), and an observer that blames others for its own pause. Conclusion: one late message of a never-heard former incarnation put a leaving endpoint back among the usable ones; another incarnation is now believed from its second message while the present one is heard. Silence proves nothing about work; only a later message tells pause from death.

--- /dev/null
+++ b/filbertlb/core/membership.py
@@ -0,0 +1,183 @@
+"""Tables of endpoints and of entries, built from what they announce."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from filbertlb.core.members import ChangeKind
+from filbertlb.core.members import MemberState
+from filbertlb.core.members import MemberTable
+from filbertlb.core.members import Sighting
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from filbertlb.core.members import MemberChange
+    from filbertlb.core.membership_times import MembershipTimes
+    from filbertlb.messages import Announce
+    from filbertlb.messages import Beat
+    from filbertlb.messages import EntryHello
+
+
+@attrs.frozen
+class Heard:
+    """What follows from an announcement or a beat.
+
+    It is answered only if it is accepted or the full one is wanted; an
+    answer to an older message would pass for one to the newest.
+
+    Parameters
+    ----------
+    accepted : bool
+        Whether it is newer than all heard before.
+    wants_full : bool
+        Whether the full announcement is missing here.
+    changes : tuple of MemberChange
+        What it changed.
+    """
+
+    accepted: bool
+    wants_full: bool = False
+    changes: tuple[MemberChange, ...] = ()
+
+
+class EndpointTable:
+    """Endpoints known to one entry.
+
+    Parameters
+    ----------
+    times : MembershipTimes
+        Times of announcements and of failure detection.
+    """
+
+    def __init__(self, times: MembershipTimes) -> None:
+        self.members = MemberTable(times)
+        self.announce_by_id: dict[str, Announce] = {}
+
+    def announced(
+        self, announce: Announce, period_s: float, now_s: float
+    ) -> Heard:
+        """Take note of a full announcement.
+
+        Parameters
+        ----------
+        period_s : float
+            Period that the answer tells the endpoint, in seconds.
+        now_s : float
+            Monotonic time in seconds.
+        """
+        sighting = Sighting(
+            announce.endpoint_id,
+            announce.incarnation,
+            announce.sequence,
+            announce.draining,
+        )
+        changes = self.members.hear(sighting, period_s, now_s)
+        if changes is None:
+            return Heard(accepted=False)
+        self.announce_by_id[announce.endpoint_id] = announce
+        return Heard(accepted=True, changes=tuple(changes))
+
+    def beat(self, beat: Beat, period_s: float, now_s: float) -> Heard:
+        """Take note of a beat.
+
+        Without the full announcement that it stands for it counts for
+        nothing and the full one is asked for.
+        """
+        known = self.announce_by_id.get(beat.endpoint_id)
+        if known is None or known.incarnation != beat.incarnation:
+            return Heard(accepted=False, wants_full=True)
+        sighting = Sighting(
+            beat.endpoint_id, beat.incarnation, beat.sequence, known.draining
+        )
+        changes = self.members.hear(sighting, period_s, now_s)
+        if changes is None:
+            return Heard(accepted=False)
+        self.announce_by_id[beat.endpoint_id] = attrs.evolve(
+            known, in_flight=beat.in_flight
+        )
+        return Heard(
+            accepted=True,
+            wants_full=beat.full > known.sequence,
+            changes=tuple(changes),
+        )
+
+    def tick(self, now_s: float) -> list[MemberChange]:
+        """Return what silence tells; to be called a few times a second."""
+        changes = self.members.tick(now_s)
+        for change in changes:
+            if change.kind is ChangeKind.FORGOTTEN:
+                self.announce_by_id.pop(change.member_id, None)
+        return changes
+
+    def state(self, endpoint_id: str) -> MemberState | None:
+        """Return the state of an endpoint, or None if it is unknown."""
+        member = self.members.by_id.get(endpoint_id)
+        return None if member is None else member.state
+
+    def usable(self) -> list[Announce]:
+        """Return the endpoints that may get new work."""
+        return [self.announce_by_id[key] for key in self.members.usable_ids()]
+
+    def silent_domains(self) -> frozenset[str]:
+        """Return failure domains of which no endpoint is heard.
+
+        They may be cut off from here rather than dead, as a whole.
+        """
+        heard: set[str] = set()
+        known: set[str] = set()
+        for key, announce in self.announce_by_id.items():
+            known.add(announce.failure_domain)
+            if self.state(key) in (MemberState.ALIVE, MemberState.DRAINING):
+                heard.add(announce.failure_domain)
+        return frozenset(known - heard)
+
+
+class EntryTable:
+    """Entries known to one entry, itself included.
+
+    Parameters
+    ----------
+    times : MembershipTimes
+        Times of announcements and of failure detection.
+    """
+
+    def __init__(self, times: MembershipTimes) -> None:
+        self.members = MemberTable(times)
+        self.hello_by_id: dict[str, EntryHello] = {}
+        self._times = times
+
+    def heard(self, hello: EntryHello, now_s: float) -> list[MemberChange]:
+        """Take note of a heartbeat."""
+        sighting = Sighting(
+            hello.entry_id, hello.incarnation, draining=hello.draining
+        )
+        changes = self.members.hear(sighting, self._times.period_s, now_s)
+        if changes is None:
+            return []
+        self.hello_by_id[hello.entry_id] = hello
+        return changes
+
+    def tick(self, now_s: float) -> list[MemberChange]:
+        """Return what silence tells; to be called a few times a second."""
+        changes = self.members.tick(now_s)
+        for change in changes:
+            if change.kind is ChangeKind.FORGOTTEN:
+                self.hello_by_id.pop(change.member_id, None)
+        return changes
+
+    def usable_ids(self) -> list[str]:
+        """Return the entries that may take over roles."""
+        return sorted(self.members.usable_ids())
+
+    def addresses(self) -> tuple[str, ...]:
+        """Return the addresses that agents announce themselves to."""
+        return _addresses(
+            self.hello_by_id[key] for key in self.members.usable_ids()
+        )
+
+
+def _addresses(hellos: Iterable[EntryHello]) -> tuple[str, ...]:
+    return tuple(sorted(hello.address for hello in hellos))
--- a/filbertlb/messages.py
+++ b/filbertlb/messages.py
@@ -112,6 +112,21 @@
     tasks: tuple[TaskStatus, ...] = ()
 
 
+@attrs.frozen
+class Beat:
+    """Announcement of an endpoint that has not changed.
+
+    It stands for the full announcement of sequence ``full`` with the
+    values given here; an entry that lacks that one asks for it.
+    """
+
+    endpoint_id: str
+    incarnation: str
+    sequence: int
+    full: int
+    in_flight: int = 0
+
+
 @attrs.frozen
 class AnnounceAck:
     """Answer to an announcement.
@@ -122,12 +137,18 @@
         Addresses of the live entries.
     period_s : float
         Period at which the agent is to announce, in seconds.
+    sequence : int
+        Sequence of the announcement or beat that is answered.
+    wants_full : bool
+        The entry lacks the endpoint's full announcement.
     """
 
     entry_id: str
     entry_addresses: tuple[str, ...]
     period_s: float
     revision: int = 0
+    sequence: int = 0
+    wants_full: bool = False
 
 
 @attrs.frozen
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,370 @@
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+from attrs import define
+from attrs import field
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
+
+from filbertlb.core.announcing import announce_period_s
+from filbertlb.core.announcing import Announcer
+from filbertlb.core.announcing import MEMBERSHIP_SHARE
+from filbertlb.core.members import ChangeKind
+from filbertlb.core.members import MemberState
+from filbertlb.core.membership import EndpointTable
+from filbertlb.core.membership import EntryTable
+from filbertlb.core.membership_times import MembershipTimes
+from filbertlb.core.membership_times import MembershipTimesError
+from filbertlb.messages import Announce
+from filbertlb.messages import Beat
+from filbertlb.messages import EntryHello
+from filbertlb.messages import Role
+
+TIMES = MembershipTimes()
+STEP_S = 0.1
+LEAVING_KNOWN_S = 3.0
+SETTLED_S = 5.0
+DEAD_KNOWN_S = TIMES.missed_dead * TIMES.period_s + 2 * STEP_S
+SILENT = (MemberState.SUSPECT, MemberState.DEAD)
+
+
+def announce(name, incarnation="1", sequence=1, draining=False, domain="a"):
+    return Announce(
+        endpoint_id=name,
+        incarnation=incarnation,
+        role=Role.WORKER,
+        address="127.0.0.1:1",
+        region="main",
+        failure_domain=domain,
+        rack="r",
+        sequence=sequence,
+        draining=draining,
+    )
+
+
+@define
+class Agent:
+    """An announcing endpoint behind a link that loses messages."""
+
+    name: str
+    announcer: Announcer
+    incarnation: int = 1
+    paused: bool = False
+    cut: bool = False
+    drained_at_s: float | None = None
+    heard_s: float = 0.0
+    newest: int = 0
+    former: set = field(factory=set)
+    losses: list = field(factory=lambda: [False])
+    sent: int = 0
+
+    def message(self, target):
+        if not target.full:
+            return Beat(
+                self.name,
+                str(self.incarnation),
+                target.sequence,
+                target.full_sequence,
+            )
+        draining = self.announcer.draining
+        return announce(
+            self.name, str(self.incarnation), target.sequence, draining
+        )
+
+    def loses_next(self):
+        self.sent += 1
+        return self.cut or self.losses[self.sent % len(self.losses)]
+
+
+AGENTS = st.integers(0, 2)
+LOSSES = st.integers(0, 6).map(lambda lost: [False] + [True] * lost)
+
+
+class MembershipMachine(RuleBasedStateMachine):
+    """Endpoints announce to one entry over links that lose and delay.
+
+    ``heard_s`` counts how long the entry, while it ran itself, has not
+    heard an endpoint; it is kept apart from the code under test.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.now_s = 100.0
+        self.rng = Random(1)
+        self.table = EndpointTable(TIMES)
+        self.late = []
+        self.agents = [self.start(f"w{index}") for index in range(3)]
+        self.drained = set()
+
+    def start(self, name, incarnation=1):
+        announcer = Announcer(TIMES, self.rng)
+        announcer.set_entries(["entry"], self.now_s)
+        return Agent(name, announcer, incarnation)
+
+    def deliver(self, agent, message):
+        before = self.table.announce_by_id.get(agent.name)
+        self.deliver_one(agent, message)
+        after = self.table.announce_by_id.get(agent.name)
+        if before is None or after is None:
+            return
+        if before.incarnation == after.incarnation:
+            assert after.sequence >= before.sequence
+        elif after.incarnation != str(agent.incarnation):
+            # Only a former one that was never heard may come between.
+            assert after.incarnation not in agent.former
+
+    def deliver_one(self, agent, message):
+        if isinstance(message, Beat):
+            heard = self.table.beat(message, TIMES.period_s, self.now_s)
+        else:
+            heard = self.table.announced(message, TIMES.period_s, self.now_s)
+        own = message.incarnation == str(agent.incarnation)
+        if heard.accepted and own:
+            assert message.sequence > agent.newest
+            agent.newest = message.sequence
+            agent.heard_s = 0.0
+        answers = (heard.accepted or heard.wants_full) and own
+        if answers and not agent.loses_next():
+            agent.announcer.acked(
+                "entry",
+                message.sequence,
+                TIMES.period_s,
+                heard.wants_full,
+                self.now_s,
+            )
+
+    def step(self):
+        self.now_s += STEP_S
+        for agent in self.agents:
+            agent.heard_s += STEP_S
+            if agent.paused:
+                continue
+            for target in agent.announcer.due(self.now_s):
+                message = agent.message(target)
+                if agent.loses_next():
+                    self.late.append((agent.name, message))
+                else:
+                    self.deliver(agent, message)
+        self.table.tick(self.now_s)
+        for agent in self.agents:
+            self.check(agent)
+
+    def check(self, agent):
+        known = self.table.announce_by_id.get(agent.name)
+        if known is None or known.incarnation != str(agent.incarnation):
+            return
+        state = self.table.state(agent.name)
+        if agent.heard_s < TIMES.missed_suspect * TIMES.period_s - STEP_S:
+            assert state not in SILENT
+        if agent.heard_s > DEAD_KNOWN_S:
+            assert state in (MemberState.DEAD, MemberState.LEFT)
+        if (agent.name, known.incarnation) in self.drained:
+            assert state in (MemberState.DRAINING, MemberState.LEFT)
+        if state is MemberState.DRAINING:
+            self.drained.add((agent.name, known.incarnation))
+        since_s = agent.drained_at_s
+        if since_s is not None and self.now_s - since_s > LEAVING_KNOWN_S:
+            assert state is not MemberState.ALIVE
+
+    @rule(seconds=st.sampled_from([0.3, 1.0, 3.5, 8.0]))
+    def run(self, seconds):
+        for _ in range(round(seconds / STEP_S)):
+            self.step()
+
+    @rule()
+    def settle(self):
+        for agent in self.agents:
+            agent.losses = [False]
+        self.run(SETTLED_S)
+        for agent in self.agents:
+            known = self.table.announce_by_id[agent.name]
+            assert known.incarnation == str(agent.incarnation)
+            draining = agent.announcer.draining
+            state = MemberState.DRAINING if draining else MemberState.ALIVE
+            assert self.table.state(agent.name) is state
+
+    @rule(index=AGENTS, losses=LOSSES)
+    def lose(self, index, losses):
+        self.agents[index].losses = losses
+
+    @rule(index=AGENTS, seconds=st.sampled_from([1.0, 4.0, 9.0]))
+    def pause(self, index, seconds):
+        """Pause a process; it goes on later as if nothing had been."""
+        agent = self.agents[index]
+        agent.paused, agent.drained_at_s = True, None
+        self.run(seconds)
+        agent.paused = False
+
+    @rule(index=AGENTS, seconds=st.sampled_from([1.0, 4.0, 9.0]))
+    def cut(self, index, seconds):
+        agent = self.agents[index]
+        agent.cut, agent.drained_at_s = True, None
+        self.run(seconds)
+        agent.cut = False
+
+    @rule(index=AGENTS, losses=LOSSES)
+    def drain(self, index, losses):
+        """Leave while an answer to an earlier message is on its way."""
+        agent = self.agents[index]
+        agent.losses, agent.sent = losses, 0
+        earlier = agent.announcer.sequence
+        agent.announcer.drain(self.now_s)
+        agent.drained_at_s = self.now_s
+        agent.announcer.acked(
+            "entry", earlier, TIMES.period_s, False, self.now_s
+        )
+        self.run(LEAVING_KNOWN_S + STEP_S)
+
+    @rule(index=AGENTS)
+    def restart(self, index):
+        """Replace a process whose last message is still on its way."""
+        old = self.agents[index]
+        new = self.start(old.name, old.incarnation + 1)
+        new.heard_s = STEP_S
+        if old.newest:
+            new.former = old.former | {str(old.incarnation)}
+        sequence = old.announcer.sequence + 1
+        last = announce(old.name, str(old.incarnation), sequence)
+        self.late.append((old.name, last))
+        self.agents[index] = new
+        self.run(TIMES.period_s)
+        self.deliver(new, last)
+
+    @rule(data=st.data())
+    def deliver_late(self, data):
+        """Deliver a message that seemed lost, and twice at that."""
+        if self.late:
+            name, message = data.draw(st.sampled_from(self.late))
+            agent = self.agents[int(name[1:])]
+            self.deliver(agent, message)
+            self.deliver(agent, message)
+            self.check(agent)
+
+    @rule(seconds=st.sampled_from([2.0, 30.0]))
+    def pause_entry(self, seconds):
+        """Pause the observer, which must not blame the others."""
+        self.now_s += seconds
+        for agent in self.agents:
+            agent.drained_at_s = None
+        self.step()
+
+    @rule()
+    def restart_entry(self):
+        self.table = EndpointTable(TIMES)
+        self.drained.clear()
+        for agent in self.agents:
+            agent.drained_at_s = None
+            agent.heard_s = STEP_S
+            agent.newest = 0
+            agent.former = set()
+
+
+TestMembership = MembershipMachine.TestCase
+TestMembership.settings = settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=40,
+    stateful_step_count=25,
+)
+
+
+def kinds(changes):
+    return [change.kind for change in changes]
+
+
+def test_pause_is_told_from_death_only_afterwards():
+    table = EndpointTable(TIMES)
+    table.announced(announce("w0"), 1.0, 0.0)
+    seen = []
+    for tick in range(1, 70):
+        seen += kinds(table.tick(tick * STEP_S))
+    assert seen == [ChangeKind.SUSPECT, ChangeKind.DEAD]
+    assert table.silent_domains() == {"a"}
+    again = table.announced(announce("w0", sequence=2), 1.0, 7.0)
+    assert kinds(again.changes) == [ChangeKind.RESUMED]
+
+
+def test_other_incarnation_is_believed_from_its_second_message():
+    table = EndpointTable(TIMES)
+    steps = [
+        ("a", 5, True),
+        ("b", 3, False),
+        ("b", 3, False),
+        ("a", 6, True),
+        ("b", 4, False),
+        ("b", 5, True),
+        ("a", 7, False),
+    ]
+    for incarnation, sequence, accepted in steps:
+        heard = table.announced(announce("w0", incarnation, sequence), 1.0, 0)
+        assert heard.accepted is accepted
+    for tick in range(1, 28):
+        table.tick(tick * STEP_S)
+    back = table.announced(announce("w0", "a", 8), 1.0, 2.8)
+    assert kinds(back.changes) == [ChangeKind.REPLACED]
+
+
+def test_dead_endpoint_is_forgotten():
+    table = EndpointTable(TIMES)
+    table.announced(announce("w0"), 1.0, 0.0)
+    seen = []
+    for tick in range(1, int(TIMES.forget_s) + 1):
+        seen += kinds(table.tick(float(tick)))
+    assert seen[-1] is ChangeKind.FORGOTTEN
+    assert table.announce_by_id == {}
+
+
+def test_longer_period_is_not_held_against_a_member():
+    table = EndpointTable(TIMES)
+    table.announced(announce("w0"), 5.0, 0.0)
+    table.announced(announce("w0", sequence=2), 1.0, 4.9)
+    for tick in range(1, 125):
+        table.tick(4.9 + tick * STEP_S)
+    assert table.state("w0") is MemberState.ALIVE
+
+
+def test_new_decider_is_met_within_its_period():
+    announcer = Announcer(TIMES, Random(1))
+    announcer.set_entries(["entry"], 0.0)
+    (target,) = announcer.due(TIMES.period_s)
+    announcer.acked("entry", target.sequence, 5.0, False, 1.0)
+    (beat,) = announcer.due(2.0)
+    assert announcer.next_due_s() > 2.0 + TIMES.period_s
+    announcer.acked("entry", beat.sequence, 1.0, False, 2.0)
+    assert announcer.next_due_s() <= 2.0 + TIMES.period_s
+    assert (target.full, beat.full) == (True, False)
+    announcer.changed(3.0)
+    (changed,) = announcer.due(announcer.next_due_s())
+    assert changed.full
+
+
+def test_entries_know_each_other_by_heartbeats():
+    table = EntryTable(TIMES)
+    for name in ("e1", "e2"):
+        hello = EntryHello(name, "1", f"{name}:1", "a", 0, name == "e2")
+        table.heard(hello, 0.0)
+    assert table.usable_ids() == ["e1"]
+    assert table.addresses() == ("e1:1",)
+    for tick in range(1, 30):
+        table.tick(tick * STEP_S)
+    assert table.usable_ids() == []
+
+
+@pytest.mark.parametrize("members", [0, 10, 52, 100, 200])
+def test_period_keeps_the_budget(members):
+    period_s = announce_period_s(members, 150.0, 9000.0, TIMES)
+    assert TIMES.period_s <= period_s <= TIMES.max_period_s
+    assert members * 150.0 / period_s <= 9000.0 * MEMBERSHIP_SHARE + 1e-6
+
+
+@pytest.mark.parametrize(
+    "change",
+    [{"max_period_s": 0.5}, {"missed_dead": 2.0}, {"jitter": 1.0}],
+)
+def test_contradicting_times_are_refused(change):
+    with pytest.raises(MembershipTimesError, match=repr(min(change.values()))):
+        MembershipTimes(**change)
