Put accepted configuration in force on every entry

Cause: the decider placed by first fit without organisations, and no operator could change anything over HTTP. Change: each entry reads the head every 2 s and at once when a message shows a newer revision; the guaranteeing scheduler decides under the configuration in force; jobs that can never run are refused at submission against the configured racks; routes for configuration, organisations, tokens and audit; HTTP limits from the settings. A job carries its scope, so that a later configuration can't lose its index row.

--- a/filbertlb/cli/roles.py
+++ b/filbertlb/cli/roles.py
@@ -96,8 +96,7 @@
         http_port=settings.http_port,
         link_port=settings.link_port,
         scope=settings.region,
-        max_body_bytes=settings.limits.body_bytes,
-        max_connections=settings.limits.connections,
+        limits=settings.limits,
         operator=_operator(settings),
     )
     clock = SystemClock()
--- a/filbertlb/core/model.py
+++ b/filbertlb/core/model.py
@@ -212,6 +212,8 @@
         Claims one shape of this guarantee.
     command : str
         Opaque work description passed to the workers.
+    scope : str
+        Scope whose decider places the job.
     """
 
     job_id: str
@@ -224,6 +226,7 @@
     submitted_at_s: float = 0.0
     guarantee_id: str | None = None
     command: str = ""
+    scope: str = "main"
 
     @property
     def stoppable(self) -> bool:
--- a/filbertlb/core/scheduling.py
+++ b/filbertlb/core/scheduling.py
@@ -151,6 +151,16 @@
         """
         ...
 
+    def restore(self, job: JobSpec, now_s: float) -> None:
+        """Queue a job that was accepted before, without checks."""
+        ...
+
+    def restore_organisations(
+        self, organisations: Iterable[Organisation], now_s: float
+    ) -> None:
+        """Replace all organisations by ones that were accepted before."""
+        ...
+
     def adopt(self, job: JobSpec, assignment: Assignment) -> None:
         """Take over a job that runs already, after a takeover."""
         ...
--- a/filbertlb/demo/plant.py
+++ b/filbertlb/demo/plant.py
@@ -18,10 +18,13 @@
 from filbertlb.backend.fake import FakeWorker
 from filbertlb.backend.ledger import Ledger
 from filbertlb.client import Client
+from filbertlb.core.revisions import ChangeRequest
 from filbertlb.entry.app import EntrySetup
 from filbertlb.entry.app import open_entry
 from filbertlb.errors import FilbertlbError
 from filbertlb.errors import UnavailableError
+from filbertlb.scheduling.dry_run import broken_guarantees
+from filbertlb.table.configuration import ConfigurationStore
 from filbertlb.table.memory import MemoryTable
 from filbertlb.transport.codec import KEY_BYTES
 from filbertlb.transport.codec import KeyRing
@@ -152,6 +155,15 @@
         entry = entries[number % len(entries)]
         return Client(entry.url, self.token_by_organisation[organisation_id])
 
+    def apply(self, config: SiteConfig) -> None:
+        """Accept a configuration, as an operator would."""
+        store = ConfigurationStore(self.table, self.clock)
+        request = ChangeRequest(
+            config, store.head_number(), "demo", secrets.token_hex()
+        )
+        store.apply(request, broken_guarantees)
+        self.config = config
+
     def make_tokens(self) -> None:
         """Make a caller's token for each organisation."""
         entry = next(iter(self.entry_by_id.values()))
@@ -183,7 +195,11 @@
             len(entry.directory.endpoint_by_id) >= endpoints
             for entry in entries
         )
-        return known and any(entry.decider.epoch for entry in entries)
+        return (
+            known
+            and all(entry.watcher.number() for entry in entries)
+            and any(entry.decider.epoch for entry in entries)
+        )
 
     def _keep(self, process_id: str, opened: object) -> None:
         stack = ExitStack()
@@ -210,6 +226,7 @@
         If the site does not come up.
     """
     plant = Plant(config, clock)
+    plant.apply(config)
     try:
         for number in range(entries):
             plant.start_entry(f"entry-{number}")
--- a/filbertlb/entry/app.py
+++ b/filbertlb/entry/app.py
@@ -10,18 +10,21 @@
 from typing import TYPE_CHECKING
 
 import attrs
-from gevent.pool import Pool
-from gevent.pywsgi import WSGIServer
 
 from filbertlb.api.app import Application
 from filbertlb.api.auth import TokenStore
+from filbertlb.api.configuration import OperatorRoutes
+from filbertlb.api.configuration import OrganisationNotFoundError
 from filbertlb.api.jobs import JobRoutes
 from filbertlb.api.requests import RequestRoutes
 from filbertlb.api.service import ServiceRoutes
 from filbertlb.core.gang_plan import GangBounds
+from filbertlb.entry.configuration import ConfigWatcher
+from filbertlb.entry.configuration import watching
 from filbertlb.entry.decider import Decider
 from filbertlb.entry.directory import Directory
 from filbertlb.entry.endpoint_views import RunnerChooser
+from filbertlb.entry.events import ConfigChanged
 from filbertlb.entry.events import EndpointLost
 from filbertlb.entry.events import EndpointSeen
 from filbertlb.entry.job_table import JobTable
@@ -32,13 +35,16 @@
 from filbertlb.entry.registry import registered
 from filbertlb.entry.requests import RequestService
 from filbertlb.entry.requests import TokenSource
+from filbertlb.httpserver import serving_http
 from filbertlb.messages import Announce
 from filbertlb.messages import EntryHello
 from filbertlb.messages import JobHint
 from filbertlb.messages import TaskEnded
 from filbertlb.metrics import metrics_of
 from filbertlb.routing.near_first import NearFirst
-from filbertlb.scheduling.first_fit import FirstFitScheduler
+from filbertlb.scheduling.dry_run import JobChecker
+from filbertlb.scheduling.guaranteed import GuaranteedScheduler
+from filbertlb.settings.process import Limits
 from filbertlb.table.lease import LeaseKeeper
 from filbertlb.tasks import Mailbox
 from filbertlb.tasks import running_task
@@ -51,15 +57,14 @@
     from filbertlb.api.auth import TokenRecord
     from filbertlb.core.clock import Clock
     from filbertlb.core.job_record import JobRecord
-    from filbertlb.core.model import Shape
+    from filbertlb.core.model import JobSpec
+    from filbertlb.core.site import SiteConfig
     from filbertlb.metrics import Metrics
     from filbertlb.table.base import TableService
     from filbertlb.transport.codec import Envelope
     from filbertlb.transport.codec import MessageCodec
     from filbertlb.transport.link import Link
 
-MAX_BODY_BYTES = 4 * 1024 * 1024
-MAX_CONNECTIONS = 1024
 INCARNATION_BYTES = 6
 
 
@@ -76,10 +81,8 @@
         system choose.
     scope : str
         Scope that the entry may decide for.
-    max_body_bytes : int
-        Largest body of a request.
-    max_connections : int
-        Most connections from callers at once.
+    limits : Limits
+        Bounds of requests and connections.
     operator : TokenRecord, optional
         Operator's token that is valid without the table service.
     """
@@ -90,8 +93,7 @@
     http_port: int = 0
     link_port: int = 0
     scope: str = "main"
-    max_body_bytes: int = MAX_BODY_BYTES
-    max_connections: int = MAX_CONNECTIONS
+    limits: Limits = Limits()
     operator: TokenRecord | None = None
 
 
@@ -123,6 +125,8 @@
         The platform's table service.
     clock : Clock
         Source of time.
+    watcher : ConfigWatcher
+        The configuration in force here.
     metrics : Metrics
         Its metrics.
     """
@@ -133,6 +137,7 @@
         link: Link,
         table: TableService,
         clock: Clock,
+        watcher: ConfigWatcher,
         metrics: Metrics,
     ) -> None:
         self.setup = setup
@@ -141,11 +146,14 @@
         self.clock = clock
         self.url = ""
         self.incarnation = secrets.token_hex(INCARNATION_BYTES)
+        self.watcher = watcher
+        self.watcher.listeners.append(self._config_changed)
+        self._checker: JobChecker | None = None
         self.directory = Directory(link, setup.entry_id, self._greeting)
         self.tokens = TokenStore(table, clock, setup.operator)
         self.keeper = LeaseKeeper(table, setup.scope, self._holder_id(), clock)
         self.jobs = JobService(
-            JobTable(table), self._scope_of, self.announce_job, clock
+            JobTable(table), self._admit, self.announce_job, clock
         )
         self.requests = RequestService(
             link,
@@ -164,10 +172,13 @@
         route_sets = (
             JobRoutes(self.jobs, self._why),
             RequestRoutes(self.requests),
+            OperatorRoutes(
+                self.watcher, self.tokens, clock, self._revisions_in_force
+            ),
             ServiceRoutes(self.ready, self.status, metrics),
         )
         self.application = Application(
-            self.tokens, route_sets, setup.max_body_bytes
+            self.tokens, route_sets, setup.limits.body_bytes
         )
 
     def ready(self) -> bool:
@@ -188,6 +199,9 @@
             "entry_id": self.setup.entry_id,
             "scope": self.setup.scope,
             "epoch": self.decider.epoch,
+            "revision": self.watcher.number(),
+            "standing": self.watcher.gate.standing(self.clock.monotonic()),
+            "guarantees_at_risk": self.decider.risks(),
             "entries": sorted(self.directory.entry_by_id),
             "endpoints": sorted(self.directory.endpoint_by_id),
             "traffic": attrs.asdict(self.link.traffic),
@@ -223,7 +237,7 @@
             self.link,
             writer,
             self.decider_mailbox,
-            FirstFitScheduler,
+            GuaranteedScheduler,
             self.announce_job,
             GangBounds(),
         )
@@ -231,8 +245,24 @@
     def _holder_id(self) -> str:
         return f"{self.setup.entry_id}.{self.incarnation}"
 
-    def _scope_of(self, shape: Shape) -> str:
-        return self.setup.scope
+    def _config_changed(self, config: SiteConfig) -> None:
+        self._checker = JobChecker(config)
+        self.decider_mailbox.post(ConfigChanged(config))
+
+    def _admit(self, job: JobSpec) -> JobSpec:
+        config = self.watcher.config
+        if job.organisation_id not in config.organisations:
+            raise OrganisationNotFoundError(
+                f"there is no organisation {job.organisation_id!r}; an "
+                "operator creates it"
+            )
+        if self._checker is not None:
+            self._checker.check(job)
+        return attrs.evolve(job, scope=_scope_of(config, job))
+
+    def _revisions_in_force(self) -> dict[str, int]:
+        own = {self.setup.entry_id: self.watcher.number()}
+        return own | self.directory.revision_by_id()
 
     def _why(self, record: JobRecord) -> str:
         reason = self.decider.why(record.spec.job_id, self.clock.monotonic())
@@ -244,10 +274,22 @@
             self.incarnation,
             self.link.address,
             self.setup.failure_domain,
+            revision=self.watcher.number(),
             draining=not self.ready(),
         )
 
 
+def _scope_of(config: SiteConfig, job: JobSpec) -> str:
+    """Return the scope of a job's domain, or spread jobs by their id."""
+    domain = job.shape.failure_domain
+    if domain is not None:
+        scope = config.scope_of(domain)
+        if scope is not None:
+            return scope
+    scopes = config.scopes
+    return scopes[int(job.job_id, 16) % len(scopes)]
+
+
 @contextmanager
 def open_entry(
     setup: EntrySetup, table: TableService, codec: MessageCodec, clock: Clock
@@ -267,20 +309,20 @@
     """
     with ExitStack() as stack:
         metrics = stack.enter_context(metrics_of("entry", setup.entry_id))
+        watcher = ConfigWatcher(table, clock)
         link = stack.enter_context(
-            open_link(setup.host, setup.link_port, codec, clock)
+            open_link(
+                setup.host, setup.link_port, codec, clock, watcher.number
+            )
         )
-        entry = Entry(setup, link, table, clock, metrics)
+        link.on_revision = watcher.observe
+        entry = Entry(setup, link, table, clock, watcher, metrics)
         _run_tasks(entry, stack)
-        server = WSGIServer(
-            (setup.host, setup.http_port),
-            entry.application,
-            log=None,
-            spawn=Pool(setup.max_connections),
+        entry.url = stack.enter_context(
+            serving_http(
+                entry.application, setup.host, setup.http_port, setup.limits
+            )
         )
-        server.start()
-        stack.callback(server.stop, timeout=0)
-        entry.url = f"http://{setup.host}:{server.server_port}"
         row = EntryRow(setup.entry_id, link.address, entry.url)
         stack.enter_context(registered(table, row, entry.learn_entries))
         yield entry
@@ -301,6 +343,7 @@
     stack.enter_context(
         running_task(entry.decider, entry.decider_mailbox, clock)
     )
+    stack.enter_context(watching(entry.watcher))
     stack.enter_context(
         leading(entry.keeper, entry.decider_mailbox, clock, lambda: 0.0)
     )
--- a/filbertlb/entry/decider.py
+++ b/filbertlb/entry/decider.py
@@ -29,6 +29,7 @@
 from filbertlb.core.scheduling import StartJob
 from filbertlb.core.scheduling import StopJob
 from filbertlb.entry.events import Answered
+from filbertlb.entry.events import ConfigChanged
 from filbertlb.entry.events import DecisionWritten
 from filbertlb.entry.events import Deposed
 from filbertlb.entry.events import Elected
@@ -36,13 +37,13 @@
 from filbertlb.entry.events import EndpointSeen
 from filbertlb.entry.events import JobRead
 from filbertlb.entry.events import JobsLoaded
-from filbertlb.entry.events import OrganisationsChanged
 from filbertlb.entry.events import OutcomeWritten
 from filbertlb.entry.gang_driver import GangDriver
 from filbertlb.entry.job_table import OpenJob
 from filbertlb.messages import JobHint
 from filbertlb.messages import Role
 from filbertlb.messages import TaskEnded
+from filbertlb.scheduling.config import SchedulerConfig
 from filbertlb.transport.codec import Envelope
 
 if TYPE_CHECKING:
@@ -50,10 +51,11 @@
 
     from filbertlb.core.gang_plan import GangOutcome
     from filbertlb.core.job_record import JobRecord
-    from filbertlb.core.model import Organisation
     from filbertlb.core.scheduling import Decision
+    from filbertlb.core.scheduling import GuaranteeAtRisk
     from filbertlb.core.scheduling import SchedulingPolicy
     from filbertlb.core.scheduling import WaitReason
+    from filbertlb.core.site import SiteConfig
     from filbertlb.entry.gang_driver import RunningGang
     from filbertlb.entry.job_writer import JobWriter
     from filbertlb.messages import Announce
@@ -94,7 +96,7 @@
         link: Link,
         writer: JobWriter,
         mailbox: Mailbox,
-        make_policy: Callable[[], SchedulingPolicy],
+        make_policy: Callable[[SchedulerConfig], SchedulingPolicy],
         announce: Callable[[JobHint], None],
         bounds: GangBounds,
     ) -> None:
@@ -107,7 +109,7 @@
         self._gangs = GangDriver(
             link, writer, mailbox, self._endpoint_by_id, announce
         )
-        self._organisations: tuple[Organisation, ...] = ()
+        self._config: SiteConfig | None = None
         self._rescan_due_s = math.inf
         self._forget()
 
@@ -120,6 +122,10 @@
         """Return why a queued job waits, or None."""
         return self._policy.why(job_id, now_s)
 
+    def risks(self) -> tuple[GuaranteeAtRisk, ...]:
+        """Return the guarantees that have no placement at present."""
+        return self._policy.risks() if self._loaded else ()
+
     def receive(self, message: Any, now_s: float) -> None:
         """Take one message."""
         match message:
@@ -163,9 +169,8 @@
             case Deposed():
                 logger.warning("lease of scope {} lost", self._scope)
                 self._forget()
-            case OrganisationsChanged():
-                self._organisations = message.organisations
-                self._set_organisations(now_s)
+            case ConfigChanged():
+                self._config_changed(message.config, now_s)
             case JobsLoaded():
                 self._jobs_loaded(message, now_s)
             case JobRead():
@@ -195,24 +200,50 @@
         self._elected_at_s = math.inf
         self._decide_due_s = math.inf
         self._rescan_due_s = math.inf
-        self._policy = self._make_policy()
+        self._policy = self._make_policy(self._scheduler_config())
         self._gangs.clear()
         self._job_by_id: dict[str, JobRecord] = {}
 
+    def _scheduler_config(self) -> SchedulerConfig:
+        if self._config is None:
+            return SchedulerConfig()
+        return self._config.scheduler
+
     def _elected(self, elected: Elected, now_s: float) -> None:
+        logger.info(
+            "decides for {} in epoch {}", self._scope, elected.lease.epoch
+        )
+        self._begin(elected.lease.epoch, now_s)
+
+    def _begin(self, epoch: int, now_s: float) -> None:
+        serial = self._serial if epoch == self._epoch else 0
         self._forget()
-        self._epoch = elected.lease.epoch
+        self._epoch = epoch
+        self._serial = serial
         self._elected_at_s = now_s
         self._rescan_due_s = now_s + RESCAN_PERIOD_S
-        logger.info("decides for {} in epoch {}", self._scope, self._epoch)
         for announce in self._endpoint_by_id.values():
             self._add_worker(announce, now_s)
-        self._set_organisations(now_s)
+        self._restore_organisations(now_s)
         self._writer.load(self._epoch)
 
-    def _set_organisations(self, now_s: float) -> None:
-        if self._epoch:
-            self._policy.set_organisations(self._organisations, now_s)
+    def _config_changed(self, config: SiteConfig, now_s: float) -> None:
+        known = self._config
+        self._config = config
+        if not self._epoch:
+            return
+        if known is None or known.scheduler != config.scheduler:
+            # State under other thresholds is built afresh, as after a
+            # takeover; rows and announcements hold all of it.
+            self._begin(self._epoch, now_s)
+            return
+        self._restore_organisations(now_s)
+
+    def _restore_organisations(self, now_s: float) -> None:
+        if self._config is not None:
+            self._policy.restore_organisations(
+                self._config.model_organisations(), now_s
+            )
             self._wake(now_s)
 
     def _endpoint_seen(self, announce: Announce, now_s: float) -> None:
@@ -405,8 +436,7 @@
             self._policy.cancel(job_id, now_s)
         else:
             self._job_by_id[job_id] = job
-            if self._policy.why(job_id, now_s) is None:
-                self._policy.submit(job.spec, now_s)
+            self._policy.restore(job.spec, now_s)
         self._wake(now_s)
 
 
--- a/filbertlb/entry/directory.py
+++ b/filbertlb/entry/directory.py
@@ -99,6 +99,18 @@
             if known.announce.role == role
         ]
 
+    def revision_by_id(self) -> dict[str, int]:
+        """Return the revision that each known process has announced."""
+        entries = {
+            entry_id: known.hello.revision
+            for entry_id, known in self.entry_by_id.items()
+        }
+        endpoints = {
+            endpoint_id: known.announce.revision
+            for endpoint_id, known in self.endpoint_by_id.items()
+        }
+        return entries | endpoints
+
     def entry_addresses(self) -> tuple[str, ...]:
         """Return the addresses of this entry and all live ones."""
         others = [
--- a/filbertlb/entry/events.py
+++ b/filbertlb/entry/events.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from typing import Any
 from typing import TYPE_CHECKING
 
 import attrs
@@ -12,6 +11,7 @@
     from filbertlb.core.gang_plan import Written
     from filbertlb.core.job_record import JobRecord
     from filbertlb.core.lease import Lease
+    from filbertlb.core.site import SiteConfig
     from filbertlb.messages import Announce
     from filbertlb.messages import Done
     from filbertlb.messages import Refused
@@ -85,7 +85,7 @@
 
 
 @attrs.frozen
-class OrganisationsChanged:
+class ConfigChanged:
     """Another configuration is in force."""
 
-    organisations: tuple[Any, ...]
+    config: SiteConfig
--- a/filbertlb/entry/job_table.py
+++ b/filbertlb/entry/job_table.py
@@ -93,7 +93,7 @@
                 return found
             after = rows[-1].key
 
-    def create(self, record: JobRecord, scope: str) -> None:
+    def create(self, record: JobRecord) -> None:
         """Write a new job.
 
         Raises
@@ -110,14 +110,13 @@
         reference = spec.organisation_id.encode()
         writes = (
             Write(key, _encode(record), ABSENT),
-            Write(_open_key(scope, spec.job_id), reference),
+            Write(_open_key(spec.scope, spec.job_id), reference),
         )
         commit_settled(self._table, writes, Proof(key))
 
     def change(
         self,
         job: OpenJob,
-        scope: str,
         transition: Transition,
         commit: Commit | None = None,
     ) -> JobRecord | None:
@@ -153,7 +152,7 @@
             after = transition(before)
             if after == before:
                 return before
-            writes = _change_writes(row, after, scope)
+            writes = _change_writes(row, after)
             try:
                 self._commit(writes, Proof(key), commit)
             except RowConflictError:
@@ -172,13 +171,12 @@
             commit(writes, proof)
 
 
-def _change_writes(
-    row: Row, after: JobRecord, scope: str
-) -> tuple[Write, ...]:
+def _change_writes(row: Row, after: JobRecord) -> tuple[Write, ...]:
     write = Write(row.key, _encode(after), row.version)
     if not after.is_final:
         return (write,)
-    return (write, Write(_open_key(scope, after.spec.job_id), None))
+    open_key = _open_key(after.spec.scope, after.spec.job_id)
+    return (write, Write(open_key, None))
 
 
 def _job_key(organisation_id: str, job_id: str) -> str:
--- a/filbertlb/entry/jobs.py
+++ b/filbertlb/entry/jobs.py
@@ -90,8 +90,8 @@
     ----------
     jobs : JobTable
         The rows.
-    scope_of : callable
-        Returns the scope that decides about a job's shape.
+    admit : callable
+        Returns a job with its scope, or refuses what can never run.
     announce : callable
         Tells all entries that a job's row has changed.
     clock : Clock
@@ -101,12 +101,12 @@
     def __init__(
         self,
         jobs: JobTable,
-        scope_of: Callable[[Shape], str],
+        admit: Callable[[JobSpec], JobSpec],
         announce: Callable[[JobHint], None],
         clock: Clock,
     ) -> None:
         self._jobs = jobs
-        self._scope_of = scope_of
+        self._admit = admit
         self._announce = announce
         self._clock = clock
         self._event_by_job: dict[str, Event] = {}
@@ -120,15 +120,19 @@
         ------
         KeyReusedError
             If the key stands for another job.
+        ImpossibleJobError
+            If it can never run on what is configured.
         NotAcceptedError
             If the table service refused; the job does not exist.
         WriteOutcomeUnknownError
             If it may exist; ask again under the same key.
         """
-        spec = _spec(organisation_id, key, request, self._clock.wall())
+        spec = self._admit(
+            _spec(organisation_id, key, request, self._clock.wall())
+        )
         record = JobRecord(spec)
         try:
-            self._jobs.create(record, self._scope_of(spec.shape))
+            self._jobs.create(record)
         except RowConflictError:
             return self._existing(spec)
         except TableUnavailableError as error:
@@ -176,8 +180,7 @@
         """
         known = self.get(organisation_id, job_id)
         job = OpenJob(organisation_id, job_id)
-        scope = self._scope_of(known.spec.shape)
-        record = self._jobs.change(job, scope, cancelled)
+        record = self._jobs.change(job, cancelled)
         self._announce(JobHint(organisation_id, job_id))
         return record or known
 
--- a/filbertlb/settings/process.py
+++ b/filbertlb/settings/process.py
@@ -125,8 +125,7 @@
     keys : tuple of str
         Site keys as ``ID:BASE64``; the first seals and all open.
     operator_token_hash : str
-        Hash of an operator's token as ``filbertlb token operator``
-        shows
+        Hash of an operator's token as ``filbertlb token operator`` shows
         it; valid also while the table service is down.
     """
 
--- a/tests/test_separate_processes.py
+++ b/tests/test_separate_processes.py
@@ -8,16 +8,19 @@
 from gevent import sleep
 
 from filbertlb.api.auth import make_token
-from filbertlb.api.auth import TokenStore
 from filbertlb.client import open_client
 from filbertlb.client import ServerNotReachedError
-from filbertlb.core.clock import SystemClock
 from filbertlb.errors import FilbertlbError
-from filbertlb.table.http import HttpTable
 from tests.processes import process
 from tests.processes import role
 
 KEYS = ["1:" + base64.b64encode(bytes(32)).decode()]
+RACK = {"workers": 2, "each": {"accelerators": 8, "cores": 30}}
+CONFIG = {
+    "site": "rental-site",
+    "failure_domains": {"split-a": {"region": "main", "racks": {"a1": RACK}}},
+    "organisations": {"rental": {}},
+}
 PLACE = {"failure_domain": "split-a", "link_port": 0, "http_port": 0}
 
 
@@ -29,16 +32,21 @@
         self._tmp_path = tmp_path
         platform = stack.enter_context(process("standin", "platform"))
         self.table_url = platform.told["url"]
+        self.operator_token, operator = make_token(None, operator=True)
+        digest = f"{operator.token_id}:{operator.secret_sha256}"
         self.entries = [
-            self._role(f"e{number}", role="entry") for number in range(2)
+            self._role(f"e{number}", role="entry", operator_token_hash=digest)
+            for number in range(2)
         ]
         self.workers = [
             self._agent(f"w{number}", "worker") for number in range(2)
         ]
         self.runners = [self._agent("r0", "runner")]
-        self.token, record = make_token("rental")
-        tokens = TokenStore(HttpTable(self.table_url), SystemClock())
-        tokens.add(record)
+        with open_client(self.url(0), self.operator_token) as operator:
+            change = {"config": CONFIG, "based_on": 0}
+            operator.json("POST", "/v1/config", change)
+            path = "/v1/organisations/rental/tokens"
+            self.token = operator.json("POST", path)["token"]
 
     def url(self, number):
         return self.entries[number].told["url"]
