--- a/filbertlb/core/members.py
+++ b/filbertlb/core/members.py
@@ -98,6 +98,8 @@
         Monotonic time of the last message, in seconds.
     period_s : float
         Longest period that the member may still keep to, in seconds.
+    told_period_s : float
+        Period that it was told last, in seconds.
     """
 
     member_id: str
@@ -106,12 +108,12 @@
     period_s: float
     sequence: int = 0
     life: Life = attrs.Factory(lambda: state_chart("endpoint").new())
-    _told_period_s: float = attrs.field(init=False)
+    told_period_s: float = attrs.field(init=False)
     _retired: dict[str, int] = attrs.Factory(dict)
     _candidate: Sighting | None = None
 
     def __attrs_post_init__(self) -> None:
-        self._told_period_s = self.period_s
+        self.told_period_s = self.period_s
 
     @property
     def state(self) -> MemberState:
@@ -162,8 +164,8 @@
             self.sequence = sequence
         self._candidate = None
         self.heard_at_s = now_s
-        self.period_s = max(self._told_period_s, period_s)
-        self._told_period_s = period_s
+        self.period_s = max(self.told_period_s, period_s)
+        self.told_period_s = period_s
 
 
 class MemberTable:
--- a/filbertlb/core/membership.py
+++ b/filbertlb/core/membership.py
@@ -20,18 +20,21 @@
     from filbertlb.messages import Beat
     from filbertlb.messages import EntryHello
 
+BEATS_PER_ANSWER = 5
+"""Beats of which one is answered."""
+
 
 @attrs.frozen
 class Heard:
     """What follows from an announcement or a beat.
 
-    It is answered only if it is accepted or the full one is wanted; an
-    answer to an older message would pass for one to the newest.
-
     Parameters
     ----------
     accepted : bool
         Whether it is newer than all heard before.
+    answer : bool
+        Whether to answer it with an ``AnnounceAck``; an answer to an
+        older message would pass for one to the newest.
     wants_full : bool
         Whether the full announcement is missing here.
     changes : tuple of MemberChange
@@ -39,6 +42,7 @@
     """
 
     accepted: bool
+    answer: bool = False
     wants_full: bool = False
     changes: tuple[MemberChange, ...] = ()
 
@@ -55,6 +59,7 @@
     def __init__(self, times: MembershipTimes) -> None:
         self.members = MemberTable(times)
         self.announce_by_id: dict[str, Announce] = {}
+        self._unanswered_by_id: dict[str, int] = {}
 
     def announced(
         self, announce: Announce, period_s: float, now_s: float
@@ -78,17 +83,38 @@
         if changes is None:
             return Heard(accepted=False)
         self.announce_by_id[announce.endpoint_id] = announce
-        return Heard(accepted=True, changes=tuple(changes))
-
-    def beat(self, beat: Beat, period_s: float, now_s: float) -> Heard:
+        self._unanswered_by_id[announce.endpoint_id] = 0
+        return Heard(accepted=True, answer=True, changes=tuple(changes))
+
+    def beat(
+        self,
+        beat: Beat,
+        period_s: float,
+        now_s: float,
+        has_news: bool = False,
+    ) -> Heard:
         """Take note of a beat.
 
         Without the full announcement that it stands for it counts for
-        nothing and the full one is asked for.
+        nothing and the full one is asked for. Only one beat of several
+        is answered unless there is something to tell.
+
+        Parameters
+        ----------
+        period_s : float
+            Period that an answer tells the endpoint, in seconds.
+        now_s : float
+            Monotonic time in seconds.
+        has_news : bool
+            The endpoint is to learn something, as a newer revision.
         """
         known = self.announce_by_id.get(beat.endpoint_id)
         if known is None or known.incarnation != beat.incarnation:
-            return Heard(accepted=False, wants_full=True)
+            return Heard(accepted=False, answer=True, wants_full=True)
+        wants_full = beat.full > known.sequence
+        answer = has_news or wants_full or self._is_due(beat, period_s)
+        if not answer:
+            period_s = self.members.by_id[beat.endpoint_id].told_period_s
         sighting = Sighting(
             beat.endpoint_id, beat.incarnation, beat.sequence, known.draining
         )
@@ -98,9 +124,12 @@
         self.announce_by_id[beat.endpoint_id] = attrs.evolve(
             known, in_flight=beat.in_flight
         )
+        unanswered = self._unanswered_by_id[beat.endpoint_id] + 1
+        self._unanswered_by_id[beat.endpoint_id] = 0 if answer else unanswered
         return Heard(
             accepted=True,
-            wants_full=beat.full > known.sequence,
+            answer=answer,
+            wants_full=wants_full,
             changes=tuple(changes),
         )
 
@@ -110,6 +139,7 @@
         for change in changes:
             if change.kind is ChangeKind.FORGOTTEN:
                 self.announce_by_id.pop(change.member_id, None)
+                self._unanswered_by_id.pop(change.member_id, None)
         return changes
 
     def state(self, endpoint_id: str) -> MemberState | None:
@@ -134,6 +164,14 @@
                 heard.add(announce.failure_domain)
         return frozenset(known - heard)
 
+    def _is_due(self, beat: Beat, period_s: float) -> bool:
+        """Tell whether the endpoint is to be told its period again."""
+        member = self.members.by_id[beat.endpoint_id]
+        if member.told_period_s != period_s:
+            return True
+        unanswered = self._unanswered_by_id[beat.endpoint_id]
+        return unanswered + 1 >= BEATS_PER_ANSWER
+
 
 class EntryTable:
     """Entries known to one entry, itself included.
--- a/filbertlb/core/revisions.py
+++ b/filbertlb/core/revisions.py
@@ -18,7 +18,7 @@
 
     from filbertlb.core.config_diff import Change
 
-    Check = Callable[[SiteConfig], Sequence[str]]
+    Check = Callable[[SiteConfig, SiteConfig | None], Sequence[str]]
 
 NO_REVISION = 0
 """Number that stands for no configuration at all."""
@@ -152,7 +152,8 @@
     now_s : float
         Wall time in seconds.
     check : callable
-        Returns what a configuration would break.
+        Returns what a configuration would break that the one before
+        it, None for the first, does not.
 
     Raises
     ------
@@ -173,7 +174,7 @@
         rolled_back_to=request.rolled_back_to,
     )
     problems = [*_identity_problems(config, request.config)]
-    problems += check(request.config)
+    problems += check(request.config, config)
     return Plan(revision, diff(config, request.config), tuple(problems))
 
 
--- /dev/null
+++ b/filbertlb/scheduling/dry_run.py
@@ -0,0 +1,58 @@
+"""Guarantees that a configuration would leave without a placement."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from filbertlb.scheduling.guaranteed import GuaranteedScheduler
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from filbertlb.core.model import Worker
+    from filbertlb.core.site import SiteConfig
+
+
+def broken_guarantees(
+    config: SiteConfig,
+    before: SiteConfig | None = None,
+    workers: Iterable[Worker] | None = None,
+) -> list[str]:
+    """Return a line for each guarantee that would lose placements.
+
+    What has no placement already, as while workers are down, doesn't
+    keep operators from other changes.
+
+    Parameters
+    ----------
+    before : SiteConfig, optional
+        Configuration that is replaced.
+    workers : iterable of Worker, optional
+        Workers to place on; those that the configuration expects by
+        default. Without any nothing can be told.
+    """
+    known = tuple(config.expected_workers() if workers is None else workers)
+    if not known:
+        return []
+    missing_before = {} if before is None else _missing(before, known)
+    missing = _missing(config, known)
+    return [
+        f"organisations.{organisation_id}.guarantees.{guarantee_id}: {count} "
+        f"of its shapes have no placement on {len(known)} workers; make it "
+        "smaller, or give less to others"
+        for (organisation_id, guarantee_id), count in sorted(missing.items())
+        if count > missing_before.get((organisation_id, guarantee_id), 0)
+    ]
+
+
+def _missing(
+    config: SiteConfig, workers: Iterable[Worker]
+) -> dict[tuple[str, str], int]:
+    scheduler = GuaranteedScheduler(config.scheduler)
+    for worker in workers:
+        scheduler.add_worker(worker, 0.0)
+    scheduler.restore_organisations(config.model_organisations(), 0.0)
+    return {
+        (risk.organisation_id, risk.guarantee_id): risk.missing
+        for risk in scheduler.risks()
+    }
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -45,7 +45,7 @@
     )
 
 
-def nothing_breaks(config):
+def nothing_breaks(config, before):
     return []
 
 
@@ -253,7 +253,7 @@
 
 
 def test_refused_change_names_what_it_would_break(store):
-    def check(config):
+    def check(config, before):
         return ["guarantee 'previews' has no placement"]
 
     wish = request(1, 0)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -15,6 +15,7 @@
 from filbertlb.core.announcing import MEMBERSHIP_SHARE
 from filbertlb.core.members import ChangeKind
 from filbertlb.core.members import MemberState
+from filbertlb.core.membership import BEATS_PER_ANSWER
 from filbertlb.core.membership import EndpointTable
 from filbertlb.core.membership import EntryTable
 from filbertlb.core.membership_times import MembershipTimes
@@ -127,8 +128,7 @@
             assert message.sequence > agent.newest
             agent.newest = message.sequence
             agent.heard_s = 0.0
-        answers = (heard.accepted or heard.wants_full) and own
-        if answers and not agent.loses_next():
+        if heard.answer and own and not agent.loses_next():
             agent.announcer.acked(
                 "entry",
                 message.sequence,
@@ -327,6 +327,20 @@
     assert table.state("w0") is MemberState.ALIVE
 
 
+def test_beats_are_answered_when_there_is_something_to_tell():
+    table = EndpointTable(TIMES)
+    assert table.beat(Beat("w0", "1", 1, 0), 1.0, 0.0).wants_full
+    table.announced(announce("w0"), 1.0, 0.0)
+    answered = []
+    for sequence in range(2, 2 + 2 * BEATS_PER_ANSWER):
+        heard = table.beat(Beat("w0", "1", sequence, 1), 1.0, 0.1)
+        answered.append(heard.answer)
+    assert answered == ([False] * (BEATS_PER_ANSWER - 1) + [True]) * 2
+    assert table.beat(Beat("w0", "1", 90, 1), 2.0, 0.1).answer
+    assert table.beat(Beat("w0", "1", 91, 1), 2.0, 0.1, True).answer
+    assert table.beat(Beat("w0", "1", 92, 99), 2.0, 0.1).wants_full
+
+
 def test_new_decider_is_met_within_its_period():
     announcer = Announcer(TIMES, Random(1))
     announcer.set_entries(["entry"], 0.0)
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -5,12 +5,14 @@
 from json import loads
 
 import pytest
+from attrs import evolve
 from msgspec.json import decode
 from msgspec.json import encode
 
 from filbertlb.core.site import load_site
 from filbertlb.core.site import SiteConfig
 from filbertlb.scheduling.config import WeightProfile
+from filbertlb.scheduling.dry_run import broken_guarantees
 from filbertlb.settings.load import SettingsError
 
 EXAMPLES = files("filbertlb") / "examples"
@@ -40,6 +42,33 @@
     assert len({worker.worker_id for worker in workers}) == 10
     assert {worker.capacity.cores for worker in workers} == {cores}
     assert decode(encode(config), type=SiteConfig) == config
+    assert broken_guarantees(config) == []
+
+
+def test_dry_run_names_the_guarantees_that_lose_their_placement():
+    config = example("jadran")
+    workers = [
+        worker
+        for worker in config.expected_workers()
+        if worker.rack in ("zadar-c-1", "zadar-c-2")
+    ]
+    lines = broken_guarantees(config, workers=workers[-1:])
+    assert any("dive-footage.guarantees.stabilisation" in x for x in lines)
+    assert broken_guarantees(config, config, workers[-1:]) == []
+    archive = config.organisations["archive"]
+    transcodes = archive.guarantees["transcodes"]
+    grown = evolve(
+        config,
+        organisations={
+            **config.organisations,
+            "archive": evolve(
+                archive,
+                guarantees={"transcodes": evolve(transcodes, count=10)},
+            ),
+        },
+    )
+    (line,) = broken_guarantees(grown, config, workers)
+    assert "archive.guarantees.transcodes" in line
 
 
 def put(tree, path, value):
