--- a/filbertlb/entry/app.py
+++ b/filbertlb/entry/app.py
@@ -42,8 +42,8 @@
 from filbertlb.messages import TaskEnded
 from filbertlb.metrics import metrics_of
 from filbertlb.routing.near_first import NearFirst
-from filbertlb.scheduling.dry_run import JobChecker
 from filbertlb.scheduling.guaranteed import GuaranteedScheduler
+from filbertlb.scheduling.job_checker import JobChecker
 from filbertlb.settings.process import Limits
 from filbertlb.table.lease import LeaseKeeper
 from filbertlb.tasks import Mailbox
--- a/filbertlb/scheduling/dry_run.py
+++ b/filbertlb/scheduling/dry_run.py
@@ -1,67 +1,58 @@
-"""Checks against the workers that a configuration names.
-
-They need no running worker, so entries refuse what can never be before
-they accept it.
-"""
+"""Guarantees that a configuration would leave without a placement."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from filbertlb.core.cluster import Cluster
-from filbertlb.core.scheduling import GuaranteeRefusedError
-from filbertlb.scheduling.admission import check_job
 from filbertlb.scheduling.guaranteed import GuaranteedScheduler
 
 if TYPE_CHECKING:
-    from filbertlb.core.model import JobSpec
+    from collections.abc import Iterable
+
+    from filbertlb.core.model import Worker
     from filbertlb.core.site import SiteConfig
 
 
-def broken_guarantees(config: SiteConfig) -> list[str]:
-    """Return the guarantees that the configured racks can't hold.
+def broken_guarantees(
+    config: SiteConfig,
+    before: SiteConfig | None = None,
+    workers: Iterable[Worker] | None = None,
+) -> list[str]:
+    """Return a line for each guarantee that would lose placements.
 
-    Nothing is checked while no rack is configured.
+    What has no placement already, as while workers are down, doesn't
+    keep operators from other changes.
+
+    Parameters
+    ----------
+    before : SiteConfig, optional
+        Configuration that is replaced.
+    workers : iterable of Worker, optional
+        Workers to place on; those that the configuration expects by
+        default. Without any nothing can be told.
     """
-    workers = config.expected_workers()
-    if not workers:
+    known = tuple(config.expected_workers() if workers is None else workers)
+    if not known:
         return []
+    missing_before = {} if before is None else _missing(before, known)
+    missing = _missing(config, known)
+    return [
+        f"organisations.{organisation_id}.guarantees.{guarantee_id}: {count} "
+        f"of its shapes have no placement on {len(known)} workers; make it "
+        "smaller, or give less to others"
+        for (organisation_id, guarantee_id), count in sorted(missing.items())
+        if count > missing_before.get((organisation_id, guarantee_id), 0)
+    ]
+
+
+def _missing(
+    config: SiteConfig, workers: Iterable[Worker]
+) -> dict[tuple[str, str], int]:
     scheduler = GuaranteedScheduler(config.scheduler)
     for worker in workers:
         scheduler.add_worker(worker, 0.0)
-    try:
-        scheduler.set_organisations(config.model_organisations(), 0.0)
-    except GuaranteeRefusedError as error:
-        return [error.message]
-    return []
-
-
-class JobChecker:
-    """Refuses jobs that can never run on what is configured.
-
-    Parameters
-    ----------
-    config : SiteConfig
-        The configuration in force.
-    """
-
-    def __init__(self, config: SiteConfig) -> None:
-        self._cluster = Cluster()
-        self._organisation_by_id = {
-            item.organisation_id: item for item in config.model_organisations()
-        }
-        for worker in config.expected_workers():
-            self._cluster.add(worker)
-
-    def check(self, job: JobSpec) -> None:
-        """Check one job.
-
-        Raises
-        ------
-        ImpossibleJobError
-            If it can never run; nothing is checked while no rack is
-            configured.
-        """
-        if self._cluster.by_id:
-            organisation = self._organisation_by_id.get(job.organisation_id)
-            check_job(self._cluster, organisation, job)
+    scheduler.restore_organisations(config.model_organisations(), 0.0)
+    return {
+        (risk.organisation_id, risk.guarantee_id): risk.missing
+        for risk in scheduler.risks()
+    }
