Catch up with the configuration before a job is admitted

Cause: an entry that had not polled yet refused a submission seconds after another entry had accepted the first configuration (seen in the test of separate processes). Change: admission reads the head when a newer revision is known or none is here.

--- a/filbertlb/entry/app.py
+++ b/filbertlb/entry/app.py
@@ -250,6 +250,7 @@
         self.decider_mailbox.post(ConfigChanged(config))
 
     def _admit(self, job: JobSpec) -> JobSpec:
+        self.watcher.catch_up()
         config = self.watcher.config
         if job.organisation_id not in config.organisations:
             raise OrganisationNotFoundError(
--- a/filbertlb/entry/configuration.py
+++ b/filbertlb/entry/configuration.py
@@ -103,6 +103,18 @@
             self.install(self.store.revision(head))
             self.gate.confirm(head, asked_at_s)
 
+    def catch_up(self) -> None:
+        """Read the head if a newer revision is known or none is here.
+
+        Raises
+        ------
+        FilbertlbError
+            If the table service fails.
+        """
+        gate = self.gate
+        if gate.number == NO_REVISION or gate.seen > gate.number:
+            self.refresh()
+
     def run(self) -> None:
         """Refresh until killed, at once when a newer one is heard of."""
         while True:
