--- a/benchmarks/measure_placement.py
+++ b/benchmarks/measure_placement.py
@@ -17,12 +17,12 @@
 from benchmarks.figures import figures_of
 from benchmarks.figures import Spread
 from benchmarks.optimum import measure_optimum
+from benchmarks.policies import QueueingPolicy
 from benchmarks.replay import Replay
 from benchmarks.sites import design
 from benchmarks.sites import jadran
 from benchmarks.sites import qureshi
 from benchmarks.sites import Site
-from filbertlb.core.scheduling import SchedulingPolicy
 from filbertlb.scheduling.first_fit import FirstFitScheduler
 from filbertlb.scheduling.guaranteed import GuaranteedScheduler
 
@@ -31,9 +31,10 @@
 DESIGN_SEEDS = (1,)
 GROWTH_SIZES = (10, 100, 750, 7500)
 GROWTH_HOURS = 3.0
+GROWTH_OFFERED = 3.0
 
 
-def policies_of(site: Site) -> dict[str, SchedulingPolicy]:
+def policies_of(site: Site) -> dict[str, QueueingPolicy]:
     """Return fresh policies by name."""
     return {
         "first_fit": FirstFitScheduler(),
@@ -55,7 +56,9 @@
 
 def measure_growth(worker_count: int) -> Spread | None:
     """Return decision costs in microseconds at a number of workers."""
-    site = attrs.evolve(design(worker_count), hours=GROWTH_HOURS)
+    site = attrs.evolve(
+        design(worker_count), hours=GROWTH_HOURS, offered=GROWTH_OFFERED
+    )
     policy = GuaranteedScheduler(site.config)
     replay = Replay(site, policy, drain_hours=0.0)
     outcome = replay.run(arrivals_of(site, 1), faults_of(site, 1))
--- a/benchmarks/replay.py
+++ b/benchmarks/replay.py
@@ -23,8 +23,8 @@
 
     from benchmarks.arrivals import Arrival
     from benchmarks.arrivals import Fault
+    from benchmarks.policies import QueueingPolicy
     from benchmarks.sites import Site
-    from filbertlb.core.scheduling import SchedulingPolicy
     from filbertlb.core.scheduling import StopJob
 
 TICK_S = 10.0
@@ -81,7 +81,7 @@
     """Event heap, fake workers and one policy."""
 
     site: Site
-    policy: SchedulingPolicy
+    policy: QueueingPolicy
     drain_hours: float = 72.0
     outcome: Outcome = attrs.field(factory=Outcome)
     now_s: float = 0.0
@@ -255,7 +255,7 @@
         self.tasks -= len(job.worker_ids)
         self._account(job, end)
         self.policy.ended(attrs.evolve(end, job_id=job_id), self.now_s)
-        if self.policy.why(job_id, self.now_s) is None:
+        if not self.policy.is_queued(job_id):
             job.done_at_s = self.now_s
             job.failed = end.end is not JobEnd.SUCCEEDED
 
--- a/benchmarks/sites.py
+++ b/benchmarks/sites.py
@@ -226,7 +226,7 @@
             ),
             Load(
                 JobClass.GANG,
-                0.6,
+                0.95,
                 (
                     shape(large, 1, 8, 32, wide),
                     shape(max(2, large // 2), 1, 8, 32, wide),
--- a/filbertlb/core/health.py
+++ b/filbertlb/core/health.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import attrs
@@ -17,6 +18,7 @@
 
 # A job that failed on this many workers no longer accuses any.
 _SUSPICIOUS_FAILURES = 2
+_REPEATS_PER_WORKER = 2
 
 
 @attrs.define
@@ -44,7 +46,7 @@
 
     config: SchedulerConfig
     by_worker: dict[str, _Record] = attrs.field(factory=dict)
-    failed_on_by_job: dict[str, set[str]] = attrs.field(factory=dict)
+    failed_on_by_job: dict[str, Counter[str]] = attrs.field(factory=dict)
     aside: dict[str, float] = attrs.field(factory=dict)
 
     def failed(
@@ -55,10 +57,10 @@
         now_s: float,
     ) -> None:
         """Take in that a job failed on some workers."""
-        failed_on = self.failed_on_by_job.setdefault(job_id, set())
+        failed_on = self.failed_on_by_job.setdefault(job_id, Counter())
         for worker_id in sorted(set(worker_ids)):
             if worker_id not in self.aside:
-                failed_on.add(worker_id)
+                failed_on[worker_id] += 1
             self._accuse(worker_id, job_id, worker_count, now_s)
         if len(failed_on) >= _SUSPICIOUS_FAILURES:
             self._acquit_workers(job_id)
@@ -75,9 +77,14 @@
         self.failed_on_by_job.pop(job_id, None)
 
     def is_bad_job(self, job_id: str) -> bool:
-        """Tell whether a job failed on enough good workers."""
-        failed_on = self.failed_on_by_job.get(job_id, ())
-        return len(failed_on) >= self.config.job_failure_workers
+        """Tell whether a job failed on enough good workers.
+
+        Where there are too few workers, repeated failures count.
+        """
+        failed_on = self.failed_on_by_job.get(job_id, Counter())
+        most = self.config.job_failure_workers
+        enough = len(failed_on) >= most
+        return enough or failed_on.total() >= most * _REPEATS_PER_WORKER
 
     def failures(self, job_id: str) -> int:
         """Return on how many good workers a job failed."""
@@ -131,7 +138,7 @@
         record.probe_s = min(record.probe_s * 2, self.config.probe_max_s)
         record.on_probation = False
         for failed_on in self.failed_on_by_job.values():
-            failed_on.discard(worker_id)
+            failed_on.pop(worker_id, None)
 
     def _acquit_workers(self, job_id: str) -> None:
         """Drop the accusations of a job that fails everywhere."""
--- a/filbertlb/core/queueing.py
+++ b/filbertlb/core/queueing.py
@@ -21,7 +21,7 @@
     from filbertlb.core.model import Shape
     from filbertlb.core.scheduling import WaitReason
 
-BucketKey = tuple[str, JobClass, "Shape", bool, str]
+BucketKey = tuple[str, JobClass, "Shape", "Amount", bool, str, str]
 Place = tuple[float, int, str]
 """Time of submission in seconds, order of submission and job."""
 
@@ -69,19 +69,22 @@
     reason: WaitReason | None = None
 
     @property
-    def signature(self) -> tuple[Shape, bool]:
+    def signature(self) -> tuple[Shape, Amount, bool]:
         """Return what decides whether a job fits."""
-        return (self.shape, self.stoppable)
+        return (self.shape, self.need, self.stoppable)
 
 
-def bucket_key(job: JobSpec) -> BucketKey:
-    """Return the key of the bucket that a job waits in."""
+def bucket_key(waiting: Waiting) -> BucketKey:
+    """Return the key of a job's bucket; one that avoids workers is alone."""
+    job = waiting.job
     return (
         job.organisation_id,
         job.job_class,
         job.shape,
+        waiting.need,
         job.stoppable,
         job.guarantee_id or "",
+        job.job_id if waiting.avoid else "",
     )
 
 
@@ -149,7 +152,7 @@
             yield self.by_id[place[2]]
 
     def _enter_bucket(self, waiting: Waiting) -> None:
-        key = bucket_key(waiting.job)
+        key = bucket_key(waiting)
         bucket = self.by_key.get(key)
         if bucket is None:
             bucket = Bucket(
@@ -166,7 +169,7 @@
             bucket.blocked_at = None
 
     def _leave_bucket(self, waiting: Waiting) -> None:
-        key = bucket_key(waiting.job)
+        key = bucket_key(waiting)
         bucket = self.by_key[key]
         if bucket.places[0] == waiting.place:
             bucket.blocked_at = None
--- a/filbertlb/core/search.py
+++ b/filbertlb/core/search.py
@@ -108,15 +108,24 @@
     need: Amount,
     room: Room,
     avoid: Container[str] = (),
+    *,
+    usable_only: bool = True,
 ) -> tuple[str, ...] | None:
-    """Find workers by any measure of room; tightest group first."""
+    """Find workers by any measure of room; tightest group first.
+
+    Parameters
+    ----------
+    usable_only : bool
+        Whether workers that take no work at present are left out.
+    """
     if on_one_worker(shape):
         total = times(need, shape.members)
         best = min(
             (
                 state
                 for state in cluster.by_id.values()
-                if _allowed(state, shape, avoid) and covers(room(state), total)
+                if _allowed(state, shape, avoid, usable_only)
+                and covers(room(state), total)
             ),
             key=lambda state: sum(room(state)),
             default=None,
@@ -125,7 +134,7 @@
     groups = groups_of(cluster, shape, None)
     sized = [(_group_room(group, room), group.name, group) for group in groups]
     for _, _, group in sorted(sized, key=lambda item: item[:2]):
-        chosen = fill(group, shape, need, room, avoid)
+        chosen = fill(group, shape, need, room, avoid, usable_only)
         if chosen is not None:
             return chosen
     return None
@@ -158,11 +167,13 @@
     need: Amount,
     room: Room,
     avoid: Container[str] = (),
+    usable_only: bool = True,
 ) -> tuple[str, ...] | None:
     """Place members on a group's workers, or return None."""
     counted = []
     for state in group.workers:
-        if state.usable and state.worker_id not in avoid:
+        usable = state.usable or not usable_only
+        if usable and state.worker_id not in avoid:
             count = copies(room(state), need)
             if count:
                 counted.append((state, min(count, shape.members)))
@@ -176,10 +187,15 @@
     return tuple(chosen)
 
 
-def _allowed(state: WorkerState, shape: Shape, avoid: Container[str]) -> bool:
+def _allowed(
+    state: WorkerState,
+    shape: Shape,
+    avoid: Container[str],
+    usable_only: bool = True,
+) -> bool:
     domain = shape.failure_domain
     return (
-        state.usable
+        (state.usable or not usable_only)
         and state.worker_id not in avoid
         and (domain is None or state.worker.failure_domain == domain)
     )
--- a/filbertlb/core/witness.py
+++ b/filbertlb/core/witness.py
@@ -133,6 +133,13 @@
         else:
             self.unplaced[unit] = None
 
+    def count_on_new_worker(self, state: WorkerState) -> None:
+        """Count claimed units whose runs are on a worker new to us."""
+        for unit in self.units():
+            members = unit.worker_ids.count(state.worker_id)
+            if members and unit not in state.units:
+                self._put_on(unit, state, members)
+
     def claim(self, unit: Unit, job_id: str) -> None:
         """Mark a unit as claimed: it stays where it is."""
         self._count_promise(unit, -1)
--- a/filbertlb/scheduling/config.py
+++ b/filbertlb/scheduling/config.py
@@ -53,6 +53,9 @@
         jobs are the likelier cause.
     probe_base_s, probe_max_s : float
         First and longest time a worker is put aside, in seconds.
+    forget_offline_s : float
+        Time after which an offline worker no longer counts as
+        configured, in seconds.
     overuse_factor : float
         Measured use above this multiple of the claim stops a run.
     """
@@ -74,4 +77,5 @@
     max_aside_share: float = attrs.field(default=0.34, validator=gt(0))
     probe_base_s: float = attrs.field(default=60.0, validator=gt(0))
     probe_max_s: float = attrs.field(default=3600.0, validator=gt(0))
+    forget_offline_s: float = attrs.field(default=86400.0, validator=gt(0))
     overuse_factor: float = attrs.field(default=2.0, validator=gt(1))
--- a/filbertlb/scheduling/endings.py
+++ b/filbertlb/scheduling/endings.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING
 
 from filbertlb.core.scheduling import JobEnd
+from filbertlb.core.search import find_anywhere
+from filbertlb.scheduling.overuse import correct_need
 
 if TYPE_CHECKING:
     from filbertlb.core.queueing import Waiting
@@ -26,6 +28,7 @@
         state.health.forget_job(run_end.job_id)
         return
     _set_backoff(state, waiting, run_end, now_s)
+    correct_need(state, run, waiting)
     state.queue.push(waiting, now_s)
 
 
@@ -65,6 +68,19 @@
     return True
 
 
+def _avoid_less_if_stuck(state: SchedulerState, waiting: Waiting) -> None:
+    """Let a job try workers again if it failed on all that could do."""
+    left = find_anywhere(
+        state.cluster,
+        waiting.job.shape,
+        waiting.need,
+        lambda worker: worker.capacity,
+        waiting.avoid,
+    )
+    if left is None:
+        waiting.avoid.clear()
+
+
 def _set_backoff(
     state: SchedulerState, waiting: Waiting, run_end: RunEnd, now_s: float
 ) -> None:
@@ -73,6 +89,7 @@
         failures = state.health.failures(run_end.job_id)
         delay_s = config.retry_base_s * 2 ** max(0, failures - 1)
         waiting.avoid.update(run_end.failed_worker_ids)
+        _avoid_less_if_stuck(state, waiting)
         waiting.ready_at_s = now_s + min(delay_s, config.retry_max_s)
     elif run_end.end is JobEnd.NOT_STARTED:
         waiting.ready_at_s = now_s + config.retry_base_s
--- a/filbertlb/scheduling/explaining.py
+++ b/filbertlb/scheduling/explaining.py
@@ -30,7 +30,7 @@
         return WaitReason.QUOTA
     if not _fits_online(state, waiting):
         return WaitReason.OFFLINE
-    bucket = state.queue.by_key[bucket_key(waiting.job)]
+    bucket = state.queue.by_key[bucket_key(waiting)]
     if bucket.places[0] != waiting.place:
         return WaitReason.QUEUE
     return _lack(state, waiting)
--- a/filbertlb/scheduling/filling.py
+++ b/filbertlb/scheduling/filling.py
@@ -27,6 +27,8 @@
     from filbertlb.scheduling.state import Decisions
     from filbertlb.scheduling.state import SchedulerState
 
+DISPLACE_INTERVAL_S = 1.0
+
 
 def serve_urgent(state: SchedulerState, now_s: float, out: Decisions) -> None:
     """Start urgent jobs, stopping other work where nothing is free."""
@@ -119,7 +121,7 @@
         return False
     upper_s = state.run_times.upper_s(job.organisation_id, job.job_class)
     patient = now_s + upper_s > due_s and job.job_id not in state.holds_by_key
-    chosen = _find(state, bucket, waiting, patient=patient)
+    chosen = _find(state, bucket, waiting, now_s, patient=patient)
     if chosen is None:
         bucket.reason = WaitReason.CAPACITY
         return False
@@ -128,7 +130,12 @@
 
 
 def _find(
-    state: SchedulerState, bucket: Bucket, waiting: Waiting, *, patient: bool
+    state: SchedulerState,
+    bucket: Bucket,
+    waiting: Waiting,
+    now_s: float,
+    *,
+    patient: bool,
 ) -> tuple[str, ...] | None:
     """Search, but only where something was freed since the last time."""
     job_id = waiting.job.job_id
@@ -148,15 +155,26 @@
     among = None
     if blocked_at is not None:
         among = cluster.freed_since(blocked_at)
-    if among is None or among:
-        found = find_free(cluster, shape, need, room, (), among)
-        if found is not None:
-            return found
-    found = None if bucket.stoppable else _displace(state, waiting)
+        if among is not None and not among:
+            return None
+    found = find_free(cluster, shape, need, room, (), among)
+    if found is not None:
+        return found
+    if not bucket.stoppable and _may_displace(state, kind, now_s):
+        found = _displace(state, waiting)
     state.blocked[kind] = cluster.freed_count
     return found
 
 
+def _may_displace(state: SchedulerState, kind: object, now_s: float) -> bool:
+    """Bound how often moving guarantees is tried for a kind of job."""
+    tried_at_s = state.displaced_at_s.get(kind, float("-inf"))
+    if now_s - tried_at_s < DISPLACE_INTERVAL_S:
+        return False
+    state.displaced_at_s[kind] = now_s
+    return True
+
+
 def _displace(
     state: SchedulerState, waiting: Waiting
 ) -> tuple[str, ...] | None:
--- a/filbertlb/scheduling/first_fit.py
+++ b/filbertlb/scheduling/first_fit.py
@@ -118,6 +118,10 @@
             out.append(StartJob(Assignment(job.job_id, worker_ids)))
         return out
 
+    def is_queued(self, job_id: str) -> bool:
+        """Tell whether a job waits."""
+        return any(job.job_id == job_id for job in self.queue)
+
     def why(self, job_id: str, now_s: float) -> WaitReason | None:
         """Return why a queued job waits, or None if it is not queued."""
         for index, job in enumerate(self.queue):
--- a/filbertlb/scheduling/guaranteed.py
+++ b/filbertlb/scheduling/guaranteed.py
@@ -19,6 +19,8 @@
 from filbertlb.scheduling.filling import serve_urgent
 from filbertlb.scheduling.organisations import change_organisations
 from filbertlb.scheduling.organisations import claim_for_run
+from filbertlb.scheduling.overuse import protect_neighbours
+from filbertlb.scheduling.overuse import take_usage
 from filbertlb.scheduling.reservations import hold_for_risks
 from filbertlb.scheduling.reservations import serve_reservations
 from filbertlb.scheduling.state import accelerators
@@ -30,6 +32,7 @@
     from filbertlb.core.model import Assignment
     from filbertlb.core.model import JobSpec
     from filbertlb.core.model import Organisation
+    from filbertlb.core.model import Resources
     from filbertlb.core.model import Worker
     from filbertlb.core.scheduling import Decision
     from filbertlb.core.scheduling import RunEnd
@@ -55,6 +58,7 @@
         self._sequence = 0
         self._changed = True
         self._wake_at_s = float("inf")
+        self._offline_since_s: dict[str, float] = {}
 
     def set_organisations(
         self, organisations: Iterable[Organisation], now_s: float
@@ -91,8 +95,11 @@
         if before is not None and before.online:
             state.capacity_accelerators -= before.capacity[0]
         added = state.cluster.add(worker)
+        self._offline_since_s.pop(worker.worker_id, None)
         state.capacity_accelerators += offered(worker.capacity)[0]
-        state.runs.count_on_new_worker(added)
+        if before is None:
+            state.runs.count_on_new_worker(added)
+            state.witness.count_on_new_worker(added)
         state.set_aside(added, now_s)
         state.witness.uncover(added)
 
@@ -107,6 +114,7 @@
             return ()
         self.state.capacity_accelerators -= worker.capacity[0]
         self.state.cluster.remove(worker)
+        self._offline_since_s[worker_id] = now_s
         self.state.withdraw(worker, now_s)
         return tuple(sorted(worker.runs_by_id))
 
@@ -162,6 +170,11 @@
         self._touch(now_s)
         end_run(self.state, run_end, now_s)
 
+    def report_usage(self, job_id: str, each: Resources, now_s: float) -> None:
+        """Take in the most that a member of a running job uses."""
+        self._touch(now_s)
+        take_usage(self.state, job_id, each)
+
     def decide(self, now_s: float) -> list[Decision]:
         """Return the decisions to carry out now."""
         if not self._changed and now_s < self._wake_at_s:
@@ -172,6 +185,7 @@
         self._release(now_s)
         self.state.witness.repair(now_s)
         hold_for_risks(self.state)
+        protect_neighbours(self.state, out)
         self._start_plans(now_s, out)
         serve_claims(self.state, now_s, out)
         serve_urgent(self.state, now_s, out)
@@ -181,6 +195,11 @@
         self._wake_at_s = self._next_wake_s(now_s)
         return out
 
+    def is_queued(self, job_id: str) -> bool:
+        """Tell whether a job waits; cheaper than ``why``."""
+        planned = job_id in self.state.runs.plan_by_id
+        return planned or job_id in self.state.queue.by_id
+
     def why(self, job_id: str, now_s: float) -> WaitReason | None:
         """Return why a queued job waits, or None if it is not queued."""
         del now_s
@@ -219,6 +238,16 @@
             if name in by_id:
                 self.state.set_aside(by_id[name], now_s)
         self.state.queue.wake(now_s)
+        self._forget_offline(now_s)
+
+    def _forget_offline(self, now_s: float) -> None:
+        """Drop empty workers that have been offline for long."""
+        cluster = self.state.cluster
+        for name, since_s in list(self._offline_since_s.items()):
+            long = now_s - since_s >= self.state.config.forget_offline_s
+            if long and not cluster.by_id[name].runs_by_id:
+                cluster.forget(cluster.by_id[name])
+                del self._offline_since_s[name]
 
     def _start_plans(self, now_s: float, out: list[Decision]) -> None:
         for run in list(self.state.runs.plan_by_id.values()):
--- a/filbertlb/scheduling/organisations.py
+++ b/filbertlb/scheduling/organisations.py
@@ -12,8 +12,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from filbertlb.core.model import Guarantee
     from filbertlb.core.model import Organisation
+    from filbertlb.core.runs import Run
     from filbertlb.core.witness import Unit
     from filbertlb.core.witness import Witness
     from filbertlb.scheduling.state import SchedulerState
@@ -45,21 +45,17 @@
         for organisation in organisations.values():
             check_organisation(organisation)
     grown = _grown(state.witness, organisations)
-    with _undone_on_refusal(state.witness):
-        before = len(state.witness.unplaced)
+    with _undone_on_refusal(state) as demoted:
+        before = set(state.witness.unplaced)
         dropped = state.witness.change(organisations.values())
-        lost = len(state.witness.unplaced)
+        demoted.extend(_demote(state, dropped))
         state.witness.repair(now_s)
-        missing = len(state.witness.unplaced)
-        if refuse and grown and missing > min(before, lost):
+        worse = not before.issuperset(state.witness.unplaced)
+        if refuse and grown and worse:
             raise _refusal(state.witness, grown)
     state.shares.change(organisations)
-    for unit in dropped:
-        run = state.runs.by_id.get(unit.claimed_by)
-        run = run or state.runs.plan_by_id.get(unit.claimed_by)
-        if run is not None:
-            state.set_claim(run, None)
     claim_again(state)
+    state.witness.repair(now_s)
 
 
 def claim_again(state: SchedulerState) -> None:
@@ -91,6 +87,22 @@
         state.witness.uncover(worker)
 
 
+def _demote(
+    state: SchedulerState, dropped: list[Unit]
+) -> list[tuple[Run, Unit]]:
+    """Let runs go on whose claimed unit is dropped."""
+    demoted = []
+    for unit in dropped:
+        run = state.runs.by_id.get(unit.claimed_by)
+        run = run or state.runs.plan_by_id.get(unit.claimed_by)
+        if run is not None:
+            state.set_claim(run, None)
+            demoted.append((run, unit))
+            for worker in state.runs.workers(run):
+                state.witness.uncover(worker)
+    return demoted
+
+
 def _grown(
     witness: Witness, organisations: dict[str, Organisation]
 ) -> set[GuaranteeKey]:
@@ -124,19 +136,25 @@
 
 
 @contextmanager
-def _undone_on_refusal(witness: Witness) -> Iterator[None]:
-    """Bring the witness back as it was if the change is refused."""
+def _undone_on_refusal(
+    state: SchedulerState,
+) -> Iterator[list[tuple[Run, Unit]]]:
+    """Bring guarantees back as they were if the change is refused."""
+    witness = state.witness
+    demoted: list[tuple[Run, Unit]] = []
     by_key = {key: list(units) for key, units in witness.by_key.items()}
-    saved: list[tuple[Unit, Guarantee, tuple[str, ...]]] = [
+    saved = [
         (unit, unit.guarantee, unit.worker_ids) for unit in witness.units()
     ]
     try:
-        yield
+        yield demoted
     except GuaranteeRefusedError:
         for unit in list(witness.units()):
             witness.set_placement(unit, ())
         witness.unplaced.clear()
         witness.by_key = by_key
+        for run, unit in demoted:
+            state.set_claim(run, unit)
         for unit, guarantee, worker_ids in saved:
             unit.guarantee = guarantee
             witness.set_placement(unit, worker_ids)
--- /dev/null
+++ b/filbertlb/scheduling/overuse.py
@@ -0,0 +1,79 @@
+"""Corrects for jobs that use more than they declared."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from filbertlb.core.amounts import is_negative
+from filbertlb.core.amounts import needed
+from filbertlb.core.amounts import NOTHING
+from filbertlb.core.amounts import plus
+from filbertlb.scheduling.admission import fits_empty
+
+if TYPE_CHECKING:
+    from filbertlb.core.amounts import Amount
+    from filbertlb.core.model import Resources
+    from filbertlb.core.queueing import Waiting
+    from filbertlb.core.runs import Run
+    from filbertlb.scheduling.state import Decisions
+    from filbertlb.scheduling.state import SchedulerState
+
+
+def take_usage(state: SchedulerState, job_id: str, each: Resources) -> None:
+    """Count what a member was measured to use, if more than declared.
+
+    Accelerators are whole and held by their task, so only cores and
+    memory are corrected.
+    """
+    run = state.runs.by_id.get(job_id)
+    if run is None:
+        return
+    measured = needed(each)
+    excess = (
+        0,
+        max(0, measured[1] - run.need[1]),
+        max(0, measured[2] - run.need[2]),
+    )
+    state.runs.set_excess(run, excess)
+    if run.firm:
+        for worker in state.runs.workers(run):
+            state.witness.uncover(worker)
+    if _is_far_over(run, state.config.overuse_factor):
+        state.overusers[job_id] = None
+    else:
+        state.overusers.pop(job_id, None)
+
+
+def protect_neighbours(state: SchedulerState, out: Decisions) -> None:
+    """Stop jobs far over their claim that crowd out their neighbours."""
+    for job_id in list(state.overusers):
+        run = state.runs.by_id.get(job_id)
+        if run is None or run.stopping or not run.job.stoppable:
+            del state.overusers[job_id]
+        elif _crowds(state, run):
+            del state.overusers[job_id]
+            out.append(state.stop(run, state.config.reclaim_within_s, ""))
+
+
+def correct_need(state: SchedulerState, run: Run, waiting: Waiting) -> None:
+    """Queue a job again with what it was measured to use."""
+    if run.excess == NOTHING or waiting.job.guarantee_id is not None:
+        return
+    corrected = plus(waiting.need, run.excess)
+    if fits_empty(state.cluster, waiting.job.shape, corrected):
+        waiting.need = corrected
+
+
+def _is_far_over(run: Run, factor: float) -> bool:
+    use: Amount = plus(run.need, run.excess)
+    return any(
+        wanted and used > factor * wanted
+        for used, wanted in zip(use, run.need, strict=True)
+    )
+
+
+def _crowds(state: SchedulerState, run: Run) -> bool:
+    return any(
+        is_negative(worker.free) and len(worker.runs_by_id) > 1
+        for worker in state.runs.workers(run)
+    )
--- a/filbertlb/scheduling/reservations.py
+++ b/filbertlb/scheduling/reservations.py
@@ -32,6 +32,7 @@
     from filbertlb.core.queueing import Waiting
     from filbertlb.core.reclaim import Eligible
     from filbertlb.core.runs import Run
+    from filbertlb.core.witness import Unit
     from filbertlb.scheduling.state import Decisions
     from filbertlb.scheduling.state import Holds
     from filbertlb.scheduling.state import SchedulerState
@@ -52,16 +53,26 @@
     for unit in state.witness.unplaced:
         if unit in state.holds_by_key:
             continue
-        workers = find_anywhere(
-            state.cluster,
-            unit.guarantee.shape,
-            unit.need,
-            lambda worker: minus(state.guarantee_room(worker), worker.held),
-        )
+        workers = _risk_workers(state, unit, usable_only=True)
+        if workers is None:
+            workers = _risk_workers(state, unit, usable_only=False)
         if workers is not None:
             state.set_holds(unit, _holds(unit.need, workers))
 
 
+def _risk_workers(
+    state: SchedulerState, unit: Unit, *, usable_only: bool
+) -> tuple[str, ...] | None:
+    """Find where a unit can lie once firm work ends or workers return."""
+    return find_anywhere(
+        state.cluster,
+        unit.guarantee.shape,
+        unit.need,
+        lambda worker: minus(state.guarantee_room(worker), worker.held),
+        usable_only=usable_only,
+    )
+
+
 def serve_reservations(
     state: SchedulerState, now_s: float, out: Decisions
 ) -> None:
--- a/filbertlb/scheduling/state.py
+++ b/filbertlb/scheduling/state.py
@@ -44,8 +44,12 @@
         Queue entries of jobs that run or are planned, by job.
     holds_by_key : dict
         Holds by job that has a reservation, or by unit at risk.
+    overusers : dict
+        Jobs measured to use far more than they declared.
     blocked : dict
         State of the cluster in which a kind of job did not fit.
+    displaced_at_s : dict
+        When moving guarantees was last tried for a kind of job.
     """
 
     config: SchedulerConfig
@@ -58,7 +62,9 @@
     run_times: RunTimes
     waiting_by_id: dict[str, Waiting] = attrs.field(factory=dict)
     holds_by_key: dict[str | Unit, Holds] = attrs.field(factory=dict)
+    overusers: dict[str, None] = attrs.field(factory=dict)
     blocked: dict[object, int] = attrs.field(factory=dict)
+    displaced_at_s: dict[object, float] = attrs.field(factory=dict)
     capacity_accelerators: int = 0
 
     @classmethod
--- a/tests/test_scheduling_machine.py
+++ b/tests/test_scheduling_machine.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from functools import partial
 
 import attrs
 from hypothesis import settings
@@ -12,6 +13,7 @@
 from hypothesis.stateful import RuleBasedStateMachine
 
 from filbertlb.core.model import Adjacency
+from filbertlb.core.model import Assignment
 from filbertlb.core.model import Guarantee
 from filbertlb.core.model import JobClass
 from filbertlb.core.model import JobSpec
@@ -142,6 +144,7 @@
         self.jobs = {}
         self.running = {}
         self.stopping = set()
+        self.overusing = set()
         self.count = 0
 
     @initialize()
@@ -223,6 +226,7 @@
     def finish(self, job_id, end):
         job, workers = self.jobs[job_id], self.running.pop(job_id)
         self.stopping.discard(job_id)
+        self.overusing.discard(job_id)
         kept = job.checkpointable
         failed = workers[:1] if end is JobEnd.FAILED else ()
         run_end = RunEnd(job_id, end, failed, checkpointed=kept)
@@ -259,6 +263,36 @@
                 self.policy.add_worker(worker, self.now_s)
                 self.online.add(worker.worker_id)
 
+    @precondition(lambda self: self.running)
+    @rule(data=st.data(), cores=st.sampled_from((0, 3, 9)))
+    def measure(self, data, cores):
+        job_id = data.draw(st.sampled_from(sorted(self.running)))
+        self.policy.report_usage(job_id, Resources(cores=cores), self.now_s)
+        self.overusing.discard(job_id)
+        if cores > CONFIG.overuse_factor * self.jobs[job_id].shape.each.cores:
+            self.overusing.add(job_id)
+
+    @rule(shuffled=st.randoms(use_true_random=False))
+    def take_over(self, shuffled):
+        old, self.policy = self.policy, GuaranteedScheduler(CONFIG)
+        organisations = old.state.shares.by_id.values()
+        steps = [
+            partial(self.policy.restore_organisations, organisations, 0.0)
+        ]
+        for name in sorted(self.online):
+            steps.append(partial(self.policy.add_worker, BY_ID[name], 0.0))
+        for job_id, workers in sorted(self.running.items()):
+            assignment = Assignment(job_id, workers)
+            job = self.jobs[job_id]
+            steps.append(partial(self.policy.adopt, job, assignment))
+        for job_id in sorted(self.jobs.keys() - self.running.keys()):
+            job = self.jobs[job_id]
+            steps.append(partial(self.policy.restore, job, self.now_s))
+        shuffled.shuffle(steps)
+        for step in steps:
+            step()
+        self.stopping.clear()
+
     @rule(seconds=st.sampled_from((0, 1, 20, 200)))
     def pass_time(self, seconds):
         self.now_s += seconds
@@ -288,7 +322,10 @@
         job = self.jobs[decision.job_id]
         assert decision.job_id in self.running.keys() - self.stopping
         assert job.stoppable
-        assert decision.job_id not in self.claimed()
+        if decision.for_job_id:
+            assert decision.job_id not in self.claimed()
+        else:
+            assert decision.job_id in self.overusing
         assert decision.checkpoint is job.checkpointable
         self.stopping.add(decision.job_id)
 
@@ -367,7 +404,11 @@
             assert self.online >= set(unit.worker_ids) or unit.claimed_by
             if not unit.claimed_by:
                 assert len(unit.worker_ids) == shape.members
-            members += [(name, shape.each) for name in unit.worker_ids]
+            job_id = unit.claimed_by
+            if job_id in self.running:
+                members += self.members({job_id: self.running[job_id]})
+            else:
+                members += [(name, shape.each) for name in unit.worker_ids]
         assert not overfull(members)
         assert missing == {
             (risk.organisation_id, risk.guarantee_id): risk.missing
