Give each guarantee one scope that keeps it

Cause: at a site of several scopes two deciders would both keep, or neither would, a guarantee whose shape names no failure domain. Change: a guarantee names its scope where the shape doesn't settle it, checked with the other contradictions, which move to a file of their own; model_organisations takes a scope. Quotas hold in each scope.

--- a/filbertlb/core/site.py
+++ b/filbertlb/core/site.py
@@ -23,18 +23,16 @@
 from filbertlb.core.model import Resources
 from filbertlb.core.model import Shape
 from filbertlb.core.model import Worker
+from filbertlb.core.site_check import contradictions
+from filbertlb.core.site_names import NAME_PATTERN
 from filbertlb.scheduling.config import SchedulerConfig
 from filbertlb.settings.decode import InvalidValueError
 from filbertlb.settings.load import load_settings
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-    from collections.abc import Iterator
     from collections.abc import Sequence
     from pathlib import Path
 
-NAME_PATTERN = r"[a-z0-9][a-z0-9-]*"
-
 
 @attrs.frozen
 class RackConfig:
@@ -88,10 +86,14 @@
         The shape that is guaranteed.
     count : int
         How many such shapes may be claimed at once.
+    scope : str, optional
+        Scope that keeps it; needed at a site of several scopes unless
+        the shape names its failure domain.
     """
 
     shape: Shape
     count: int = attrs.field(default=1, validator=ge(1))
+    scope: str | None = None
 
 
 @attrs.frozen
@@ -103,7 +105,8 @@
     guarantees : dict
         Guarantees by name.
     quota_accelerators : int, optional
-        Most accelerators in use at once; None is without limit.
+        Most accelerators in use at once in each scope; None is without
+        limit.
     weight : float
         Share of capacity beyond guarantees, relative to others.
     """
@@ -209,7 +212,7 @@
     limits: SiteLimits = SiteLimits()
 
     def __attrs_post_init__(self) -> None:
-        for path, problem in _contradictions(self):
+        for path, problem in contradictions(self):
             raise InvalidValueError(path, problem)
 
     @property
@@ -223,21 +226,44 @@
         domain = self.failure_domains.get(failure_domain)
         return None if domain is None else domain.scope_name
 
-    def model_organisations(self) -> tuple[Organisation, ...]:
-        """Return the organisations as the scheduler takes them."""
+    def scope_of_guarantee(self, guarantee: GuaranteeConfig) -> str | None:
+        """Return the scope that keeps a guarantee, or None if none does."""
+        domain = guarantee.shape.failure_domain
+        if domain is not None:
+            return self.scope_of(domain)
+        if guarantee.scope is None and len(self.scopes) == 1:
+            return self.scopes[0]
+        return guarantee.scope
+
+    def model_organisations(
+        self, scope: str | None = None
+    ) -> tuple[Organisation, ...]:
+        """Return the organisations as the scheduler takes them.
+
+        Parameters
+        ----------
+        scope : str, optional
+            Only the guarantees that this scope keeps.
+        """
         return tuple(
             Organisation(
                 organisation_id=name,
-                guarantees=tuple(
-                    Guarantee(key, item.shape, item.count)
-                    for key, item in sorted(config.guarantees.items())
-                ),
+                guarantees=self._guarantees(config, scope),
                 quota_accelerators=config.quota_accelerators,
                 weight=config.weight,
             )
             for name, config in sorted(self.organisations.items())
         )
 
+    def _guarantees(
+        self, config: OrganisationConfig, scope: str | None
+    ) -> tuple[Guarantee, ...]:
+        return tuple(
+            Guarantee(key, item.shape, item.count)
+            for key, item in sorted(config.guarantees.items())
+            if scope is None or self.scope_of_guarantee(item) == scope
+        )
+
     def expected_workers(self) -> tuple[Worker, ...]:
         """Return a worker for each place of the expected racks.
 
@@ -262,90 +288,3 @@
         the file, the key, the bad value and the mend.
     """
     return load_settings(paths, SiteConfig)
-
-
-def _contradictions(config: SiteConfig) -> Iterator[tuple[str, str]]:
-    """Yield the paths of values that contradict others."""
-    if not config.failure_domains:
-        yield "failure_domains", "is empty; add a failure domain"
-    yield from _bad_names(config)
-    yield from _racks_in_two_domains(config)
-    for name, organisation in config.organisations.items():
-        path = f"organisations.{name}"
-        yield from _bad_guarantees(config, organisation, path)
-        quota = organisation.quota_accelerators
-        guaranteed = organisation.guaranteed_accelerators
-        if quota is not None and quota < guaranteed:
-            yield (
-                f"{path}.quota_accelerators",
-                f"{quota!r} is less than the {guaranteed} accelerators that "
-                "are guaranteed; raise it or lower the guarantees",
-            )
-    yield from _too_much_guaranteed(config)
-
-
-def _bad_names(config: SiteConfig) -> Iterator[tuple[str, str]]:
-    named: dict[str, Iterable[str]] = {
-        "failure_domains": config.failure_domains,
-        "organisations": config.organisations,
-    }
-    check = matches_re(NAME_PATTERN)
-    field = attrs.fields(SiteConfig).site
-    for path, keys in named.items():
-        for key in keys:
-            try:
-                check(None, field, key)
-            except ValueError:
-                yield (
-                    f"{path}.{key}",
-                    f"{key!r} is no name; use small letters, digits and '-'",
-                )
-
-
-def _racks_in_two_domains(config: SiteConfig) -> Iterator[tuple[str, str]]:
-    domain_by_rack: dict[str, str] = {}
-    for name, domain in config.failure_domains.items():
-        for rack in domain.racks:
-            other = domain_by_rack.setdefault(rack, name)
-            if other != name:
-                yield (
-                    f"failure_domains.{name}.racks.{rack}",
-                    f"rack {rack!r} is also in {other!r}; rename one",
-                )
-
-
-def _bad_guarantees(
-    config: SiteConfig, organisation: OrganisationConfig, path: str
-) -> Iterator[tuple[str, str]]:
-    for name, guarantee in organisation.guarantees.items():
-        shape = guarantee.shape
-        shape_path = f"{path}.guarantees.{name}.shape"
-        domain = shape.failure_domain
-        if domain is not None and domain not in config.failure_domains:
-            yield (
-                f"{shape_path}.failure_domain",
-                f"{domain!r} is no failure domain; use one of "
-                f"{sorted(config.failure_domains)!r}",
-            )
-        if shape.members > config.limits.gang_members:
-            yield (
-                f"{shape_path}.members",
-                f"{shape.members!r} is more than limits.gang_members "
-                f"{config.limits.gang_members!r}",
-            )
-
-
-def _too_much_guaranteed(config: SiteConfig) -> Iterator[tuple[str, str]]:
-    expected = sum(
-        worker.capacity.accelerators for worker in config.expected_workers()
-    )
-    guaranteed = sum(
-        organisation.guaranteed_accelerators
-        for organisation in config.organisations.values()
-    )
-    if expected and guaranteed > expected:
-        yield (
-            "organisations",
-            f"{guaranteed} accelerators are guaranteed but the racks hold "
-            f"{expected}; lower guarantees or add racks",
-        )
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -67,6 +67,8 @@
             ),
         },
     )
+    assert grown.model_organisations("dalmatia") == grown.model_organisations()
+    assert grown.model_organisations("north")[0].guarantees == ()
     (line,) = broken_guarantees(grown, config, workers)
     assert "archive.guarantees.transcodes" in line
 
@@ -100,6 +102,11 @@
         (f"{SHAPE}/members", 65, "65 is more than limits.gang_members 64"),
         (f"{ARCHIVE}/quota_accelerators", 3, "3 is less than the 4"),
         (f"{SHAPE}/members", 40, "organisations.archive.quota_accelerators"),
+        (
+            "failure_domains/split-a/scope",
+            "split",
+            "previews.scope: None is no scope; use one of ['dalmatia'",
+        ),
         ("lease/margin_s", 3.0, "3.0 is not less than ttl_s 3.0"),
         (
             "organisations/dive-footage/guarantees/stabilisation/count",
