Fence acknowledgements and keep the ends that an open job needs

Cause: a replaced decider could acknowledge ends that no row holds, and the ends of a job whose lost member is still awaited were acknowledged; the book and the row had grown large and the row did not read its chart. Change: acknowledgements are fenced and withheld; the room on a worker and the outcome of an attempt are modules of their own; job.json is interpreted. The machine replays any command once sent. Conclusion: ends last until the row holds them.

--- a/filbertlb/agent/book.py
+++ b/filbertlb/agent/book.py
@@ -14,27 +14,23 @@
 
 from filbertlb.agent.closed import ClosedToken
 from filbertlb.agent.closed import ClosedTokens
-from filbertlb.agent.closed import member_key
 from filbertlb.agent.effects import BookAnswer
 from filbertlb.agent.effects import ForgetTask
 from filbertlb.agent.effects import ReportEnd
 from filbertlb.agent.effects import StartTask
 from filbertlb.agent.effects import StopTask
+from filbertlb.agent.holdings import Holdings
 from filbertlb.agent.member import BookMember
-from filbertlb.core.model import Resources
 from filbertlb.core.refusals import AgentDrainingError
 from filbertlb.core.refusals import AlreadyStartedError
-from filbertlb.core.refusals import NoCapacityError
 from filbertlb.core.refusals import NotArmedError
 from filbertlb.core.refusals import NotHeldError
 from filbertlb.core.refusals import ReportBacklogError
-from filbertlb.core.refusals import ReservationContendedError
 from filbertlb.core.refusals import StaleEpochError
 from filbertlb.core.refusals import StaleIncarnationError
 from filbertlb.core.refusals import TokenClosedError
 from filbertlb.core.refusals import TokenTooOldError
 from filbertlb.core.task_phase import ENDED_PHASES
-from filbertlb.core.task_phase import OCCUPYING_PHASES
 from filbertlb.core.task_phase import STARTING_PHASES
 from filbertlb.errors import FilbertlbError
 from filbertlb.errors import Ran
@@ -51,10 +47,8 @@
 from filbertlb.messages import TaskPhase
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
-    from filbertlb.agent.closed import MemberKey
     from filbertlb.agent.effects import BookEffect
+    from filbertlb.core.model import Resources
     from filbertlb.messages import TaskStatus
     from filbertlb.messages import Token
 
@@ -90,28 +84,27 @@
         closed_keep_s: float = _CLOSED_KEEP_S,
     ) -> None:
         self.incarnation = incarnation
-        self.capacity = capacity
         self.draining = False
         self._epoch_by_scope: dict[str, int] = {}
-        self._by_key: dict[MemberKey, BookMember] = {}
+        self._holdings = Holdings(capacity)
         self._closed = ClosedTokens(closed_limit, closed_keep_s)
 
     @property
     def free(self) -> Resources:
         """Return what is neither held nor in use."""
-        return self._free_without(())
+        return self._holdings.free_without(())
 
     def next_due_s(self) -> float:
         """Return the time of the next tick that has work to do."""
         due = (
             min(member.expires_s, member.stop_due_s, member.report_due_s)
-            for member in self._by_key.values()
+            for member in self._holdings.members()
         )
         return min(due, default=math.inf)
 
     def statuses(self) -> tuple[TaskStatus, ...]:
         """Return all members held, running or not yet acknowledged."""
-        return tuple(member.status for member in self._by_key.values())
+        return tuple(member.status for member in self._holdings.members())
 
     def drain(self) -> None:
         """Refuse all new members from now on."""
@@ -128,15 +121,17 @@
         """
         token = evolve(status.token, incarnation=self.incarnation)
         has_ended = status.phase in ENDED_PHASES
-        self._by_key[member_key(token)] = BookMember(
-            token=token,
-            job_id=status.job_id,
-            organisation_id=status.organisation_id,
-            needs=status.needs,
-            phase=status.phase,
-            checkpoint=status.checkpoint,
-            detail=status.detail,
-            report_due_s=-math.inf if has_ended else math.inf,
+        self._holdings.add(
+            BookMember(
+                token=token,
+                job_id=status.job_id,
+                organisation_id=status.organisation_id,
+                needs=status.needs,
+                phase=status.phase,
+                checkpoint=status.checkpoint,
+                detail=status.detail,
+                report_due_s=-math.inf if has_ended else math.inf,
+            )
         )
 
     def handle(self, command: BookCommand, now_s: float) -> BookAnswer:
@@ -169,7 +164,7 @@
         checkpoint: str = "",
     ) -> list[BookEffect]:
         """Record that the worker has ended a member, and report it."""
-        member = self._by_key.get(member_key(token))
+        member = self._holdings.get(token)
         if member is None or member.phase is not TaskPhase.RUNNING:
             return []
         member.phase = phase
@@ -183,7 +178,7 @@
         self._expire(now_s)
         self._closed.prune(now_s)
         effects: list[BookEffect] = []
-        for member in self._by_key.values():
+        for member in self._holdings.members():
             if member.stop_due_s <= now_s:
                 member.stop_mode = StopMode.CANCEL
                 member.stop_due_s = now_s + _REPORT_PERIOD_S
@@ -193,9 +188,11 @@
         return effects
 
     def _dispatch(self, command: BookCommand, now_s: float) -> BookAnswer:
+        self._check_epoch(command.token)
         if isinstance(command, TaskEndedAck):
+            # True whatever incarnation reported the end.
             return self._acknowledge(command, now_s)
-        self._check_fence(command.token)
+        self._check_incarnation(command.token)
         match command:
             case Reserve():
                 return self._reserve(command, now_s)
@@ -208,7 +205,7 @@
             case Stop():
                 return self._stop(command, now_s)
 
-    def _check_fence(self, token: Token) -> None:
+    def _check_epoch(self, token: Token) -> None:
         highest = self._epoch_by_scope.get(token.scope, token.epoch)
         if token.epoch < highest:
             raise StaleEpochError(
@@ -217,6 +214,8 @@
                 ran=self._known_ran(token),
             )
         self._epoch_by_scope[token.scope] = token.epoch
+
+    def _check_incarnation(self, token: Token) -> None:
         if token.incarnation != self.incarnation:
             raise StaleIncarnationError(
                 f"token for incarnation {token.incarnation!r} met "
@@ -226,19 +225,20 @@
 
     def _known_ran(self, token: Token) -> Ran:
         """Return what holds whatever any decider does next."""
-        member = self._by_key.get(member_key(token))
+        member = self._holdings.get(token)
         if member is not None and member.phase not in STARTING_PHASES:
             return Ran.YES
         closed = self._closed.get(token)
         return Ran.UNKNOWN if closed is None else closed.ran
 
     def _reserve(self, command: Reserve, now_s: float) -> BookAnswer:
-        member = self._by_key.get(member_key(command.token))
+        member = self._holdings.get(command.token)
         if member is not None:
             return self._done(member, command.token)
         self._check_not_closed(command.token)
         self._check_accepts_work()
-        self._make_room(command, now_s)
+        for victim in self._holdings.room_for(command):
+            self._close(victim, now_s, "gave way to another gang")
         member = BookMember(
             token=command.token,
             job_id=command.job_id,
@@ -247,7 +247,7 @@
             phase=TaskPhase.HELD,
             expires_s=now_s + command.hold_s,
         )
-        self._by_key[member_key(command.token)] = member
+        self._holdings.add(member)
         return self._done(member, command.token)
 
     def _arm(self, command: Arm, now_s: float) -> BookAnswer:
@@ -286,7 +286,7 @@
         return self._done(member, command.token, start)
 
     def _abort(self, command: Abort, now_s: float) -> BookAnswer:
-        member = self._by_key.get(member_key(command.token))
+        member = self._holdings.get(command.token)
         if member is None:
             return self._abort_unknown(command.token, now_s)
         if member.phase not in STARTING_PHASES:
@@ -308,7 +308,7 @@
         return BookAnswer(Done(token, TaskPhase.STOPPED, "aborted"))
 
     def _stop(self, command: Stop, now_s: float) -> BookAnswer:
-        member = self._by_key.get(member_key(command.token))
+        member = self._holdings.get(command.token)
         if member is None or member.phase in STARTING_PHASES:
             return self._abort(Abort(command.token), now_s)
         if member.phase is not TaskPhase.RUNNING:
@@ -322,7 +322,7 @@
         return self._done(member, command.token, stop)
 
     def _acknowledge(self, command: TaskEndedAck, now_s: float) -> BookAnswer:
-        member = self._by_key.get(member_key(command.token))
+        member = self._holdings.get(command.token)
         if member is None:
             return BookAnswer(Done(command.token, TaskPhase.STOPPED))
         if member.phase not in ENDED_PHASES:
@@ -337,7 +337,7 @@
 
     def _find(self, token: Token, now_s: float) -> BookMember:
         """Return a known member, and take over its token's epoch."""
-        member = self._by_key.get(member_key(token))
+        member = self._holdings.get(token)
         if member is not None:
             member.token = token
             return member
@@ -370,47 +370,17 @@
         if self.draining:
             raise AgentDrainingError("the agent is leaving")
         ended = sum(
-            member.phase in ENDED_PHASES for member in self._by_key.values()
+            member.phase in ENDED_PHASES for member in self._holdings.members()
         )
         if ended >= _UNACKNOWLEDGED_LIMIT:
             raise ReportBacklogError(
                 f"{ended!r} ended members wait to be acknowledged"
             )
 
-    def _make_room(self, command: Reserve, now_s: float) -> None:
-        """Give up weaker holds, as few as are needed."""
-        weaker = sorted(
-            (m for m in self._by_key.values() if m.yields_to(command)),
-            key=lambda member: member.job_id,
-            reverse=True,
-        )
-        held = [m for m in weaker if m.phase is TaskPhase.HELD]
-        for count in range(len(held) + 1):
-            if self._free_without(held[:count]).fits(command.needs):
-                for victim in held[:count]:
-                    self._close(victim, now_s, "gave way to another gang")
-                return
-        starting = [m for m in weaker if m.phase in STARTING_PHASES]
-        if self._free_without(starting).fits(command.needs):
-            raise ReservationContendedError(
-                "a weaker gang is armed; ask again until it starts or ends"
-            )
-        raise NoCapacityError(
-            f"{command.needs!r} does not fit into {self.free!r}"
-        )
-
-    def _free_without(self, victims: Iterable[BookMember]) -> Resources:
-        given_up = {member_key(victim.token) for victim in victims}
-        used = Resources()
-        for key, member in self._by_key.items():
-            if member.phase in OCCUPYING_PHASES and key not in given_up:
-                used += member.needs
-        return self.capacity.minus(used)
-
     def _expire(self, now_s: float) -> None:
         expired = [
             member
-            for member in self._by_key.values()
+            for member in self._holdings.members()
             if member.expires_s <= now_s
         ]
         for member in expired:
@@ -423,7 +393,7 @@
         reason: str,
         ran: Ran = Ran.NO,
     ) -> None:
-        del self._by_key[member_key(member.token)]
+        self._holdings.remove(member)
         self._closed.add(
             ClosedToken(member.token, member.phase, ran, reason, now_s)
         )
--- a/filbertlb/core/gang_plan.py
+++ b/filbertlb/core/gang_plan.py
@@ -213,6 +213,15 @@
     written: Written = Written.NOT_SENT
     is_superseded: bool = False
 
+    @property
+    def awaits_lost(self) -> bool:
+        """Tell whether a lost member's end would change the outcome.
+
+        It may prove that nothing ran, or that all members succeeded.
+        """
+        is_unclear = self.ran is Ran.UNKNOWN or self.may_have_succeeded
+        return bool(self.lost_members) and is_unclear
+
 
 @attrs.frozen
 class Closed:
--- a/filbertlb/core/gang_result.py
+++ b/filbertlb/core/gang_result.py
@@ -99,6 +99,22 @@
     detail: str = ""
 
 
+def first_cause(results: Sequence[MemberResult]) -> StopCause | None:
+    """Return why the gang cannot succeed any more, or None."""
+    for member, result in enumerate(results):
+        if result.stage in {MemberStage.LOST, MemberStage.NOT_RUN}:
+            return StopCause(
+                JobEnd.WORKER_LOST,
+                "member_lost",
+                f"member {member!r} is {result.stage.value!r}",
+            )
+        if result.phase is TaskPhase.FAILED:
+            return StopCause(JobEnd.FAILED, "member_failed", result.detail)
+        if result.phase is TaskPhase.STOPPED:
+            return StopCause(JobEnd.STOPPED, "member_stopped", result.detail)
+    return None
+
+
 def gang_ran(results: Sequence[MemberResult]) -> Ran:
     """Return whether any member started."""
     known = {result.ran for result in results}
--- a/filbertlb/core/gang_run.py
+++ b/filbertlb/core/gang_run.py
@@ -16,6 +16,7 @@
 from filbertlb.core.gang_plan import Started
 from filbertlb.core.gang_plan import WriteDecision
 from filbertlb.core.gang_plan import Written
+from filbertlb.core.gang_result import first_cause
 from filbertlb.core.gang_result import gang_outcome
 from filbertlb.core.gang_result import gang_ran
 from filbertlb.core.gang_result import MemberResult
@@ -34,7 +35,6 @@
 from filbertlb.messages import Stop
 from filbertlb.messages import StopMode
 from filbertlb.messages import TaskEndedAck
-from filbertlb.messages import TaskPhase
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -233,8 +233,15 @@
         )
 
     def recorded(self) -> list[GangEffect]:
-        """Acknowledge all ends: the row holds the outcome."""
+        """Acknowledge all ends: the row holds the outcome.
+
+        While the end of a lost member is awaited, the other ends stay
+        with their agents: a later recovery needs them.
+        """
         plan = self.plan
+        outcome = self.outcome
+        if outcome is None or outcome.is_superseded or outcome.awaits_lost:
+            return []
         return [
             Send(
                 member,
@@ -303,7 +310,7 @@
         if self.phase is GangPhase.STOPPING:
             return self._stop_running(now_s)
         if self._cause is None:
-            self._cause = self._find_cause()
+            self._cause = first_cause(self.results)
         if self._cause is not None:
             return self._stop_rest(now_s)
         has_unconfirmed = bool(self._at(MemberStage.UNCONFIRMED))
@@ -313,22 +320,6 @@
             return [Started(self.plan)]
         return []
 
-    def _find_cause(self) -> StopCause | None:
-        for member, result in enumerate(self.results):
-            if result.stage in {MemberStage.LOST, MemberStage.NOT_RUN}:
-                return StopCause(
-                    JobEnd.WORKER_LOST,
-                    "member_lost",
-                    f"member {member!r} is {result.stage.value!r}",
-                )
-            if result.phase is TaskPhase.FAILED:
-                return StopCause(JobEnd.FAILED, "member_failed", result.detail)
-            if result.phase is TaskPhase.STOPPED:
-                return StopCause(
-                    JobEnd.STOPPED, "member_stopped", result.detail
-                )
-        return None
-
     def _stop_rest(self, now_s: float) -> list[GangEffect]:
         self.phase = GangPhase.STOPPING
         self._deadline_s = math.inf
@@ -367,7 +358,7 @@
         self._deadline_s = math.inf
         self._write_due_s = math.inf
         self._round.replace({}, self.plan, 0.0)
-        cause = self._cause or self._find_cause()
+        cause = self._cause or first_cause(self.results)
         self.outcome = gang_outcome(
             self.plan,
             self.results,
--- a/filbertlb/core/job_record.py
+++ b/filbertlb/core/job_record.py
@@ -7,16 +7,22 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import attrs
 from attrs import evolve
 from msgspec import DecodeError
 from msgspec.json import decode as decode_json
 from msgspec.json import encode as encode_json
 
+from filbertlb.core.charts import IllegalTransitionError
+from filbertlb.core.charts import state_chart
 from filbertlb.core.gang_plan import GangMember
 from filbertlb.core.gang_plan import GangOutcome
 from filbertlb.core.gang_plan import GangPlan
 from filbertlb.core.gang_plan import Written
+from filbertlb.core.job_outcome import latest_ran
+from filbertlb.core.job_outcome import state_after
 from filbertlb.core.model import FINAL_JOB_STATES
 from filbertlb.core.model import JobSpec
 from filbertlb.core.model import JobState
@@ -26,6 +32,14 @@
 from filbertlb.errors import InvalidInputError
 from filbertlb.errors import Ran
 
+_TRIGGER_BY_STATE = {
+    JobState.QUEUED: "requeue",
+    JobState.SUCCEEDED: "succeed",
+    JobState.FAILED: "fail",
+    JobState.CANCELLED: "cancel",
+    JobState.UNKNOWN: "lose",
+}
+
 
 class JobStateError(ConflictError):
     """The job's state does not allow the change."""
@@ -163,12 +177,11 @@
     _check_epoch(record, plan.epoch)
     if record.carries(plan.attempt_id) and record.state is JobState.STARTING:
         return evolve(record, epoch=plan.epoch)
-    _check_state(record, JobState.QUEUED)
     number = record.attempts + 1
     attempt = Attempt(plan.attempt_id, number, plan.scope, plan.members)
-    return evolve(
+    return _move(
         record,
-        state=JobState.STARTING,
+        "place",
         epoch=plan.epoch,
         attempts=number,
         attempt=attempt,
@@ -209,12 +222,10 @@
         If the row has moved on.
     """
     _check_attempt(record, plan.attempt_id, plan.epoch)
-    if record.state is JobState.STOPPING:
-        return evolve(record, epoch=plan.epoch, ran=Ran.YES)
-    _check_state(record, JobState.STARTING, JobState.RUNNING)
-    return evolve(
-        record, state=JobState.RUNNING, epoch=plan.epoch, ran=Ran.YES
-    )
+    known = evolve(record, epoch=plan.epoch, ran=Ran.YES)
+    if record.state in {JobState.RUNNING, JobState.STOPPING}:
+        return known
+    return _move(known, "release")
 
 
 def stopping(record: JobRecord, plan: GangPlan) -> JobRecord:
@@ -226,10 +237,9 @@
         If the row has moved on.
     """
     _check_attempt(record, plan.attempt_id, plan.epoch)
-    _check_state(
-        record, JobState.STARTING, JobState.RUNNING, JobState.STOPPING
-    )
-    return evolve(record, state=JobState.STOPPING, epoch=plan.epoch)
+    if record.state is JobState.STOPPING:
+        return evolve(record, epoch=plan.epoch)
+    return _move(record, "stop", epoch=plan.epoch)
 
 
 def cancelled(record: JobRecord) -> JobRecord:
@@ -243,9 +253,9 @@
     requested = evolve(record, cancel_requested=True)
     match record.state:
         case JobState.QUEUED:
-            return evolve(requested, state=JobState.CANCELLED)
+            return _move(requested, "cancel")
         case JobState.STARTING | JobState.RUNNING:
-            return evolve(requested, state=JobState.STOPPING)
+            return _move(requested, "stop")
         case _:
             return requested
 
@@ -258,8 +268,9 @@
     JobStateError
         If the job is not queued.
     """
-    _check_state(record, JobState.QUEUED)
-    return evolve(record, state=JobState.FAILED, code=code, detail=detail)
+    if record.state is not JobState.QUEUED:
+        raise _state_error(record)
+    return _move(record, "fail", code=code, detail=detail)
 
 
 def closed(
@@ -296,18 +307,18 @@
     ended = evolve(
         record,
         epoch=epoch,
-        ran=_latest_ran(record.ran, outcome.ran),
+        ran=latest_ran(record.ran, outcome.ran),
         failures=record.failures + has_failed,
         checkpoints=outcome.checkpoints or record.checkpoints,
         code=outcome.code,
         detail=outcome.detail,
         not_before_s=not_before_s,
     )
-    state = _state_after(ended, outcome, max_failures)
+    state = state_after(ended, outcome, max_failures)
     attempt = None
     if state is JobState.UNKNOWN:
         attempt = evolve(record.attempt, unresolved=outcome.lost_members)
-    return evolve(ended, state=state, attempt=attempt)
+    return _move(ended, *_triggers(record.state, state), attempt=attempt)
 
 
 def _never_decided(
@@ -323,51 +334,6 @@
     )
 
 
-def _state_after(
-    record: JobRecord, outcome: GangOutcome, max_failures: int
-) -> JobState:
-    if outcome.end is JobEnd.SUCCEEDED:
-        return JobState.SUCCEEDED
-    if outcome.lost_members and _is_open(record, outcome):
-        return JobState.UNKNOWN
-    if record.cancel_requested or outcome.end is JobEnd.CANCELLED:
-        return JobState.CANCELLED
-    if not _may_run_again(record, outcome):
-        return JobState.FAILED
-    return (
-        JobState.FAILED if record.failures >= max_failures else JobState.QUEUED
-    )
-
-
-def _is_open(record: JobRecord, outcome: GangOutcome) -> bool:
-    """Tell whether a lost member's end can change the job's answer.
-
-    It cannot if the job may simply run again, or if it is known that
-    the attempt started and did not succeed as a whole.
-    """
-    if record.spec.idempotent:
-        return False
-    return outcome.ran is Ran.UNKNOWN or outcome.may_have_succeeded
-
-
-def _may_run_again(record: JobRecord, outcome: GangOutcome) -> bool:
-    """Tell whether a further attempt executes nothing twice.
-
-    Work that is not idempotent goes on only from a checkpoint that
-    this very attempt took.
-    """
-    if record.spec.idempotent or outcome.ran is Ran.NO:
-        return True
-    has_resumed = outcome.end is JobEnd.STOPPED and bool(outcome.checkpoints)
-    return record.spec.checkpointable and has_resumed
-
-
-def _latest_ran(before: Ran, now: Ran) -> Ran:
-    if Ran.YES in {before, now}:
-        return Ran.YES
-    return Ran.UNKNOWN if Ran.UNKNOWN in {before, now} else Ran.NO
-
-
 def _check_epoch(record: JobRecord, epoch: int) -> None:
     if epoch < record.epoch:
         raise StaleEpochError(
@@ -385,9 +351,35 @@
         )
 
 
-def _check_state(record: JobRecord, *states: JobState) -> None:
-    if record.state not in states:
-        raise JobStateError(
-            f"job {record.spec.job_id!r} is {record.state.value!r}; read "
-            "the row again"
-        )
+def _triggers(before: JobState, after: JobState) -> tuple[str, ...]:
+    """Return the chart's triggers that lead to the state after a run.
+
+    The end of an attempt may be known before its start is written.
+    """
+    if before is after:
+        return ()
+    trigger = _TRIGGER_BY_STATE[after]
+    if before is JobState.STARTING and after is JobState.SUCCEEDED:
+        return ("release", trigger)
+    is_under_way = before in {JobState.STARTING, JobState.RUNNING}
+    if is_under_way and after is JobState.CANCELLED:
+        return ("stop", trigger)
+    return (trigger,)
+
+
+def _move(record: JobRecord, *triggers: str, **changes: Any) -> JobRecord:
+    """Return the job after transitions of its chart, and changes."""
+    state = record.state.value
+    try:
+        for trigger in triggers:
+            state = state_chart("job").after(state, trigger)
+    except IllegalTransitionError as error:
+        raise _state_error(record) from error
+    return evolve(record, state=JobState(state), **changes)
+
+
+def _state_error(record: JobRecord) -> JobStateError:
+    return JobStateError(
+        f"job {record.spec.job_id!r} is {record.state.value!r}; read the "
+        "row again"
+    )
--- a/tests/gang_world.py
+++ b/tests/gang_world.py
@@ -105,6 +105,7 @@
     deciders: list[Decider] = Factory(list)
     row_by_job_id: dict[str, Row] = Factory(dict)
     in_flight: list[tuple] = Factory(list)
+    sent: list[tuple] = Factory(list)
     now_s: float = 0.0
     log: list[dict] = Factory(list)
     attempts: dict[str, int] = Factory(dict)
@@ -203,7 +204,9 @@
                     self.in_flight.append(("row", decider, gang, effect))
 
     def send(self, decider, gang, effect):
-        self.in_flight.append(("command", decider, gang, effect))
+        item = ("command", decider, gang, effect)
+        self.in_flight.append(item)
+        self.sent.append(item)
 
     # Deliveries
 
--- a/tests/test_gang_machine.py
+++ b/tests/test_gang_machine.py
@@ -87,6 +87,14 @@
         if self.world.in_flight[index][0] not in {"write", "row"}:
             del self.world.in_flight[index]
 
+    @precondition(lambda self: self.world.sent)
+    @rule(index=INDEX, count=st.integers(1, 30))
+    def replay(self, index, count):
+        """Commands that were sent at any time arrive once more."""
+        begin = index % len(self.world.sent)
+        self.world.in_flight[:0] = self.world.sent[begin : begin + count]
+        self.deliver_many(count)
+
     @rule(count=st.integers(1, 50))
     def deliver_many(self, count):
         for _ in range(count):
