--- a/filbertlb/core/search.py
+++ b/filbertlb/core/search.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from itertools import chain
 from itertools import islice
 from typing import TYPE_CHECKING
 
@@ -25,7 +26,7 @@
 Room = Callable[["WorkerState"], "Amount"]
 """What a worker offers to the work that is being placed."""
 
-_MAX_CANDIDATES_PER_LEVEL = 32
+_MAX_CANDIDATES = 32
 
 
 def on_one_worker(shape: Shape) -> bool:
@@ -56,25 +57,23 @@
         return find_group(cluster, shape, need, room, avoid, among)
     total = times(need, shape.members)
     if among is not None:
-        levels: Iterable[Iterable[WorkerState]] = (among.values(),)
+        candidates: Iterable[WorkerState] = among.values()
     else:
         by_key = cluster.by_index_key
-        keys = cluster.index_keys(total)
-        levels = (by_key[key].values() for key in keys)
-    for level in levels:
-        fitting = (
-            state
-            for state in level
-            if _allowed(state, shape, avoid) and covers(room(state), total)
+        candidates = chain.from_iterable(
+            by_key[key].values() for key in cluster.index_keys(total)
         )
-        best = min(
-            islice(fitting, _MAX_CANDIDATES_PER_LEVEL),
-            key=lambda state: _waste(state, total),
-            default=None,
-        )
-        if best is not None:
-            return (best.worker_id,) * shape.members
-    return None
+    fitting = (
+        state
+        for state in candidates
+        if _allowed(state, shape, avoid) and covers(room(state), total)
+    )
+    best = min(
+        islice(fitting, _MAX_CANDIDATES),
+        key=lambda state: _waste(state, total),
+        default=None,
+    )
+    return None if best is None else (best.worker_id,) * shape.members
 
 
 def find_group(
@@ -205,13 +204,22 @@
     return sum(max(0, room(state)[0]) for state in group.workers)
 
 
-def _waste(state: WorkerState, total: Amount) -> tuple[int, int, int]:
-    # Spoils guaranteed and reserved capacity last, then keeps whole
-    # workers and whole racks free.
+def _waste(
+    state: WorkerState, total: Amount
+) -> tuple[int, bool, int, int, int]:
+    """Return a key by which placements that spoil less sort first.
+
+    Guaranteed and reserved capacity is spoiled last, then workers that
+    are whole, then racks with many whole workers.
+    """
+    if not total[0]:
+        return (0, False, 0, state.free[0], state.order)
     after = state.free[0] - total[0]
     kept = state.held[0] + state.promised_accelerators
     return (
-        max(0, kept - after) if total[0] else 0,
-        state.rack.free_accelerators,
+        max(0, kept - after),
+        not state.used[0],
+        sum(not other.used[0] for other in state.rack.workers),
+        state.free[0],
         state.order,
     )
--- a/filbertlb/scheduling/admission.py
+++ b/filbertlb/scheduling/admission.py
@@ -16,6 +16,8 @@
 from filbertlb.core.search import on_one_worker
 
 if TYPE_CHECKING:
+    from collections.abc import Container
+
     from filbertlb.core.amounts import Amount
     from filbertlb.core.cluster import Cluster
     from filbertlb.core.model import Guarantee
@@ -84,7 +86,12 @@
         )
 
 
-def fits_empty(cluster: Cluster, shape: Shape, need: Amount) -> bool:
+def fits_empty(
+    cluster: Cluster,
+    shape: Shape,
+    need: Amount,
+    avoid: Container[str] = (),
+) -> bool:
     """Tell whether a shape fits on known workers if all were empty."""
     if on_one_worker(shape):
         total = times(need, shape.members)
@@ -92,10 +99,15 @@
         return any(
             covers(state.capacity, total)
             and domain in (None, state.worker.failure_domain)
+            and state.worker_id not in avoid
             for state in cluster.by_id.values()
         )
     return any(
-        sum(copies(state.capacity, need) for state in group.workers)
+        sum(
+            copies(state.capacity, need)
+            for state in group.workers
+            if state.worker_id not in avoid
+        )
         >= shape.members
         for group in groups_of(cluster, shape, None)
     )
--- a/filbertlb/scheduling/config.py
+++ b/filbertlb/scheduling/config.py
@@ -36,6 +36,8 @@
         Reservations held at once, oldest job first.
     large_accelerators : int
         Accelerators from which a job counts as large.
+    compact_interval_s : float
+        Least time between two moves of small jobs, in seconds.
     ageing_s : float
         Wait that halves a job's score, in seconds.
     default_run_s : float
@@ -67,6 +69,7 @@
     starvation_s: float = attrs.field(default=14400.0, validator=gt(0))
     max_reservations: int = attrs.field(default=4, validator=ge(1))
     large_accelerators: int = attrs.field(default=8, validator=ge(1))
+    compact_interval_s: float = attrs.field(default=60.0, validator=gt(0))
     ageing_s: float = attrs.field(default=3600.0, validator=gt(0))
     default_run_s: float = attrs.field(default=600.0, validator=gt(0))
     max_decisions: int = attrs.field(default=64, validator=ge(1))
--- a/filbertlb/scheduling/guaranteed.py
+++ b/filbertlb/scheduling/guaranteed.py
@@ -12,6 +12,7 @@
 from filbertlb.core.scheduling import GuaranteeAtRisk
 from filbertlb.scheduling.admission import check_job
 from filbertlb.scheduling.claims import serve_claims
+from filbertlb.scheduling.compaction import compact
 from filbertlb.scheduling.config import SchedulerConfig
 from filbertlb.scheduling.endings import end_run
 from filbertlb.scheduling.explaining import why_waiting
@@ -191,6 +192,7 @@
         serve_urgent(self.state, now_s, out)
         serve_reservations(self.state, now_s, out)
         fill(self.state, now_s, out)
+        compact(self.state, now_s, out)
         self._changed = len(out) >= self.state.config.max_decisions
         self._wake_at_s = self._next_wake_s(now_s)
         return out
