--- a/filbertlb/core/adaptive_limit.py
+++ b/filbertlb/core/adaptive_limit.py
@@ -38,6 +38,7 @@
     _sum_s: float = 0.0
     _answers: int = 0
     _since_cut: int = 0
+    _is_starting: bool = True
 
     @property
     def service_s(self) -> float:
@@ -61,13 +62,16 @@
         if self._answers >= WINDOW:
             self._end_window()
         if in_flight >= self.limit / 2:
-            self._set(self.limit + 1 / self.limit)
+            # Until the first cut it doubles with every round.
+            step = 1.0 if self._is_starting else 1 / self.limit
+            self._set(self.limit + step)
 
     def overloaded(self) -> None:
         """Cut after a full queue or a request not answered in time."""
         # All signs within one round are about the same overload.
         if self._since_cut >= self.limit:
             self._since_cut = 0
+            self._is_starting = False
             self._set(self.limit * CUT_FACTOR)
 
     def _end_window(self) -> None:
