Keep a reserve of retries for urgent requests

Cause: with deaths, bad workers, an outage and a burst together, 20 urgent requests failed because previews had spent the retry budget.

Change: requests that are not urgent leave five retries of their organisation's budget.

--- a/benchmarks/request_entries.py
+++ b/benchmarks/request_entries.py
@@ -394,7 +394,7 @@
         budget = self.budgets.of(going.request.organisation_id)
         idempotent = going.request.idempotent
         if may_retry(idempotent, ran, going.retries, left_s) and (
-            budget.spend(now_s)
+            budget.spend(now_s, urgent=going.queued.urgent)
         ):
             wait_s = backoff_s(going.retries, self.sim.rng)
             going.retries += 1
--- a/filbertlb/core/retries.py
+++ b/filbertlb/core/retries.py
@@ -14,6 +14,7 @@
 SUCCESS_SHARE = 0.1
 FLOOR_PER_S = 1.0
 MAX_SAVED = 20.0
+URGENT_RESERVE = 5.0
 MAX_RETRIES = 3
 BACKOFF_BASE_S = 0.02
 BACKOFF_CAP_S = 2.0
@@ -87,11 +88,15 @@
         """Earn a share of a retry."""
         self._earn(self.success_share)
 
-    def spend(self, now_s: float) -> bool:
-        """Pay for one retry; return False if it is not affordable."""
+    def spend(self, now_s: float, *, urgent: bool = False) -> bool:
+        """Pay for one retry; return False if it is not affordable.
+
+        Requests that are not urgent leave a reserve for those that are.
+        """
         self._earn(max(0.0, now_s - self._at_s) * self.floor_per_s)
         self._at_s = now_s
-        if self.saved < 1:
+        reserve = 0.0 if urgent else URGENT_RESERVE
+        if self.saved < 1 + reserve:
             return False
         self.saved -= 1
         return True
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -42,6 +42,9 @@
         budgets.of("a").succeeded()
         spent += budgets.of("a").spend(0.0)
     assert 100 <= spent <= 111
+    # What is left is for urgent requests.
+    assert not budgets.of("a").spend(0.0)
+    assert budgets.of("a").spend(0.0, urgent=True)
     assert budgets.of("b").spend(0.0)
 
 
