Announce endpoints by beats and know them by their tables

Cause: the directory dropped endpoints after its own pause and believed one late message of a former incarnation; every announcement was whole. Change: the directory keeps EndpointTable and EntryTable, agents send a beat while nothing changed, a leaving agent waits until every entry has acknowledged it, preferred entries take a scope first.

--- a/filbertlb/agent/announcer.py
+++ b/filbertlb/agent/announcer.py
@@ -1,4 +1,4 @@
-"""Announces an endpoint to the entries, often and small."""
+"""Announces an endpoint to the entries, as its plan says."""
 
 from __future__ import annotations
 
@@ -7,33 +7,31 @@
 import attrs
 from loguru import logger
 
+from filbertlb.core.announcing import Announcer
+from filbertlb.core.membership import BEATS_PER_ANSWER
 from filbertlb.errors import FilbertlbError
 from filbertlb.messages import AnnounceAck
+from filbertlb.messages import Beat
+from filbertlb.transport.codec import Envelope
 from filbertlb.transport.link import OutboxFullError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from random import Random
 
+    from filbertlb.core.announcing import Target
+    from filbertlb.core.membership_times import MembershipTimes
     from filbertlb.messages import Announce
-    from filbertlb.transport.codec import Envelope
     from filbertlb.transport.link import Link
 
-DEFAULT_PERIOD_S = 1.0
-MIN_PERIOD_S = 0.2
-JITTER = 0.2
-LOOKUP_PERIOD_S = 3.0
-ENTRY_SILENCE_S = 10.0
+CHECK_PERIOD_S = 0.1
+LOOKUP_PERIOD_S = 2.0
+ENTRY_SILENCE_S = 30.0
+MISSED_ANSWERS = 2
+"""Answers that are missed before entries are looked up again."""
 
 
-@attrs.define
-class _Entry:
-    heard_at_s: float
-    period_s: float = DEFAULT_PERIOD_S
-    due_s: float = 0.0
-
-
-class Announcer:
+class AnnouncerTask:
     """Behaviour that repeats an endpoint's announcement.
 
     Entries are learned from the answers of other entries and, while
@@ -47,6 +45,8 @@
         Returns the announcement of now, given its sequence number.
     look_up : callable
         Returns the addresses of entries from the table service.
+    times : MembershipTimes
+        Times of announcements.
     rng : random.Random
         Source of jitter.
     """
@@ -56,56 +56,58 @@
         link: Link,
         describe: Callable[[int], Announce],
         look_up: Callable[[], tuple[str, ...]],
+        times: MembershipTimes,
         rng: Random,
     ) -> None:
+        self.plan = Announcer(times, rng)
         self._link = link
         self._describe = describe
         self._look_up = look_up
-        self._rng = rng
-        self._sequence = 0
+        self._heard_at_by_entry: dict[str, float] = {}
         self._look_up_due_s = 0.0
-        self._entry_by_address: dict[str, _Entry] = {}
+        self._period_s = times.period_s
+        self._answered_at_s = float("-inf")
+        self._described: Announce | None = None
 
     def receive(self, message: Envelope, now_s: float) -> None:
-        """Take an entry's answer, or send at once on a nudge."""
+        """Take an entry's answer."""
         ack = message.message
         if isinstance(ack, AnnounceAck):
-            self._heard(message.sender, ack, now_s)
-
-    def announce_now(self) -> None:
-        """Make the next announcement to every entry due."""
-        for entry in self._entry_by_address.values():
-            entry.due_s = 0.0
+            self._answered_at_s = now_s
+            self._period_s = ack.period_s
+            self._learn(message.sender, ack, now_s)
+            self.plan.acked(
+                message.sender,
+                ack.sequence,
+                ack.period_s,
+                ack.wants_full,
+                now_s,
+            )
 
     def tick(self, now_s: float) -> None:
         """Send what is due."""
-        if now_s >= self._look_up_due_s and not self._answered(now_s):
+        self._note_change(now_s)
+        silent_s = now_s - self._answered_at_s
+        bound_s = MISSED_ANSWERS * BEATS_PER_ANSWER * self._period_s
+        if silent_s > bound_s and now_s >= self._look_up_due_s:
             self._look_up_due_s = now_s + LOOKUP_PERIOD_S
             self._find_entries(now_s)
-        due = [
-            address
-            for address, entry in self._entry_by_address.items()
-            if entry.due_s <= now_s
-        ]
-        if not due:
-            return
-        self._sequence += 1
-        announce = self._describe(self._sequence)
-        for address in due:
-            self._send(address, announce, now_s)
+        for target in self.plan.due(now_s):
+            self._send(target)
 
     def next_due_s(self, now_s: float) -> float:
-        """Return the time of the next announcement in seconds."""
-        dues = [entry.due_s for entry in self._entry_by_address.values()]
-        if not self._answered(now_s):
-            dues.append(self._look_up_due_s)
-        return min(dues, default=now_s + DEFAULT_PERIOD_S)
-
-    def _answered(self, now_s: float) -> bool:
-        return any(
-            now_s - entry.heard_at_s < LOOKUP_PERIOD_S
-            for entry in self._entry_by_address.values()
-        )
+        """Return the time of the next tick in seconds."""
+        # Changes of the endpoint are looked for at this period.
+        return now_s + CHECK_PERIOD_S
+
+    def _note_change(self, now_s: float) -> None:
+        described = attrs.evolve(self._describe(0), in_flight=0)
+        if described == self._described:
+            return
+        self._described = described
+        if described.draining:
+            self.plan.drain(now_s)
+        self.plan.changed(now_s)
 
     def _find_entries(self, now_s: float) -> None:
         try:
@@ -114,29 +116,29 @@
             logger.warning("entries can't be looked up: {}", error.message)
             return
         for address in addresses:
-            self._entry_by_address.setdefault(
-                address, _Entry(now_s - LOOKUP_PERIOD_S)
+            self._heard_at_by_entry[address] = now_s
+        self.plan.set_entries(self._heard_at_by_entry, now_s)
+
+    def _learn(self, sender: str, ack: AnnounceAck, now_s: float) -> None:
+        for address in (sender, *ack.entry_addresses):
+            self._heard_at_by_entry[address] = now_s
+        for address, heard_at_s in list(self._heard_at_by_entry.items()):
+            if now_s - heard_at_s > ENTRY_SILENCE_S:
+                del self._heard_at_by_entry[address]
+        self.plan.set_entries(self._heard_at_by_entry, now_s)
+
+    def _send(self, target: Target) -> None:
+        announce = self._describe(target.sequence)
+        message: Announce | Beat = announce
+        if not target.full:
+            message = Beat(
+                announce.endpoint_id,
+                announce.incarnation,
+                target.sequence,
+                target.full_sequence,
+                announce.in_flight,
             )
-
-    def _heard(self, address: str, ack: AnnounceAck, now_s: float) -> None:
-        entry = self._entry_by_address.setdefault(address, _Entry(now_s))
-        entry.heard_at_s = now_s
-        entry.period_s = max(MIN_PERIOD_S, ack.period_s)
-        for other in ack.entry_addresses:
-            self._entry_by_address.setdefault(other, _Entry(now_s))
-        silent = [
-            known
-            for known, other_entry in self._entry_by_address.items()
-            if now_s - other_entry.heard_at_s > ENTRY_SILENCE_S
-        ]
-        for known in silent:
-            del self._entry_by_address[known]
-
-    def _send(self, address: str, announce: Announce, now_s: float) -> None:
-        entry = self._entry_by_address[address]
-        spread = self._rng.uniform(1 - JITTER, 1 + JITTER)
-        entry.due_s = now_s + entry.period_s * spread
         try:
-            self._link.send(address, announce)
+            self._link.send(target.entry, message)
         except OutboxFullError:
-            logger.debug("outbox of {} is full", address)
+            logger.debug("outbox of {} is full", target.entry)
--- a/filbertlb/agent/app.py
+++ b/filbertlb/agent/app.py
@@ -10,13 +10,14 @@
 
 import attrs
 
-from filbertlb.agent.announcer import Announcer
+from filbertlb.agent.announcer import AnnouncerTask
 from filbertlb.agent.book import ReservationBook
 from filbertlb.agent.runner import DrainNow
 from filbertlb.agent.runner import RunnerAgent
 from filbertlb.agent.slot_records import SlotLimits
 from filbertlb.agent.slots import SlotBook
 from filbertlb.agent.worker import WorkerAgent
+from filbertlb.core.membership_times import MembershipTimes
 from filbertlb.core.model import Resources
 from filbertlb.entry.registry import look_up_entries
 from filbertlb.messages import Announce
@@ -31,6 +32,7 @@
 
     from filbertlb.backend.base import RunnerBackend
     from filbertlb.backend.base import WorkerBackend
+    from filbertlb.core.announcing import Announcer
     from filbertlb.core.clock import Clock
     from filbertlb.table.base import TableService
     from filbertlb.transport.codec import MessageCodec
@@ -87,6 +89,8 @@
         )
         self.task_book = ReservationBook(self.incarnation, setup.capacity)
         self.mailbox = Mailbox(setup.endpoint_id)
+        self.revision = 0
+        self.announcer: Announcer | None = None
         self._role = role
         self._link = link
 
@@ -94,9 +98,16 @@
         """Refuse all new work from now on."""
         self.mailbox.post(DrainNow())
 
+    def observe_revision(self, number: int) -> None:
+        """Take note of the configuration revision of a message."""
+        self.revision = max(self.revision, number)
+
     def idle(self) -> bool:
         """Tell whether nothing is left to end or to report."""
-        return self.slot_book.idle and not self.task_book.statuses()
+        announcer = self.announcer
+        is_known = announcer is None or announcer.all_know_drain()
+        is_empty = self.slot_book.idle and not self.task_book.statuses()
+        return is_known and is_empty
 
     def describe(self, sequence: int) -> Announce:
         """Return the announcement of now."""
@@ -114,6 +125,7 @@
             slots=setup.slots if self._role == Role.RUNNER else 0,
             in_flight=self.slot_book.in_flight,
             draining=self.slot_book.draining or self.task_book.draining,
+            revision=self.revision,
             tasks=self.task_book.statuses(),
         )
 
@@ -132,6 +144,7 @@
             open_link(setup.host, setup.link_port, codec, clock)
         )
         agent = Agent(setup, Role.RUNNER, link)
+        link.on_revision = agent.observe_revision
         behaviour = RunnerAgent(
             link, agent.slot_book, backend, agent.mailbox, MAX_RUN_S
         )
@@ -160,6 +173,7 @@
             open_link(setup.host, setup.link_port, codec, clock)
         )
         agent = Agent(setup, Role.WORKER, link)
+        link.on_revision = agent.observe_revision
         behaviour = WorkerAgent(link, agent.task_book, backend, agent.mailbox)
         behaviour.adopt_running()
         stack.enter_context(running_task(behaviour, agent.mailbox, clock))
@@ -174,9 +188,14 @@
     def look_up() -> tuple[str, ...]:
         return tuple(row.address for row in look_up_entries(table))
 
-    announcer = Announcer(
-        link, agent.describe, look_up, Random(agent.incarnation)
+    announcer = AnnouncerTask(
+        link,
+        agent.describe,
+        look_up,
+        MembershipTimes(),
+        Random(agent.incarnation),
     )
+    agent.announcer = announcer.plan
     mailbox = Mailbox("announcer")
     link.subscribe(AnnounceAck, mailbox.deliver)
     with running_task(announcer, mailbox, clock):
--- a/filbertlb/demo/plant.py
+++ b/filbertlb/demo/plant.py
@@ -192,7 +192,7 @@
     def _is_ready(self, endpoints: int) -> bool:
         entries = self.entry_by_id.values()
         known = all(
-            len(entry.directory.endpoint_by_id) >= endpoints
+            len(entry.directory.endpoint_ids()) >= endpoints
             for entry in entries
         )
         return (
--- a/filbertlb/entry/app.py
+++ b/filbertlb/entry/app.py
@@ -19,6 +19,8 @@
 from filbertlb.api.requests import RequestRoutes
 from filbertlb.api.service import ServiceRoutes
 from filbertlb.core.gang_plan import GangBounds
+from filbertlb.core.spread import spread_scopes
+from filbertlb.core.spread import takeover_delay_s
 from filbertlb.entry.configuration import ConfigWatcher
 from filbertlb.entry.configuration import watching
 from filbertlb.entry.decider import Decider
@@ -37,6 +39,7 @@
 from filbertlb.entry.requests import TokenSource
 from filbertlb.httpserver import serving_http
 from filbertlb.messages import Announce
+from filbertlb.messages import Beat
 from filbertlb.messages import EntryHello
 from filbertlb.messages import JobHint
 from filbertlb.messages import TaskEnded
@@ -149,7 +152,9 @@
         self.watcher = watcher
         self.watcher.listeners.append(self._config_changed)
         self._checker: JobChecker | None = None
-        self.directory = Directory(link, setup.entry_id, self._greeting)
+        self.directory = Directory(
+            link, setup.entry_id, self._greeting, watcher.number
+        )
         self.tokens = TokenStore(table, clock, setup.operator)
         self.keeper = LeaseKeeper(table, setup.scope, self._holder_id(), clock)
         self.jobs = JobService(
@@ -202,8 +207,8 @@
             "revision": self.watcher.number(),
             "standing": self.watcher.gate.standing(self.clock.monotonic()),
             "guarantees_at_risk": self.decider.risks(),
-            "entries": sorted(self.directory.entry_by_id),
-            "endpoints": sorted(self.directory.endpoint_by_id),
+            "entries": self.directory.entry_ids(),
+            "endpoints": self.directory.endpoint_ids(),
             "traffic": attrs.asdict(self.link.traffic),
         }
 
@@ -225,6 +230,14 @@
         """Greet the entries that the table service names."""
         self.directory.seed(row.address for row in rows)
 
+    def takeover_delay_s(self) -> float:
+        """Return the time left to entries preferred for the scope."""
+        scopes = {self.setup.scope}
+        if self.watcher.gate.in_force is not None:
+            scopes |= set(self.watcher.config.scopes)
+        ranked = spread_scopes(scopes, self.directory.entry_ids())
+        return takeover_delay_s(ranked[self.setup.scope], self.setup.entry_id)
+
     def _make_decider(self) -> Decider:
         writer = JobWriter(
             JobTable(self.table),
@@ -334,6 +347,7 @@
     clock = entry.clock
     directory_mailbox = Mailbox("directory")
     link.subscribe(Announce, directory_mailbox.deliver)
+    link.subscribe(Beat, directory_mailbox.deliver)
     link.subscribe(EntryHello, directory_mailbox.deliver)
     link.subscribe(JobHint, entry.take_hint)
     link.subscribe(TaskEnded, entry.decider_mailbox.deliver)
@@ -346,5 +360,7 @@
     )
     stack.enter_context(watching(entry.watcher))
     stack.enter_context(
-        leading(entry.keeper, entry.decider_mailbox, clock, lambda: 0.0)
+        leading(
+            entry.keeper, entry.decider_mailbox, clock, entry.takeover_delay_s
+        )
     )
--- a/filbertlb/entry/directory.py
+++ b/filbertlb/entry/directory.py
@@ -10,21 +10,30 @@
 
 import attrs
 
+from filbertlb.core.announcing import announce_period_s
+from filbertlb.core.members import ChangeKind
+from filbertlb.core.membership import EndpointTable
+from filbertlb.core.membership import EntryTable
+from filbertlb.core.membership_times import MembershipTimes
 from filbertlb.messages import Announce
 from filbertlb.messages import AnnounceAck
+from filbertlb.messages import Beat
 from filbertlb.messages import EntryHello
-from filbertlb.messages import Role
+from filbertlb.transport.link import OutboxFullError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
 
+    from filbertlb.core.membership import Heard
+    from filbertlb.messages import Role
     from filbertlb.transport.codec import Envelope
     from filbertlb.transport.link import Link
 
-ANNOUNCE_PERIOD_S = 1.0
-HELLO_PERIOD_S = 1.0
-SILENCE_S = 5.0
+TICK_PERIOD_S = 0.25
+CONTROL_BYTES_PER_S = 9000.0
+EXCHANGE_BYTES = 245.0
+"""Bytes of a beat and its share of an answer, with their framing."""
 
 
 class EndpointListener(Protocol):
@@ -35,32 +44,24 @@
         ...
 
     def endpoint_lost(self, announce: Announce) -> None:
-        """Take the silence of an endpoint; must not block."""
+        """Take the death of an endpoint; must not block."""
         ...
 
 
-@attrs.define
+@attrs.frozen
 class KnownEndpoint:
     """Newest announcement of an endpoint.
 
     Parameters
     ----------
     heard_at_s : float
-        Monotonic time of its receipt in seconds.
+        Monotonic time of its last message in seconds.
     """
 
     announce: Announce
     heard_at_s: float
 
 
-@attrs.define
-class KnownEntry:
-    """Newest greeting of another entry."""
-
-    hello: EntryHello
-    heard_at_s: float
-
-
 class Directory:
     """Behaviour that keeps endpoints and entries up to date.
 
@@ -72,17 +73,28 @@
         This entry.
     greet : callable
         Returns this entry's greeting.
+    revision : callable
+        Returns the configuration revision in force here.
+    times : MembershipTimes
+        Times of announcements and of failure detection.
     """
 
     def __init__(
-        self, link: Link, entry_id: str, greet: Callable[[], EntryHello]
+        self,
+        link: Link,
+        entry_id: str,
+        greet: Callable[[], EntryHello],
+        revision: Callable[[], int],
+        times: MembershipTimes | None = None,
     ) -> None:
-        self.endpoint_by_id: dict[str, KnownEndpoint] = {}
-        self.entry_by_id: dict[str, KnownEntry] = {}
+        self.times = times or MembershipTimes()
+        self.endpoint_table = EndpointTable(self.times)
+        self.entry_table = EntryTable(self.times)
         self.listeners: list[EndpointListener] = []
         self._link = link
         self._entry_id = entry_id
         self._greet = greet
+        self._revision = revision
         self._seed_addresses: set[str] = set()
         self._hello_due_s = 0.0
 
@@ -91,95 +103,128 @@
         self._seed_addresses.update(addresses)
         self._seed_addresses.discard(self._link.address)
 
+    def endpoint_ids(self) -> list[str]:
+        """Return the endpoints that may get new work."""
+        return sorted(self.endpoint_table.members.usable_ids())
+
+    def entry_ids(self) -> list[str]:
+        """Return this entry and the others that are alive."""
+        others = set(self.entry_table.usable_ids())
+        return sorted(others | {self._entry_id})
+
     def endpoints(self, role: Role) -> list[KnownEndpoint]:
-        """Return the endpoints of a role."""
+        """Return the endpoints of a role that may get new work."""
+        members = self.endpoint_table.members
         return [
-            known
-            for known in self.endpoint_by_id.values()
-            if known.announce.role == role
+            KnownEndpoint(
+                announce, members.by_id[announce.endpoint_id].heard_at_s
+            )
+            for announce in self.endpoint_table.usable()
+            if announce.role == role
         ]
 
+    def address_of(self, endpoint_id: str) -> str | None:
+        """Return the address of an endpoint, or None if unknown."""
+        announce = self.endpoint_table.announce_by_id.get(endpoint_id)
+        return None if announce is None else announce.address
+
     def revision_by_id(self) -> dict[str, int]:
         """Return the revision that each known process has announced."""
-        entries = {
-            entry_id: known.hello.revision
-            for entry_id, known in self.entry_by_id.items()
-        }
-        endpoints = {
-            endpoint_id: known.announce.revision
-            for endpoint_id, known in self.endpoint_by_id.items()
+        hellos = self.entry_table.hello_by_id
+        announces = self.endpoint_table.announce_by_id
+        return {
+            **{key: hello.revision for key, hello in hellos.items()},
+            **{key: one.revision for key, one in announces.items()},
         }
-        return entries | endpoints
 
     def entry_addresses(self) -> tuple[str, ...]:
         """Return the addresses of this entry and all live ones."""
-        others = [
-            known.hello.address
-            for known in self.entry_by_id.values()
-            if not known.hello.draining
-        ]
-        return (self._link.address, *others)
+        others = set(self.entry_table.addresses()) - {self._link.address}
+        if self._greet().draining:
+            return tuple(sorted(others))
+        return (self._link.address, *sorted(others))
 
     def receive(self, envelope: Envelope, now_s: float) -> None:
-        """Take an announcement or a greeting."""
+        """Take an announcement, a beat or a greeting."""
         message = envelope.message
-        if isinstance(message, Announce):
-            self._announced(envelope, message, now_s)
-        elif isinstance(message, EntryHello):
+        if isinstance(message, EntryHello):
             self._greeted(message, now_s)
+        elif isinstance(message, Announce | Beat):
+            self._heard(envelope, message, now_s)
 
     def tick(self, now_s: float) -> None:
-        """Greet the others and drop who has been silent."""
+        """Greet the others and find out who is silent."""
         if now_s >= self._hello_due_s:
-            self._hello_due_s = now_s + HELLO_PERIOD_S
+            self._hello_due_s = now_s + self.times.period_s
             self._greet_all()
-        self._drop_silent(now_s)
+        self.entry_table.tick(now_s)
+        known = dict(self.endpoint_table.announce_by_id)
+        for change in self.endpoint_table.tick(now_s):
+            if change.kind is ChangeKind.DEAD:
+                self._lost(known[change.member_id])
 
     def next_due_s(self, now_s: float) -> float:
         """Return the time of the next tick in seconds."""
-        return self._hello_due_s
+        return now_s + TICK_PERIOD_S
 
-    def _announced(
-        self, envelope: Envelope, announce: Announce, now_s: float
+    def _heard(
+        self, envelope: Envelope, message: Announce | Beat, now_s: float
     ) -> None:
-        known = self.endpoint_by_id.get(announce.endpoint_id)
-        if known is not None and _is_older(announce, known.announce):
+        table = self.endpoint_table
+        period_s = self._period_s()
+        if isinstance(message, Announce):
+            heard = table.announced(message, period_s, now_s)
+        else:
+            has_news = envelope.revision < self._revision()
+            heard = table.beat(message, period_s, now_s, has_news)
+        if heard.answer:
+            self._answer(envelope.sender, message.sequence, heard, period_s)
+        if not heard.accepted:
             return
-        self.endpoint_by_id[announce.endpoint_id] = KnownEndpoint(
-            announce, now_s
-        )
+        announce = table.announce_by_id[message.endpoint_id]
+        is_news = isinstance(message, Announce) or heard.changes
+        for listener in self.listeners if is_news else ():
+            listener.endpoint_seen(announce)
+
+    def _answer(
+        self, address: str, sequence: int, heard: Heard, period_s: float
+    ) -> None:
         ack = AnnounceAck(
             self._entry_id,
             self.entry_addresses(),
-            ANNOUNCE_PERIOD_S,
+            period_s,
+            self._revision(),
+            sequence,
+            heard.wants_full,
         )
-        self._link.send(envelope.sender, ack)
+        self._send(address, ack)
+
+    def _period_s(self) -> float:
+        return announce_period_s(
+            max(1, len(self.endpoint_table.announce_by_id)),
+            EXCHANGE_BYTES,
+            CONTROL_BYTES_PER_S,
+            self.times,
+        )
+
+    def _lost(self, announce: Announce) -> None:
         for listener in self.listeners:
-            listener.endpoint_seen(announce)
+            listener.endpoint_lost(announce)
 
     def _greeted(self, hello: EntryHello, now_s: float) -> None:
-        if hello.entry_id == self._entry_id:
-            return
-        self.entry_by_id[hello.entry_id] = KnownEntry(hello, now_s)
-        self._seed_addresses.discard(hello.address)
+        if hello.entry_id != self._entry_id:
+            self.entry_table.heard(hello, now_s)
+            self._seed_addresses.discard(hello.address)
 
     def _greet_all(self) -> None:
         hello = self._greet()
-        addresses = {k.hello.address for k in self.entry_by_id.values()}
-        for address in addresses | self._seed_addresses:
-            self._link.send(address, hello)
-
-    def _drop_silent(self, now_s: float) -> None:
-        limit_s = now_s - SILENCE_S
-        for endpoint_id, known in list(self.endpoint_by_id.items()):
-            if known.heard_at_s < limit_s:
-                del self.endpoint_by_id[endpoint_id]
-                for listener in self.listeners:
-                    listener.endpoint_lost(known.announce)
-        for entry_id, entry in list(self.entry_by_id.items()):
-            if entry.heard_at_s < limit_s:
-                del self.entry_by_id[entry_id]
-
-
-def _is_older(new: Announce, old: Announce) -> bool:
-    return new.incarnation == old.incarnation and new.sequence <= old.sequence
+        known = set(self.entry_table.addresses())
+        for address in (known | self._seed_addresses) - {self._link.address}:
+            self._send(address, hello)
+
+    def _send(self, address: str, message: AnnounceAck | EntryHello) -> None:
+        try:
+            self._link.send(address, message)
+        except OutboxFullError:
+            # It is repeated anyway.
+            return
--- a/filbertlb/entry/endpoint_views.py
+++ b/filbertlb/entry/endpoint_views.py
@@ -66,8 +66,7 @@
 
     def address_of(self, endpoint_id: str) -> str | None:
         """Return the address of an endpoint, or None if unknown."""
-        known = self._directory.endpoint_by_id.get(endpoint_id)
-        return None if known is None else known.announce.address
+        return self._directory.address_of(endpoint_id)
 
     @contextmanager
     def measured(self, endpoint_id: str) -> Iterator[None]:
