--- a/filbertlb/entry/app.py
+++ b/filbertlb/entry/app.py
@@ -18,9 +18,13 @@
 from filbertlb.api.jobs import JobRoutes
 from filbertlb.api.requests import RequestRoutes
 from filbertlb.api.service import ServiceRoutes
+from filbertlb.core.breaker import CircuitBreaker
 from filbertlb.core.gang_plan import GangBounds
+from filbertlb.core.limits import AdmissionGate
+from filbertlb.core.limits import GateLimits
 from filbertlb.core.spread import spread_scopes
 from filbertlb.core.spread import takeover_delay_s
+from filbertlb.core.table_budget import TableBudget
 from filbertlb.entry.configuration import ConfigWatcher
 from filbertlb.entry.configuration import watching
 from filbertlb.entry.decider import Decider
@@ -29,6 +33,8 @@
 from filbertlb.entry.events import ConfigChanged
 from filbertlb.entry.events import EndpointLost
 from filbertlb.entry.events import EndpointSeen
+from filbertlb.entry.gatekeeper import Gatekeeper
+from filbertlb.entry.gatekeeper import keeping_gate
 from filbertlb.entry.job_table import JobTable
 from filbertlb.entry.job_writer import JobWriter
 from filbertlb.entry.jobs import JobService
@@ -48,6 +54,7 @@
 from filbertlb.scheduling.guaranteed import GuaranteedScheduler
 from filbertlb.scheduling.job_checker import JobChecker
 from filbertlb.settings.process import Limits
+from filbertlb.table.guarded import GuardedTable
 from filbertlb.table.lease import LeaseKeeper
 from filbertlb.tasks import Mailbox
 from filbertlb.tasks import running_task
@@ -145,7 +152,6 @@
     ) -> None:
         self.setup = setup
         self.link = link
-        self.table = table
         self.clock = clock
         self.url = ""
         self.incarnation = secrets.token_hex(INCARNATION_BYTES)
@@ -155,8 +161,20 @@
         self.directory = Directory(
             link, setup.entry_id, self._greeting, watcher.number
         )
-        self.tokens = TokenStore(table, clock, setup.operator)
+        self.rng = Random(self.incarnation)
+        self.table_budget = TableBudget()
+        # The lease is renewed past the breaker and the budget: it must
+        # be tried as long as it is held.
         self.keeper = LeaseKeeper(table, setup.scope, self._holder_id(), clock)
+        table = GuardedTable(
+            table, CircuitBreaker(self.rng), self.table_budget, clock
+        )
+        self.table = table
+        self.weight_by_id: dict[str, float] = {}
+        self.gatekeeper = Gatekeeper(
+            AdmissionGate(GateLimits(weight_by_id=self.weight_by_id)), clock
+        )
+        self.tokens = TokenStore(table, clock, setup.operator)
         self.jobs = JobService(
             JobTable(table), self._admit, self.announce_job, clock
         )
@@ -166,10 +184,12 @@
             RunnerChooser(
                 self.directory,
                 NearFirst(setup.failure_domain),
-                Random(self.incarnation),
+                self.rng,
                 clock,
             ),
             TokenSource(self.incarnation),
+            self.gatekeeper,
+            self.rng,
             clock,
         )
         self.decider_mailbox = Mailbox("decider")
@@ -228,6 +248,9 @@
 
     def learn_entries(self, rows: list[EntryRow]) -> None:
         """Greet the entries that the table service names."""
+        self.table_budget.set_live_entries(
+            max(1, len(rows)), self.clock.monotonic()
+        )
         self.directory.seed(row.address for row in rows)
 
     def takeover_delay_s(self) -> float:
@@ -260,6 +283,9 @@
 
     def _config_changed(self, config: SiteConfig) -> None:
         self._checker = JobChecker(config)
+        self.weight_by_id.clear()
+        for name, organisation in config.organisations.items():
+            self.weight_by_id[name] = organisation.weight
         self.decider_mailbox.post(ConfigChanged(config))
 
     def _admit(self, job: JobSpec) -> JobSpec:
@@ -359,6 +385,7 @@
         running_task(entry.decider, entry.decider_mailbox, clock)
     )
     stack.enter_context(watching(entry.watcher))
+    stack.enter_context(keeping_gate(entry.gatekeeper))
     stack.enter_context(
         leading(
             entry.keeper, entry.decider_mailbox, clock, entry.takeover_delay_s
--- a/filbertlb/entry/endpoint_views.py
+++ b/filbertlb/entry/endpoint_views.py
@@ -6,6 +6,7 @@
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
+from filbertlb.core.endpoint_health import EndpointHealth
 from filbertlb.messages import Role
 from filbertlb.routing.base import eligible
 from filbertlb.routing.base import EndpointView
@@ -49,21 +50,49 @@
         self._rng = rng
         self._clock = clock
         self._in_flight_by_id: dict[str, int] = defaultdict(int)
+        self._health = EndpointHealth()
         self._latency_by_id: dict[str, LatencyAverage] = {}
 
-    def choose(self, avoid: frozenset[str]) -> Announce | None:
-        """Return the announcement of a runner, or None."""
+    def choose(
+        self, avoid: frozenset[str], *, may_probe: bool = False
+    ) -> Announce | None:
+        """Return the announcement of a runner, or None.
+
+        Parameters
+        ----------
+        avoid : frozenset of str
+            Runners that the request has tried.
+        may_probe : bool
+            The request may go to a runner that was set aside.
+        """
         now_s = self._clock.monotonic()
         known_by_id = {
             known.announce.endpoint_id: known
             for known in self._directory.endpoints(Role.RUNNER)
         }
+        probed = self._health.start_probe(now_s) if may_probe else None
+        if probed in known_by_id:
+            return known_by_id[probed].announce
         views = [self._view(known, now_s) for known in known_by_id.values()]
         chosen = self._policy.choose(eligible(views, avoid), self._rng)
         if chosen is None:
             return None
         return known_by_id[chosen.endpoint_id].announce
 
+    def succeeded(self, endpoint_id: str) -> None:
+        """Take in that a request was answered well."""
+        self._health.succeeded(endpoint_id)
+
+    def failed(self, endpoint_id: str, request_id: str) -> None:
+        """Take in that a request failed on a runner."""
+        self._health.failed(
+            endpoint_id,
+            request_id,
+            len(self._directory.endpoints(Role.RUNNER)),
+            self._clock.monotonic(),
+            self._rng,
+        )
+
     def address_of(self, endpoint_id: str) -> str | None:
         """Return the address of an endpoint, or None if unknown."""
         return self._directory.address_of(endpoint_id)
@@ -94,5 +123,6 @@
             local_in_flight=self._in_flight_by_id[announce.endpoint_id],
             latency_s=average.value_s(now_s) if average else 0.0,
             draining=announce.draining,
+            set_aside=self._health.is_set_aside(announce.endpoint_id),
             announced_age_s=now_s - known.heard_at_s,
         )
--- a/filbertlb/entry/requests.py
+++ b/filbertlb/entry/requests.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 import attrs
+from gevent import sleep
 
 from filbertlb.core.attempt_effects import Finish
 from filbertlb.core.attempt_rows import Answer
@@ -16,6 +17,9 @@
 from filbertlb.core.attempt_session import Purpose
 from filbertlb.core.attempt_steps import TellAnswer
 from filbertlb.core.attempt_steps import TellNotRun
+from filbertlb.core.retries import backoff_s
+from filbertlb.core.retries import may_retry
+from filbertlb.core.retries import RetryBudgets
 from filbertlb.entry.attempt_runner import AttemptRunner
 from filbertlb.errors import FilbertlbError
 from filbertlb.errors import OutcomeUnknownError
@@ -30,15 +34,18 @@
 from filbertlb.transport.link import ReplyTimeoutError
 
 if TYPE_CHECKING:
+    from random import Random
+
     from filbertlb.core.clock import Clock
+    from filbertlb.core.retries import RetryBudget
     from filbertlb.entry.endpoint_views import RunnerChooser
+    from filbertlb.entry.gatekeeper import Gatekeeper
     from filbertlb.messages import Announce
     from filbertlb.table.base import TableService
     from filbertlb.transport.link import Link
 
-MAX_TRIES = 4
+SERVER_ERROR = 500
 ID_BYTES = 8
-NO_REPLY_S = 10.0
 RESULT_GRACE_S = 30.0
 
 
@@ -129,6 +136,10 @@
         Chooses runners.
     tokens : TokenSource
         Issues tokens.
+    gatekeeper : Gatekeeper
+        Admits requests.
+    rng : random.Random
+        Source of the jitter of retries.
     clock : Clock
         Source of time.
     """
@@ -139,11 +150,16 @@
         table: TableService,
         chooser: RunnerChooser,
         tokens: TokenSource,
+        gatekeeper: Gatekeeper,
+        rng: Random,
         clock: Clock,
     ) -> None:
         self._link = link
         self._chooser = chooser
         self._tokens = tokens
+        self._gatekeeper = gatekeeper
+        self._rng = rng
+        self._budgets = RetryBudgets()
         self._clock = clock
         self._attempts = AttemptRunner(link, table, chooser, clock)
 
@@ -158,10 +174,17 @@
             If it may have run; ``outcome`` tells later.
         KeyReusedError
             If the key stands for another body.
+        OverloadedError, DeadlineExpiredError
+            If it was turned away; it did not run.
         """
-        if request.idempotent:
-            return self._run_idempotent(request)
-        return self._finish(self._session(request, Purpose.RUN))
+        with self._gatekeeper.admitted(
+            request.organisation_id,
+            urgent=request.urgent,
+            deadline_s=request.deadline_s,
+        ):
+            if request.idempotent:
+                return self._run_idempotent(request)
+            return self._finish(self._session(request, Purpose.RUN))
 
     def outcome(self, organisation_id: str, key: str) -> Answer:
         """Return the answer to the non-idempotent request of a key.
@@ -217,24 +240,57 @@
     def _run_idempotent(self, request: RunnerRequest) -> Answer:
         start_by_s = self._clock.monotonic() + request.deadline_s
         invoke = self._invoke_of(request)
+        budget = self._budgets.of(request.organisation_id)
         avoid: frozenset[str] = frozenset()
-        last: FilbertlbError = RequestNotRunError(
+        result: Answer | FilbertlbError = RequestNotRunError(
             "no_endpoint", "no runner can take the request now"
         )
-        for _ in range(MAX_TRIES):
+        for retries in count():
             left_s = start_by_s - self._clock.monotonic()
-            endpoint = self._chooser.choose(avoid)
-            if left_s <= 0 or endpoint is None:
+            endpoint = self._chooser.choose(avoid, may_probe=True)
+            if endpoint is None or left_s <= 0:
                 break
             avoid |= {endpoint.endpoint_id}
             result = self._try(endpoint, invoke, left_s)
-            if isinstance(result, Answer):
-                return result
-            last = result
-        raise last
+            if _is_good(result):
+                budget.succeeded()
+                break
+            if not self._pause(request, budget, retries, start_by_s):
+                break
+        if isinstance(result, Answer):
+            return result
+        raise result
+
+    def _pause(
+        self,
+        request: RunnerRequest,
+        budget: RetryBudget,
+        retries: int,
+        start_by_s: float,
+    ) -> bool:
+        """Wait before the next try; return False if there is none."""
+        wait_s = backoff_s(retries, self._rng)
+        now_s = self._clock.monotonic()
+        left_s = start_by_s - now_s - wait_s
+        if not may_retry(True, Ran.UNKNOWN, retries, left_s):
+            return False
+        if not budget.spend(now_s, urgent=request.urgent):
+            return False
+        sleep(wait_s)
+        return True
 
     def _try(
         self, endpoint: Announce, invoke: Invoke, left_s: float
+    ) -> Answer | FilbertlbError:
+        result = self._dispatch(endpoint, invoke, left_s)
+        if _is_good(result):
+            self._chooser.succeeded(endpoint.endpoint_id)
+        else:
+            self._chooser.failed(endpoint.endpoint_id, invoke.request_id)
+        return result
+
+    def _dispatch(
+        self, endpoint: Announce, invoke: Invoke, left_s: float
     ) -> Answer | FilbertlbError:
         token = self._tokens.issue(_new_id(), endpoint.incarnation)
         sent = attrs.evolve(invoke, token=token, within_s=left_s)
@@ -255,6 +311,10 @@
         return RequestUnknownError(f"the runner's agent said {reply!r}")
 
 
+def _is_good(result: Answer | FilbertlbError) -> bool:
+    return isinstance(result, Answer) and result.status < SERVER_ERROR
+
+
 def _new_id() -> str:
     return secrets.token_hex(ID_BYTES)
 
