Search for a witness where the greedy one fails

Change: on up to 32 workers a bounded search over groups follows. Now python -m benchmarks.measure_placement counts wrong refusals.

--- a/benchmarks/measure_placement.py
+++ b/benchmarks/measure_placement.py
@@ -17,6 +17,7 @@
 from benchmarks.figures import figures_of
 from benchmarks.figures import Spread
 from benchmarks.optimum import measure_optimum
+from benchmarks.optimum import measure_refusals
 from benchmarks.policies import QueueingPolicy
 from benchmarks.replay import Replay
 from benchmarks.sites import design
@@ -131,6 +132,9 @@
     optimum = measure_optimum()
     results["optimum"] = attrs.asdict(optimum)
     click.echo(f"\nsmall cases against the optimum: {optimum}")
+    refusals = measure_refusals()
+    results["refusals"] = attrs.asdict(refusals)
+    click.echo(f"guarantees refused on small cases: {refusals}")
     RESULTS.parent.mkdir(exist_ok=True)
     RESULTS.write_text(json.dumps(results, indent=2, sort_keys=True) + "\n")
 
--- a/benchmarks/optimum.py
+++ b/benchmarks/optimum.py
@@ -13,10 +13,13 @@
 import attrs
 
 from filbertlb.core.model import Adjacency
+from filbertlb.core.model import Guarantee
 from filbertlb.core.model import JobSpec
+from filbertlb.core.model import Organisation
 from filbertlb.core.model import Resources
 from filbertlb.core.model import Shape
 from filbertlb.core.model import Worker
+from filbertlb.core.scheduling import GuaranteeRefusedError
 from filbertlb.scheduling.config import SchedulerConfig
 from filbertlb.scheduling.config import WeightProfile
 from filbertlb.scheduling.first_fit import FirstFitScheduler
@@ -26,7 +29,9 @@
 WORKERS = 4
 WORKERS_PER_RACK = 2
 ACCELERATORS = 4
+CAPACITY = WORKERS * ACCELERATORS
 JOBS = 7
+REFUSAL_CASES = 1500
 
 
 @attrs.frozen
@@ -50,6 +55,15 @@
     first_fit: float
 
 
+@attrs.frozen
+class Refusals:
+    """Guarantees refused, and of these the ones that would have fitted."""
+
+    cases: int
+    refused: int
+    wrongly: int
+
+
 def measure_optimum() -> Optimum:
     """Compare on seeded small cases."""
     random = Random(1)
@@ -69,6 +83,49 @@
     )
 
 
+def measure_refusals() -> Refusals:
+    """Compare refused guarantees with what could be packed."""
+    random = Random(1)
+    cases = refused = wrong = 0
+    while cases < REFUSAL_CASES:
+        shapes = [job.shape for job in _jobs(random)][: random.randint(2, 6)]
+        if sum(item.total.accelerators for item in shapes) > CAPACITY:
+            continue
+        cases += 1
+        accepted = _is_accepted(shapes)
+        possible = _can_pack(shapes, (ACCELERATORS,) * WORKERS)
+        refused += not accepted
+        wrong += possible and not accepted
+    return Refusals(cases, refused, wrong)
+
+
+def _is_accepted(shapes: list[Shape]) -> bool:
+    policy = GuaranteedScheduler()
+    _add_workers(policy)
+    guarantees = tuple(
+        Guarantee(f"guarantee-{index}", item)
+        for index, item in enumerate(shapes)
+    )
+    try:
+        policy.set_organisations([Organisation("a", guarantees)], 0.0)
+    except GuaranteeRefusedError:
+        return False
+    return True
+
+
+def _can_pack(shapes: list[Shape], free: tuple[int, ...]) -> bool:
+    return not shapes or any(
+        _can_pack(shapes[1:], after) for after in _placements(shapes[0], free)
+    )
+
+
+def _add_workers(policy: GuaranteedScheduler | FirstFitScheduler) -> None:
+    for index in range(WORKERS):
+        rack = f"rack-{index // WORKERS_PER_RACK}"
+        capacity = Resources(ACCELERATORS)
+        policy.add_worker(Worker(f"w{index}", rack, "d", capacity), 0.0)
+
+
 def _jobs(random: Random) -> list[JobSpec]:
     jobs = []
     for index in range(JOBS):
@@ -83,10 +140,7 @@
 def _used(
     policy: GuaranteedScheduler | FirstFitScheduler, jobs: list[JobSpec]
 ) -> int:
-    for index in range(WORKERS):
-        rack = f"rack-{index // WORKERS_PER_RACK}"
-        capacity = Resources(ACCELERATORS)
-        policy.add_worker(Worker(f"w{index}", rack, "d", capacity), 0.0)
+    _add_workers(policy)
     by_id = {job.job_id: job for job in jobs}
     for job in jobs:
         policy.submit(job, 0.0)
--- a/benchmarks/replay.py
+++ b/benchmarks/replay.py
@@ -13,6 +13,7 @@
 from benchmarks.arrivals import HOUR_S
 from benchmarks.fragmentation import fragmentation
 from filbertlb.core.model import Resources
+from filbertlb.core.queueing import Shares
 from filbertlb.core.scheduling import ImpossibleJobError
 from filbertlb.core.scheduling import JobEnd
 from filbertlb.core.scheduling import RunEnd
@@ -45,6 +46,8 @@
     at_risk : bool
         Some guarantee of its organisation was at risk when it arrived,
         or all of its shapes were claimed.
+    at_quota : bool
+        Its organisation was at its quota when it arrived.
     """
 
     arrival: Arrival
@@ -55,6 +58,7 @@
     done_at_s: float | None = None
     failed: bool = False
     at_risk: bool = False
+    at_quota: bool = False
     worker_ids: tuple[str, ...] = ()
 
 
@@ -86,6 +90,7 @@
     outcome: Outcome = attrs.field(factory=Outcome)
     now_s: float = 0.0
     running: dict[str, Job] = attrs.field(factory=dict)
+    shares: Shares = attrs.field(factory=Shares)
     lost: set[str] = attrs.field(factory=set)
     bad: set[str] = attrs.field(factory=set)
     by_worker: dict[str, list[Job]] = attrs.field(factory=dict)
@@ -106,6 +111,9 @@
             self.by_worker[worker.worker_id] = []
             self.capacity[worker.worker_id] = worker.capacity
         self.policy.set_organisations(self.site.organisations, 0.0)
+        self.shares.change(
+            {item.organisation_id: item for item in self.site.organisations}
+        )
         self._waiting_arrivals = len(arrivals)
         for arrival in arrivals:
             self.at(arrival.job.submitted_at_s, self._arrive, arrival)
@@ -173,6 +181,7 @@
             self.outcome.refused += 1
             return
         job.at_risk = self._excused(arrival)
+        job.at_quota = self._is_at_quota(arrival)
         self.outcome.jobs[arrival.job.job_id] = job
         if arrival.cancel_at_s is not None:
             self.at(arrival.cancel_at_s, self._cancel, job)
@@ -197,6 +206,20 @@
         ]
         return claimed >= counts[0] or bool(self.policy.risks())
 
+    def _is_at_quota(self, arrival: Arrival) -> bool:
+        spec = arrival.job
+        shares = self.shares
+        if shares.by_id[spec.organisation_id].quota_accelerators is None:
+            return False
+        shares.borrowed_by_id[spec.organisation_id] = sum(
+            job.arrival.job.shape.total.accelerators
+            for job in self.running.values()
+            if job.arrival.job.organisation_id == spec.organisation_id
+            and not job.arrival.job.guarantee_id
+        )
+        wanted = spec.shape.total.accelerators
+        return not shares.allows(spec.organisation_id, wanted)
+
     def _cancel(self, job: Job) -> None:
         job_id = job.arrival.job.job_id
         if job.done_at_s is None and self.policy.cancel(job_id, self.now_s):
--- /dev/null
+++ b/filbertlb/core/packing.py
@@ -0,0 +1,55 @@
+"""Search over many placements of guaranteed shapes.
+
+For small clusters, where placing one shape after the other has failed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import attrs
+
+from filbertlb.core.search import options
+
+if TYPE_CHECKING:
+    from filbertlb.core.cluster import Cluster
+    from filbertlb.core.search import Room
+    from filbertlb.core.witness import Unit
+
+MAX_SEARCHED_WORKERS = 32
+_MAX_STEPS = 200
+
+
+@attrs.define
+class PackingSearch:
+    """Depth-first search with a bound on its steps.
+
+    Parameters
+    ----------
+    room : Room
+        What a worker offers to guaranteed shapes.
+    set_placement : callable
+        Moves a unit, or takes it off where there are no workers.
+    """
+
+    cluster: Cluster
+    room: Room
+    set_placement: Callable[[Unit, tuple[str, ...]], None]
+    steps_left: int = _MAX_STEPS
+
+    def place_all(self, units: list[Unit]) -> bool:
+        """Place all units, or none and return False."""
+        if not units:
+            return True
+        unit, rest = units[0], units[1:]
+        shape = unit.guarantee.shape
+        for option in options(self.cluster, shape, unit.need, self.room):
+            if self.steps_left <= 0:
+                return False
+            self.steps_left -= 1
+            self.set_placement(unit, option)
+            if self.place_all(rest):
+                return True
+            self.set_placement(unit, ())
+        return False
--- a/filbertlb/core/search.py
+++ b/filbertlb/core/search.py
@@ -139,6 +139,31 @@
     return None
 
 
+def options(
+    cluster: Cluster, shape: Shape, need: Amount, room: Room
+) -> list[tuple[str, ...]]:
+    """Return placements that differ in their group, tightest first.
+
+    Of workers with the same room in the same rack only one is returned.
+    """
+    if not on_one_worker(shape):
+        groups = groups_of(cluster, shape, None)
+        groups.sort(key=lambda group: _group_room(group, room))
+        found = [
+            fill(group, shape, need, room, fullest_first=fullest_first)
+            for group in groups
+            for fullest_first in (True, False)
+        ]
+        return list(dict.fromkeys(item for item in found if item))
+    total = times(need, shape.members)
+    by_kind = {
+        (room(state), state.rack.name): (state.worker_id,) * shape.members
+        for state in cluster.by_id.values()
+        if _allowed(state, shape, ()) and covers(room(state), total)
+    }
+    return [by_kind[kind] for kind in sorted(by_kind)]
+
+
 def groups_of(
     cluster: Cluster,
     shape: Shape,
@@ -167,8 +192,16 @@
     room: Room,
     avoid: Container[str] = (),
     usable_only: bool = True,
+    *,
+    fullest_first: bool = False,
 ) -> tuple[str, ...] | None:
-    """Place members on a group's workers, or return None."""
+    """Place members on a group's workers, or return None.
+
+    Parameters
+    ----------
+    fullest_first : bool
+        Fill workers with little room before those with much.
+    """
     counted = []
     for state in group.workers:
         usable = state.usable or not usable_only
@@ -178,7 +211,12 @@
                 counted.append((state, min(count, shape.members)))
     if sum(count for _, count in counted) < shape.members:
         return None
-    counted.sort(key=lambda item: (item[0].rack.free_accelerators, -item[1]))
+    if fullest_first:
+        counted.sort(key=lambda item: item[1])
+    else:
+        counted.sort(
+            key=lambda item: (item[0].rack.free_accelerators, -item[1])
+        )
     chosen: list[str] = []
     for state, count in counted:
         wanted = min(count, shape.members - len(chosen))
--- a/filbertlb/core/witness.py
+++ b/filbertlb/core/witness.py
@@ -18,6 +18,8 @@
 from filbertlb.core.amounts import needed
 from filbertlb.core.amounts import plus
 from filbertlb.core.amounts import times
+from filbertlb.core.packing import MAX_SEARCHED_WORKERS
+from filbertlb.core.packing import PackingSearch
 from filbertlb.core.search import find_anywhere
 from filbertlb.core.search import groups_of
 
@@ -211,9 +213,23 @@
         missing = len(self.unplaced)
         for unit in before:
             self.set_placement(unit, ())
-        for unit in sorted(before, key=lambda unit: unit.size):
+        units = sorted(before, key=lambda unit: unit.size)
+        for unit in units:
             self.place(unit)
-        if self.unplaced and len(self.unplaced) >= missing:
+        if not self.unplaced:
+            return
+        if len(self.unplaced) >= missing:
+            self.restore(before)
+        if len(self.cluster.by_id) <= MAX_SEARCHED_WORKERS:
+            self._search(units)
+
+    def _search(self, units: list[Unit]) -> None:
+        """Try many placements of all units where the first did not do."""
+        before = self.save()
+        for unit in units:
+            self.set_placement(unit, ())
+        search = PackingSearch(self.cluster, open_room, self.set_placement)
+        if not search.place_all(units):
             self.restore(before)
 
     def _drop(self, units: list[Unit], keep: int) -> list[Unit]:
--- /dev/null
+++ b/tests/test_scheduling_failures.py
@@ -0,0 +1,123 @@
+from __future__ import annotations
+
+import pytest
+
+from filbertlb.core.health import Health
+from filbertlb.core.model import JobClass
+from filbertlb.core.model import JobSpec
+from filbertlb.core.model import Resources
+from filbertlb.core.model import Shape
+from filbertlb.core.model import Worker
+from filbertlb.core.scheduling import JobEnd
+from filbertlb.core.scheduling import RunEnd
+from filbertlb.scheduling.config import SchedulerConfig
+from filbertlb.scheduling.guaranteed import GuaranteedScheduler
+
+CONFIG = SchedulerConfig()
+WORKERS = [f"w{n}" for n in range(9)]
+
+
+@pytest.mark.parametrize(
+    ("failures", "aside", "bad"),
+    [
+        # Three jobs on one worker: the worker is put aside.
+        ([("a", "w0"), ("b", "w0"), ("c", "w0")], {"w0"}, set()),
+        # One job on three workers: the job is bad.
+        ([("a", "w0"), ("a", "w1"), ("a", "w2")], set(), {"a"}),
+        # The bad job's failures no longer count against w0.
+        (
+            [("a", "w0"), ("a", "w1"), ("a", "w2"), ("b", "w0"), ("c", "w0")],
+            set(),
+            {"a"},
+        ),
+        # Failures on the bad worker no longer count against the job.
+        (
+            [("a", "w0"), ("b", "w0"), ("c", "w0"), ("a", "w1"), ("a", "w2")],
+            {"w0"},
+            set(),
+        ),
+        # Where there are too few workers, six failures end a job.
+        ([("a", "w0"), ("a", "w1")] * 3, set(), {"a"}),
+        ([("a", "w0"), ("a", "w1")] * 2, set(), set()),
+        # A wave of bad jobs takes at most a third of the workers.
+        ([(f"{w}{n}", w) for w in WORKERS for n in range(5)], 3, set()),
+    ],
+)
+def test_blame(failures, aside, bad):
+    health = Health(CONFIG)
+    for job_id, worker_id in failures:
+        health.failed(job_id, [worker_id], len(WORKERS), 0.0)
+    found = set(health.aside)
+    assert (len(found) if isinstance(aside, int) else found) == aside
+    jobs = {job_id for job_id, _ in failures}
+    assert {name for name in jobs if health.is_bad_job(name)} == bad
+
+
+def test_time_aside_doubles_until_a_probe_succeeds():
+    health = Health(CONFIG)
+    for job_id in "abc":
+        health.failed(job_id, ["w0"], len(WORKERS), 0.0)
+    now_s, expected_s = 0.0, CONFIG.probe_base_s
+    for probe in range(8):
+        release_s = health.next_release_s()
+        assert release_s - now_s == min(expected_s, CONFIG.probe_max_s)
+        now_s, expected_s = release_s, expected_s * 2
+        assert health.release(now_s) == ["w0"]
+        health.failed(f"probe{probe}", ["w0"], len(WORKERS), now_s)
+    health.release(health.next_release_s())
+    health.succeeded("good", ["w0"])
+    assert not health.is_on_probation("w0")
+
+
+def cluster(count):
+    """Return a scheduler with workers of eight accelerators."""
+    policy = GuaranteedScheduler(CONFIG)
+    for n in range(count):
+        capacity = Resources(8, 32, 128)
+        worker = Worker(f"w{n}", f"r{n // 3}", "d", capacity)
+        policy.add_worker(worker, 0.0)
+    return policy
+
+
+def submit(policy, count, **values):
+    """Submit equal jobs and return their names."""
+    shape = Shape(each=Resources(1, 1, 1))
+    names = [f"{values['organisation_id']}{n}" for n in range(count)]
+    for name in names:
+        policy.submit(JobSpec(name, shape=shape, **values), 0.0)
+    return names
+
+
+def decide_all(policy, now_s):
+    """Return the decisions of calls until there are none."""
+    decisions = []
+    while batch := policy.decide(now_s):
+        assert len(batch) <= CONFIG.max_decisions + len(WORKERS)
+        decisions += batch
+    return decisions
+
+
+def test_burst_and_wave_of_cancellations():
+    policy = cluster(9)
+    names = submit(policy, 5000, organisation_id="a")
+    started = {item.assignment.job_id for item in decide_all(policy, 0.0)}
+    assert len(started) == 72
+    cancelled = {name for name in names if policy.cancel(name, 1.0)}
+    assert cancelled == set(names) - started
+    for name in started:
+        policy.ended(RunEnd(name, JobEnd.SUCCEEDED), 2.0)
+    assert not decide_all(policy, 2.0)
+
+
+def test_urgent_burst_stops_only_as_much_as_it_needs():
+    policy = cluster(9)
+    submit(policy, 72, organisation_id="a")
+    decide_all(policy, 0.0)
+    submit(policy, 60, organisation_id="u", job_class=JobClass.URGENT)
+    stops = decide_all(policy, 1.0)
+    assert len(stops) == 60
+    assert {item.within_s for item in stops} == {CONFIG.urgent_stop_within_s}
+    for item in stops:
+        policy.ended(RunEnd(item.job_id, JobEnd.STOPPED), 1.2)
+    started = {item.assignment.job_id for item in decide_all(policy, 1.2)}
+    assert started == {f"u{n}" for n in range(60)}
