--- a/tests/test_gang.py
+++ b/tests/test_gang.py
@@ -247,6 +247,23 @@
     assert len(world.begun) == 3
 
 
+def test_silence_of_a_released_member_proves_nothing():
+    world = gang_world(idempotent=False)
+    decider = world.take_over("s")
+    world.begin(decider, "j1")
+    run_until(world, "Release", 1)
+    world.in_flight.clear()
+    gang = decider.gang_by_job_id["j1"]
+    world.perform(decider, gang, gang.lost("w0", world.now_s))
+    world.flush()
+    record = world.record("j1")
+    assert (record.state, record.ran) == (JobState.UNKNOWN, "unknown")
+    world.settle()
+    record = world.record("j1")
+    assert (record.state, record.ran) == (JobState.FAILED, "yes")
+    assert len(world.begun) == 1
+
+
 def test_success_of_a_part_is_no_success():
     world = gang_world()
     world.begin(world.take_over("s"), "j1")
