Queue accepted jobs again after a takeover without checking them

Tests of failures at a whole site: decider crashed or released, agents or everything restarted, the table service cut off, every entry replaced under work.

--- a/filbertlb/core/job_record.py
+++ b/filbertlb/core/job_record.py
@@ -260,19 +260,6 @@
             return requested
 
 
-def refused(record: JobRecord, code: str, detail: str) -> JobRecord:
-    """Record that a queued job can never run.
-
-    Raises
-    ------
-    JobStateError
-        If the job is not queued.
-    """
-    if record.state is not JobState.QUEUED:
-        raise _state_error(record)
-    return _move(record, "fail", code=code, detail=detail)
-
-
 def closed(
     record: JobRecord,
     outcome: GangOutcome,
--- a/filbertlb/demo/plant.py
+++ b/filbertlb/demo/plant.py
@@ -65,6 +65,8 @@
         Entries that run now.
     token_by_organisation : dict of str to str
         A caller's token of each organisation.
+    worker_backend_by_id : dict of str to FakeWorker
+        Workers, which outlive their agents.
     """
 
     config: SiteConfig
@@ -74,6 +76,7 @@
     codec: MessageCodec = attrs.field(init=False)
     entry_by_id: dict[str, Entry] = attrs.Factory(dict)
     token_by_organisation: dict[str, str] = attrs.Factory(dict)
+    worker_backend_by_id: dict[str, FakeWorker] = attrs.Factory(dict)
     _stack_by_id: dict[str, ExitStack] = attrs.Factory(dict)
 
     def __attrs_post_init__(self) -> None:
@@ -97,6 +100,7 @@
     def start_worker(self, worker: Worker) -> FakeWorker:
         """Start a worker and its agent."""
         backend = FakeWorker(ledger=self.ledger, clock=self.clock)
+        self.worker_backend_by_id[worker.worker_id] = backend
         self.start_worker_agent(worker, backend)
         return backend
 
@@ -144,6 +148,25 @@
         self.entry_by_id.pop(process_id, None)
         self._stack_by_id.pop(process_id).close()
 
+    def crash_entry(self, entry_id: str) -> None:
+        """End an entry without a word: nothing is given up or deleted."""
+        entry = self.entry_by_id[entry_id]
+        entry.crashed = True
+        self.stop(entry_id)
+
+    def replace_worker_agent(self, worker: Worker) -> None:
+        """Restart the agent beside a worker that goes on running."""
+        self.stop(worker.worker_id)
+        backend = self.worker_backend_by_id[worker.worker_id]
+        self.start_worker_agent(worker, backend)
+
+    def decider_id(self) -> str:
+        """Return the entry that decides now, or an empty string."""
+        for entry_id, entry in self.entry_by_id.items():
+            if entry.decider.epoch:
+                return entry_id
+        return ""
+
     def stop_all(self) -> None:
         """Stop everything."""
         for process_id in list(self._stack_by_id):
--- a/filbertlb/entry/app.py
+++ b/filbertlb/entry/app.py
@@ -154,6 +154,7 @@
         self.link = link
         self.clock = clock
         self.url = ""
+        self.crashed = False
         self.incarnation = secrets.token_hex(INCARNATION_BYTES)
         self.watcher = watcher
         self.watcher.listeners.append(self._config_changed)
@@ -388,6 +389,10 @@
     stack.enter_context(keeping_gate(entry.gatekeeper))
     stack.enter_context(
         leading(
-            entry.keeper, entry.decider_mailbox, clock, entry.takeover_delay_s
+            entry.keeper,
+            entry.decider_mailbox,
+            clock,
+            entry.takeover_delay_s,
+            lambda: not entry.crashed,
         )
     )
--- a/filbertlb/entry/leadership.py
+++ b/filbertlb/entry/leadership.py
@@ -49,6 +49,7 @@
     mailbox: Mailbox,
     clock: Clock,
     delay_s: Callable[[], float],
+    may_release: Callable[[], bool],
 ) -> Iterator[None]:
     """Seek the lease while the block runs and give it up at its end.
 
@@ -60,13 +61,17 @@
         The decider's mailbox; takes ``Elected`` and ``Deposed``.
     delay_s : callable
         Returns the time that is left to preferred entries, in seconds.
+    may_release : callable
+        Tells whether the lease is given up at the end; it lapses if
+        not.
     """
     task = spawn(_lead, keeper, mailbox, clock, delay_s)
     try:
         yield
     finally:
         task.kill()
-        _release(keeper)
+        if may_release():
+            _release(keeper)
 
 
 def _release(keeper: LeaseKeeper) -> None:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -1,159 +1,151 @@
 from __future__ import annotations
 
-from collections import deque
-from random import Random
+import json
 
 import pytest
+from gevent import sleep
+from gevent import spawn
 
-from filbertlb.core.breaker import CircuitBreaker
-from filbertlb.core.breaker import TableBreakerOpenError
-from filbertlb.core.endpoint_health import EndpointHealth
-from filbertlb.core.retries import backoff_s
-from filbertlb.core.retries import may_retry
-from filbertlb.core.retries import RetryBudgets
-from filbertlb.core.table_budget import PendingWrite
-from filbertlb.core.table_budget import SITE_WRITES_PER_S
-from filbertlb.core.table_budget import TableBudget
-from filbertlb.core.table_budget import WriteBacklog
-from filbertlb.core.table_budget import WritePriority
-from filbertlb.errors import Ran
+from filbertlb.cli.demo import example_site
+from filbertlb.client import CallFailedError
+from filbertlb.core.clock import SystemClock
+from filbertlb.demo.accounts import settle_accounts
+from filbertlb.demo.night import make_night
+from filbertlb.demo.night import Night
+from filbertlb.demo.plant import open_plant
+
+ORGANISATION = "archive"
+FINAL = ("succeeded", "failed", "cancelled")
+
+
+@pytest.fixture
+def plant():
+    config = example_site("jadran")
+    with open_plant(config, SystemClock(), entries=2, runners=2) as site:
+        yield site
+
+
+def _submit(plant, key, run_s, idempotent=False, accelerators=4):
+    each = {"accelerators": accelerators, "cores": 4, "memory_gib": 8}
+    body = {
+        "shape": {"members": 1, "each": each},
+        "idempotent": idempotent,
+        "command": json.dumps({"run_s": run_s, "key": key}),
+    }
+    with _client(plant) as client:
+        return client.submit_job(body, key)["job_id"]
+
+
+class _client:
+    """A client of some entry that runs."""
+
+    def __init__(self, plant):
+        self._client = plant.client(ORGANISATION)
+
+    def __enter__(self):
+        return self._client
+
+    def __exit__(self, *error):
+        self._client.close()
+
+
+def _final_states(plant, job_ids):
+    """Return how the jobs ended, asking for up to a minute."""
+    found = {}
+    for _ in range(120):
+        with _client(plant) as client:
+            found = {job_id: client.job(job_id) for job_id in job_ids}
+        if all(one["state"] in FINAL for one in found.values()):
+            break
+        sleep(0.5)
+    return [found[job_id]["state"] for job_id in job_ids]
+
+
+def _wait_running(plant, job_id):
+    for _ in range(200):
+        with _client(plant) as client:
+            if client.job(job_id)["state"] == "running":
+                return
+        sleep(0.05)
+    raise AssertionError(f"job {job_id} does not run")
+
+
+def _crash_decider(plant):
+    plant.crash_entry(plant.decider_id())
+    plant.start_entry("entry-next")
+
+
+def _release_decider(plant):
+    plant.stop(plant.decider_id())
+    plant.start_entry("entry-next")
+
+
+def _restart_agents(plant):
+    for worker in plant.config.expected_workers():
+        plant.replace_worker_agent(worker)
+
+
+def _restart_everything(plant):
+    for entry_id in list(plant.entry_by_id):
+        plant.crash_entry(entry_id)
+    plant.start_entry("entry-next")
+    _restart_agents(plant)
+
+
+def _cut_table(plant):
+    plant.table.faults.down = True
+    sleep(5.0)
+    plant.table.faults.down = False
 
 
 @pytest.mark.parametrize(
-    ("idempotent", "ran", "retries", "left_s", "allowed"),
+    "fail",
     [
-        (True, Ran.UNKNOWN, 0, 1.0, True),
-        (True, Ran.YES, 0, 1.0, True),
-        (False, Ran.NO, 0, 1.0, True),
-        (False, Ran.UNKNOWN, 0, 1.0, False),
-        (False, Ran.YES, 0, 1.0, False),
-        (True, Ran.NO, 3, 1.0, False),
-        (True, Ran.NO, 0, 0.0, False),
+        _crash_decider,
+        _release_decider,
+        _restart_agents,
+        _restart_everything,
+        _cut_table,
     ],
 )
-def test_may_retry(idempotent, ran, retries, left_s, allowed):
-    assert may_retry(idempotent, ran, retries, left_s) is allowed
-
-
-def test_budget_is_a_share_of_successes_per_organisation():
-    budgets = RetryBudgets()
-    spent = 0
-    for _ in range(1000):
-        budgets.of("a").succeeded()
-        spent += budgets.of("a").spend(0.0)
-    assert 100 <= spent <= 111
-    # What is left is for urgent requests.
-    assert not budgets.of("a").spend(0.0)
-    assert budgets.of("a").spend(0.0, urgent=True)
-    assert budgets.of("b").spend(0.0)
-
-
-def test_backoff_doubles_and_honours_retry_after():
-    rng = Random(3)
-    waits = [[backoff_s(n, rng) for _ in range(200)] for n in (0, 3, 20)]
-    assert [
-        max(one) <= bound
-        for one, bound in zip(waits, (0.02, 0.16, 2.0), strict=True)
-    ] == [True, True, True]
-    assert max(waits[1]) > 0.08
-    assert backoff_s(0, rng, retry_after_s=5.0) >= 5.0
-
-
-def test_endpoint_is_set_aside_and_probed():
-    health = EndpointHealth()
-    rng = Random(4)
-
-    def fail(endpoint_id, request_id, now_s=0.0):
-        health.failed(endpoint_id, request_id, 4, now_s, rng)
-
-    for _ in range(9):
-        fail("r1", "same request")
-    assert not health.is_set_aside("r1")
-    for endpoint_id in ("r1", "r2", "r3", "r4"):
-        for number in range(6):
-            fail(endpoint_id, f"q{number}")
-    # Never more than half: then the fault is not theirs.
-    assert health.aside_count == 2
-    assert health.start_probe(0.5) is None
-    assert health.start_probe(2.0) == "r1"
-    fail("r1", "probe", 2.0)
-    assert health.is_set_aside("r1")
-    assert {health.start_probe(2.1), health.start_probe(2.2)} == {"r2", None}
-    assert health.start_probe(5.0) == "r1"
-    health.succeeded("r1")
-    assert not health.is_set_aside("r1")
-
-
-def test_breaker_opens_probes_and_closes():
-    breaker = CircuitBreaker(Random(5))
-    sent = []
-    down_until_s = 20.0
-    for tick in range(3000):
-        now_s = tick / 100
-        try:
-            breaker.check(now_s)
-        except TableBreakerOpenError as error:
-            assert error.retry_after_s is not None
-            continue
-        sent.append(now_s)
-        if now_s < down_until_s:
-            breaker.failed(now_s)
-        else:
-            breaker.succeeded(0.01, now_s)
-    during = [now_s for now_s in sent if now_s < down_until_s]
-    assert len(during) < 5 + 20
-    first_after = min(now_s for now_s in sent if now_s >= down_until_s)
-    assert first_after <= down_until_s + 4.0
-    assert len(sent) - len(during) > 100 * (30 - first_after) - 2
-
-
-@pytest.mark.parametrize("entries", [1, 3, 8])
-def test_site_stays_within_its_writes_in_every_second(entries):
-    budgets = [TableBudget() for _ in range(entries)]
-    window = deque()
-    total = 0
-    for tick in range(1000):
-        # Nothing is written for two seconds, so that buckets fill.
-        now_s = tick / 100
-        for budget in budgets:
-            budget.set_live_entries(entries, now_s)
-            count = budget.writes.available(now_s) if tick > 200 else 0
-            assert budget.writes.take(count, now_s)
-            window.append((now_s, count))
-            total += count
-        while window[0][0] <= now_s - 1:
-            window.popleft()
-        assert sum(count for _, count in window) <= SITE_WRITES_PER_S
-    assert total >= SITE_WRITES_PER_S * 8 * 0.7 * min(1, entries / 3)
-
-
-def test_backlog_keeps_order_and_the_newest_of_a_key():
-    backlog = WriteBacklog(bound=4, max_batch=3)
-    budget = TableBudget()
-    budget.writes.available(0.0)
-
-    def add(key, priority, payload):
-        return backlog.add(PendingWrite(key, priority, payload))
-
-    assert add("c", WritePriority.CANCEL, 1)
-    assert add("b", WritePriority.ANSWER, 2)
-    assert add("a", WritePriority.ACCEPT, 3)
-    assert add("b", WritePriority.ANSWER, 4)
-    assert add("d", WritePriority.CANCEL, 5)
-    assert not add("e", WritePriority.ACCEPT, 6)
-    batch = backlog.take(budget.writes, 1.0)
-    assert [(one.key, one.payload) for one in batch] == [
-        ("a", 3),
-        ("b", 4),
-        ("c", 1),
-    ]
-    assert add("b", WritePriority.ANSWER, 7)
-    backlog.put_back(batch, alone=True)
-    taken = [backlog.take(budget.writes, 2.0) for _ in range(5)]
-    assert [[one.payload for one in some] for some in taken] == [
-        [3],
-        [7],
-        [1],
-        [5],
-        [],
-    ]
+def test_running_and_queued_jobs_survive(plant, fail):
+    running = _submit(plant, "runs", 6.0)
+    _wait_running(plant, running)
+    # The quota of 40 accelerators makes the last of these wait.
+    waiting = [_submit(plant, f"waits-{n}", 0.2) for n in range(12)]
+    fail(plant)
+    assert _final_states(plant, [running, *waiting]) == ["succeeded"] * 13
+    keys = ["runs", *(f"waits-{n}" for n in range(12))]
+    assert [plant.ledger.starts_by_key[key] for key in keys] == [1] * 13
+
+
+def test_table_outage_refuses_jobs_and_serves_requests(plant):
+    sleep(0.5)
+    plant.table.faults.down = True
+    with pytest.raises(CallFailedError) as refused:
+        _submit(plant, "late", 0.1)
+    assert (refused.value.http_status, refused.value.ran) == (503, "no")
+    body = json.dumps({"result": "ripe"}).encode()
+    with _client(plant) as client:
+        answer = client.invoke("ripeness", body)
+        assert (answer.status, answer.json()["result"]) == (200, "ripe")
+        answer = client.invoke("payout", body, key="p", idempotent=False)
+        assert answer.status in (503, 504)
+    plant.table.faults.down = False
+    assert plant.ledger.starts_by_task_id["/payout"] == 0
+
+
+def test_every_entry_replaced_under_work(plant):
+    arrivals = make_night(sorted(plant.config.organisations), 5, 30, 60, 8.0)
+    spawn(_replace_entries, plant)
+    told = Night(plant, lambda one: None).play(*arrivals)
+    accounts = settle_accounts(told, plant.ledger)
+    assert accounts.clean, accounts
+    assert not {"entry-0", "entry-1"} & set(plant.entry_by_id)
+
+
+def _replace_entries(plant):
+    for number in range(2):
+        sleep(2.0)
+        plant.start_entry(f"entry-new-{number}")
+        plant.crash_entry(f"entry-{number}")
