Skip racks and domains by their free cores

Cause: gangs without accelerators were searched for in every domain at every decision.

Change: groups count free cores beside free accelerators, and workers without room for one member are skipped before anything is computed.

--- a/filbertlb/core/cluster.py
+++ b/filbertlb/core/cluster.py
@@ -29,14 +29,15 @@
 
     Parameters
     ----------
-    free_accelerators : int
-        Sum over the workers that take work.
+    free_accelerators, free_millicores : int
+        Sums over the workers that take work.
     """
 
     name: str
     failure_domain: str
     workers: list[WorkerState] = attrs.field(factory=list)
     free_accelerators: int = 0
+    free_millicores: int = 0
 
 
 @attrs.define(eq=False)
@@ -81,6 +82,7 @@
     units: dict[Unit, int] = attrs.field(factory=dict)
     index_key: IndexKey | None = None
     counted_accelerators: int = 0
+    counted_millicores: int = 0
 
     @property
     def worker_id(self) -> str:
@@ -172,12 +174,15 @@
         """Refresh the index and the counters of one worker."""
         usable = state.usable
         free = state.free
-        counted = max(0, free[0]) if usable else 0
-        delta = counted - state.counted_accelerators
-        if delta:
-            state.counted_accelerators = counted
-            state.rack.free_accelerators += delta
-            state.domain.free_accelerators += delta
+        accelerators = max(0, free[0]) if usable else 0
+        millicores = max(0, free[1]) if usable else 0
+        for group in (state.rack, state.domain):
+            group.free_accelerators += (
+                accelerators - state.counted_accelerators
+            )
+            group.free_millicores += millicores - state.counted_millicores
+        state.counted_accelerators = accelerators
+        state.counted_millicores = millicores
         key = None
         if usable and free[0] >= 0 and free[1] >= 0 and free[2] >= 0:
             key = (free[0], free[1].bit_length())
--- a/filbertlb/core/search.py
+++ b/filbertlb/core/search.py
@@ -85,17 +85,23 @@
     among: Mapping[str, WorkerState] | None = None,
 ) -> tuple[str, ...] | None:
     """Find the rack or domain that a gang fills best with free room."""
-    wanted = need[0] * shape.members
+    wanted = times(need, shape.members)
     groups = sorted(
         (
             group
             for group in groups_of(cluster, shape, among)
-            if group.free_accelerators >= wanted
+            if group.free_accelerators >= wanted[0]
+            and group.free_millicores >= wanted[1]
         ),
         key=lambda group: group.free_accelerators,
     )
     for group in groups:
-        chosen = fill(group, shape, need, room, avoid)
+        workers = [
+            state
+            for state in group.workers
+            if state.free[0] >= need[0] and state.free[1] >= need[1]
+        ]
+        chosen = fill(workers, shape, need, room, avoid)
         if chosen is not None:
             return chosen
     return None
@@ -133,7 +139,7 @@
     groups = groups_of(cluster, shape, None)
     sized = [(_group_room(group, room), group.name, group) for group in groups]
     for _, _, group in sorted(sized, key=lambda item: item[:2]):
-        chosen = fill(group, shape, need, room, avoid, usable_only)
+        chosen = fill(group.workers, shape, need, room, avoid, usable_only)
         if chosen is not None:
             return chosen
     return None
@@ -150,7 +156,7 @@
         groups = groups_of(cluster, shape, None)
         groups.sort(key=lambda group: _group_room(group, room))
         found = [
-            fill(group, shape, need, room, fullest_first=fullest_first)
+            fill(group.workers, shape, need, room, fullest_first=fullest_first)
             for group in groups
             for fullest_first in (True, False)
         ]
@@ -186,7 +192,7 @@
 
 
 def fill(
-    group: Group,
+    workers: list[WorkerState],
     shape: Shape,
     need: Amount,
     room: Room,
@@ -195,7 +201,7 @@
     *,
     fullest_first: bool = False,
 ) -> tuple[str, ...] | None:
-    """Place members on a group's workers, or return None.
+    """Place members on adjacent workers, or return None.
 
     Parameters
     ----------
@@ -203,7 +209,7 @@
         Fill workers with little room before those with much.
     """
     counted = []
-    for state in group.workers:
+    for state in workers:
         usable = state.usable or not usable_only
         if usable and state.worker_id not in avoid:
             count = copies(room(state), need)
