Count waits on the scheduler's own clock

Cause: the decider gives monotonic time while jobs carry the wall time of their submission, so waits were negative and nothing ever starved.

Change: a wait counts from the submission where both are on one clock, and else from when the job was queued here; the order still follows the submission.

The new test fails without this (large job still queued after the bound, with an offset of 1.8e9 s).

Conclusion: after a takeover waits restart unless the clocks agree; the decider had better give wall time.

--- a/filbertlb/core/queueing.py
+++ b/filbertlb/core/queueing.py
@@ -35,6 +35,8 @@
     place : Place
         Place in the order, kept when the job is stopped and queued
         again.
+    since_s : float
+        Time from which its wait counts, on the scheduler's clock.
     avoid : set of str
         Workers on which it has failed.
     ready_at_s : float
@@ -44,6 +46,7 @@
     job: JobSpec
     need: Amount
     place: Place
+    since_s: float = 0.0
     avoid: set[str] = attrs.field(factory=set)
     ready_at_s: float = 0.0
 
--- a/filbertlb/scheduling/filling.py
+++ b/filbertlb/scheduling/filling.py
@@ -71,12 +71,13 @@
     state: SchedulerState, bucket: Bucket, now_s: float
 ) -> tuple[float, tuple[float, int, str], Bucket]:
     place = bucket.places[0]
+    waiting = state.queue.by_id[place[2]]
     name = bucket.organisation_id
     value = score(
         state.config.profile,
         state.run_times.expected_s(name, bucket.job_class),
         bucket.need[0] * bucket.shape.members,
-        max(0.0, now_s - place[0]),
+        max(0.0, now_s - waiting.since_s),
         state.config.ageing_s,
         state.shares.excess(name, state.capacity_accelerators),
     )
--- a/filbertlb/scheduling/guaranteed.py
+++ b/filbertlb/scheduling/guaranteed.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from itertools import islice
 from typing import TYPE_CHECKING
 
 from filbertlb.core.amounts import needed
@@ -231,7 +232,8 @@
     def _waiting(self, job: JobSpec) -> Waiting:
         self._sequence += 1
         place = (job.submitted_at_s, self._sequence, job.job_id)
-        return Waiting(job, needed(job.shape.each), place)
+        since_s = min(job.submitted_at_s, self._now_s)
+        return Waiting(job, needed(job.shape.each), place, since_s)
 
     def _release(self, now_s: float) -> None:
         """Probe workers whose time aside is over; wake retries."""
@@ -264,8 +266,9 @@
             state.queue.next_wake_s(), state.health.next_release_s()
         )
         bounds = (state.config.reserve_after_s, state.config.starvation_s)
-        for place in state.queue.places[: state.config.max_reservations]:
+        oldest = islice(state.queue.oldest(), state.config.max_reservations)
+        for waiting in oldest:
             for bound_s in bounds:
-                if place[0] + bound_s > now_s:
-                    wake_at_s = min(wake_at_s, place[0] + bound_s)
+                if waiting.since_s + bound_s > now_s:
+                    wake_at_s = min(wake_at_s, waiting.since_s + bound_s)
         return wake_at_s
--- a/filbertlb/scheduling/reservations.py
+++ b/filbertlb/scheduling/reservations.py
@@ -85,7 +85,7 @@
     for waiting in oldest:
         if len(out) >= state.config.max_decisions:
             return
-        starves = now_s - waiting.place[0] >= state.config.starvation_s
+        starves = now_s - waiting.since_s >= state.config.starvation_s
         if starves and _start_starving(state, waiting, now_s, out):
             continue
         if waiting.job.job_id not in state.holds_by_key:
@@ -97,7 +97,7 @@
     by_id = state.queue.by_id
     return min(
         (
-            by_id[key].place[0] + state.config.starvation_s
+            by_id[key].since_s + state.config.starvation_s
             for key in state.holds_by_key
             if isinstance(key, str)
         ),
@@ -112,8 +112,8 @@
     left = config.max_reservations
     large_left = config.max_reservations if large_first else 0
     for waiting in islice(state.queue.oldest(), _MAX_SCANNED):
-        if now_s - waiting.place[0] < config.reserve_after_s:
-            return
+        if now_s - waiting.since_s < config.reserve_after_s:
+            continue
         large = waiting.need[0] * waiting.job.shape.members
         if not left and large < config.large_accelerators:
             continue
@@ -202,7 +202,7 @@
     by_size = config.profile is WeightProfile.FRAGMENTATION
     size = waiting.need[0] * waiting.job.shape.members
     patience_s = config.starvation_s * LARGER_VICTIM_FACTOR
-    may_stop_larger = now_s - waiting.place[0] >= patience_s
+    may_stop_larger = now_s - waiting.since_s >= patience_s
 
     def eligible(run: Run) -> bool:
         if (
@@ -211,11 +211,11 @@
             or run.job.job_class is JobClass.URGENT
         ):
             return False
-        place = state.place(run)
+        victim = state.waiting_by_id[run.job.job_id]
         victim_size = accelerators(run)
-        if place > waiting.place:
+        if victim.place > waiting.place:
             return not by_size or may_stop_larger or victim_size <= size
-        waited_s = run.started_at_s - place[0]
+        waited_s = run.started_at_s - victim.since_s
         return (
             by_size
             and waited_s < config.starvation_s
--- a/filbertlb/scheduling/state.py
+++ b/filbertlb/scheduling/state.py
@@ -152,10 +152,6 @@
             self.shares.count(run.job.organisation_id, change)
         self.runs.set_claim(run, unit)
 
-    def place(self, run: Run) -> tuple[float, int, str]:
-        """Return the place of a run's job in the order."""
-        return self.waiting_by_id[run.job.job_id].place
-
     def set_holds(self, key: str | Unit, holds: Holds) -> None:
         """Replace what is held for a reservation or a unit at risk."""
         by_id = self.cluster.by_id
--- a/tests/test_scheduling_failures.py
+++ b/tests/test_scheduling_failures.py
@@ -10,6 +10,7 @@
 from filbertlb.core.model import Worker
 from filbertlb.core.scheduling import JobEnd
 from filbertlb.core.scheduling import RunEnd
+from filbertlb.core.scheduling import StopJob
 from filbertlb.scheduling.config import SchedulerConfig
 from filbertlb.scheduling.guaranteed import GuaranteedScheduler
 
@@ -121,3 +122,30 @@
         policy.ended(RunEnd(item.job_id, JobEnd.STOPPED), 1.2)
     started = {item.assignment.job_id for item in decide_all(policy, 1.2)}
     assert started == {f"u{n}" for n in range(60)}
+
+
+@pytest.mark.parametrize("clock_offset_s", [0.0, 1.8e9])
+def test_bounded_wait_whatever_clock_the_submitter_uses(clock_offset_s):
+    policy = cluster(1)
+    submit(policy, 1, organisation_id="long", submitted_at_s=0.0)
+    decide_all(policy, 0.0)
+    shape = Shape(each=Resources(8, 1, 1))
+    large = JobSpec("large", "b", shape, submitted_at_s=clock_offset_s)
+    policy.submit(large, 10.0)
+    for n in range(1, 60):
+        now_s = n * CONFIG.starvation_s / 50
+        name = f"small{n}"
+        small = JobSpec(
+            name, "a", submitted_at_s=clock_offset_s + now_s, idempotent=True
+        )
+        policy.submit(small, now_s)
+        for decision in decide_all(policy, now_s):
+            if isinstance(decision, StopJob):
+                policy.ended(RunEnd(decision.job_id, JobEnd.STOPPED), now_s)
+        if not policy.is_queued("large"):
+            break
+        previous = f"small{n - 1}" if n > 1 else "long0"
+        policy.ended(RunEnd(previous, JobEnd.SUCCEEDED), now_s)
+    bound_s = CONFIG.starvation_s + CONFIG.reclaim_within_s
+    assert not policy.is_queued("large")
+    assert now_s - 10.0 <= bound_s + CONFIG.starvation_s / 50
--- a/tests/test_scheduling_machine.py
+++ b/tests/test_scheduling_machine.py
@@ -368,7 +368,7 @@
         if waiting is None or not waiting.job.stoppable:
             return
         factor = LARGER_VICTIM_FACTOR if self.large_first else 1
-        if self.now_s - waiting.place[0] < CONFIG.starvation_s * factor:
+        if self.now_s - waiting.since_s < CONFIG.starvation_s * factor:
             return
         claimed = self.claimed()
         fixed = {
