Record an answer over what others wrote meanwhile

Cause: an answer that could not be written during an outage met a conflict afterwards when another entry had joined the attempt, and was dropped; only the agent still held it.

Change: record_later puts the answer on the row as it is then, if the row still names the same dispatch; the measurement's backlog uses it.

--- a/benchmarks/request_payouts.py
+++ b/benchmarks/request_payouts.py
@@ -22,9 +22,11 @@
 from filbertlb.core.attempt_rows import encode_attempt
 from filbertlb.core.attempt_rows import KeyedRequest
 from filbertlb.core.attempt_rows import request_digest
+from filbertlb.core.attempt_rows import Stamp
 from filbertlb.core.attempt_session import AttemptSession
 from filbertlb.core.attempt_session import Purpose
 from filbertlb.core.attempt_steps import TellAnswer
+from filbertlb.core.attempts import record_later
 from filbertlb.core.breaker import CircuitBreaker
 from filbertlb.core.table_budget import PendingWrite
 from filbertlb.core.table_budget import TableBudget
@@ -268,11 +270,23 @@
             self.breaker.failed(now_s)
             self.backlog.put_back(batch, alone=False)
         except RowConflictError:
-            if len(batch) > 1:
-                self.backlog.put_back(batch, alone=True)
+            self._retry_conflict(batch)
         else:
             self.breaker.succeeded(TABLE_S, now_s)
 
+    def _retry_conflict(self, batch: list[PendingWrite[WriteRow]]) -> None:
+        """Send the rows one by one, each over what others wrote."""
+        if len(batch) > 1:
+            self.backlog.put_back(batch, alone=True)
+            return
+        (pending,) = batch
+        current, version = self.table.get(pending.key)
+        stamp = Stamp(self._new_id(), self.entry_id)
+        row = record_later(current, pending.payload.row, stamp)
+        if row is not None:
+            write = WriteRow(pending.key, row, version)
+            self.backlog.add(attrs.evolve(pending, payload=write))
+
 
 def _as_write(effect: WriteRow) -> Write:
     value = encode_attempt(effect.row)
--- a/filbertlb/core/attempts.py
+++ b/filbertlb/core/attempts.py
@@ -182,6 +182,36 @@
     )
 
 
+def record_later(
+    current: AttemptRow | None, unwritten: AttemptRow, stamp: Stamp
+) -> AttemptRow | None:
+    """Return the row that keeps an answer which could not be written.
+
+    Parameters
+    ----------
+    current : AttemptRow, optional
+        The row as read now; others may have joined or lost meanwhile.
+    unwritten : AttemptRow
+        The row with the answer that was to be written.
+
+    Returns
+    -------
+    AttemptRow or None
+        None if there is nothing to write any more.
+    """
+    if current is None or current.token != unwritten.token:
+        return None
+    if current.state is AttemptState.SUCCEEDED:
+        return None
+    return attrs.evolve(
+        current,
+        state=_after(current, "answer"),
+        answer=unwritten.answer,
+        write_id=stamp.write_id,
+        owner=stamp.owner,
+    )
+
+
 def refuse(
     row: AttemptRow, code: str, message: str, stamp: Stamp
 ) -> AttemptRow:
