--- a/filbertlb/core/gang_result.py
+++ b/filbertlb/core/gang_result.py
@@ -33,11 +33,6 @@
     LOST = "lost"
 
 
-FINAL_STAGES = frozenset(
-    {MemberStage.ENDED, MemberStage.NOT_RUN, MemberStage.LOST}
-)
-
-
 @attrs.define
 class MemberResult:
     """One member of a released gang.
@@ -59,7 +54,11 @@
     @property
     def is_final(self) -> bool:
         """Tell whether nothing more is awaited from the member."""
-        return self.stage in FINAL_STAGES
+        is_open = (
+            self.stage is MemberStage.RUNNING
+            or self.stage is MemberStage.UNCONFIRMED
+        )
+        return not is_open
 
     @property
     def has_succeeded(self) -> bool:
@@ -102,17 +101,23 @@
 def first_cause(results: Sequence[MemberResult]) -> StopCause | None:
     """Return why the gang cannot succeed any more, or None."""
     for member, result in enumerate(results):
-        if result.stage in {MemberStage.LOST, MemberStage.NOT_RUN}:
+        if result.is_final and not result.has_succeeded:
+            return _cause(member, result)
+    return None
+
+
+def _cause(member: int, result: MemberResult) -> StopCause:
+    match result.phase:
+        case TaskPhase.FAILED:
+            return StopCause(JobEnd.FAILED, "member_failed", result.detail)
+        case TaskPhase.STOPPED:
+            return StopCause(JobEnd.STOPPED, "member_stopped", result.detail)
+        case _:
             return StopCause(
                 JobEnd.WORKER_LOST,
                 "member_lost",
                 f"member {member!r} is {result.stage.value!r}",
             )
-        if result.phase is TaskPhase.FAILED:
-            return StopCause(JobEnd.FAILED, "member_failed", result.detail)
-        if result.phase is TaskPhase.STOPPED:
-            return StopCause(JobEnd.STOPPED, "member_stopped", result.detail)
-    return None
 
 
 def gang_ran(results: Sequence[MemberResult]) -> Ran:
