Let go of an attempt that had ended before it was adopted

Cause: a row that was read before its outcome was written made a decider adopt a gang whose members the agents had closed; it waited for ever. Change: a member that runs but is not announced is asked after by an abort, which does not touch what runs; a closed member counts as lost. Without the question the new test fails; asking by a stop fails the test of the early announcement.

--- a/filbertlb/core/gang_result.py
+++ b/filbertlb/core/gang_result.py
@@ -73,6 +73,9 @@
 
     def not_run(self) -> None:
         """Record the proof that the member never starts."""
+        if self.ran is Ran.YES:
+            self.lost()
+            return
         self.stage = MemberStage.NOT_RUN
         self.ran = Ran.NO
 
--- a/filbertlb/core/gang_run.py
+++ b/filbertlb/core/gang_run.py
@@ -23,6 +23,7 @@
 from filbertlb.core.gang_result import MemberStage
 from filbertlb.core.gang_result import StopCause
 from filbertlb.core.gang_round import CommandRound
+from filbertlb.core.refusals import AlreadyStartedError
 from filbertlb.core.refusals import StaleEpochError
 from filbertlb.core.refusals import StaleIncarnationError
 from filbertlb.core.scheduling import JobEnd
@@ -182,6 +183,8 @@
                 effects += self._seen(member, incarnation, status, now_s)
             elif incarnation != self.plan.members[member].incarnation:
                 effects += self.member_lost(member, now_s)
+            else:
+                effects += self._ask_after(member, now_s)
         return effects
 
     def member_lost(self, member: int, now_s: float) -> list[GangEffect]:
@@ -274,15 +277,29 @@
         if refused.ran is Ran.NO:
             self._round.settle(member)
             result.not_run()
-        elif refused.ran is Ran.YES and isinstance(command, Abort):
+        elif refused.code == AlreadyStartedError.code:
             self._round.settle(member)
             result.started()
         elif refused.code != StaleIncarnationError.code:
-            # The agent has forgotten the member.
+            # The agent has closed or forgotten the member.
             self._round.settle(member)
+            if refused.ran is Ran.YES:
+                result.ran = Ran.YES
             result.lost()
         # A restarted agent announces soon what it has adopted.
 
+    def _ask_after(self, member: int, now_s: float) -> list[GangEffect]:
+        """Ask about a member that runs but was not announced.
+
+        An abort does not touch a member that runs. One that was closed
+        before this gang was taken over is found out by it.
+        """
+        is_running = self.results[member].stage is MemberStage.RUNNING
+        if not is_running or member in self._round.members:
+            return []
+        ask: dict[int, GangCommand] = {member: Abort(self.plan.token(member))}
+        return [*self._round.add(ask, self.plan, now_s)]
+
     def _seen(
         self,
         member: int,
--- a/tests/test_gang.py
+++ b/tests/test_gang.py
@@ -16,6 +16,7 @@
 from filbertlb.core.gang_plan import GangPlan
 from filbertlb.core.gang_plan import Send
 from filbertlb.core.gang_plan import Written
+from filbertlb.core.gang_recovery import recover
 from filbertlb.core.job_record import AttemptReplacedError
 from filbertlb.core.job_record import cancelled
 from filbertlb.core.job_record import closed
@@ -264,6 +265,37 @@
     assert len(world.begun) == 1
 
 
+def test_attempt_that_ended_before_it_was_adopted_is_let_go():
+    """The row was read before the outcome was written."""
+    world = gang_world()
+    decider = world.take_over("s")
+    world.begin(decider, "j1")
+    run_until(world, "Started", 1)
+    stale = world.record("j1")
+    end_all(world, TaskPhase.SUCCEEDED)
+    world.flush()
+    recovery = recover(stale, 1, {}, BOUNDS, world.now_s)
+    decider.gang_by_job_id["j1"] = recovery.gang
+    world.perform(decider, recovery.gang, recovery.effects)
+    world.settle()
+    assert decider.gang_by_job_id == {}
+    assert world.record("j1").state is JobState.SUCCEEDED
+
+
+def test_announcement_from_before_the_start_stops_nothing():
+    world = gang_world()
+    decider = world.take_over("s")
+    world.announce(world.agents["w0"])
+    early = world.in_flight.pop()
+    world.begin(decider, "j1")
+    run_until(world, "Started", 1)
+    world.in_flight.append(early)
+    world.flush()
+    assert world.log[-1]["result"] == "already_started ran yes"
+    assert len(world.running(next(iter(world.attempts)))) == 3
+    assert not any(line["message"] == "Stop" for line in world.log)
+
+
 def test_success_of_a_part_is_no_success():
     world = gang_world()
     world.begin(world.take_over("s"), "j1")
