Give operators their commands and routes

Cause: configuration, organisations, endpoints, status and the trail could be reached by HTTP only, endpoints not at all.

Change: commands config, organisation, endpoint, status and audit; routes to list endpoints and to drain one. The entry asks the agent (message Drain) and writes the trail first; an agent refuses another incarnation. The trail's chain is verified when asked for, so that a broken trail can still be read. Organisations are read from the head, so that one created through another entry is found at once.

Conclusion: an infinite 'revision' in a query was a fault of the server (500); it is refused now.

--- a/filbertlb/agent/app.py
+++ b/filbertlb/agent/app.py
@@ -18,9 +18,12 @@
 from filbertlb.agent.slots import SlotBook
 from filbertlb.agent.worker import WorkerAgent
 from filbertlb.core.model import Resources
+from filbertlb.core.refusals import StaleIncarnationError
 from filbertlb.entry.registry import look_up_entries
 from filbertlb.messages import Announce
 from filbertlb.messages import AnnounceAck
+from filbertlb.messages import Drain
+from filbertlb.messages import Refused
 from filbertlb.messages import Role
 from filbertlb.tasks import Mailbox
 from filbertlb.tasks import running_task
@@ -33,6 +36,7 @@
     from filbertlb.backend.base import WorkerBackend
     from filbertlb.core.clock import Clock
     from filbertlb.table.base import TableService
+    from filbertlb.transport.codec import Envelope
     from filbertlb.transport.codec import MessageCodec
     from filbertlb.transport.link import Link
 
@@ -89,11 +93,28 @@
         self.mailbox = Mailbox(setup.endpoint_id)
         self._role = role
         self._link = link
+        link.subscribe(Drain, self.take_drain)
 
     def drain(self) -> None:
         """Refuse all new work from now on."""
         self.mailbox.post(DrainNow())
 
+    def take_drain(self, envelope: Envelope) -> None:
+        """Drain if the order is for this incarnation."""
+        order = envelope.message
+        own = Drain(self.setup.endpoint_id, self.incarnation)
+        if order != own:
+            refusal = Refused(
+                StaleIncarnationError.code,
+                f"the order is for {order.endpoint_id!r} with incarnation "
+                f"{order.incarnation!r}, not {own.endpoint_id!r} with "
+                f"{own.incarnation!r}; list the endpoints again",
+            )
+            self._link.reply(envelope, refusal)
+            return
+        self.drain()
+        self._link.reply(envelope, order)
+
     def idle(self) -> bool:
         """Tell whether nothing is left to end or to report."""
         return self.slot_book.idle and not self.task_book.statuses()
--- a/filbertlb/api/calls.py
+++ b/filbertlb/api/calls.py
@@ -122,6 +122,21 @@
             ) from error
         return convert(value, cls)
 
+    def whole_number(self, name: str, most: int) -> int:
+        """Return a whole number of the query from 0, or 0 if none is given.
+
+        Raises
+        ------
+        InvalidInputError
+            If it is not such a number.
+        """
+        value = self.number(name, 0.0, most)
+        if not value.is_integer():
+            raise InvalidInputError(
+                f"{name} is {self.query[name]!r}; give a whole number"
+            )
+        return int(value)
+
     def number(self, name: str, default: float, most: float) -> float:
         """Return a number of the query between 0 and ``most``.
 
--- a/filbertlb/api/configuration.py
+++ b/filbertlb/api/configuration.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import secrets
+from collections import deque
+from contextlib import suppress
 from http import HTTPStatus
 from typing import Any
 from typing import TYPE_CHECKING
@@ -23,6 +25,7 @@
 from filbertlb.core.site import SiteConfig
 from filbertlb.errors import ConflictError
 from filbertlb.errors import NotFoundError
+from filbertlb.errors import UnavailableError
 from filbertlb.scheduling.dry_run import broken_guarantees
 
 if TYPE_CHECKING:
@@ -37,6 +40,7 @@
     from filbertlb.entry.configuration import ConfigWatcher
 
 HISTORY_LIMIT = 1000
+MAX_REVISION = 99_999_999
 TOKEN_BYTES = 8
 
 
@@ -140,7 +144,7 @@
         )
 
     def _show(self, call: Call) -> Reply:
-        number = int(call.number("revision", 0, float("inf")))
+        number = call.whole_number("revision", MAX_REVISION)
         if number:
             return json_reply(self._store.revision(number))
         return json_reply(self._store.head())
@@ -193,7 +197,7 @@
         )
 
     def _list(self, call: Call) -> Reply:
-        names = sorted(self._watcher.config.organisations)
+        names = sorted(self._newest().organisations)
         return json_reply({"organisations": names})
 
     def _organisation(self, call: Call) -> Reply:
@@ -242,7 +246,7 @@
         return json_reply({"token": token}, HTTPStatus.CREATED)
 
     def _find(self, organisation_id: str) -> OrganisationConfig:
-        found = self._watcher.config.organisations.get(organisation_id)
+        found = self._newest().organisations.get(organisation_id)
         if found is None:
             raise OrganisationNotFoundError(
                 f"there is no organisation {organisation_id!r}; see "
@@ -250,15 +254,23 @@
             )
         return found
 
+    def _newest(self) -> SiteConfig:
+        """Return the head, or what is in force while the table is down."""
+        with suppress(UnavailableError):
+            # Another entry may have accepted a revision just now.
+            self._watcher.refresh()
+        return self._watcher.config
+
     def _audit(self, call: Call) -> Reply:
-        verified = self._store.audit.verify()
+        asked = bool(call.whole_number("verify", 1))
+        verified = self._store.audit.verify() if asked else None
         entries = select(
             self._store.audit.entries(),
             actor=call.query.get("actor"),
             action=call.query.get("action"),
         )
-        found: list[Any] = list(entries)[-HISTORY_LIMIT:]
-        return json_reply({"verified": verified, "entries": found})
+        found = deque(entries, maxlen=HISTORY_LIMIT)
+        return json_reply({"verified": verified, "entries": list(found)})
 
 
 def _summary(revision: Revision) -> dict[str, Any]:
--- a/filbertlb/cli/context.py
+++ b/filbertlb/cli/context.py
@@ -4,6 +4,8 @@
 
 import sys
 from contextlib import contextmanager
+from datetime import datetime
+from datetime import UTC
 from enum import IntEnum
 from typing import Any
 from typing import TYPE_CHECKING
@@ -60,9 +62,14 @@
     @contextmanager
     def client(self) -> Iterator[Client]:
         """Yield a client; a failure ends the command with its code."""
+        with self.reporting(), open_client(self.url, self.token) as client:
+            yield client
+
+    @contextmanager
+    def reporting(self) -> Iterator[None]:
+        """End the command with the code of a failure in the block."""
         try:
-            with open_client(self.url, self.token) as client:
-                yield client
+            yield
         except FilbertlbError as error:
             report_failure(error, self.as_json)
             sys.exit(exit_code(error))
@@ -102,6 +109,11 @@
     click.echo(encode({"error": details}) if as_json else text, err=True)
 
 
+def utc(at_s: float) -> str:
+    """Return seconds since the Unix epoch as a date and time."""
+    return datetime.fromtimestamp(at_s, UTC).strftime("%Y-%m-%d %H:%M:%S")
+
+
 def table(rows: Sequence[Mapping[str, Any]], columns: Sequence[str]) -> str:
     """Return rows as aligned text with a heading."""
     cells = [[str(row.get(name, "")) for name in columns] for row in rows]
--- a/filbertlb/cli/jobs.py
+++ b/filbertlb/cli/jobs.py
@@ -59,7 +59,11 @@
     with context.client() as client:
         found = client.submit_job(body, key, context.organisation)
         if wait_s:
-            found = client.job(found["job_id"], min(wait_s, LONGEST_WAIT_S))
+            found = client.job(
+                found["job_id"],
+                min(wait_s, LONGEST_WAIT_S),
+                context.organisation,
+            )
     context.show(found, table([found], JOB_COLUMNS))
     if found["state"] in ("failed", "cancelled"):
         sys.exit(ExitCode.FAILED)
@@ -80,7 +84,9 @@
 def status(context: Context, job_id: str, wait_s: float) -> None:
     """Show what became of a job."""
     with context.client() as client:
-        found = client.job(job_id, wait_s, context.organisation)
+        found = client.job(
+            job_id, min(wait_s, LONGEST_WAIT_S), context.organisation
+        )
     context.show(found, table([found], JOB_COLUMNS))
 
 
--- a/filbertlb/client.py
+++ b/filbertlb/client.py
@@ -218,6 +218,44 @@
         """Return the outcome of the request sent under a key."""
         return self.call("GET", f"/v1/outcomes/{quote(key)}")
 
+    def revision(self, number: int = 0) -> dict[str, Any] | None:
+        """Return a configuration revision, by default the latest."""
+        query = _query(revision=str(number) if number else "")
+        return self.json("GET", f"/v1/config{query}")
+
+    def apply_config(self, change: Mapping[str, Any]) -> dict[str, Any]:
+        """Apply a change of the configuration, or only try it.
+
+        Its ``token`` makes it safe to send the same change again.
+        """
+        return self.json("POST", "/v1/config", change)
+
+    def roll_back(self, wish: Mapping[str, Any]) -> dict[str, Any]:
+        """Bring the configuration of an earlier revision back."""
+        return self.json("POST", "/v1/config/rollback", wish)
+
+    def history(self) -> list[dict[str, Any]]:
+        """Return the revisions without their configurations."""
+        return self.json("GET", "/v1/config/history")["revisions"]
+
+    def endpoints(self) -> list[dict[str, Any]]:
+        """Return the endpoints that the entry knows."""
+        return self.json("GET", "/v1/endpoints")["endpoints"]
+
+    def drain_endpoint(self, endpoint_id: str) -> dict[str, Any]:
+        """Let an endpoint take no new work."""
+        path = f"/v1/endpoints/{quote(endpoint_id)}/drain"
+        return self.json("POST", path)
+
+    def audit(
+        self, actor: str = "", action: str = "", verify: bool = False
+    ) -> dict[str, Any]:
+        """Return the newest entries of the audit trail."""
+        query = _query(
+            actor=actor, action=action, verify="1" if verify else ""
+        )
+        return self.json("GET", f"/v1/audit{query}")
+
 
 def _key_header(key: str) -> dict[str, str]:
     return {"Idempotency-Key": key or secrets.token_hex(KEY_BYTES)}
--- a/filbertlb/entry/app.py
+++ b/filbertlb/entry/app.py
@@ -15,6 +15,7 @@
 from filbertlb.api.auth import TokenStore
 from filbertlb.api.configuration import OperatorRoutes
 from filbertlb.api.configuration import OrganisationNotFoundError
+from filbertlb.api.endpoints import EndpointRoutes
 from filbertlb.api.jobs import JobRoutes
 from filbertlb.api.requests import RequestRoutes
 from filbertlb.api.service import ServiceRoutes
@@ -175,6 +176,9 @@
             OperatorRoutes(
                 self.watcher, self.tokens, clock, self._revisions_in_force
             ),
+            EndpointRoutes(
+                self.directory, link.request, self.watcher.store.audit, clock
+            ),
             ServiceRoutes(self.ready, self.status, metrics),
         )
         self.application = Application(
--- a/filbertlb/messages.py
+++ b/filbertlb/messages.py
@@ -293,6 +293,20 @@
     content_type: str = "application/json"
 
 
+@attrs.frozen
+class Drain:
+    """Asks an agent to take no new work; it answers with it or Refused.
+
+    Parameters
+    ----------
+    endpoint_id, incarnation : str
+        The endpoint that the operator saw; another one refuses.
+    """
+
+    endpoint_id: str
+    incarnation: str
+
+
 @attrs.frozen
 class Tombstone:
     """Asks an agent never to start a request token."""
