Pin the errors of the HTTP interface

Cause: no test held status, code and 'ran' of the refusals, nor that one organisation can't see or cancel another's jobs.

--- /dev/null
+++ b/tests/api_site.py
@@ -0,0 +1,123 @@
+"""One entry, a worker and a runner in process, on ports of the system."""
+
+from __future__ import annotations
+
+from contextlib import contextmanager
+
+import attrs
+from gevent import sleep
+
+from filbertlb.agent.app import AgentSetup
+from filbertlb.agent.app import open_runner_agent
+from filbertlb.agent.app import open_worker_agent
+from filbertlb.api.auth import make_token
+from filbertlb.backend.fake import FakeRunner
+from filbertlb.backend.fake import FakeWorker
+from filbertlb.backend.ledger import Ledger
+from filbertlb.client import Client
+from filbertlb.core.clock import SystemClock
+from filbertlb.core.model import Resources
+from filbertlb.entry.app import EntrySetup
+from filbertlb.entry.app import open_entry
+from filbertlb.settings.process import Limits
+from filbertlb.table.base import ABSENT
+from filbertlb.table.memory import MemoryTable
+from filbertlb.transport.codec import KeyRing
+from filbertlb.transport.codec import MessageCodec
+
+HOST = "127.0.0.1"
+BODY_BYTES = 20_000
+EACH = {"accelerators": 8, "cores": 30.0, "memory_gib": 64.0}
+RACK = {"workers": 1, "each": EACH}
+CONFIG = {
+    "site": "qureshi",
+    "failure_domains": {"swat": {"region": "main", "racks": {"s1": RACK}}},
+    "organisations": {"dairies": {}, "traders": {}},
+}
+
+
+@attrs.define
+class JobAckTable(MemoryTable):
+    """Loses answers to the first writes of jobs only.
+
+    Parameters
+    ----------
+    lose_jobs : int
+        Number of coming new jobs whose answers are lost.
+    then_down : bool
+        Whether the service is down after a lost answer.
+    """
+
+    lose_jobs: int = 0
+    then_down: bool = False
+
+    def commit(self, writes):
+        first = writes[0]
+        is_new = first.expected_version == ABSENT
+        if self.lose_jobs and is_new and first.key.startswith("jobs/"):
+            self.lose_jobs -= 1
+            self.faults.lose_acks = 1
+            try:
+                return MemoryTable.commit(self, writes)
+            finally:
+                self.faults.down = self.then_down
+        return MemoryTable.commit(self, writes)
+
+
+@attrs.define
+class Site:
+    """What the tests call, and what was really done."""
+
+    entry: object
+    table: JobAckTable
+    ledger: Ledger
+    agent_by_id: dict
+    token_by_name: dict
+
+    def client(self, name="dairies"):
+        return Client(self.entry.url, self.token_by_name.get(name, name))
+
+    def call(self, method, path, name="operator", value=None):
+        client = self.client(name)
+        try:
+            return client.json(method, path, value)
+        finally:
+            client.close()
+
+
+@contextmanager
+def open_site():
+    """Yield a site whose endpoints are known and which has a decider."""
+    table = JobAckTable()
+    ledger = Ledger()
+    clock = SystemClock()
+    codec = MessageCodec(KeyRing({1: bytes(32)}))
+    token, operator = make_token(None, operator=True)
+    limits = Limits(body_bytes=BODY_BYTES)
+    setup = EntrySetup("e1", HOST, "swat", operator=operator, limits=limits)
+    place = {"region": "main", "failure_domain": "swat"}
+    worker = AgentSetup(
+        "s1/0", HOST, rack="s1", capacity=Resources(**EACH), **place
+    )
+    runner = AgentSetup("r1", HOST, rack="", **place)
+    with (
+        open_entry(setup, table, codec, clock) as entry,
+        open_worker_agent(
+            worker, FakeWorker(ledger=ledger, clock=clock), table, codec, clock
+        ) as worker_agent,
+        open_runner_agent(
+            runner, FakeRunner(ledger=ledger), table, codec, clock
+        ) as runner_agent,
+    ):
+        agents = {"s1/0": worker_agent, "r1": runner_agent}
+        site = Site(entry, table, ledger, agents, {"operator": token})
+        change = {"config": CONFIG, "based_on": 0}
+        site.call("POST", "/v1/config", value=change)
+        for name in CONFIG["organisations"]:
+            made = site.call("POST", f"/v1/organisations/{name}/tokens")
+            site.token_by_name[name] = made["token"]
+            # Known tokens are good while the table is down.
+            site.call("GET", "/v1/jobs", name)
+        while entry.directory.endpoint_by_id.keys() != agents.keys():
+            sleep(0.01)
+        yield site
