--- a/filbertlb/api/endpoints.py
+++ b/filbertlb/api/endpoints.py
@@ -22,8 +22,9 @@
     from filbertlb.api.calls import Call
     from filbertlb.api.calls import Reply
     from filbertlb.core.clock import Clock
-    from filbertlb.entry.directory import Directory
-    from filbertlb.entry.directory import KnownEndpoint
+    from filbertlb.core.members import Member
+    from filbertlb.core.membership import EndpointTable
+    from filbertlb.messages import Announce
     from filbertlb.table.audit import AuditLog
 
 DRAIN_TIMEOUT_S = 5.0
@@ -47,8 +48,8 @@
 
     Parameters
     ----------
-    directory : Directory
-        Knows the endpoints.
+    endpoints : EndpointTable
+        The endpoints known here.
     ask : callable
         Sends a message to an address and returns the answer that comes
         within a time in seconds.
@@ -60,12 +61,12 @@
 
     def __init__(
         self,
-        directory: Directory,
+        endpoints: EndpointTable,
         ask: Callable[[str, Any, float], Any],
         audit: AuditLog,
         clock: Clock,
     ) -> None:
-        self._directory = directory
+        self._endpoints = endpoints
         self._ask = ask
         self._audit = audit
         self._clock = clock
@@ -81,19 +82,23 @@
 
     def _list(self, call: Call) -> Reply:
         now_s = self._clock.monotonic()
-        known = self._directory.endpoint_by_id
-        views = [_view(known[name], now_s) for name in sorted(known)]
+        member_by_id = self._endpoints.members.by_id
+        views = [
+            _view(announce, member_by_id[name], now_s)
+            for name, announce in sorted(
+                self._endpoints.announce_by_id.items()
+            )
+        ]
         return json_reply({"endpoints": views})
 
     def _drain(self, call: Call) -> Reply:
         endpoint_id = call.params["endpoint_id"]
-        known = self._directory.endpoint_by_id.get(endpoint_id)
-        if known is None:
+        announce = self._endpoints.announce_by_id.get(endpoint_id)
+        if announce is None:
             raise EndpointNotFoundError(
                 f"there is no endpoint {endpoint_id!r}; see 'filbertlb "
                 "endpoint list'"
             )
-        announce = known.announce
         actor = call.identity.name
         # A drain without its entry in the trail must not happen.
         self._record(actor, endpoint_id, AuditOutcome.ACCEPTED)
@@ -127,16 +132,15 @@
         )
 
 
-def _view(known: KnownEndpoint, now_s: float) -> dict[str, Any]:
+def _view(announce: Announce, member: Member, now_s: float) -> dict[str, Any]:
     """Return what operators are shown about an endpoint."""
-    announce = known.announce
     return {
         "endpoint_id": announce.endpoint_id,
         "role": announce.role,
         "region": announce.region,
         "failure_domain": announce.failure_domain,
         "rack": announce.rack,
-        "state": "draining" if announce.draining else "live",
+        "state": member.state,
         "incarnation": announce.incarnation,
         "revision": announce.revision,
         "slots": announce.slots,
@@ -151,5 +155,5 @@
             }
             for status in announce.tasks
         ],
-        "heard_ago_s": round(now_s - known.heard_at_s, 3),
+        "heard_ago_s": round(now_s - member.heard_at_s, 3),
     }
