--- a/filbertlb/api/app.py
+++ b/filbertlb/api/app.py
@@ -118,11 +118,13 @@
         self.draining = False
         self._tokens = tokens
         self._max_body_bytes = max_body_bytes
-        routes = [route for group in route_sets for route in group.routes()]
+        self.routes = tuple(
+            route for group in route_sets for route in group.routes()
+        )
         self._map = Map(
             [
                 Rule(route.path, methods=[route.method], endpoint=route)
-                for route in routes
+                for route in self.routes
             ]
         )
 
