Let accepted jobs wait for workers that have not come yet

Cause: a decider checked jobs again, against the workers that had announced themselves so far, and failed them for good as impossible. A job submitted to a fresh site, or read by a decider that had just started, was lost although it had been accepted.

Change: the decider queues accepted jobs without that check; admission has checked them against the configuration. write_failed had no other caller and is gone. At a site that names no racks nothing is checked, so that an impossible job waits there and 'why' tells.

Seen to fail: the new test ended 'failed' in place of 'queued' before.

--- a/filbertlb/entry/decider.py
+++ b/filbertlb/entry/decider.py
@@ -24,7 +24,6 @@
 from filbertlb.core.model import Assignment
 from filbertlb.core.model import JobState
 from filbertlb.core.model import Worker
-from filbertlb.core.scheduling import ImpossibleJobError
 from filbertlb.core.scheduling import RunEnd
 from filbertlb.core.scheduling import StartJob
 from filbertlb.core.scheduling import StopJob
@@ -327,11 +326,9 @@
         self._wake(now_s)
 
     def _queue(self, job: JobRecord, now_s: float) -> None:
-        try:
-            self._policy.submit(job.spec, now_s)
-        except ImpossibleJobError as error:
-            self._writer.write_failed(_open_job(job), error)
-            return
+        # It was checked against the configuration when it was accepted;
+        # the workers that are known now may be too few to tell.
+        self._policy.restore(job.spec, now_s)
         self._job_by_id[job.spec.job_id] = job
 
     def _recover(self, job: JobRecord, now_s: float) -> None:
@@ -467,7 +464,3 @@
     if known is None or known.draining != announce.draining:
         return True
     return _worker(known) != _worker(announce)
-
-
-def _open_job(job: JobRecord) -> OpenJob:
-    return OpenJob(job.spec.organisation_id, job.spec.job_id)
--- a/filbertlb/entry/job_writer.py
+++ b/filbertlb/entry/job_writer.py
@@ -110,14 +110,6 @@
         """Write how an attempt ended; answered by ``OutcomeWritten``."""
         self._pool.spawn(self._write_outcome, plan, outcome, max_failures)
 
-    def write_failed(self, job: OpenJob, error: FilbertlbError) -> None:
-        """Write that a job can never run."""
-
-        def transition(record: JobRecord) -> JobRecord:
-            return job_record.refused(record, error.code, error.message)
-
-        self._pool.spawn(self._change_until, job, transition)
-
     def _load(self, epoch: int) -> None:
         while self._holds():
             try:
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -246,3 +246,16 @@
     assert caught.value.server_code == "table_unavailable"
     assert caught.value.ran == Ran.NO
     assert not site.agent_by_id["s1/0"].task_book.draining
+
+
+def test_accepted_job_waits_for_workers_that_have_not_come_yet():
+    with open_site(with_worker=False) as fresh:
+        path = f"{JOBS}/{submit(fresh, 'early')[1]['job_id']}"
+        reason = "queued"
+        while reason == "queued":
+            found = fresh.call("GET", f"{path}/why", "dairies")
+            reason = found["reason"]
+        assert found["state"] == "queued"
+        with fresh.worker:
+            found = fresh.call("GET", f"{path}?wait_s=40", "dairies")
+        assert found["state"] == "succeeded"
