--- a/filbertlb/entry/decider.py
+++ b/filbertlb/entry/decider.py
@@ -326,8 +326,8 @@
         self._wake(now_s)
 
     def _queue(self, job: JobRecord, now_s: float) -> None:
-        # It was checked when it was accepted; a new decider may not
-        # know all workers yet.
+        # It was checked against the configuration when it was accepted;
+        # the workers that are known now may be too few to tell.
         self._policy.restore(job.spec, now_s)
         self._job_by_id[job.spec.job_id] = job
 
