--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,8 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: run test setup format lint types unit dist dist-test clean
+.PHONY: run test setup format lint types unit measure bench capacity \
+	dist dist-test clean
 
 $(STAMP): requirements-dev.lock
 	$(PYTHON) -m venv $(VENV)
@@ -33,6 +34,17 @@
 unit: setup
 	$(BIN)/python -m pytest
 
+measure: setup
+	$(BIN)/python -m benchmarks.measure_placement
+	$(BIN)/python -m benchmarks.measure_requests
+	$(BIN)/python -m benchmarks.measure_gang
+	$(BIN)/python -m benchmarks.measure_membership
+
+bench: capacity
+
+capacity: setup
+	$(BIN)/python -m benchmarks.measure_capacity
+
 dist: setup
 	$(BIN)/python scripts/build_dist.py
 
