Play the sample night from the executable file

Cause: the file's test served only a stand-in, not the roles.

Conclusion: no process is started by any role in the demo.

--- a/tests/test_dist.py
+++ b/tests/test_dist.py
@@ -99,6 +99,20 @@
     assert starts.read_text() == ""
 
 
+def test_file_plays_the_sample_night_as_one_process(env, starts):
+    options = ["--jobs", "20", "--requests", "40", "--length-s", "3"]
+    done = run(
+        [executable, str(DIST), "--json", "demo", *options],
+        env=env,
+        capture_output=True,
+        text=True,
+        timeout=100,
+    )
+    assert done.returncode == 0, done.stderr
+    assert sum(loads(done.stdout)["count_by_state"].values()) == 60
+    assert starts.read_text() == ""
+
+
 def test_file_is_executable(env):
     done = run([str(DIST), "--version"], env=env, capture_output=True)
     assert __version__.encode() in done.stdout
