Judge members only by rows read after their announcement

Cause: a new decider stopped a running job whose recovery it had put off, because it knew no row of it yet: a non-idempotent job ended FAILED with member_stopped after a planned release of the lease (seen in the test of failures). Found by review: members heard again in the same epoch were never stopped, unresolved jobs were never taken up again, ends were acknowledged without a row, a reclaim never showed as stopping, an agent trusted a usage report that lags. Change: the row of each unaccounted member is read before it is settled; unresolved jobs are recovered on news; acknowledgements need the row; the decider checks its lease on every message; a leaving worker's checkpointable jobs move; gangs are found by endpoint.

--- a/filbertlb/agent/app.py
+++ b/filbertlb/agent/app.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 import attrs
+from gevent import sleep
 
 from filbertlb.agent.announcer import AnnouncerTask
 from filbertlb.agent.book import ReservationBook
@@ -60,6 +61,9 @@
         Requests that a runner takes at once.
     capacity : Resources
         What a worker has.
+    usage_lag_s : float
+        Longest age of a worker's report of what runs, in seconds; the
+        agent waits as long before it trusts the report.
     """
 
     endpoint_id: str
@@ -70,6 +74,7 @@
     link_port: int = 0
     slots: int = 8
     capacity: Resources = Resources()
+    usage_lag_s: float = 0.0
 
 
 class Agent:
@@ -196,6 +201,9 @@
         agent = Agent(setup, Role.WORKER, link)
         link.on_revision = agent.observe_revision
         behaviour = WorkerAgent(link, agent.task_book, backend, agent.mailbox)
+        # A task that was started just before the agent was replaced is
+        # missing from an older report.
+        sleep(setup.usage_lag_s)
         behaviour.adopt_running()
         stack.enter_context(running_task(behaviour, agent.mailbox, clock))
         stack.enter_context(_announcing(agent, link, table, clock))
--- a/filbertlb/cli/roles.py
+++ b/filbertlb/cli/roles.py
@@ -117,6 +117,7 @@
         link_port=settings.link_port,
         slots=endpoint.slots,
         capacity=endpoint.capacity,
+        usage_lag_s=endpoint.usage_lag_s,
     )
     clock = SystemClock()
     opened: AbstractContextManager[Any]
--- a/filbertlb/entry/app.py
+++ b/filbertlb/entry/app.py
@@ -283,6 +283,7 @@
             self.decider_mailbox,
             GuaranteedScheduler,
             self.announce_job,
+            lambda: self.keeper.held() is not None,
             GangBounds(),
         )
 
--- a/filbertlb/entry/decider.py
+++ b/filbertlb/entry/decider.py
@@ -17,13 +17,12 @@
 from filbertlb.core.gang_plan import GangBounds
 from filbertlb.core.gang_plan import GangMember
 from filbertlb.core.gang_plan import GangPlan
-from filbertlb.core.gang_recovery import AgentReport
+from filbertlb.core.gang_recovery import has_news
 from filbertlb.core.gang_recovery import recover
 from filbertlb.core.gang_recovery import settle_status
 from filbertlb.core.job_record import new_attempt_id
 from filbertlb.core.model import Assignment
 from filbertlb.core.model import JobState
-from filbertlb.core.model import Worker
 from filbertlb.core.scheduling import RunEnd
 from filbertlb.core.scheduling import StartJob
 from filbertlb.core.scheduling import StopJob
@@ -36,9 +35,12 @@
 from filbertlb.entry.events import EndpointSeen
 from filbertlb.entry.events import JobRead
 from filbertlb.entry.events import JobsLoaded
+from filbertlb.entry.events import MemberChecked
 from filbertlb.entry.events import OutcomeWritten
 from filbertlb.entry.gang_driver import GangDriver
 from filbertlb.entry.job_table import OpenJob
+from filbertlb.entry.worker_view import worker_of
+from filbertlb.entry.worker_view import WorkerView
 from filbertlb.messages import JobHint
 from filbertlb.messages import Role
 from filbertlb.messages import TaskEnded
@@ -58,7 +60,6 @@
     from filbertlb.entry.gang_driver import RunningGang
     from filbertlb.entry.job_writer import JobWriter
     from filbertlb.messages import Announce
-    from filbertlb.messages import TaskStatus
     from filbertlb.tasks import Mailbox
     from filbertlb.transport.link import Link
 
@@ -66,6 +67,8 @@
 DECIDE_PERIOD_S = 0.25
 RESCAN_PERIOD_S = 5.0
 TAKEOVER_GRACE_S = 2.5
+RECOVERY_PERIOD_S = 0.5
+CHECK_PERIOD_S = 2.0
 
 
 class Decider:
@@ -85,6 +88,8 @@
         Returns a fresh scheduling policy.
     announce : callable
         Tells all entries that a job's row has changed.
+    holds : callable
+        Tells whether the lease of the scope is held now.
     bounds : GangBounds
         Times of the gang start protocol.
     """
@@ -97,16 +102,18 @@
         mailbox: Mailbox,
         make_policy: Callable[[SchedulerConfig], SchedulingPolicy],
         announce: Callable[[JobHint], None],
+        holds: Callable[[], bool],
         bounds: GangBounds,
     ) -> None:
         self._scope = scope
         self._link = link
         self._writer = writer
         self._make_policy = make_policy
+        self._holds = holds
         self._bounds = bounds
-        self._endpoint_by_id: dict[str, Announce] = {}
+        self._view = WorkerView()
         self._gangs = GangDriver(
-            link, writer, mailbox, self._endpoint_by_id, announce
+            link, writer, mailbox, self._view.announce_by_id, announce
         )
         self._config: SiteConfig | None = None
         self._rescan_due_s = math.inf
@@ -127,6 +134,7 @@
 
     def receive(self, message: Any, now_s: float) -> None:
         """Take one message."""
+        self._check_lease()
         match message:
             case Envelope():
                 self._take_envelope(message, now_s)
@@ -141,6 +149,7 @@
 
     def tick(self, now_s: float) -> None:
         """Repeat, enforce bounds, scan again and decide."""
+        self._check_lease()
         if not self._epoch:
             return
         for running in self._gangs.running():
@@ -148,6 +157,7 @@
                 self._gangs.carry_out(running, running.gang.tick(now_s))
         if now_s >= self._rescan_due_s:
             self._rescan_due_s = now_s + RESCAN_PERIOD_S
+            self._checked_until_by_member.clear()
             self._writer.load(self._epoch)
         if self._loaded and now_s >= self._decide_due_s:
             self._decide(now_s)
@@ -161,6 +171,12 @@
             dues.append(self._decide_due_s)
         return min([*dues, self._rescan_due_s])
 
+    def _check_lease(self) -> None:
+        """Stop acting as soon as the lease has lapsed on this clock."""
+        if self._epoch and not self._holds():
+            logger.warning("lease of scope {} lapsed", self._scope)
+            self._forget()
+
     def _take_own(self, message: Any, now_s: float) -> None:
         match message:
             case Elected():
@@ -178,6 +194,8 @@
                 self._decision_written(message, now_s)
             case OutcomeWritten():
                 self._outcome_written(message, now_s)
+            case MemberChecked():
+                self._member_checked(message, now_s)
 
     def _take_envelope(self, envelope: Envelope, now_s: float) -> None:
         message = envelope.message
@@ -202,6 +220,7 @@
         self._policy = self._make_policy(self._scheduler_config())
         self._gangs.clear()
         self._job_by_id: dict[str, JobRecord] = {}
+        self._checked_until_by_member: dict[tuple[str, int], float] = {}
 
     def _scheduler_config(self) -> SchedulerConfig:
         if self._config is None:
@@ -221,7 +240,7 @@
         self._serial = serial
         self._elected_at_s = now_s
         self._rescan_due_s = now_s + RESCAN_PERIOD_S
-        for announce in self._endpoint_by_id.values():
+        for announce in self._view.announce_by_id.values():
             self._add_worker(announce, now_s)
         self._restore_organisations(now_s)
         self._writer.load(self._epoch)
@@ -248,13 +267,13 @@
     def _endpoint_seen(self, announce: Announce, now_s: float) -> None:
         if announce.role != Role.WORKER:
             return
-        known = self._endpoint_by_id.get(announce.endpoint_id)
-        self._endpoint_by_id[announce.endpoint_id] = announce
+        has_changed = self._view.take(announce)
         if not self._epoch:
             return
-        if _has_changed(known, announce):
+        if has_changed:
             self._add_worker(announce, now_s)
-        for running in self._gangs.running():
+        attempt_ids = {task.token.attempt_id for task in announce.tasks}
+        for running in self._gangs.at(announce.endpoint_id, attempt_ids):
             effects = running.gang.heard(
                 announce.endpoint_id,
                 announce.incarnation,
@@ -262,43 +281,62 @@
                 now_s,
             )
             self._gangs.carry_out(running, effects)
-        self._settle_unknown(announce)
+        if self._loaded:
+            self._check_members(announce, now_s)
 
     def _add_worker(self, announce: Announce, now_s: float) -> None:
         if announce.draining:
-            self._policy.remove_worker(announce.endpoint_id, now_s)
+            self._drain_worker(announce.endpoint_id, now_s)
         else:
-            self._policy.add_worker(_worker(announce), now_s)
+            self._policy.add_worker(worker_of(announce), now_s)
         self._wake(now_s)
 
+    def _drain_worker(self, endpoint_id: str, now_s: float) -> None:
+        """Move what can be checkpointed away from a leaving worker."""
+        within_s = self._scheduler_config().reclaim_within_s
+        for job_id in self._policy.remove_worker(endpoint_id, now_s):
+            running = self._gangs.of_job(job_id)
+            if running is not None and running.job.spec.checkpointable:
+                stop = StopJob(job_id, checkpoint=True, within_s=within_s)
+                self._stop(stop, now_s)
+
     def _endpoint_lost(self, announce: Announce, now_s: float) -> None:
-        if self._endpoint_by_id.pop(announce.endpoint_id, None) is None:
-            return
-        if not self._epoch:
+        if not self._view.drop(announce.endpoint_id) or not self._epoch:
             return
         self._policy.remove_worker(announce.endpoint_id, now_s)
-        for running in self._gangs.running():
+        for running in self._gangs.at(announce.endpoint_id, ()):
             effects = running.gang.lost(announce.endpoint_id, now_s)
             self._gangs.carry_out(running, effects)
         self._wake(now_s)
 
-    def _settle_unknown(self, announce: Announce) -> None:
-        """Clear members of attempts that no row carries."""
-        if not self._loaded:
-            return
+    def _check_members(self, announce: Announce, now_s: float) -> None:
+        """Look up the rows of members that no gang here accounts for.
+
+        The row is read after the announcement came, so that a member
+        is never judged by what was known before it.
+        """
         for status in announce.tasks:
-            if self._is_accounted(status):
+            token = status.token
+            if token.scope != self._scope:
+                continue
+            if self._gangs.get(token.attempt_id) is not None:
                 continue
-            job = self._job_by_id.get(status.job_id)
-            command = settle_status(status, job, self._epoch)
-            if command is not None:
-                self._gangs.send(announce.address, command)
+            key = (token.attempt_id, token.member)
+            if now_s < self._checked_until_by_member.get(key, 0.0):
+                continue
+            self._checked_until_by_member[key] = now_s + CHECK_PERIOD_S
+            self._writer.check_member(announce.address, status)
 
-    def _is_accounted(self, status: TaskStatus) -> bool:
+    def _member_checked(self, checked: MemberChecked, now_s: float) -> None:
+        status = checked.status
         token = status.token
-        if token.scope != self._scope or token.epoch >= self._epoch:
-            return True
-        return self._gangs.get(token.attempt_id) is not None
+        if self._gangs.get(token.attempt_id) is not None:
+            return
+        command = settle_status(status, checked.job, self._epoch)
+        if command is not None:
+            self._gangs.send(checked.address, command)
+        elif checked.job is not None:
+            self._job_read(checked.job, now_s)
 
     def _jobs_loaded(self, loaded: JobsLoaded, now_s: float) -> None:
         if loaded.epoch != self._epoch:
@@ -332,27 +370,25 @@
         self._job_by_id[job.spec.job_id] = job
 
     def _recover(self, job: JobRecord, now_s: float) -> None:
-        if job.state == JobState.UNKNOWN:
-            return
-        report_by_id = {
-            endpoint_id: AgentReport(announce.incarnation, announce.tasks)
-            for endpoint_id, announce in self._endpoint_by_id.items()
-        }
         assert job.attempt is not None
+        reports = self._view.reports()
+        if not has_news(job, reports):
+            return
         ids = tuple(member.endpoint_id for member in job.attempt.members)
-        is_known = all(endpoint_id in report_by_id for endpoint_id in ids)
+        is_known = all(endpoint_id in reports for endpoint_id in ids)
         if not is_known and now_s < self._elected_at_s + TAKEOVER_GRACE_S:
             # Its agents may still announce themselves.
-            self._rescan_due_s = min(self._rescan_due_s, now_s + 0.5)
+            due_s = now_s + RECOVERY_PERIOD_S
+            self._rescan_due_s = min(self._rescan_due_s, due_s)
             return
-        recovery = recover(job, self._epoch, report_by_id, self._bounds, now_s)
+        recovery = recover(job, self._epoch, reports, self._bounds, now_s)
         if recovery is None:
             return
         self._job_by_id[job.spec.job_id] = job
         self._policy.adopt(job.spec, Assignment(job.spec.job_id, ids))
         running = self._gangs.add(recovery.gang, job)
         self._gangs.carry_out(running, recovery.effects)
-        for endpoint_id in set(ids) - set(report_by_id):
+        for endpoint_id in set(ids) - set(reports):
             effects = running.gang.lost(endpoint_id, now_s)
             self._gangs.carry_out(running, effects)
 
@@ -382,7 +418,8 @@
             epoch=self._epoch,
             members=tuple(
                 GangMember(
-                    worker_id, self._endpoint_by_id[worker_id].incarnation
+                    worker_id,
+                    self._view.announce_by_id[worker_id].incarnation,
                 )
                 for worker_id in assignment.worker_ids
             ),
@@ -400,6 +437,7 @@
         effects = running.gang.stop(
             now_s, checkpoint=stop.checkpoint, within_s=stop.within_s
         )
+        self._writer.write_stopping(running.gang.plan)
         self._gangs.carry_out(running, effects)
 
     def _answered(self, answered: Answered, now_s: float) -> None:
@@ -420,21 +458,26 @@
             self._gangs.carry_out(running, effects)
 
     def _outcome_written(self, message: OutcomeWritten, now_s: float) -> None:
-        running = self._gangs.remove(message.attempt_id)
-        if running is None or message.job is None:
+        job = message.job
+        running = self._gangs.remove(
+            message.attempt_id, acknowledge=job is not None
+        )
+        if running is None:
             return
         outcome = running.gang.outcome
         assert outcome is not None
-        job = message.job
-        job_id = job.spec.job_id
+        job_id = running.job.spec.job_id
         self._policy.ended(_run_end(running, outcome), now_s)
-        if job.is_final or job.state == JobState.UNKNOWN:
+        self._wake(now_s)
+        if job is None or job.is_final or job.state == JobState.UNKNOWN:
             self._job_by_id.pop(job_id, None)
             self._policy.cancel(job_id, now_s)
         else:
             self._job_by_id[job_id] = job
             self._policy.restore(job.spec, now_s)
-        self._wake(now_s)
+        if job is None:
+            spec = running.job.spec
+            self._writer.read(OpenJob(spec.organisation_id, spec.job_id))
 
 
 def _run_end(running: RunningGang, outcome: GangOutcome) -> RunEnd:
@@ -448,19 +491,3 @@
         failed,
         checkpointed=bool(outcome.checkpoints),
     )
-
-
-def _worker(announce: Announce) -> Worker:
-    return Worker(
-        announce.endpoint_id,
-        announce.rack,
-        announce.failure_domain,
-        announce.capacity,
-        announce.region,
-    )
-
-
-def _has_changed(known: Announce | None, announce: Announce) -> bool:
-    if known is None or known.draining != announce.draining:
-        return True
-    return _worker(known) != _worker(announce)
--- a/filbertlb/entry/events.py
+++ b/filbertlb/entry/events.py
@@ -15,6 +15,7 @@
     from filbertlb.messages import Announce
     from filbertlb.messages import Done
     from filbertlb.messages import Refused
+    from filbertlb.messages import TaskStatus
 
 
 @attrs.frozen
@@ -58,6 +59,21 @@
     job: JobRecord
 
 
+@attrs.frozen
+class MemberChecked:
+    """The row of a member's job, read after it was announced.
+
+    Parameters
+    ----------
+    address : str
+        Where the member's agent listens.
+    """
+
+    address: str
+    status: TaskStatus
+    job: JobRecord | None
+
+
 @attrs.frozen
 class Answered:
     """An agent's reply to one command of a gang."""
--- a/filbertlb/entry/gang_driver.py
+++ b/filbertlb/entry/gang_driver.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -82,6 +83,7 @@
         self._announce = announce
         self._by_attempt: dict[str, RunningGang] = {}
         self._attempt_by_job: dict[str, str] = {}
+        self._attempts_by_endpoint: dict[str, set[str]] = defaultdict(set)
 
     def running(self) -> list[RunningGang]:
         """Return all gangs under way."""
@@ -95,21 +97,52 @@
         """Return the gang of a job, or None."""
         return self._by_attempt.get(self._attempt_by_job.get(job_id, ""))
 
+    def at(
+        self, endpoint_id: str, attempt_ids: Iterable[str]
+    ) -> list[RunningGang]:
+        """Return the gangs with members on an endpoint.
+
+        Parameters
+        ----------
+        attempt_ids : iterable of str
+            Attempts that the endpoint announces.
+        """
+        known = self._attempts_by_endpoint.get(endpoint_id, set())
+        found = [
+            self._by_attempt.get(attempt_id)
+            for attempt_id in known.union(attempt_ids)
+        ]
+        return [running for running in found if running is not None]
+
     def add(self, gang: Gang, job: JobRecord) -> RunningGang:
         """Take a gang on."""
         running = RunningGang(gang, job)
         attempt_id = gang.plan.attempt_id
         self._by_attempt[attempt_id] = running
         self._attempt_by_job[job.spec.job_id] = attempt_id
+        for member in gang.plan.members:
+            attempts = self._attempts_by_endpoint[member.endpoint_id]
+            attempts.add(attempt_id)
         return running
 
-    def remove(self, attempt_id: str) -> RunningGang | None:
-        """Give up a gang whose outcome is in its row."""
+    def remove(
+        self, attempt_id: str, *, acknowledge: bool
+    ) -> RunningGang | None:
+        """Give up a gang that is over.
+
+        Parameters
+        ----------
+        acknowledge : bool
+            Its outcome is in its row, so that agents may forget it.
+        """
         running = self._by_attempt.pop(attempt_id, None)
         if running is None:
             return None
         self._attempt_by_job.pop(running.job.spec.job_id, None)
-        for effect in running.gang.recorded():
+        for member in running.gang.plan.members:
+            attempts = self._attempts_by_endpoint[member.endpoint_id]
+            attempts.discard(attempt_id)
+        for effect in running.gang.recorded() if acknowledge else ():
             if isinstance(effect, Send):
                 self._command(running, effect)
         self._hint(running.job)
@@ -118,6 +151,7 @@
     def clear(self) -> None:
         """Forget all gangs; another decider goes on with them."""
         self._by_attempt.clear()
+        self._attempts_by_endpoint.clear()
         self._attempt_by_job.clear()
 
     def carry_out(
--- a/filbertlb/entry/job_writer.py
+++ b/filbertlb/entry/job_writer.py
@@ -17,6 +17,7 @@
 from filbertlb.entry.events import DecisionWritten
 from filbertlb.entry.events import JobRead
 from filbertlb.entry.events import JobsLoaded
+from filbertlb.entry.events import MemberChecked
 from filbertlb.entry.events import OutcomeWritten
 from filbertlb.entry.job_table import OpenJob
 from filbertlb.errors import ConflictError
@@ -30,6 +31,7 @@
     from filbertlb.core.gang_plan import GangPlan
     from filbertlb.core.job_record import JobRecord
     from filbertlb.entry.job_table import JobTable
+    from filbertlb.messages import TaskStatus
     from filbertlb.table.lease import LeaseKeeper
     from filbertlb.tasks import Mailbox
 
@@ -84,6 +86,10 @@
         """Read one job; answered by ``JobRead``."""
         self._read_pool.spawn(self._read, job)
 
+    def check_member(self, address: str, status: TaskStatus) -> None:
+        """Read a member's job; answered by ``MemberChecked``."""
+        self._read_pool.spawn(self._check_member, address, status)
+
     def write_decision(self, plan: GangPlan) -> None:
         """Write a decision; answered by ``DecisionWritten``."""
         self._pool.spawn(self._write_decision, plan)
@@ -140,6 +146,16 @@
         if found is not None:
             self._mailbox.post(JobRead(found))
 
+    def _check_member(self, address: str, status: TaskStatus) -> None:
+        job = OpenJob(status.organisation_id, status.job_id)
+        try:
+            found = self._get(job)
+        except FilbertlbError as error:
+            # The member is announced again.
+            logger.warning("member's job not read: {}", error.message)
+            return
+        self._mailbox.post(MemberChecked(address, status, found))
+
     def _write_decision(self, plan: GangPlan) -> None:
         def transition(record: JobRecord) -> JobRecord:
             return job_record.decided(record, plan)
--- a/filbertlb/settings/process.py
+++ b/filbertlb/settings/process.py
@@ -94,6 +94,8 @@
         Requests that a runner takes at once.
     capacity : Resources
         What a worker has.
+    usage_lag_s : float
+        Longest age of a worker's report of what runs, in seconds.
     """
 
     endpoint_id: str = attrs.field(validator=min_len(1))
@@ -101,6 +103,7 @@
     backend_url: str = _url()
     slots: int = attrs.field(default=8, validator=ge(1))
     capacity: Resources = Resources()
+    usage_lag_s: float = attrs.field(default=5.0, validator=ge(0))
 
 
 @attrs.frozen
