Let idempotent answers not delay an agent's exit

Cause: a draining agent was idle only once every kept answer had been acknowledged, also those of idempotent requests whose entry had died.

Change: only answers that cannot be had again count.

Conclusion: idempotent answers are kept for duplicates as before, within the same bounds of count and bytes.

--- a/filbertlb/agent/slot_records.py
+++ b/filbertlb/agent/slot_records.py
@@ -34,6 +34,9 @@
         The agent's own monotonic time after which it must not start.
     reply : InvokeResult or Refused, optional
         What everyone who asks about an ended token is told.
+    idempotent : bool
+        Whether the request can simply be run again if its answer is
+        lost.
     """
 
     token: Token
@@ -41,6 +44,7 @@
     invoke: Invoke | None = None
     start_by_s: float = 0.0
     reply: InvokeResult | Refused | None = None
+    idempotent: bool = False
 
     @property
     def ran(self) -> Ran:
@@ -95,6 +99,14 @@
         record = self.record_by_token[token]
         record.reply = Refused(code, message, Ran.YES, token)
 
+    @property
+    def unacknowledged(self) -> int:
+        """Return the number of answers that only this agent may have."""
+        return sum(
+            not self.record_by_token[token].idempotent
+            for token in self.result_tokens
+        )
+
     def forgotten(self, token: Token) -> bool:
         """Tell whether a token without record may have been seen."""
         return token.epoch <= self.floor_by_scope.get(token.scope, -1)
--- a/filbertlb/agent/slots.py
+++ b/filbertlb/agent/slots.py
@@ -73,8 +73,8 @@
 
     @property
     def unacknowledged(self) -> int:
-        """Return the number of answers kept until acknowledged."""
-        return len(self._ended.result_tokens)
+        """Return the number of answers that must be acknowledged."""
+        return self._ended.unacknowledged
 
     @property
     def idle(self) -> bool:
@@ -272,7 +272,8 @@
             return []
         del self._live_by_token[token]
         self._running -= 1
-        self._remember(token, reply)
+        assert record.invoke is not None
+        self._remember(token, reply, record.invoke.idempotent)
         actions = self.expire(now_s)
         return [Reply(token, reply), *actions, *self._start(now_s)]
 
@@ -289,10 +290,15 @@
         self._remember(token, reply.message)
         return reply
 
-    def _remember(self, token: Token, reply: InvokeResult | Refused) -> None:
-        self._ended.add(
-            SlotRecord(token, SlotState.ENDED, start_by_s=0.0, reply=reply)
-        )
+    def _remember(
+        self,
+        token: Token,
+        reply: InvokeResult | Refused,
+        idempotent: bool = False,
+    ) -> None:
+        record = SlotRecord(token, SlotState.ENDED, reply=reply)
+        record.idempotent = idempotent
+        self._ended.add(record)
 
 
 def _refusal(token: Token, code: str, message: str, ran: Ran) -> Reply:
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import attrs
 import pytest
 
 from filbertlb.agent.slot_records import Reply
@@ -127,6 +128,18 @@
     book.fail(_token(1), Refused("runner", "", ran, _token(1)), 0.0)
 
 
+@pytest.mark.parametrize("idempotent", [False, True])
+def test_only_answers_that_cannot_be_had_again_delay_the_exit(idempotent):
+    book = _book()
+    invoke = attrs.evolve(_invoke(1), idempotent=idempotent)
+    book.offer(invoke, 0.0)
+    assert not book.idle
+    book.finish(_result(1), 0.0)
+    assert book.idle is idempotent
+    book.acknowledge(_token(1))
+    assert book.idle
+
+
 def test_kept_answers_are_bounded_in_bytes():
     book = _book(max_result_bytes=10)
     for serial in (1, 2, 3):
