--- a/tests/api_site.py
+++ b/tests/api_site.py
@@ -15,6 +15,7 @@
 from filbertlb.backend.fake import FakeRunner
 from filbertlb.backend.fake import FakeWorker
 from filbertlb.backend.ledger import Ledger
+from filbertlb.client import CallFailedError
 from filbertlb.client import Client
 from filbertlb.core.clock import SystemClock
 from filbertlb.core.model import Resources
@@ -80,6 +81,17 @@
     def client(self, name="dairies"):
         return Client(self.entry.url, self.token_by_name.get(name, name))
 
+    def end_outage(self):
+        """Switch the table on; return once the entry uses it again."""
+        self.table.faults.down = False
+        while True:
+            try:
+                self.call("GET", "/v1/config/history")
+            except CallFailedError:
+                sleep(0.05)
+            else:
+                return
+
     def call(self, method, path, name="operator", value=None):
         client = self.client(name)
         try:
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -37,7 +37,8 @@
 @pytest.fixture(autouse=True)
 def _table_up(site):
     yield
-    site.table.faults.down = False
+    if site.table.faults.down:
+        site.end_outage()
 
 
 def send(site, method, path, name, body, headers):
@@ -185,7 +186,7 @@
 def test_job_is_not_accepted_while_the_table_is_down(site):
     site.table.faults.down = True
     answer = submit(site, "down")
-    site.table.faults.down = False
+    site.end_outage()
     assert_error(answer, 503, "not_accepted")
     assert answer[1]["error"]["retry_after_s"] > 0
     listed = site.call("GET", JOBS, "dairies")["jobs"]
@@ -216,7 +217,7 @@
     answer = submit(site, "unsure", command("unsure"))
     site.table.then_down = False
     assert_error(answer, 504, "write_outcome_unknown", "unknown")
-    site.table.faults.down = False
+    site.end_outage()
     status, job = submit(site, "unsure", command("unsure"))
     assert status == 202
     assert finished(site, job["job_id"])["attempts"] == 1
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -183,6 +183,5 @@
 def test_outage_ends_commands_with_its_own_exit_code(shell):
     shell.site.table.faults.down = True
     result = shell.run("config", "history")
-    shell.site.table.faults.down = False
     assert result.exit_code == ExitCode.UNAVAILABLE
     assert shell.run("endpoint", "drain").exit_code == ExitCode.USAGE
