--- a/filbertlb/scheduling/state.py
+++ b/filbertlb/scheduling/state.py
@@ -50,6 +50,8 @@
         State of the cluster in which a kind of job did not fit.
     displaced_at_s : dict
         When moving guarantees was last tried for a kind of job.
+    takeover_cursor : int
+        Worker at which the next search for runs to stop begins.
     compacted_at_s : float
         When small jobs were last moved together, in seconds.
     """
@@ -67,6 +69,7 @@
     overusers: dict[str, None] = attrs.field(factory=dict)
     blocked: dict[object, int] = attrs.field(factory=dict)
     displaced_at_s: dict[object, float] = attrs.field(factory=dict)
+    takeover_cursor: int = 0
     compacted_at_s: float = float("-inf")
     capacity_accelerators: int = 0
 
@@ -149,10 +152,6 @@
             self.shares.count(run.job.organisation_id, change)
         self.runs.set_claim(run, unit)
 
-    def place(self, run: Run) -> tuple[float, int, str]:
-        """Return the place of a run's job in the order."""
-        return self.waiting_by_id[run.job.job_id].place
-
     def set_holds(self, key: str | Unit, holds: Holds) -> None:
         """Replace what is held for a reservation or a unit at risk."""
         by_id = self.cluster.by_id
