Keep messages from putting off ticks, and answer one beat in five

Cause: a task ticked only when its mailbox was empty for a whole nap, and the directory's due time moved with every message. An entry that hears 28 beats a second greeted the other one 0.07 times a second instead of once, found no silent endpoint, and sent no hint of a job to the entry that decides. Every beat was answered, since agents seal with revision 0 and that looked older than the revision in force. Change: a tick that is due comes before the next message, due times are fixed by the last tick, and news is told by the announced revision.

--- a/filbertlb/agent/announcer.py
+++ b/filbertlb/agent/announcer.py
@@ -65,6 +65,7 @@
         self._look_up = look_up
         self._heard_at_by_entry: dict[str, float] = {}
         self._look_up_due_s = 0.0
+        self._tick_due_s = 0.0
         self._period_s = times.period_s
         self._answered_at_s = float("-inf")
         self._described: Announce | None = None
@@ -86,6 +87,7 @@
 
     def tick(self, now_s: float) -> None:
         """Send what is due."""
+        self._tick_due_s = now_s + CHECK_PERIOD_S
         self._note_change(now_s)
         silent_s = now_s - self._answered_at_s
         bound_s = MISSED_ANSWERS * BEATS_PER_ANSWER * self._period_s
@@ -98,7 +100,7 @@
     def next_due_s(self, now_s: float) -> float:
         """Return the time of the next tick in seconds."""
         # Changes of the endpoint are looked for at this period.
-        return now_s + CHECK_PERIOD_S
+        return self._tick_due_s
 
     def _note_change(self, now_s: float) -> None:
         described = attrs.evolve(self._describe(0), in_flight=0)
--- a/filbertlb/entry/directory.py
+++ b/filbertlb/entry/directory.py
@@ -97,6 +97,7 @@
         self._revision = revision
         self._seed_addresses: set[str] = set()
         self._hello_due_s = 0.0
+        self._tick_due_s = 0.0
 
     def seed(self, addresses: Iterable[str]) -> None:
         """Greet these addresses too, until they answer."""
@@ -154,6 +155,7 @@
 
     def tick(self, now_s: float) -> None:
         """Greet the others and find out who is silent."""
+        self._tick_due_s = now_s + TICK_PERIOD_S
         if now_s >= self._hello_due_s:
             self._hello_due_s = now_s + self.times.period_s
             self._greet_all()
@@ -165,7 +167,7 @@
 
     def next_due_s(self, now_s: float) -> float:
         """Return the time of the next tick in seconds."""
-        return now_s + TICK_PERIOD_S
+        return self._tick_due_s
 
     def _heard(
         self, envelope: Envelope, message: Announce | Beat, now_s: float
@@ -175,7 +177,7 @@
         if isinstance(message, Announce):
             heard = table.announced(message, period_s, now_s)
         else:
-            has_news = envelope.revision < self._revision()
+            has_news = self._has_news(message)
             heard = table.beat(message, period_s, now_s, has_news)
         if heard.answer:
             self._answer(envelope.sender, message.sequence, heard, period_s)
@@ -186,6 +188,11 @@
         for listener in self.listeners if is_news else ():
             listener.endpoint_seen(announce)
 
+    def _has_news(self, beat: Beat) -> bool:
+        """Tell whether an endpoint has announced an older revision."""
+        known = self.endpoint_table.announce_by_id.get(beat.endpoint_id)
+        return known is not None and known.revision < self._revision()
+
     def _answer(
         self, address: str, sequence: int, heard: Heard, period_s: float
     ) -> None:
--- a/filbertlb/tasks.py
+++ b/filbertlb/tasks.py
@@ -78,11 +78,17 @@
 ) -> None:
     """Pass messages and time to a behaviour until killed.
 
-    A failure in one message is logged and does not stop the task.
+    A tick that is due comes before the next message, so that messages
+    never put it off. A failure in one message is logged and does not
+    stop the task.
     """
     while True:
         now_s = clock.monotonic()
-        nap_s = min(behaviour.next_due_s(now_s) - now_s, LONGEST_NAP_S)
+        due_s = behaviour.next_due_s(now_s)
+        if due_s <= now_s:
+            _guarded(behaviour.tick, now_s)
+            due_s = behaviour.next_due_s(now_s)
+        nap_s = min(due_s - now_s, LONGEST_NAP_S)
         try:
             message = mailbox.get(nap_s)
         except Empty:
