Meet a token before the outage in the test of requests

Cause: the test asked an instance that had never seen the caller's token to serve during a table outage; it answers tokens_unavailable, not run, as documented. Change: the test sends one request before. Conclusion: the check of the outage is unchanged.

--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -120,12 +120,14 @@
 
 
 def test_table_outage_refuses_jobs_and_serves_requests(plant):
-    sleep(0.5)
+    body = json.dumps({"result": "ripe"}).encode()
+    # An instance must have met a token to know it during an outage.
+    with _client(plant) as client:
+        assert client.invoke("ripeness", body).status == 200
     plant.table.faults.down = True
     with pytest.raises(CallFailedError) as refused:
         _submit(plant, "late", 0.1)
     assert (refused.value.http_status, refused.value.ran) == (503, "no")
-    body = json.dumps({"result": "ripe"}).encode()
     with _client(plant) as client:
         answer = client.invoke("ripeness", body)
         assert (answer.status, answer.json()["result"]) == (200, "ripe")
