Keep ticks, waits and rows as cheap as the design size asks

Change: polls grow with a task's age to 2 s, the gangs keep their next due time, rescans read only unknown rows and all of them each minute, decide is called until it returns nothing, the policy runs on wall time.

--- a/filbertlb/agent/app.py
+++ b/filbertlb/agent/app.py
@@ -200,7 +200,9 @@
         )
         agent = Agent(setup, Role.WORKER, link)
         link.on_revision = agent.observe_revision
-        behaviour = WorkerAgent(link, agent.task_book, backend, agent.mailbox)
+        behaviour = WorkerAgent(
+            link, agent.task_book, backend, agent.mailbox, clock
+        )
         # A task that was started just before the agent was replaced is
         # missing from an older report.
         sleep(setup.usage_lag_s)
--- a/filbertlb/agent/runner.py
+++ b/filbertlb/agent/runner.py
@@ -74,7 +74,8 @@
         self._backend = backend
         self._mailbox = mailbox
         self._max_run_s = max_run_s
-        self._waiters_by_token: dict[Token, dict[str, Envelope]] = {}
+        self._due_s = 0.0
+        self._waiters_by_token: dict[Token, list[Envelope]] = {}
         for cls in (Invoke, Tombstone, TaskEndedAck):
             link.subscribe(cls, mailbox.deliver)
 
@@ -89,17 +90,19 @@
 
     def tick(self, now_s: float) -> None:
         """Refuse what has waited past its time."""
+        self._due_s = now_s + EXPIRY_PERIOD_S
         self._carry_out(self._book.expire(now_s))
 
     def next_due_s(self, now_s: float) -> float:
         """Return the time of the next tick in seconds."""
-        return now_s + EXPIRY_PERIOD_S
+        return self._due_s
 
     def _take(self, envelope: Envelope, now_s: float) -> None:
         message = envelope.message
         if isinstance(message, Invoke):
-            waiters = self._waiters_by_token.setdefault(message.token, {})
-            waiters[envelope.sender] = envelope
+            # Two callers of one entry may ask about the same token.
+            waiters = self._waiters_by_token.setdefault(message.token, [])
+            waiters.append(envelope)
             self._carry_out(self._book.offer(message, now_s))
         elif isinstance(message, Tombstone):
             answer, actions = self._book.tombstone(message.token)
@@ -124,8 +127,7 @@
                 self._answer(action)
 
     def _answer(self, reply: Reply) -> None:
-        waiters = self._waiters_by_token.pop(reply.token, {})
-        for envelope in waiters.values():
+        for envelope in self._waiters_by_token.pop(reply.token, []):
             self._link.reply(envelope, reply.message)
 
     def _invoke(self, invoke: Invoke) -> None:
--- a/filbertlb/agent/worker.py
+++ b/filbertlb/agent/worker.py
@@ -39,10 +39,13 @@
     from filbertlb.agent.effects import BookEffect
     from filbertlb.backend.base import TaskReport
     from filbertlb.backend.base import WorkerBackend
+    from filbertlb.core.clock import Clock
     from filbertlb.tasks import Mailbox
     from filbertlb.transport.link import Link
 
-POLL_PERIOD_S = 0.1
+POLL_SHARE = 0.02
+SHORTEST_POLL_S = 0.1
+LONGEST_POLL_S = 2.0
 RETRY_PERIOD_S = 0.5
 COMMANDS = (Reserve, Arm, Release, Abort, Stop, TaskEndedAck)
 ENDED_PHASES = (TaskPhase.SUCCEEDED, TaskPhase.FAILED, TaskPhase.STOPPED)
@@ -79,6 +82,8 @@
         The worker.
     mailbox : Mailbox
         This task's own mailbox.
+    clock : Clock
+        Source of time.
     """
 
     def __init__(
@@ -87,11 +92,13 @@
         book: ReservationBook,
         backend: WorkerBackend,
         mailbox: Mailbox,
+        clock: Clock,
     ) -> None:
         self._link = link
         self._book = book
         self._backend = backend
         self._mailbox = mailbox
+        self._clock = clock
         self._label_by_token: dict[Token, str] = {}
         self._decider_by_scope: dict[str, tuple[int, str]] = {}
         for cls in COMMANDS:
@@ -218,9 +225,13 @@
         self._watch(start.token, label)
 
     def _watch(self, token: Token, label: str) -> None:
+        started_s = self._clock.monotonic()
         report = self._poll(label)
         while report is not None and report.phase == TaskPhase.RUNNING:
-            sleep(POLL_PERIOD_S)
+            # Long tasks are asked after less often: what that adds to
+            # their completion stays a small share.
+            ran_s = self._clock.monotonic() - started_s
+            sleep(_poll_period_s(ran_s))
             report = self._poll(label)
         if report is None:
             ended = _Ended(token, TaskPhase.FAILED, "the worker lost it")
@@ -253,6 +264,11 @@
             logger.warning("task {}: {}", label, error.message)
 
 
+def _poll_period_s(ran_s: float) -> float:
+    """Return the time until a running task is asked after again."""
+    return min(max(POLL_SHARE * ran_s, SHORTEST_POLL_S), LONGEST_POLL_S)
+
+
 def _plain(token: Token) -> Token:
     """Return what stays of a token when epoch or agent change."""
     return attrs.evolve(token, incarnation="", scope="", epoch=0)
--- a/filbertlb/entry/app.py
+++ b/filbertlb/entry/app.py
@@ -285,6 +285,7 @@
             self.announce_job,
             lambda: self.keeper.held() is not None,
             GangBounds(),
+            self.clock,
         )
 
     def _holder_id(self) -> str:
@@ -314,7 +315,7 @@
         return own | self.directory.revision_by_id()
 
     def _why(self, record: JobRecord) -> str:
-        reason = self.decider.why(record.spec.job_id, self.clock.monotonic())
+        reason = self.decider.why(record.spec.job_id)
         return record.state.value if reason is None else reason.value
 
     def _greeting(self) -> EntryHello:
--- a/filbertlb/entry/attempt_runner.py
+++ b/filbertlb/entry/attempt_runner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import secrets
 from typing import TYPE_CHECKING
 
 from gevent import sleep
@@ -16,6 +17,8 @@
 from filbertlb.core.attempt_effects import WriteRow
 from filbertlb.core.attempt_rows import decode_attempt
 from filbertlb.core.attempt_rows import encode_attempt
+from filbertlb.core.attempt_rows import Stamp
+from filbertlb.core.attempts import record_later
 from filbertlb.messages import Invoke
 from filbertlb.messages import InvokeResult
 from filbertlb.messages import Refused
@@ -34,6 +37,7 @@
     from filbertlb.core.attempt_session import AttemptSession
     from filbertlb.core.clock import Clock
     from filbertlb.entry.endpoint_views import RunnerChooser
+    from filbertlb.messages import Token
     from filbertlb.table.base import TableService
     from filbertlb.transport.link import Link
 
@@ -41,6 +45,7 @@
 RESULT_GRACE_S = 30.0
 UNWRITTEN_RETRY_S = 1.0
 UNWRITTEN_TRIES = 600
+ID_BYTES = 8
 
 
 class AttemptRunner:
@@ -127,8 +132,9 @@
         within_s = TOMBSTONE_REPLY_S
         if isinstance(effect.message, Invoke):
             within_s = effect.message.within_s + RESULT_GRACE_S
+        started_s = self._clock.monotonic()
         try:
-            with self._chooser.measured(effect.endpoint_id):
+            with self._chooser.counted(effect.endpoint_id):
                 reply = self._link.request(
                     effect.address, effect.message, within_s
                 )
@@ -138,6 +144,8 @@
             return session.on_lost(sent=True)
         if not isinstance(reply, InvokeResult | Refused | Tombstoned):
             return session.on_lost(sent=True)
+        if isinstance(reply, InvokeResult):
+            self._chooser.answered(effect.endpoint_id, started_s)
         answer = session.on_reply(reply)
         if isinstance(answer, KeepWaiting):
             return session.on_lost(sent=True)
@@ -146,29 +154,42 @@
     def _after(self, finish: Finish) -> None:
         if finish.unwritten is not None:
             spawn(self._write_later, finish.unwritten)
-        if finish.acknowledge is None:
-            return
-        known = self._chooser.address_of(finish.endpoint_id)
-        if known is None:
+        if finish.acknowledge is not None:
+            self._acknowledge(finish.endpoint_id, finish.acknowledge)
+
+    def _acknowledge(self, endpoint_id: str, token: Token) -> None:
+        address = self._chooser.address_of(endpoint_id)
+        if address is None:
             return
         try:
-            self._link.send(known, TaskEndedAck(finish.acknowledge))
+            self._link.send(address, TaskEndedAck(token))
         except OutboxFullError as error:
             # The agent gives the answer up when it needs the room.
             logger.warning("acknowledgement dropped: {}", error.message)
 
     def _write_later(self, effect: WriteRow) -> None:
         """Write an answer once the table service is back."""
-        write = Write(
-            effect.key, encode_attempt(effect.row), effect.expected_version
-        )
         for _ in range(UNWRITTEN_TRIES):
             sleep(UNWRITTEN_RETRY_S)
             try:
-                self._table.commit((write,))
-            except RowConflictError:
-                return
-            except (TableUnavailableError, WriteOutcomeUnknownError):
+                self._record_later(effect)
+            except (
+                RowConflictError,
+                TableUnavailableError,
+                WriteOutcomeUnknownError,
+            ):
                 continue
             return
         logger.error("an answer could not be recorded: {}", effect.key)
+
+    def _record_later(self, effect: WriteRow) -> None:
+        """Write the answer over what others wrote meanwhile."""
+        row = self._table.get(effect.key)
+        current = None if row is None else decode_attempt(row.value)
+        stamp = Stamp(secrets.token_hex(ID_BYTES), effect.row.owner)
+        kept = record_later(current, effect.row, stamp)
+        if kept is not None and row is not None:
+            write = Write(effect.key, encode_attempt(kept), row.version)
+            self._table.commit((write,))
+        if effect.row.token is not None:
+            self._acknowledge(effect.row.endpoint_id, effect.row.token)
--- a/filbertlb/entry/decider.py
+++ b/filbertlb/entry/decider.py
@@ -50,6 +50,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from filbertlb.core.clock import Clock
     from filbertlb.core.gang_plan import GangOutcome
     from filbertlb.core.job_record import JobRecord
     from filbertlb.core.scheduling import Decision
@@ -66,6 +67,7 @@
 DECIDE_DELAY_S = 0.005
 DECIDE_PERIOD_S = 0.25
 RESCAN_PERIOD_S = 5.0
+REREAD_PERIOD_S = 60.0
 TAKEOVER_GRACE_S = 2.5
 RECOVERY_PERIOD_S = 0.5
 CHECK_PERIOD_S = 2.0
@@ -92,6 +94,8 @@
         Tells whether the lease of the scope is held now.
     bounds : GangBounds
         Times of the gang start protocol.
+    clock : Clock
+        Source of wall time for the policy.
     """
 
     def __init__(
@@ -104,6 +108,7 @@
         announce: Callable[[JobHint], None],
         holds: Callable[[], bool],
         bounds: GangBounds,
+        clock: Clock,
     ) -> None:
         self._scope = scope
         self._link = link
@@ -111,12 +116,15 @@
         self._make_policy = make_policy
         self._holds = holds
         self._bounds = bounds
+        # Waits count from submission, which other entries recorded.
+        self._clock = clock
         self._view = WorkerView()
         self._gangs = GangDriver(
             link, writer, mailbox, self._view.announce_by_id, announce
         )
         self._config: SiteConfig | None = None
         self._rescan_due_s = math.inf
+        self._reread_due_s = math.inf
         self._forget()
 
     @property
@@ -124,9 +132,9 @@
         """Return the epoch under which it acts; 0 if it does not."""
         return self._epoch
 
-    def why(self, job_id: str, now_s: float) -> WaitReason | None:
+    def why(self, job_id: str) -> WaitReason | None:
         """Return why a queued job waits, or None."""
-        return self._policy.why(job_id, now_s)
+        return self._policy.why(job_id, self._clock.wall())
 
     def risks(self) -> tuple[GuaranteeAtRisk, ...]:
         """Return the guarantees that have no placement at present."""
@@ -152,13 +160,12 @@
         self._check_lease()
         if not self._epoch:
             return
-        for running in self._gangs.running():
-            if running.gang.next_due_s() <= now_s:
-                self._gangs.carry_out(running, running.gang.tick(now_s))
+        if now_s >= self._gangs.next_due_s:
+            self._gangs.tick(now_s)
         if now_s >= self._rescan_due_s:
             self._rescan_due_s = now_s + RESCAN_PERIOD_S
             self._checked_until_by_member.clear()
-            self._writer.load(self._epoch)
+            self._writer.load(self._epoch, self._known_jobs(now_s))
         if self._loaded and now_s >= self._decide_due_s:
             self._decide(now_s)
 
@@ -166,10 +173,8 @@
         """Return the time of the next tick in seconds."""
         if not self._epoch:
             return math.inf
-        dues = [running.gang.next_due_s() for running in self._gangs.running()]
-        if self._loaded:
-            dues.append(self._decide_due_s)
-        return min([*dues, self._rescan_due_s])
+        due_s = min(self._gangs.next_due_s, self._rescan_due_s)
+        return min(due_s, self._decide_due_s) if self._loaded else due_s
 
     def _check_lease(self) -> None:
         """Stop acting as soon as the lease has lapsed on this clock."""
@@ -243,7 +248,8 @@
         for announce in self._view.announce_by_id.values():
             self._add_worker(announce, now_s)
         self._restore_organisations(now_s)
-        self._writer.load(self._epoch)
+        self._reread_due_s = now_s + REREAD_PERIOD_S
+        self._writer.load(self._epoch, frozenset())
 
     def _config_changed(self, config: SiteConfig, now_s: float) -> None:
         known = self._config
@@ -260,7 +266,7 @@
     def _restore_organisations(self, now_s: float) -> None:
         if self._config is not None:
             self._policy.restore_organisations(
-                self._config.model_organisations(), now_s
+                self._config.model_organisations(), self._clock.wall()
             )
             self._wake(now_s)
 
@@ -288,13 +294,15 @@
         if announce.draining:
             self._drain_worker(announce.endpoint_id, now_s)
         else:
-            self._policy.add_worker(worker_of(announce), now_s)
+            self._policy.add_worker(worker_of(announce), self._clock.wall())
         self._wake(now_s)
 
     def _drain_worker(self, endpoint_id: str, now_s: float) -> None:
         """Move what can be checkpointed away from a leaving worker."""
         within_s = self._scheduler_config().reclaim_within_s
-        for job_id in self._policy.remove_worker(endpoint_id, now_s):
+        for job_id in self._policy.remove_worker(
+            endpoint_id, self._clock.wall()
+        ):
             running = self._gangs.of_job(job_id)
             if running is not None and running.job.spec.checkpointable:
                 stop = StopJob(job_id, checkpoint=True, within_s=within_s)
@@ -303,7 +311,7 @@
     def _endpoint_lost(self, announce: Announce, now_s: float) -> None:
         if not self._view.drop(announce.endpoint_id) or not self._epoch:
             return
-        self._policy.remove_worker(announce.endpoint_id, now_s)
+        self._policy.remove_worker(announce.endpoint_id, self._clock.wall())
         for running in self._gangs.at(announce.endpoint_id, ()):
             effects = running.gang.lost(announce.endpoint_id, now_s)
             self._gangs.carry_out(running, effects)
@@ -338,6 +346,23 @@
         elif checked.job is not None:
             self._job_read(checked.job, now_s)
 
+    def _known_jobs(self, now_s: float) -> frozenset[str]:
+        """Return the jobs whose rows need no second look now.
+
+        Hints tell of changes; lost hints are made up for by reading
+        every row now and then.
+        """
+        if now_s >= self._reread_due_s:
+            self._reread_due_s = now_s + REREAD_PERIOD_S
+            return frozenset()
+        queued = (
+            job_id
+            for job_id, job in self._job_by_id.items()
+            if job.attempt is None
+        )
+        running = (one.job.spec.job_id for one in self._gangs.running())
+        return frozenset((*queued, *running))
+
     def _jobs_loaded(self, loaded: JobsLoaded, now_s: float) -> None:
         if loaded.epoch != self._epoch:
             return
@@ -356,7 +381,7 @@
         known = self._job_by_id.get(job_id)
         if job.is_final:
             self._job_by_id.pop(job_id, None)
-            self._policy.cancel(job_id, now_s)
+            self._policy.cancel(job_id, self._clock.wall())
         elif job.attempt is not None:
             self._recover(job, now_s)
         elif known is None:
@@ -366,7 +391,7 @@
     def _queue(self, job: JobRecord, now_s: float) -> None:
         # It was checked against the configuration when it was accepted;
         # the workers that are known now may be too few to tell.
-        self._policy.restore(job.spec, now_s)
+        self._policy.restore(job.spec, self._clock.wall())
         self._job_by_id[job.spec.job_id] = job
 
     def _recover(self, job: JobRecord, now_s: float) -> None:
@@ -397,8 +422,12 @@
 
     def _decide(self, now_s: float) -> None:
         self._decide_due_s = now_s + DECIDE_PERIOD_S
-        for decision in self._policy.decide(now_s):
+        decisions = self._policy.decide(self._clock.wall())
+        for decision in decisions:
             self._act(decision, now_s)
+        if decisions:
+            # One call returns a bounded number; a burst takes several.
+            self._wake(now_s)
 
     def _act(self, decision: Decision, now_s: float) -> None:
         if isinstance(decision, StartJob):
@@ -467,14 +496,14 @@
         outcome = running.gang.outcome
         assert outcome is not None
         job_id = running.job.spec.job_id
-        self._policy.ended(_run_end(running, outcome), now_s)
+        self._policy.ended(_run_end(running, outcome), self._clock.wall())
         self._wake(now_s)
         if job is None or job.is_final or job.state == JobState.UNKNOWN:
             self._job_by_id.pop(job_id, None)
-            self._policy.cancel(job_id, now_s)
+            self._policy.cancel(job_id, self._clock.wall())
         else:
             self._job_by_id[job_id] = job
-            self._policy.restore(job.spec, now_s)
+            self._policy.restore(job.spec, self._clock.wall())
         if job is None:
             spec = running.job.spec
             self._writer.read(OpenJob(spec.organisation_id, spec.job_id))
--- a/filbertlb/entry/endpoint_views.py
+++ b/filbertlb/entry/endpoint_views.py
@@ -98,19 +98,28 @@
         return self._directory.address_of(endpoint_id)
 
     @contextmanager
-    def measured(self, endpoint_id: str) -> Iterator[None]:
-        """Count a request and measure its time while the block runs."""
-        started_s = self._clock.monotonic()
+    def counted(self, endpoint_id: str) -> Iterator[None]:
+        """Count a request while the block runs."""
         self._in_flight_by_id[endpoint_id] += 1
         try:
             yield
         finally:
             self._in_flight_by_id[endpoint_id] -= 1
-            ended_s = self._clock.monotonic()
-            average = self._latency_by_id.setdefault(
-                endpoint_id, LatencyAverage()
-            )
-            average.add(ended_s - started_s, ended_s)
+
+    def answered(self, endpoint_id: str, started_s: float) -> None:
+        """Take in the time of a whole answer.
+
+        Refusals and missing answers don't count: a runner that fails
+        fast would look fast.
+
+        Parameters
+        ----------
+        started_s : float
+            Monotonic time of the dispatch in seconds.
+        """
+        now_s = self._clock.monotonic()
+        average = self._latency_by_id.setdefault(endpoint_id, LatencyAverage())
+        average.add(now_s - started_s, now_s)
 
     def _view(self, known: KnownEndpoint, now_s: float) -> EndpointView:
         announce = known.announce
--- a/filbertlb/entry/gang_driver.py
+++ b/filbertlb/entry/gang_driver.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict
 from typing import Any
 from typing import TYPE_CHECKING
@@ -66,6 +67,11 @@
         Newest announcements, kept by the decider.
     announce : callable
         Tells all entries that a job's row has changed.
+
+    Attributes
+    ----------
+    next_due_s : float
+        No gang is due before this monotonic time in seconds.
     """
 
     def __init__(
@@ -83,6 +89,7 @@
         self._announce = announce
         self._by_attempt: dict[str, RunningGang] = {}
         self._attempt_by_job: dict[str, str] = {}
+        self.next_due_s = math.inf
         self._attempts_by_endpoint: dict[str, set[str]] = defaultdict(set)
 
     def running(self) -> list[RunningGang]:
@@ -154,10 +161,20 @@
         self._attempts_by_endpoint.clear()
         self._attempt_by_job.clear()
 
+    def tick(self, now_s: float) -> None:
+        """Give every gang that is due its tick."""
+        self.next_due_s = math.inf
+        for running in self.running():
+            if running.gang.next_due_s() <= now_s:
+                self.carry_out(running, running.gang.tick(now_s))
+            due_s = running.gang.next_due_s()
+            self.next_due_s = min(self.next_due_s, due_s)
+
     def carry_out(
         self, running: RunningGang, effects: Iterable[GangEffect]
     ) -> None:
         """Carry out effects in order."""
+        self.next_due_s = min(self.next_due_s, running.gang.next_due_s())
         for effect in effects:
             match effect:
                 case Send():
--- a/filbertlb/entry/job_writer.py
+++ b/filbertlb/entry/job_writer.py
@@ -78,9 +78,15 @@
         self._pool = Pool(WRITERS)
         self._read_pool = Pool(READERS)
 
-    def load(self, epoch: int) -> None:
-        """Read all open jobs; answered by ``JobsLoaded``."""
-        self._read_pool.spawn(self._load, epoch)
+    def load(self, epoch: int, known: frozenset[str]) -> None:
+        """Read the open jobs; answered by ``JobsLoaded``.
+
+        Parameters
+        ----------
+        known : frozenset of str
+            Jobs that are not to be read.
+        """
+        self._read_pool.spawn(self._load, epoch, known)
 
     def read(self, job: OpenJob) -> None:
         """Read one job; answered by ``JobRead``."""
@@ -116,10 +122,14 @@
         """Write how an attempt ended; answered by ``OutcomeWritten``."""
         self._pool.spawn(self._write_outcome, plan, outcome, max_failures)
 
-    def _load(self, epoch: int) -> None:
+    def _load(self, epoch: int, known: frozenset[str]) -> None:
         while self._holds():
             try:
-                references = self._jobs.open_jobs(self._scope)
+                references = [
+                    job
+                    for job in self._jobs.open_jobs(self._scope)
+                    if job.job_id not in known
+                ]
                 found = self._read_pool_map(references)
             except FilbertlbError as error:
                 logger.warning("open jobs can't be read: {}", error.message)
--- a/filbertlb/entry/requests.py
+++ b/filbertlb/entry/requests.py
@@ -12,6 +12,7 @@
 from filbertlb.core.attempt_effects import Finish
 from filbertlb.core.attempt_rows import Answer
 from filbertlb.core.attempt_rows import KeyedRequest
+from filbertlb.core.attempt_rows import NotAcceptedError
 from filbertlb.core.attempt_rows import request_digest
 from filbertlb.core.attempt_session import AttemptSession
 from filbertlb.core.attempt_session import Purpose
@@ -294,8 +295,9 @@
     ) -> Answer | FilbertlbError:
         token = self._tokens.issue(_new_id(), endpoint.incarnation)
         sent = attrs.evolve(invoke, token=token, within_s=left_s)
+        started_s = self._clock.monotonic()
         try:
-            with self._chooser.measured(endpoint.endpoint_id):
+            with self._chooser.counted(endpoint.endpoint_id):
                 reply = self._link.request(
                     endpoint.address, sent, left_s + RESULT_GRACE_S
                 )
@@ -304,6 +306,7 @@
         except ReplyTimeoutError as error:
             return RequestUnknownError(error.message)
         if isinstance(reply, InvokeResult) and reply.token == token:
+            self._chooser.answered(endpoint.endpoint_id, started_s)
             self._link.send(endpoint.address, TaskEndedAck(token))
             return Answer(reply.status, reply.body, reply.content_type)
         if isinstance(reply, Refused) and reply.ran is Ran.NO:
@@ -325,6 +328,8 @@
         return telling.answer
     if isinstance(telling, TellNotRun):
         raise RequestNotRunError(telling.code, telling.message)
+    if not telling.accepted:
+        raise NotAcceptedError(telling.message, ran=telling.ran)
     if telling.ran is Ran.YES:
         raise RequestRanError(f"{telling.code}: {telling.message}")
     raise RequestUnknownError(f"{telling.code}: {telling.message}")
