--- a/filbertlb/core/witness.py
+++ b/filbertlb/core/witness.py
@@ -167,7 +167,7 @@
             self.place(unit)
         due = now_s - self._repacked_at_s >= _REPACK_INTERVAL_S
         if due or len(self.unplaced) > self._missing_at_repack:
-            self._repack()
+            self.repack()
             self._repacked_at_s = now_s
             self._missing_at_repack = len(self.unplaced)
         self._tried_at = self.cluster.freed_count
@@ -205,7 +205,7 @@
             if unit.worker_ids != worker_ids:
                 self.set_placement(unit, worker_ids)
 
-    def _repack(self) -> None:
+    def repack(self) -> None:
         """Place all unclaimed units anew where that places more."""
         if not self.unplaced:
             return
--- a/filbertlb/scheduling/filling.py
+++ b/filbertlb/scheduling/filling.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+from itertools import islice
 from typing import TYPE_CHECKING
 
 from filbertlb.core.amounts import least
@@ -13,6 +14,7 @@
 from filbertlb.core.queueing import score
 from filbertlb.core.scheduling import WaitReason
 from filbertlb.core.search import find_free
+from filbertlb.core.search import options
 from filbertlb.scheduling.reservations import earliest_due_s
 from filbertlb.scheduling.stops import carry_out
 from filbertlb.scheduling.stops import find_takeover
@@ -28,6 +30,7 @@
     from filbertlb.scheduling.state import SchedulerState
 
 DISPLACE_INTERVAL_S = 1.0
+MAX_DISPLACE_TRIES = 8
 
 
 def serve_urgent(state: SchedulerState, now_s: float, out: Decisions) -> None:
@@ -180,33 +183,43 @@
     state: SchedulerState, waiting: Waiting
 ) -> tuple[str, ...] | None:
     """Place firm work where unclaimed guarantees can make way."""
-    witness = state.witness
-    if witness.unplaced:
+    if state.witness.unplaced:
         return None
-    found = find_free(
+    found = options(
         state.cluster,
         waiting.job.shape,
         waiting.need,
         lambda worker: _room_without_units(state, worker),
-        waiting.avoid,
     )
-    if found is None:
-        return None
+    allowed = (one for one in found if not waiting.avoid.intersection(one))
+    for chosen in islice(allowed, MAX_DISPLACE_TRIES):
+        if _make_way(state, waiting, chosen):
+            return chosen
+    return None
+
+
+def _make_way(
+    state: SchedulerState, waiting: Waiting, chosen: tuple[str, ...]
+) -> bool:
+    """Move unclaimed guarantees off workers, or change nothing."""
+    witness = state.witness
     before = witness.save()
-    workers = {name: state.cluster.by_id[name] for name in found}
+    workers = {name: state.cluster.by_id[name] for name in chosen}
     amounts = {
-        name: times(waiting.need, found.count(name)) for name in workers
+        name: times(waiting.need, chosen.count(name)) for name in workers
     }
     for name, worker in workers.items():
         state.cluster.close(worker, amounts[name])
         witness.uncover(worker)
-    moved = all(witness.place(unit) for unit in list(witness.unplaced))
+    for unit in list(witness.unplaced):
+        witness.place(unit)
+    witness.repack()
     for name, worker in workers.items():
         state.cluster.reopen(worker, amounts[name])
-    if moved:
-        return found
-    witness.restore(before)
-    return None
+    if witness.unplaced:
+        witness.restore(before)
+        return False
+    return True
 
 
 def _room_without_units(state: SchedulerState, worker: WorkerState) -> Amount:
