Refuse commands of an older revision and tell the entry's state

Cause: agents took commands whatever revision they were decided under, a submission refused during an outage said ran: no though an earlier one under its key may have been accepted, and /metrics was empty (found by review). Change: agents refuse reservations and requests of an older revision, closing the request's token so that the refusal is proof; job_not_accepted says unknown; calls, times, membership, jobs, risks and the revision are metrics, and instruments that nothing recorded are gone.

--- a/filbertlb/agent/app.py
+++ b/filbertlb/agent/app.py
@@ -172,7 +172,12 @@
         agent = Agent(setup, Role.RUNNER, link)
         link.on_revision = agent.observe_revision
         behaviour = RunnerAgent(
-            link, agent.slot_book, backend, agent.mailbox, MAX_RUN_S
+            link,
+            agent.slot_book,
+            backend,
+            agent.mailbox,
+            MAX_RUN_S,
+            lambda: agent.revision,
         )
         stack.enter_context(running_task(behaviour, agent.mailbox, clock))
         stack.enter_context(_announcing(agent, link, table, clock))
@@ -201,7 +206,12 @@
         agent = Agent(setup, Role.WORKER, link)
         link.on_revision = agent.observe_revision
         behaviour = WorkerAgent(
-            link, agent.task_book, backend, agent.mailbox, clock
+            link,
+            agent.task_book,
+            backend,
+            agent.mailbox,
+            clock,
+            lambda: agent.revision,
         )
         # A task that was started just before the agent was replaced is
         # missing from an older report.
--- a/filbertlb/agent/runner.py
+++ b/filbertlb/agent/runner.py
@@ -10,6 +10,7 @@
 
 from filbertlb.agent.slot_records import Reply
 from filbertlb.agent.slot_records import Start
+from filbertlb.core.revision_gate import OlderRevisionError
 from filbertlb.errors import FilbertlbError
 from filbertlb.messages import Invoke
 from filbertlb.messages import InvokeResult
@@ -20,6 +21,7 @@
 from filbertlb.transport.codec import Envelope
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
 
     from filbertlb.agent.slot_records import Action
@@ -59,6 +61,8 @@
         This task's own mailbox, for the ends of its requests.
     max_run_s : float
         Longest time that the runner may take, in seconds.
+    revision : callable
+        Returns the highest configuration revision seen here.
     """
 
     def __init__(
@@ -68,12 +72,14 @@
         backend: RunnerBackend,
         mailbox: Mailbox,
         max_run_s: float,
+        revision: Callable[[], int],
     ) -> None:
         self._link = link
         self._book = book
         self._backend = backend
         self._mailbox = mailbox
         self._max_run_s = max_run_s
+        self._revision = revision
         self._due_s = 0.0
         self._waiters_by_token: dict[Token, list[Envelope]] = {}
         for cls in (Invoke, Tombstone, TaskEndedAck):
@@ -103,7 +109,10 @@
             # Two callers of one entry may ask about the same token.
             waiters = self._waiters_by_token.setdefault(message.token, [])
             waiters.append(envelope)
-            self._carry_out(self._book.offer(message, now_s))
+            if envelope.revision < self._revision():
+                self._refuse_older(message.token)
+            else:
+                self._carry_out(self._book.offer(message, now_s))
         elif isinstance(message, Tombstone):
             answer, actions = self._book.tombstone(message.token)
             self._link.reply(envelope, answer)
@@ -111,6 +120,22 @@
         elif isinstance(message, TaskEndedAck):
             self._book.acknowledge(message.token)
 
+    def _refuse_older(self, token: Token) -> None:
+        """Refuse a request of an entry that is behind.
+
+        The token is closed, so that the refusal proves that it never
+        starts, whoever sends it again.
+        """
+        tombstoned, actions = self._book.tombstone(token)
+        refused = Refused(
+            OlderRevisionError.code,
+            "the entry is behind the configuration that was seen here",
+            tombstoned.ran,
+            token,
+        )
+        self._answer(Reply(token, refused))
+        self._carry_out(actions)
+
     def _finish(self, finished: _Finished, now_s: float) -> None:
         message = finished.message
         if isinstance(message, InvokeResult):
--- a/filbertlb/agent/worker.py
+++ b/filbertlb/agent/worker.py
@@ -18,9 +18,11 @@
 from filbertlb.agent.labels import encode_label
 from filbertlb.agent.labels import ForeignTaskError
 from filbertlb.agent.runner import DrainNow
+from filbertlb.core.revision_gate import OlderRevisionError
 from filbertlb.errors import FilbertlbError
 from filbertlb.messages import Abort
 from filbertlb.messages import Arm
+from filbertlb.messages import Refused
 from filbertlb.messages import Release
 from filbertlb.messages import Reserve
 from filbertlb.messages import Stop
@@ -33,6 +35,7 @@
 from filbertlb.transport.link import OutboxFullError
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
 
     from filbertlb.agent.book import ReservationBook
@@ -51,6 +54,12 @@
 ENDED_PHASES = (TaskPhase.SUCCEEDED, TaskPhase.FAILED, TaskPhase.STOPPED)
 
 
+_OLDER_REVISION = Refused(
+    OlderRevisionError.code,
+    "the decider is behind the configuration that was seen here",
+)
+
+
 @attrs.frozen
 class _Ended:
     """The end of a member as the worker tells it."""
@@ -84,6 +93,8 @@
         This task's own mailbox.
     clock : Clock
         Source of time.
+    revision : callable
+        Returns the highest configuration revision seen here.
     """
 
     def __init__(
@@ -93,12 +104,14 @@
         backend: WorkerBackend,
         mailbox: Mailbox,
         clock: Clock,
+        revision: Callable[[], int],
     ) -> None:
         self._link = link
         self._book = book
         self._backend = backend
         self._mailbox = mailbox
         self._clock = clock
+        self._revision = revision
         self._label_by_token: dict[Token, str] = {}
         self._decider_by_scope: dict[str, tuple[int, str]] = {}
         for cls in COMMANDS:
@@ -158,6 +171,10 @@
                 token.epoch,
                 envelope.sender,
             )
+        is_behind = envelope.revision < self._revision()
+        if isinstance(command, Reserve) and is_behind:
+            self._link.reply(envelope, _OLDER_REVISION)
+            return
         answer = self._book.handle(command, now_s)
         starts = [e for e in answer.effects if isinstance(e, StartTask)]
         self._carry_out(e for e in answer.effects if e not in starts)
--- a/filbertlb/api/app.py
+++ b/filbertlb/api/app.py
@@ -36,6 +36,8 @@
 
     from filbertlb.api.auth import TokenStore
     from filbertlb.api.calls import Reply
+    from filbertlb.core.clock import Clock
+    from filbertlb.metrics import Metrics
 
 REQUEST_ID_BYTES = 8
 RETRY_AFTER_DRAINING_S = 1.0
@@ -106,6 +108,10 @@
         Groups of handlers.
     max_body_bytes : int
         Most bytes of a request's body.
+    metrics : Metrics
+        Counts the calls.
+    clock : Clock
+        Source of time.
     """
 
     def __init__(
@@ -113,10 +119,14 @@
         tokens: TokenStore,
         route_sets: Iterable[RouteSet],
         max_body_bytes: int,
+        metrics: Metrics,
+        clock: Clock,
     ) -> None:
         self.in_flight = 0
         self.draining = False
         self._tokens = tokens
+        self._metrics = metrics
+        self._clock = clock
         self._max_body_bytes = max_body_bytes
         self.routes = tuple(
             route for group in route_sets for route in group.routes()
@@ -133,12 +143,15 @@
     ) -> Iterable[bytes]:
         """Serve one request."""
         request_id = secrets.token_hex(REQUEST_ID_BYTES)
+        started_s = self._clock.monotonic()
         self.in_flight += 1
         try:
             with logger.contextualize(request_id=request_id):
-                reply = self._serve(environ, request_id)
+                reply, code = self._serve(environ, request_id)
         finally:
             self.in_flight -= 1
+        self._metrics.requests.add(1, {"code": code})
+        self._metrics.request_s.record(self._clock.monotonic() - started_s)
         response = Response(
             reply.body, reply.status, content_type=reply.content_type
         )
@@ -147,16 +160,18 @@
             response.headers[name] = value
         return response(environ, start_response)
 
-    def _serve(self, environ: WSGIEnvironment, request_id: str) -> Reply:
+    def _serve(
+        self, environ: WSGIEnvironment, request_id: str
+    ) -> tuple[Reply, str]:
         try:
-            return self._call(environ)
+            reply = self._call(environ)
+            return reply, str(reply.status)
         except FilbertlbError as error:
-            return error_reply(error, request_id)
+            return error_reply(error, request_id), error.code
         except Exception:
             logger.exception("unhandled failure")
-            return error_reply(
-                InternalError("a fault of the server; ask again"), request_id
-            )
+            failure = InternalError("a fault of the server; ask again")
+            return error_reply(failure, request_id), failure.code
 
     def _call(self, environ: WSGIEnvironment) -> Reply:
         request = Request(environ)
--- a/filbertlb/api/service.py
+++ b/filbertlb/api/service.py
@@ -17,7 +17,6 @@
     from collections.abc import Iterable
 
     from filbertlb.api.calls import Call
-    from filbertlb.metrics import Metrics
 
 
 class ServiceRoutes:
@@ -29,19 +28,19 @@
         Tells whether the instance takes new work.
     status : callable
         Returns what operators are shown.
-    metrics : Metrics
-        This role's metrics.
+    render : callable
+        Returns this role's metrics.
     """
 
     def __init__(
         self,
         ready: Callable[[], bool],
         status: Callable[[], dict[str, Any]],
-        metrics: Metrics,
+        render: Callable[[], bytes],
     ) -> None:
         self._ready = ready
         self._status = status
-        self._metrics = metrics
+        self._render_metrics = render
 
     def routes(self) -> Iterable[Route]:
         """Return the routes of the group."""
@@ -62,7 +61,7 @@
         return json_reply({"ready": ready}, status)
 
     def _render(self, call: Call) -> Reply:
-        body = self._metrics.render()
+        body = self._render_metrics()
         return Reply(HTTPStatus.OK, body, METRICS_CONTENT_TYPE)
 
     def _show(self, call: Call) -> Reply:
--- a/filbertlb/entry/app.py
+++ b/filbertlb/entry/app.py
@@ -49,6 +49,7 @@
 from filbertlb.messages import Beat
 from filbertlb.messages import EntryHello
 from filbertlb.messages import JobHint
+from filbertlb.messages import Role
 from filbertlb.messages import TaskEnded
 from filbertlb.metrics import metrics_of
 from filbertlb.routing.near_first import NearFirst
@@ -154,6 +155,7 @@
         self.setup = setup
         self.link = link
         self.clock = clock
+        self._metrics = metrics
         self.url = ""
         self.crashed = False
         self.incarnation = secrets.token_hex(INCARNATION_BYTES)
@@ -191,6 +193,7 @@
             ),
             TokenSource(self.incarnation),
             self.gatekeeper,
+            watcher.try_catch_up,
             self.rng,
             clock,
         )
@@ -208,10 +211,10 @@
                 self.watcher.store.audit,
                 clock,
             ),
-            ServiceRoutes(self.ready, self.status, metrics),
+            ServiceRoutes(self.ready, self.status, self.render_metrics),
         )
         self.application = Application(
-            self.tokens, route_sets, setup.limits.body_bytes
+            self.tokens, route_sets, setup.limits.body_bytes, metrics, clock
         )
 
     def ready(self) -> bool:
@@ -240,6 +243,39 @@
             "traffic": attrs.asdict(self.link.traffic),
         }
 
+    def render_metrics(self) -> bytes:
+        """Return the metrics, with the gauges as they are now."""
+        metrics = self._metrics
+        scope = {"scope": self.setup.scope}
+        traffic = self.link.traffic
+        for direction in ("in", "out"):
+            label = {"direction": direction}
+            frames = getattr(traffic, f"frames_{direction}")
+            metrics.frames.set(frames, label)
+            size = getattr(traffic, f"bytes_{direction}")
+            metrics.frame_bytes.set(size, label)
+        for role in Role:
+            count = len(self.directory.endpoints(role))
+            metrics.endpoints.set(count, {"role": role.value})
+        metrics.requests_in_flight.set(self.application.in_flight)
+        metrics.requests_waiting.set(self.gatekeeper.waiting)
+        metrics.revision.set(self.watcher.number())
+        metrics.leader.set(int(self.decider.epoch > 0), scope)
+        queued, running = self.decider.counts()
+        metrics.queued_jobs.set(queued, scope)
+        metrics.running_jobs.set(running, scope)
+        self._set_risks()
+        return metrics.render()
+
+    def _set_risks(self) -> None:
+        missing_by_id = dict.fromkeys(self.weight_by_id, 0)
+        for risk in self.decider.risks():
+            known = missing_by_id.get(risk.organisation_id, 0)
+            missing_by_id[risk.organisation_id] = known + risk.missing
+        for name, missing in missing_by_id.items():
+            label = {"organisation": name}
+            self._metrics.guarantees_at_risk.set(missing, label)
+
     def announce_job(self, hint: JobHint) -> None:
         """Tell all entries, this one too, that a job has changed."""
         for address in self.directory.entry_addresses():
--- a/filbertlb/entry/configuration.py
+++ b/filbertlb/entry/configuration.py
@@ -115,6 +115,13 @@
         if gate.number == NO_REVISION or gate.seen > gate.number:
             self.refresh()
 
+    def try_catch_up(self) -> None:
+        """Catch up if the table service lets us; go on if not."""
+        try:
+            self.catch_up()
+        except FilbertlbError as error:
+            logger.warning("configuration not read: {}", error.message)
+
     def run(self) -> None:
         """Refresh until killed, at once when a newer one is heard of."""
         while True:
--- a/filbertlb/entry/decider.py
+++ b/filbertlb/entry/decider.py
@@ -136,6 +136,11 @@
         """Return why a queued job waits, or None."""
         return self._policy.why(job_id, self._clock.wall())
 
+    def counts(self) -> tuple[int, int]:
+        """Return how many jobs wait here and how many are under way."""
+        running = len(self._gangs.running())
+        return max(0, len(self._job_by_id) - running), running
+
     def risks(self) -> tuple[GuaranteeAtRisk, ...]:
         """Return the guarantees that have no placement at present."""
         return self._policy.risks() if self._loaded else ()
--- a/filbertlb/entry/gatekeeper.py
+++ b/filbertlb/entry/gatekeeper.py
@@ -49,6 +49,11 @@
         self._clock = clock
         self._result_by_id: dict[str, AsyncResult] = {}
 
+    @property
+    def waiting(self) -> int:
+        """Return the number of requests that wait."""
+        return self._gate.waiting
+
     @contextmanager
     def admitted(
         self, organisation_id: str, *, urgent: bool, deadline_s: float
--- a/filbertlb/entry/jobs.py
+++ b/filbertlb/entry/jobs.py
@@ -46,10 +46,15 @@
     code = "job_not_found"
 
 
-class NotAcceptedError(UnavailableError):
-    """The job can't be accepted durably now; it will not run."""
+class JobNotAcceptedError(UnavailableError):
+    """The submission was not accepted and starts nothing itself.
 
-    code = "not_accepted"
+    Whether the job runs is unknown, since an earlier submission under
+    the same key may have been accepted.
+    """
+
+    code = "job_not_accepted"
+    default_ran = Ran.UNKNOWN
 
 
 @attrs.frozen
@@ -122,8 +127,8 @@
             If the key stands for another job.
         ImpossibleJobError
             If it can never run on what is configured.
-        NotAcceptedError
-            If the table service refused; the job does not exist.
+        JobNotAcceptedError
+            If the table service refused; this submission starts nothing.
         WriteOutcomeUnknownError
             If it may exist; ask again under the same key.
         """
@@ -136,8 +141,9 @@
         except RowConflictError:
             return self._existing(spec)
         except TableUnavailableError as error:
-            raise NotAcceptedError(
-                f"the job was not accepted: {error.message}",
+            raise JobNotAcceptedError(
+                f"this submission was not accepted and starts nothing: "
+                f"{error.message}; send it again under its key",
                 retry_after_s=POLL_PERIOD_S,
             ) from error
         self._announce(JobHint(organisation_id, spec.job_id))
--- a/filbertlb/entry/requests.py
+++ b/filbertlb/entry/requests.py
@@ -35,6 +35,7 @@
 from filbertlb.transport.link import ReplyTimeoutError
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from random import Random
 
     from filbertlb.core.clock import Clock
@@ -139,6 +140,9 @@
         Issues tokens.
     gatekeeper : Gatekeeper
         Admits requests.
+    catch_up : callable
+        Puts a newer configuration in force if one has been seen; an
+        agent that has seen it refuses this entry until then.
     rng : random.Random
         Source of the jitter of retries.
     clock : Clock
@@ -152,6 +156,7 @@
         chooser: RunnerChooser,
         tokens: TokenSource,
         gatekeeper: Gatekeeper,
+        catch_up: Callable[[], None],
         rng: Random,
         clock: Clock,
     ) -> None:
@@ -159,6 +164,7 @@
         self._chooser = chooser
         self._tokens = tokens
         self._gatekeeper = gatekeeper
+        self._catch_up = catch_up
         self._rng = rng
         self._budgets = RetryBudgets()
         self._clock = clock
@@ -178,6 +184,7 @@
         OverloadedError, DeadlineExpiredError
             If it was turned away; it did not run.
         """
+        self._catch_up()
         with self._gatekeeper.admitted(
             request.organisation_id,
             urgent=request.urgent,
--- a/filbertlb/metrics.py
+++ b/filbertlb/metrics.py
@@ -41,35 +41,21 @@
     Attributes
     ----------
     requests : Counter
-        Requests by ``organisation`` and ``code``.
+        Calls of the HTTP interface by ``code``: the status, or the
+        error's code.
     request_s : Histogram
-        Time from a request to its whole answer, in seconds.
-    requests_in_flight : UpDownCounter
-        Requests without an answer yet.
-    jobs_submitted : Counter
-        Jobs accepted, by ``organisation`` and ``job_class``.
-    jobs_ended : Counter
-        Jobs with a final outcome, by ``state`` and ``job_class``.
-    job_wait_s : Histogram
-        Time from submission to start, in seconds, by ``job_class``.
-    job_completion_s : Histogram
-        Time from submission to the outcome, by ``job_class``.
-    refusals : Counter
-        Work refused, by ``code``.
-    retries : Counter
-        Attempts after the first, by ``code`` of the failure.
-    table_calls : Counter
-        Calls to the table service, by ``operation`` and ``code``.
-    table_s : Histogram
-        Time of one table call, in seconds, by ``operation``.
-    messages : Counter
-        Messages between processes, by ``kind`` and ``direction``.
+        Time from a call to its whole answer, in seconds.
+    requests_in_flight : Gauge
+        Calls without an answer yet.
+    requests_waiting : Gauge
+        Requests that wait for admission.
+    frames, frame_bytes : Gauge
+        Frames and bytes between processes since the start, by
+        ``direction``.
     endpoints : Gauge
-        Endpoints known, by ``role`` and ``state``.
-    tasks : Gauge
-        Members at an agent, by ``phase``.
-    queued_jobs : Gauge
-        Jobs that wait, by ``reason``.
+        Endpoints known, by ``role``.
+    queued_jobs, running_jobs : Gauge
+        Jobs of the scope, while this instance decides.
     guarantees_at_risk : Gauge
         Guaranteed shapes without a placement, by ``organisation``.
     revision : Gauge
@@ -100,21 +86,13 @@
         gauge = meter.create_gauge
         self.requests = counter("requests")
         self.request_s = duration("request_seconds")
-        self.requests_in_flight = meter.create_up_down_counter(
-            "requests_in_flight"
-        )
-        self.jobs_submitted = counter("jobs_submitted")
-        self.jobs_ended = counter("jobs_ended")
-        self.job_wait_s = duration("job_wait_seconds")
-        self.job_completion_s = duration("job_completion_seconds")
-        self.refusals = counter("refusals")
-        self.retries = counter("retries")
-        self.table_calls = counter("table_calls")
-        self.table_s = duration("table_seconds")
-        self.messages = counter("messages")
+        self.requests_in_flight = gauge("requests_in_flight")
+        self.requests_waiting = gauge("requests_waiting")
+        self.frames = gauge("frames")
+        self.frame_bytes = gauge("frame_bytes")
         self.endpoints = gauge("endpoints")
-        self.tasks = gauge("tasks")
         self.queued_jobs = gauge("queued_jobs")
+        self.running_jobs = gauge("running_jobs")
         self.guarantees_at_risk = gauge("guarantees_at_risk")
         self.revision = gauge("revision")
         self.leader = gauge("leader")
--- /dev/null
+++ b/tests/test_agents.py
@@ -0,0 +1,86 @@
+from __future__ import annotations
+
+import pytest
+
+from filbertlb.agent.book import ReservationBook
+from filbertlb.agent.runner import RunnerAgent
+from filbertlb.agent.slots import SlotBook
+from filbertlb.agent.worker import WorkerAgent
+from filbertlb.backend.fake import FakeRunner
+from filbertlb.backend.fake import FakeWorker
+from filbertlb.core.clock import VirtualClock
+from filbertlb.core.model import Resources
+from filbertlb.messages import Done
+from filbertlb.messages import Invoke
+from filbertlb.messages import Refused
+from filbertlb.messages import Reserve
+from filbertlb.messages import Token
+from filbertlb.tasks import Mailbox
+from filbertlb.transport.codec import Envelope
+
+SEEN = 7
+TOKEN = Token("a", 0, "inc", "s", 1)
+INVOKE = Invoke(TOKEN, "r", "o", "/p", b"", 5.0, True)
+RESERVE = Reserve(TOKEN, "j", "o", Resources(accelerators=1), 5.0)
+
+
+class StubLink:
+    """Keeps what an agent answers."""
+
+    def __init__(self):
+        self.replies = []
+
+    def subscribe(self, cls, handler):
+        assert callable(handler)
+
+    def reply(self, envelope, message):
+        self.replies.append((envelope.message_id, message))
+
+
+def _runner(link, slots=1):
+    book = SlotBook("inc")
+    return RunnerAgent(
+        link, book, FakeRunner(), Mailbox("m"), 1.0, lambda: SEEN
+    )
+
+
+def _worker(link):
+    book = ReservationBook("inc", Resources(accelerators=1))
+    return WorkerAgent(
+        link,
+        book,
+        FakeWorker(),
+        Mailbox("m"),
+        VirtualClock(),
+        lambda: SEEN,
+    )
+
+
+def _envelope(number, revision, message):
+    return Envelope(str(number), "", "tcp://127.0.0.1:1", revision, message)
+
+
+@pytest.mark.parametrize(
+    ("make", "message"), [(_runner, INVOKE), (_worker, RESERVE)]
+)
+def test_command_of_an_older_revision_is_refused(make, message):
+    link = StubLink()
+    make(link).receive(_envelope(1, SEEN - 1, message), 0.0)
+    ((_, refused),) = link.replies
+    assert (refused.code, refused.ran) == ("older_revision", "no")
+
+
+def test_refused_request_never_starts_later():
+    link = StubLink()
+    agent = _runner(link)
+    agent.receive(_envelope(1, SEEN - 1, INVOKE), 0.0)
+    agent.receive(_envelope(2, SEEN, INVOKE), 0.0)
+    assert [type(message) for _, message in link.replies] == [Refused] * 2
+    assert {message.ran for _, message in link.replies} == {"no"}
+
+
+def test_reservation_of_the_present_revision_is_held():
+    link = StubLink()
+    _worker(link).receive(_envelope(1, SEEN, RESERVE), 0.0)
+    ((_, done),) = link.replies
+    assert isinstance(done, Done)
