--- a/filbertlb/entry/app.py
+++ b/filbertlb/entry/app.py
@@ -6,7 +6,6 @@
 from contextlib import contextmanager
 from contextlib import ExitStack
 from random import Random
-from typing import Any
 from typing import TYPE_CHECKING
 
 import attrs
@@ -42,6 +41,8 @@
 from filbertlb.entry.leadership import leading
 from filbertlb.entry.registry import EntryRow
 from filbertlb.entry.registry import registered
+from filbertlb.entry.reporting import render_metrics
+from filbertlb.entry.reporting import status_of
 from filbertlb.entry.requests import RequestService
 from filbertlb.entry.requests import TokenSource
 from filbertlb.httpserver import serving_http
@@ -49,7 +50,6 @@
 from filbertlb.messages import Beat
 from filbertlb.messages import EntryHello
 from filbertlb.messages import JobHint
-from filbertlb.messages import Role
 from filbertlb.messages import TaskEnded
 from filbertlb.metrics import metrics_of
 from filbertlb.routing.near_first import NearFirst
@@ -155,7 +155,6 @@
         self.setup = setup
         self.link = link
         self.clock = clock
-        self._metrics = metrics
         self.url = ""
         self.crashed = False
         self.incarnation = secrets.token_hex(INCARNATION_BYTES)
@@ -211,7 +210,11 @@
                 self.watcher.store.audit,
                 clock,
             ),
-            ServiceRoutes(self.ready, self.status, self.render_metrics),
+            ServiceRoutes(
+                self.ready,
+                lambda: status_of(self),
+                lambda: render_metrics(self, metrics),
+            ),
         )
         self.application = Application(
             self.tokens, route_sets, setup.limits.body_bytes, metrics, clock
@@ -229,53 +232,6 @@
         """Tell whether no call is in flight."""
         return self.application.in_flight == 0
 
-    def status(self) -> dict[str, Any]:
-        """Return what operators are shown about the instance."""
-        return {
-            "entry_id": self.setup.entry_id,
-            "scope": self.setup.scope,
-            "epoch": self.decider.epoch,
-            "revision": self.watcher.number(),
-            "standing": self.watcher.gate.standing(self.clock.monotonic()),
-            "guarantees_at_risk": self.decider.risks(),
-            "entries": self.directory.entry_ids(),
-            "endpoints": self.directory.endpoint_ids(),
-            "traffic": attrs.asdict(self.link.traffic),
-        }
-
-    def render_metrics(self) -> bytes:
-        """Return the metrics, with the gauges as they are now."""
-        metrics = self._metrics
-        scope = {"scope": self.setup.scope}
-        traffic = self.link.traffic
-        for direction in ("in", "out"):
-            label = {"direction": direction}
-            frames = getattr(traffic, f"frames_{direction}")
-            metrics.frames.set(frames, label)
-            size = getattr(traffic, f"bytes_{direction}")
-            metrics.frame_bytes.set(size, label)
-        for role in Role:
-            count = len(self.directory.endpoints(role))
-            metrics.endpoints.set(count, {"role": role.value})
-        metrics.requests_in_flight.set(self.application.in_flight)
-        metrics.requests_waiting.set(self.gatekeeper.waiting)
-        metrics.revision.set(self.watcher.number())
-        metrics.leader.set(int(self.decider.epoch > 0), scope)
-        queued, running = self.decider.counts()
-        metrics.queued_jobs.set(queued, scope)
-        metrics.running_jobs.set(running, scope)
-        self._set_risks()
-        return metrics.render()
-
-    def _set_risks(self) -> None:
-        missing_by_id = dict.fromkeys(self.weight_by_id, 0)
-        for risk in self.decider.risks():
-            known = missing_by_id.get(risk.organisation_id, 0)
-            missing_by_id[risk.organisation_id] = known + risk.missing
-        for name, missing in missing_by_id.items():
-            label = {"organisation": name}
-            self._metrics.guarantees_at_risk.set(missing, label)
-
     def announce_job(self, hint: JobHint) -> None:
         """Tell all entries, this one too, that a job has changed."""
         for address in self.directory.entry_addresses():
--- a/filbertlb/entry/decider.py
+++ b/filbertlb/entry/decider.py
@@ -15,17 +15,16 @@
 
 from filbertlb.core.gang import Gang
 from filbertlb.core.gang_plan import GangBounds
-from filbertlb.core.gang_plan import GangMember
-from filbertlb.core.gang_plan import GangPlan
 from filbertlb.core.gang_recovery import has_news
 from filbertlb.core.gang_recovery import recover
 from filbertlb.core.gang_recovery import settle_status
 from filbertlb.core.job_record import new_attempt_id
 from filbertlb.core.model import Assignment
 from filbertlb.core.model import JobState
-from filbertlb.core.scheduling import RunEnd
 from filbertlb.core.scheduling import StartJob
 from filbertlb.core.scheduling import StopJob
+from filbertlb.entry.attempt_plan import make_plan
+from filbertlb.entry.attempt_plan import run_end
 from filbertlb.entry.events import Answered
 from filbertlb.entry.events import ConfigChanged
 from filbertlb.entry.events import DecisionWritten
@@ -39,6 +38,7 @@
 from filbertlb.entry.events import OutcomeWritten
 from filbertlb.entry.gang_driver import GangDriver
 from filbertlb.entry.job_table import OpenJob
+from filbertlb.entry.member_checks import MemberChecks
 from filbertlb.entry.worker_view import worker_of
 from filbertlb.entry.worker_view import WorkerView
 from filbertlb.messages import JobHint
@@ -51,14 +51,12 @@
     from collections.abc import Callable
 
     from filbertlb.core.clock import Clock
-    from filbertlb.core.gang_plan import GangOutcome
     from filbertlb.core.job_record import JobRecord
     from filbertlb.core.scheduling import Decision
     from filbertlb.core.scheduling import GuaranteeAtRisk
     from filbertlb.core.scheduling import SchedulingPolicy
     from filbertlb.core.scheduling import WaitReason
     from filbertlb.core.site import SiteConfig
-    from filbertlb.entry.gang_driver import RunningGang
     from filbertlb.entry.job_writer import JobWriter
     from filbertlb.messages import Announce
     from filbertlb.tasks import Mailbox
@@ -70,7 +68,6 @@
 REREAD_PERIOD_S = 60.0
 TAKEOVER_GRACE_S = 2.5
 RECOVERY_PERIOD_S = 0.5
-CHECK_PERIOD_S = 2.0
 
 
 class Decider:
@@ -169,7 +166,7 @@
             self._gangs.tick(now_s)
         if now_s >= self._rescan_due_s:
             self._rescan_due_s = now_s + RESCAN_PERIOD_S
-            self._checked_until_by_member.clear()
+            self._checks.forget_old(now_s)
             self._writer.load(self._epoch, self._known_jobs(now_s))
         if self._loaded and now_s >= self._decide_due_s:
             self._decide(now_s)
@@ -230,7 +227,7 @@
         self._policy = self._make_policy(self._scheduler_config())
         self._gangs.clear()
         self._job_by_id: dict[str, JobRecord] = {}
-        self._checked_until_by_member: dict[tuple[str, int], float] = {}
+        self._checks = MemberChecks()
 
     def _scheduler_config(self) -> SchedulerConfig:
         if self._config is None:
@@ -334,11 +331,8 @@
                 continue
             if self._gangs.get(token.attempt_id) is not None:
                 continue
-            key = (token.attempt_id, token.member)
-            if now_s < self._checked_until_by_member.get(key, 0.0):
-                continue
-            self._checked_until_by_member[key] = now_s + CHECK_PERIOD_S
-            self._writer.check_member(announce.address, status)
+            if self._checks.may_check(token, now_s):
+                self._writer.check_member(announce.address, status)
 
     def _member_checked(self, checked: MemberChecked, now_s: float) -> None:
         status = checked.status
@@ -443,24 +437,9 @@
     def _start(self, assignment: Assignment, now_s: float) -> None:
         job = self._job_by_id[assignment.job_id]
         self._serial += 1
-        spec = job.spec
-        plan = GangPlan(
-            attempt_id=new_attempt_id(spec.job_id, self._epoch, self._serial),
-            job_id=spec.job_id,
-            organisation_id=spec.organisation_id,
-            scope=self._scope,
-            epoch=self._epoch,
-            members=tuple(
-                GangMember(
-                    worker_id,
-                    self._view.announce_by_id[worker_id].incarnation,
-                )
-                for worker_id in assignment.worker_ids
-            ),
-            needs=spec.shape.each,
-            command=spec.command,
-            checkpoints=job.checkpoints,
-        )
+        attempt_id = new_attempt_id(job.spec.job_id, self._epoch, self._serial)
+        members = self._view.members(assignment.worker_ids)
+        plan = make_plan(job, attempt_id, self._epoch, members)
         running = self._gangs.add(Gang(plan, self._bounds), job)
         self._gangs.carry_out(running, running.gang.begin(now_s))
 
@@ -501,7 +480,9 @@
         outcome = running.gang.outcome
         assert outcome is not None
         job_id = running.job.spec.job_id
-        self._policy.ended(_run_end(running, outcome), self._clock.wall())
+        self._policy.ended(
+            run_end(running.gang.plan, outcome), self._clock.wall()
+        )
         self._wake(now_s)
         if job is None or job.is_final or job.state == JobState.UNKNOWN:
             self._job_by_id.pop(job_id, None)
@@ -512,16 +493,3 @@
         if job is None:
             spec = running.job.spec
             self._writer.read(OpenJob(spec.organisation_id, spec.job_id))
-
-
-def _run_end(running: RunningGang, outcome: GangOutcome) -> RunEnd:
-    members = running.gang.plan.members
-    failed = tuple(
-        members[index].endpoint_id for index in outcome.failed_members
-    )
-    return RunEnd(
-        outcome.attempt_id.rsplit(".", 1)[-1],
-        outcome.end,
-        failed,
-        checkpointed=bool(outcome.checkpoints),
-    )
--- /dev/null
+++ b/filbertlb/entry/reporting.py
@@ -0,0 +1,68 @@
+"""What an entry tells operators and metrics of itself."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+import attrs
+
+from filbertlb.messages import Role
+
+if TYPE_CHECKING:
+    from filbertlb.entry.app import Entry
+    from filbertlb.metrics import Metrics
+
+
+def status_of(entry: Entry) -> dict[str, Any]:
+    """Return what operators are shown about an instance."""
+    now_s = entry.clock.monotonic()
+    return {
+        "entry_id": entry.setup.entry_id,
+        "scope": entry.setup.scope,
+        "epoch": entry.decider.epoch,
+        "revision": entry.watcher.number(),
+        "standing": entry.watcher.gate.standing(now_s),
+        "guarantees_at_risk": entry.decider.risks(),
+        "entries": entry.directory.entry_ids(),
+        "endpoints": entry.directory.endpoint_ids(),
+        "traffic": attrs.asdict(entry.link.traffic),
+    }
+
+
+def render_metrics(entry: Entry, metrics: Metrics) -> bytes:
+    """Return the metrics, with the gauges as they are now."""
+    _set_traffic(entry, metrics)
+    for role in Role:
+        count = len(entry.directory.endpoints(role))
+        metrics.endpoints.set(count, {"role": role.value})
+    metrics.requests_in_flight.set(entry.application.in_flight)
+    metrics.requests_waiting.set(entry.gatekeeper.waiting)
+    metrics.revision.set(entry.watcher.number())
+    scope = {"scope": entry.setup.scope}
+    metrics.leader.set(int(entry.decider.epoch > 0), scope)
+    queued, running = entry.decider.counts()
+    metrics.queued_jobs.set(queued, scope)
+    metrics.running_jobs.set(running, scope)
+    _set_risks(entry, metrics)
+    return metrics.render()
+
+
+def _set_traffic(entry: Entry, metrics: Metrics) -> None:
+    traffic = entry.link.traffic
+    for direction, frames, size in (
+        ("in", traffic.frames_in, traffic.bytes_in),
+        ("out", traffic.frames_out, traffic.bytes_out),
+    ):
+        label = {"direction": direction}
+        metrics.frames.set(frames, label)
+        metrics.frame_bytes.set(size, label)
+
+
+def _set_risks(entry: Entry, metrics: Metrics) -> None:
+    missing_by_id = dict.fromkeys(entry.weight_by_id, 0)
+    for risk in entry.decider.risks():
+        known = missing_by_id.get(risk.organisation_id, 0)
+        missing_by_id[risk.organisation_id] = known + risk.missing
+    for name, missing in missing_by_id.items():
+        metrics.guarantees_at_risk.set(missing, {"organisation": name})
--- a/filbertlb/entry/worker_view.py
+++ b/filbertlb/entry/worker_view.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from filbertlb.core.gang_plan import GangMember
 from filbertlb.core.gang_recovery import AgentReport
 from filbertlb.core.model import Worker
 
@@ -37,6 +38,13 @@
         """Forget a worker; tell whether it was known."""
         return self.announce_by_id.pop(endpoint_id, None) is not None
 
+    def members(self, worker_ids: tuple[str, ...]) -> tuple[GangMember, ...]:
+        """Return the agents of workers as they are now."""
+        return tuple(
+            GangMember(worker_id, self.announce_by_id[worker_id].incarnation)
+            for worker_id in worker_ids
+        )
+
     def reports(self) -> dict[str, AgentReport]:
         """Return what the agents say of their members, by endpoint."""
         return {
