--- a/benchmarks/capacity_roles.py
+++ b/benchmarks/capacity_roles.py
@@ -294,7 +294,7 @@
         return (Term(1, base), Term(size.tasks_per_worker, max(0.0, task)))
 
     return _agent_rows(
-        links, processor, memory, "a poll of each task 10 times a second"
+        links, processor, memory, "a poll of each task, 0.1 to 2 s by its age"
     )
 
 
