Cancel early in the demo and wait for a worker that is not up

Change: 15% of the jobs are given up within 0.4 s; the agent asks its worker every second; the first fit policy has the whole interface.

--- a/filbertlb/agent/app.py
+++ b/filbertlb/agent/app.py
@@ -10,6 +10,7 @@
 
 import attrs
 from gevent import sleep
+from loguru import logger
 
 from filbertlb.agent.announcer import AnnouncerTask
 from filbertlb.agent.book import ReservationBook
@@ -22,6 +23,7 @@
 from filbertlb.core.model import Resources
 from filbertlb.core.refusals import StaleIncarnationError
 from filbertlb.entry.registry import look_up_entries
+from filbertlb.errors import FilbertlbError
 from filbertlb.messages import Announce
 from filbertlb.messages import AnnounceAck
 from filbertlb.messages import Drain
@@ -45,6 +47,7 @@
 
 INCARNATION_BYTES = 6
 MAX_RUN_S = 300.0
+ADOPT_RETRY_S = 1.0
 
 
 @attrs.frozen
@@ -194,10 +197,7 @@
 ) -> Iterator[Agent]:
     """Run the agent beside a worker while the block runs.
 
-    Raises
-    ------
-    FilbertlbError
-        If the worker does not answer at the start.
+    It announces itself once its worker has answered.
     """
     with ExitStack() as stack:
         link = stack.enter_context(
@@ -216,12 +216,22 @@
         # A task that was started just before the agent was replaced is
         # missing from an older report.
         sleep(setup.usage_lag_s)
-        behaviour.adopt_running()
+        _adopt(behaviour)
         stack.enter_context(running_task(behaviour, agent.mailbox, clock))
         stack.enter_context(_announcing(agent, link, table, clock))
         yield agent
 
 
+def _adopt(behaviour: WorkerAgent) -> None:
+    """Take over running tasks once the worker answers."""
+    while True:
+        try:
+            return behaviour.adopt_running()
+        except FilbertlbError as error:
+            logger.warning("the worker doesn't answer: {}", error.message)
+            sleep(ADOPT_RETRY_S)
+
+
 @contextmanager
 def _announcing(
     agent: Agent, link: Link, table: TableService, clock: Clock
--- a/filbertlb/demo/night.py
+++ b/filbertlb/demo/night.py
@@ -26,6 +26,8 @@
     from filbertlb.demo.plant import Plant
 
 CALLERS = 200
+CANCEL_SHARE = 0.15
+CANCEL_WITHIN_S = 0.4
 JOB_WAIT_S = 20.0
 TRIES = 40
 RETRY_S = 0.25
@@ -120,7 +122,8 @@
             (3, 8, JobClass.GANG),
         )
     )
-    cancel_after_s = rng.uniform(0, 2) if rng.random() < 0.1 else None
+    gives_up = rng.random() < CANCEL_SHARE
+    cancel_after_s = rng.uniform(0, CANCEL_WITHIN_S) if gives_up else None
     return JobArrival(
         at_s=rng.uniform(0, length_s),
         key=key,
--- a/filbertlb/scheduling/first_fit.py
+++ b/filbertlb/scheduling/first_fit.py
@@ -75,6 +75,16 @@
         check_job(self.cluster, None, attrs.evolve(job, guarantee_id=None))
         self.queue.append(job)
 
+    def restore(self, job: JobSpec, now_s: float) -> None:
+        """Queue a job that was accepted before, without checks."""
+        if not self.is_queued(job.job_id):
+            self.queue.append(job)
+
+    def restore_organisations(
+        self, organisations: Iterable[Organisation], now_s: float
+    ) -> None:
+        """Take note of nothing: there are no guarantees or quotas."""
+
     def adopt(self, job: JobSpec, assignment: Assignment) -> None:
         """Take over a job that runs already, after a takeover."""
         need = needed(job.shape.each)
