Send HTTP answers at once, and bench the path through real processes

Change: listening sockets send without delay, and connections inherit it; a full queue lowers the adaptive limit; make bench measures requests direct and through, and urgent jobs on an idle and on a full worker.

--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,8 @@
 	$(BIN)/python -m benchmarks.measure_gang
 	$(BIN)/python -m benchmarks.measure_membership
 
-bench: capacity
+bench: setup
+	$(BIN)/python -m benchmarks.bench_requests
 
 capacity: setup
 	$(BIN)/python -m benchmarks.measure_capacity
--- a/filbertlb/entry/gatekeeper.py
+++ b/filbertlb/entry/gatekeeper.py
@@ -98,6 +98,10 @@
                 )
             )
 
+    def overloaded(self) -> None:
+        """Take in that a runner's agent had no place for a request."""
+        self._gate.adaptive.overloaded()
+
     def _wait(self, request: QueuedRequest, now_s: float) -> None:
         result = AsyncResult()
         self._result_by_id[request.request_id] = result
--- a/filbertlb/entry/requests.py
+++ b/filbertlb/entry/requests.py
@@ -47,6 +47,7 @@
     from filbertlb.transport.link import Link
 
 SERVER_ERROR = 500
+QUEUE_FULL = "queue_full"
 ID_BYTES = 8
 RESULT_GRACE_S = 30.0
 
@@ -317,6 +318,8 @@
             self._link.send(endpoint.address, TaskEndedAck(token))
             return Answer(reply.status, reply.body, reply.content_type)
         if isinstance(reply, Refused) and reply.ran is Ran.NO:
+            if reply.code == QUEUE_FULL:
+                self._gatekeeper.overloaded()
             return RequestNotRunError(reply.code, reply.message)
         return RequestUnknownError(f"the runner's agent said {reply!r}")
 
--- a/filbertlb/httpcall.py
+++ b/filbertlb/httpcall.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from re import compile as compile_pattern
+from socket import IPPROTO_TCP
+from socket import TCP_NODELAY
 from typing import TYPE_CHECKING
 
 import attrs
@@ -69,7 +71,11 @@
     def get_socket(self) -> Any:
         """Return a connected socket."""
         try:
-            return super().get_socket()
+            found = super().get_socket()
+            # Headers and body leave in two writes; without this the
+            # second waits for the peer's delayed acknowledgement.
+            found.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+            return found
         except (OSError, RuntimeError) as error:
             raise _NoConnectionError(str(error)) from error
 
--- a/filbertlb/httpserver.py
+++ b/filbertlb/httpserver.py
@@ -11,8 +11,10 @@
 from contextlib import suppress
 from http import HTTPStatus
 from io import BytesIO
+from socket import IPPROTO_TCP
 from socket import SHUT_RD
 from socket import SHUT_WR
+from socket import TCP_NODELAY
 from typing import TYPE_CHECKING
 
 from gevent import Timeout
@@ -209,6 +211,15 @@
         self.stop(timeout=drain_s)
 
 
+def without_delay(server: WSGIServer) -> None:
+    """Send answers at once; accepted connections inherit the option.
+
+    Headers and body leave in two writes. With Nagle's algorithm the
+    second waits for the peer's delayed acknowledgement.
+    """
+    server.socket.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+
+
 @contextmanager
 def serving_http(
     application: Callable[..., Iterable[bytes]],
@@ -230,6 +241,7 @@
     """
     server = _Server((address, port), application, limits)
     server.start()
+    without_delay(server)
     try:
         yield f"http://{address}:{server.server_port}"
     finally:
--- a/filbertlb/standin/wsgi.py
+++ b/filbertlb/standin/wsgi.py
@@ -16,6 +16,7 @@
 from filbertlb.errors import InvalidInputError
 from filbertlb.errors import NotFoundError
 from filbertlb.errors import OutcomeUnknownError
+from filbertlb.httpserver import without_delay
 from filbertlb.typedcall import ErrorReply
 
 if TYPE_CHECKING:
@@ -113,6 +114,7 @@
     """
     server = WSGIServer((address, port), service, log=None, error_log=None)
     server.start()
+    without_delay(server)
     try:
         yield f"http://{address}:{server.server_port}"
     finally:
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -1,15 +1,21 @@
 from __future__ import annotations
 
 from json import loads
+from socket import IPPROTO_TCP
+from socket import TCP_NODELAY
+from types import SimpleNamespace
 
 import gevent
 import pytest
 from gevent.event import Event
 from gevent.socket import create_connection
 from gevent.socket import SHUT_WR
+from gevent.socket import socket
 
+from filbertlb import httpserver
 from filbertlb.httpcall import HttpCaller
 from filbertlb.httpserver import serving_http
+from filbertlb.httpserver import without_delay
 from filbertlb.settings.process import Limits
 
 SMALL = Limits(
@@ -155,3 +161,21 @@
             gevent.spawn(go_on_once_refused)
         assert task.get().body == b"whole"
         assert idle.recv(1) == b""
+
+
+def test_accepted_connections_send_without_delay():
+    with socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        without_delay(SimpleNamespace(socket=listener))
+        with create_connection(listener.getsockname()):
+            accepted, _ = listener.accept()
+            with accepted:
+                assert accepted.getsockopt(IPPROTO_TCP, TCP_NODELAY)
+
+
+def test_server_sends_without_delay(echo, monkeypatch):
+    seen = []
+    monkeypatch.setattr(httpserver, "without_delay", seen.append)
+    with serving_http(echo, "127.0.0.1", 0, SMALL) as url:
+        assert [f"http://127.0.0.1:{one.server_port}" for one in seen] == [url]
