Look at one place only for displacing on a large cluster

Change: clusters of over 32 workers look for one place and place each displaced unit by itself, as before; small ones try several and repack.

--- a/filbertlb/scheduling/filling.py
+++ b/filbertlb/scheduling/filling.py
@@ -11,6 +11,7 @@
 from filbertlb.core.amounts import plus
 from filbertlb.core.amounts import times
 from filbertlb.core.model import JobClass
+from filbertlb.core.packing import MAX_SEARCHED_WORKERS
 from filbertlb.core.queueing import score
 from filbertlb.core.scheduling import WaitReason
 from filbertlb.core.search import find_free
@@ -21,6 +22,8 @@
 from filbertlb.scheduling.stops import urgent_victim
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from filbertlb.core.amounts import Amount
     from filbertlb.core.cluster import WorkerState
     from filbertlb.core.queueing import Bucket
@@ -185,21 +188,42 @@
     """Place firm work where unclaimed guarantees can make way."""
     if state.witness.unplaced:
         return None
-    found = options(
-        state.cluster,
-        waiting.job.shape,
-        waiting.need,
-        lambda worker: _room_without_units(state, worker),
-    )
-    allowed = (one for one in found if not waiting.avoid.intersection(one))
-    for chosen in islice(allowed, MAX_DISPLACE_TRIES):
-        if _make_way(state, waiting, chosen):
+    is_small = len(state.cluster.by_id) <= MAX_SEARCHED_WORKERS
+    for chosen in _displacing_places(state, waiting, several=is_small):
+        if _make_way(state, waiting, chosen, repack=is_small):
             return chosen
     return None
 
 
+def _displacing_places(
+    state: SchedulerState, waiting: Waiting, *, several: bool
+) -> Iterator[tuple[str, ...]]:
+    """Yield places that are free but for unclaimed guarantees.
+
+    On a large cluster only the first is looked for: another comes free
+    soon, and a look at all workers for each would take too long.
+    """
+    shape = waiting.job.shape
+
+    def room(worker: WorkerState) -> Amount:
+        return _room_without_units(state, worker)
+
+    if several:
+        found = options(state.cluster, shape, waiting.need, room)
+        allowed = (one for one in found if not waiting.avoid.intersection(one))
+        yield from islice(allowed, MAX_DISPLACE_TRIES)
+        return
+    first = find_free(state.cluster, shape, waiting.need, room, waiting.avoid)
+    if first is not None:
+        yield first
+
+
 def _make_way(
-    state: SchedulerState, waiting: Waiting, chosen: tuple[str, ...]
+    state: SchedulerState,
+    waiting: Waiting,
+    chosen: tuple[str, ...],
+    *,
+    repack: bool,
 ) -> bool:
     """Move unclaimed guarantees off workers, or change nothing."""
     witness = state.witness
@@ -213,7 +237,8 @@
         witness.uncover(worker)
     for unit in list(witness.unplaced):
         witness.place(unit)
-    witness.repack()
+    if repack:
+        witness.repack()
     for name, worker in workers.items():
         state.cluster.reopen(worker, amounts[name])
     if witness.unplaced:
