Carry the call's id into the agents' logs

Cause: a request's id ended at the entry. Change: the id of the HTTP call goes with the request and is bound in the agent's log, a job's id where its member starts.

--- a/filbertlb/agent/runner.py
+++ b/filbertlb/agent/runner.py
@@ -7,11 +7,13 @@
 
 import attrs
 from gevent import spawn
+from loguru import logger
 
 from filbertlb.agent.slot_records import Reply
 from filbertlb.agent.slot_records import Start
 from filbertlb.core.revision_gate import OlderRevisionError
 from filbertlb.errors import FilbertlbError
+from filbertlb.logs import log_context
 from filbertlb.messages import Invoke
 from filbertlb.messages import InvokeResult
 from filbertlb.messages import Refused
@@ -156,21 +158,22 @@
             self._link.reply(envelope, reply.message)
 
     def _invoke(self, invoke: Invoke) -> None:
-        message: InvokeResult | Refused
+        with log_context(request_id=invoke.request_id):
+            logger.debug("request to {} starts", invoke.path)
+            self._mailbox.post(_Finished(invoke.token, self._ask(invoke)))
+
+    def _ask(self, invoke: Invoke) -> InvokeResult | Refused:
         try:
             answer = self._backend.invoke(
                 invoke.path, invoke.body, self._max_run_s
             )
         except FilbertlbError as error:
-            message = Refused(
-                error.code, error.message, error.ran, invoke.token
-            )
-        else:
-            message = InvokeResult(
-                invoke.token,
-                invoke.request_id,
-                answer.status,
-                answer.body,
-                answer.content_type,
-            )
-        self._mailbox.post(_Finished(invoke.token, message))
+            logger.warning("no answer: {}", error.message)
+            return Refused(error.code, error.message, error.ran, invoke.token)
+        return InvokeResult(
+            invoke.token,
+            invoke.request_id,
+            answer.status,
+            answer.body,
+            answer.content_type,
+        )
--- a/filbertlb/agent/worker.py
+++ b/filbertlb/agent/worker.py
@@ -20,6 +20,7 @@
 from filbertlb.agent.runner import DrainNow
 from filbertlb.core.revision_gate import OlderRevisionError
 from filbertlb.errors import FilbertlbError
+from filbertlb.logs import log_context
 from filbertlb.messages import Abort
 from filbertlb.messages import Arm
 from filbertlb.messages import Refused
@@ -220,6 +221,11 @@
             spawn(self._watch, status.token, label)
 
     def _start(self, start: StartTask, reply: _Reply | None) -> None:
+        with log_context(job_id=start.job_id):
+            logger.debug("member {} starts", start.token.member)
+            self._run(start, reply)
+
+    def _run(self, start: StartTask, reply: _Reply | None) -> None:
         label = encode_label(
             TaskStatus(
                 start.token,
--- a/filbertlb/api/app.py
+++ b/filbertlb/api/app.py
@@ -164,7 +164,7 @@
         self, environ: WSGIEnvironment, request_id: str
     ) -> tuple[Reply, str]:
         try:
-            reply = self._call(environ)
+            reply = self._call(environ, request_id)
             return reply, str(reply.status)
         except FilbertlbError as error:
             return error_reply(error, request_id), error.code
@@ -173,7 +173,7 @@
             failure = InternalError("a fault of the server; ask again")
             return error_reply(failure, request_id), failure.code
 
-    def _call(self, environ: WSGIEnvironment) -> Reply:
+    def _call(self, environ: WSGIEnvironment, request_id: str) -> Reply:
         request = Request(environ)
         request.max_content_length = self._max_body_bytes
         route, params = self._match(environ, request)
@@ -189,6 +189,7 @@
             request.args.to_dict(),
             dict(request.headers),
             self._body(request),
+            request_id,
         )
         return route.handler(call)
 
--- a/filbertlb/api/calls.py
+++ b/filbertlb/api/calls.py
@@ -72,13 +72,20 @@
 
 @attrs.frozen
 class Call:
-    """One HTTP request after authentication."""
+    """One HTTP request after authentication.
+
+    Parameters
+    ----------
+    request_id : str
+        Names the call in answers and in the logs of all processes.
+    """
 
     identity: Identity
     params: Mapping[str, str]
     query: Mapping[str, str]
     headers: Mapping[str, str]
     body: bytes
+    request_id: str = ""
 
     def organisation(self) -> str:
         """Return the organisation that the call acts for.
--- a/filbertlb/api/requests.py
+++ b/filbertlb/api/requests.py
@@ -63,6 +63,7 @@
                 MAX_DEADLINE_S,
             ),
             urgent=_choice(call, "X-Class", "normal", "urgent"),
+            request_id=call.request_id,
         )
         return _reply(self._service.run(request))
 
--- a/filbertlb/entry/requests.py
+++ b/filbertlb/entry/requests.py
@@ -91,6 +91,8 @@
         Idempotency key of the caller.
     deadline_s : float
         Time from now in which it must start, in seconds.
+    request_id : str
+        Names the call in the logs of all processes.
     """
 
     organisation_id: str
@@ -100,6 +102,7 @@
     idempotent: bool
     deadline_s: float
     urgent: bool = False
+    request_id: str = ""
 
 
 class TokenSource:
@@ -237,7 +240,7 @@
     def _invoke_of(self, request: RunnerRequest) -> Invoke:
         return Invoke(
             Token("", 0, ""),
-            _new_id(),
+            request.request_id or _new_id(),
             request.organisation_id,
             request.path,
             request.body,
--- a/tests/test_agents.py
+++ b/tests/test_agents.py
@@ -1,6 +1,8 @@
 from __future__ import annotations
 
 import pytest
+from gevent import idle
+from loguru import logger
 
 from filbertlb.agent.book import ReservationBook
 from filbertlb.agent.runner import RunnerAgent
@@ -84,3 +86,16 @@
     _worker(link).receive(_envelope(1, SEEN, RESERVE), 0.0)
     ((_, done),) = link.replies
     assert isinstance(done, Done)
+
+
+def test_request_id_reaches_the_agents_log():
+    seen = []
+    handler = logger.add(
+        lambda message: seen.append(message.record["extra"]), level="DEBUG"
+    )
+    try:
+        _runner(StubLink()).receive(_envelope(1, SEEN, INVOKE), 0.0)
+        idle()
+    finally:
+        logger.remove(handler)
+    assert {"request_id": "r"} in seen
