Run jobs on the users' platform: store as the only bus, agents as gates

Cause: the product knew neither the platform's wire nor jobs of several steps. Change: filbertlb/batch (model, gate, board, planner, decider, agent) and the adapter filbertlb/platform; the entries' decider holds a lease row and writes orders rows, agents follow them and report ends. Links between processes, arming and releasing of gangs are not needed there: the worker holds members until all are present.

--- /dev/null
+++ b/filbertlb/batch/configuration.py
@@ -0,0 +1,149 @@
+"""The configuration that entries serve callers by."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+from loguru import logger
+
+from filbertlb.api.calls import UnauthenticatedError
+from filbertlb.errors import NotFoundError
+from filbertlb.errors import UnavailableError
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+
+class NoConfigurationError(UnavailableError):
+    """No configuration is known yet."""
+
+    code = "no_configuration"
+
+
+class NoQueueError(NotFoundError):
+    """No queue serves the host and path."""
+
+    code = "no_queue"
+
+
+@attrs.frozen
+class Queue:
+    """Where callers hand jobs in.
+
+    Parameters
+    ----------
+    slack_factor, target_ms : float, int
+        A job is on time within ``slack_factor`` times its longest chain
+        of work and ``target_ms`` more.
+    advised : bool
+        Only workers named by the queue's advisor may run its steps.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    service: str
+    priority: int
+    attempts: int
+    slack_factor: float
+    target_ms: int
+    public: bool
+    advised: bool
+
+
+@attrs.frozen
+class SiteConfiguration:
+    """One version of the configuration.
+
+    Parameters
+    ----------
+    organisation_by_key : mapping of str to str
+        Owners of callers' keys.
+    guaranteed : dict of str to int
+        Accelerators guaranteed by organisation.
+    """
+
+    version: int
+    queues_by_host: Mapping[str, tuple[Queue, ...]]
+    organisation_by_key: Mapping[str, str]
+    guaranteed: dict[str, int]
+
+    def queue_for(self, host: str, path: str) -> Queue:
+        """Return the queue with the longest prefix of a path.
+
+        Raises
+        ------
+        NoQueueError
+            If no queue fits.
+        """
+        fitting = [
+            queue
+            for queue in self.queues_by_host.get(host, ())
+            if path.startswith(queue.prefix)
+        ]
+        if not fitting:
+            raise NoQueueError(
+                f"no queue serves {path!r} on host {host!r} in "
+                f"configuration {self.version}"
+            )
+        return max(fitting, key=lambda queue: len(queue.prefix))
+
+    def organisation_of(self, queue: Queue, api_key: str) -> str:
+        """Return the organisation that a key belongs to.
+
+        Raises
+        ------
+        UnauthenticatedError
+            If the key is unknown and the queue is not public.
+        """
+        owner = self.organisation_by_key.get(api_key)
+        if owner is not None:
+            return owner
+        if queue.public:
+            return ""
+        raise UnauthenticatedError(
+            f"the key is not one of configuration {self.version}"
+        )
+
+
+@attrs.define
+class InForce:
+    """The newest configuration seen; never goes back."""
+
+    _current: SiteConfiguration | None = None
+
+    @property
+    def version(self) -> int:
+        """Version in force; -1 for none."""
+        return -1 if self._current is None else self._current.version
+
+    def offer(self, offered: SiteConfiguration, source: str) -> bool:
+        """Take a configuration unless it is not newer."""
+        if offered.version <= self.version:
+            return False
+        logger.info(
+            "configuration {} in force, was {}, from {}",
+            *(offered.version, self.version, source),
+        )
+        self._current = offered
+        return True
+
+    def get(self) -> SiteConfiguration:
+        """Return the configuration in force.
+
+        Raises
+        ------
+        NoConfigurationError
+            If there is none yet.
+        """
+        if self._current is None:
+            raise NoConfigurationError(
+                "no configuration was read yet; try again",
+                retry_after_s=1.0,
+            )
+        return self._current
+
+    def guaranteed(self) -> dict[str, int]:
+        """Return the accelerators guaranteed by organisation."""
+        return {} if self._current is None else self._current.guaranteed
--- /dev/null
+++ b/filbertlb/batch/index.py
@@ -0,0 +1,79 @@
+"""Decoded view of the mirrored job rows, as every entry keeps it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+from loguru import logger
+
+from filbertlb.batch.model import CANCEL_PREFIX
+from filbertlb.batch.model import FINAL_STATES
+from filbertlb.batch.model import Job
+from filbertlb.batch.model import JOB_PREFIX
+from filbertlb.batch.model import JobState
+from filbertlb.batch.model import Progress
+from filbertlb.batch.model import PROGRESS_PREFIX
+from filbertlb.table.rows import decode_row
+from filbertlb.table.rows import UnreadableRowError
+
+if TYPE_CHECKING:
+    from filbertlb.table.base import Row
+
+
+@attrs.define
+class JobIndex:
+    """Jobs, progress and cancellations by job id."""
+
+    jobs: dict[str, Job] = attrs.Factory(dict)
+    progress: dict[str, Progress] = attrs.Factory(dict)
+    cancelled: set[str] = attrs.Factory(set)
+
+    def saw(self, key: str, row: Row | None) -> None:
+        """Take in a changed row; rows of other kinds are ignored."""
+        try:
+            self._saw(key, row)
+        except UnreadableRowError as error:
+            logger.error("row {} ignored: {}", key, error)
+
+    def state(self, job_id: str) -> JobState | None:
+        """Return what a caller is told, or None for an unknown job."""
+        progress = self.progress.get(job_id)
+        state = JobState.QUEUED if progress is None else progress.state
+        if job_id not in self.jobs:
+            return None
+        if job_id in self.cancelled and state not in FINAL_STATES:
+            return JobState.CANCELLED
+        return state
+
+    def pending(self, queue: str) -> int:
+        """Return the number of a queue's jobs that have not begun."""
+        count = 0
+        for job in self.jobs.values():
+            if job.queue != queue:
+                continue
+            progress = self.progress.get(job.job_id)
+            begun = progress is not None and progress.started
+            if not begun and self.state(job.job_id) not in FINAL_STATES:
+                count += 1
+        return count
+
+    def _saw(self, key: str, row: Row | None) -> None:
+        if key.startswith(JOB_PREFIX):
+            job_id = key.removeprefix(JOB_PREFIX)
+            if row is None:
+                self.jobs.pop(job_id, None)
+            else:
+                self.jobs[job_id] = decode_row(row, Job)
+        elif key.startswith(PROGRESS_PREFIX):
+            job_id = key.removeprefix(PROGRESS_PREFIX)
+            if row is None:
+                self.progress.pop(job_id, None)
+            else:
+                self.progress[job_id] = decode_row(row, Progress)
+        elif key.startswith(CANCEL_PREFIX):
+            job_id = key.removeprefix(CANCEL_PREFIX)
+            if row is None:
+                self.cancelled.discard(job_id)
+            else:
+                self.cancelled.add(job_id)
--- /dev/null
+++ b/filbertlb/batch/service.py
@@ -0,0 +1,124 @@
+"""What callers ask of jobs: submit, state, cancel and waiting count."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+from loguru import logger
+from msgspec.json import encode
+
+from filbertlb.batch.model import CANCEL_PREFIX
+from filbertlb.batch.model import Job
+from filbertlb.batch.model import JOB_PREFIX
+from filbertlb.batch.model import JobState
+from filbertlb.errors import NotFoundError
+from filbertlb.table.base import ABSENT
+from filbertlb.table.base import Row
+from filbertlb.table.base import RowConflictError
+from filbertlb.table.base import Write
+from filbertlb.table.base import WriteOutcomeUnknownError
+from filbertlb.table.settled import commit_settled
+from filbertlb.table.settled import Proof
+
+if TYPE_CHECKING:
+    from filbertlb.batch.index import JobIndex
+    from filbertlb.core.clock import Clock
+    from filbertlb.table.base import TableService
+    from filbertlb.table.mirror import Mirror
+
+SUBMIT_TRIES = 2
+
+
+class JobUnknownError(NotFoundError):
+    """No such job is stored."""
+
+    code = "job_unknown"
+    status = 410
+
+
+@attrs.frozen
+class JobService:
+    """Jobs as the callers of one entry see them.
+
+    Failures of the table pass through: ``TableUnavailableError`` proves
+    that nothing was stored, ``WriteOutcomeUnknownError`` does not.
+    """
+
+    table: TableService
+    mirror: Mirror
+    index: JobIndex
+    clock: Clock
+
+    def submit(self, job: Job) -> bool:
+        """Store a job once; return False if it was stored before."""
+        if job.job_id in self.index.jobs:
+            logger.info("job {} is stored already", job.job_id)
+            return False
+        key = JOB_PREFIX + job.job_id
+        write = Write(key, encode(job), ABSENT)
+        try:
+            versions = commit_settled(
+                self.table,
+                (write,),
+                Proof(key, write_once=True),
+                attempts=SUBMIT_TRIES,
+            )
+        except RowConflictError:
+            logger.info("job {} was stored by another entry", job.job_id)
+            return False
+        self._put(Row(key, encode(job), versions[0]))
+        logger.info(
+            "job {} accepted: queue {} priority {} organisation {} at "
+            "version {}",
+            *(job.job_id, job.queue, job.priority, job.organisation),
+            versions[0],
+        )
+        return True
+
+    def state(self, job_id: str) -> JobState:
+        """Return the state of a job.
+
+        Raises
+        ------
+        JobUnknownError
+            If a fresh read finds no such job.
+        """
+        self._require(job_id)
+        state = self.index.state(job_id)
+        return JobState.QUEUED if state is None else state
+
+    def cancel(self, job_id: str) -> None:
+        """Store that a job is cancelled; again is harmless.
+
+        Raises
+        ------
+        JobUnknownError
+            If there is no such job.
+        """
+        self._require(job_id)
+        if job_id in self.index.cancelled:
+            return
+        write = Write(CANCEL_PREFIX + job_id, b"{}", None)
+        try:
+            versions = self.table.commit((write,))
+        except WriteOutcomeUnknownError:
+            versions = self.table.commit((write,))
+        self._put(Row(write.key, b"{}", versions[0]))
+        logger.info("job {} cancelled at version {}", job_id, versions[0])
+
+    def pending(self, queue: str) -> int:
+        """Return the number of a queue's jobs that have not begun."""
+        return self.index.pending(queue)
+
+    def _require(self, job_id: str) -> None:
+        if job_id in self.index.jobs:
+            return
+        row = self.table.get(JOB_PREFIX + job_id)
+        if row is None:
+            raise JobUnknownError(f"job {job_id!r} is not stored")
+        self._put(row)
+
+    def _put(self, row: Row) -> None:
+        if row.version != ABSENT:
+            self.mirror.put(row, self.clock.monotonic())
--- /dev/null
+++ b/filbertlb/batch/worker_link.py
@@ -0,0 +1,64 @@
+"""Interface between an agent and the worker beside it."""
+
+from __future__ import annotations
+
+from typing import Protocol
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from filbertlb.batch.gate import ListedEnd
+    from filbertlb.batch.gate import StartResult
+    from filbertlb.batch.model import Order
+    from filbertlb.batch.model import Run
+
+
+@attrs.frozen
+class Look:
+    """What a worker holds.
+
+    Parameters
+    ----------
+    whole : bool
+        All unacknowledged ends are listed.
+    """
+
+    running: tuple[Run, ...]
+    ends: tuple[ListedEnd, ...]
+    whole: bool
+    incarnation: str = ""
+
+
+class WorkerLink(Protocol):
+    """Calls to one worker; every call carries the fencing token."""
+
+    def start(
+        self, order: Order, payload: str, fence: int, extend: bool
+    ) -> StartResult:
+        """Start a run.
+
+        Parameters
+        ----------
+        extend : bool
+            Give the worker a whole lease; else a start is refused.
+        """
+        ...
+
+    def stop(self, task: str, attempt: int, fence: int) -> bool:
+        """Stop a run; return whether the worker answered."""
+        ...
+
+    def look(
+        self, fence: int, taken_to: int, extend: bool, wait_s: float
+    ) -> Look | None:
+        """Return what the worker holds, or None if it did not answer.
+
+        Parameters
+        ----------
+        taken_to : int
+            Highest number of an end that is stored.
+        wait_s : float
+            Longest wait for an end.
+        """
+        ...
--- /dev/null
+++ b/filbertlb/batch/workers.py
@@ -0,0 +1,94 @@
+"""What the decider believes of the workers."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from filbertlb.batch.model import Worker
+    from filbertlb.batch.model import WorkerReport
+
+FRESH_S = 2.6
+"""Age of a report up to which its worker gets new work.
+
+Agents report every second.
+"""
+CONTACT_LOST_S = 8.0
+"""Agents extend leases this long after their last report got through."""
+LEASE_S = 6.0
+CLOCK_DRIFT = 1.02
+DEAD_SLACK_S = 0.5
+DEAD_AFTER_S = CONTACT_LOST_S + LEASE_S * CLOCK_DRIFT + DEAD_SLACK_S
+"""Silence after which nothing that was ordered there can still run."""
+
+FAULT_WINDOW_S = 15.0
+FAULT_UNITS = 2
+ASIDE_S = 8.0
+
+
+@attrs.frozen
+class _Ending:
+    at_s: float
+    unit: str
+    failed: bool
+
+
+@attrs.define
+class WorkerView:
+    """One worker as its agent's reports show it.
+
+    Attributes
+    ----------
+    seen_s : float
+        Monotonic time at which the newest report was read.
+    aside_until_s : float
+        The worker gets no new work before, since runs of several jobs
+        failed there.
+    """
+
+    report: WorkerReport
+    seen_s: float
+    aside_until_s: float = 0.0
+    _endings: deque[_Ending] = attrs.Factory(deque)
+
+    def usable(self, now_s: float) -> bool:
+        """Tell whether the worker may get new work."""
+        worker = self.report.worker
+        return (
+            worker is not None
+            and self.report.answers
+            and not worker.draining
+            and now_s - self.seen_s <= FRESH_S
+            and now_s >= self.aside_until_s
+        )
+
+    def dead(self, now_s: float) -> bool:
+        """Tell whether all that was ordered there has surely ended."""
+        return now_s - self.seen_s > DEAD_AFTER_S
+
+    def saw_end(self, unit: str, failed: bool, now_s: float) -> bool:
+        """Take in how a run ended; return True if put aside for it."""
+        self._endings.append(_Ending(now_s, unit, failed))
+        while self._endings[0].at_s < now_s - FAULT_WINDOW_S:
+            self._endings.popleft()
+        bad = {one.unit for one in self._endings if one.failed}
+        good = {one.unit for one in self._endings if not one.failed}
+        if not failed or len(bad) < FAULT_UNITS or len(bad) <= len(good):
+            return False
+        self.put_aside(now_s)
+        return True
+
+    def put_aside(self, now_s: float) -> None:
+        """Give the worker no new work for a while."""
+        self.aside_until_s = now_s + ASIDE_S
+        self._endings.clear()
+
+
+def may_run(worker: Worker, service: str, required_label: str) -> bool:
+    """Tell whether a worker is one of those that a step may run on."""
+    return worker.service == service and (
+        not required_label or required_label in worker.labels
+    )
--- a/filbertlb/httpcall.py
+++ b/filbertlb/httpcall.py
@@ -118,6 +118,8 @@
         url = URL(base_url)
         self._base_url = base_url
         self._base_path = url.path.rstrip("/")
+        self._url = url
+        self._connections = connections
         self._client = _Client(url, connections)
 
     def post(
@@ -163,6 +165,12 @@
         """Close the kept connections."""
         self._client.close()
 
+    def _drop(self, client: _Client) -> None:
+        """Leave the kept connections: others may be as silent."""
+        if client is self._client:
+            self._client = _Client(self._url, self._connections)
+            client.close()
+
     def _call(
         self,
         method: str,
@@ -181,9 +189,10 @@
         # An OSError, unlike a bare Timeout, makes the library give the
         # socket back on each way out.
         expired = TimeoutError(f"no answer within {timeout_s!r} s")
+        client = self._client
         try:
             with Timeout(timeout_s, expired):
-                response = self._client.request(
+                response = client.request(
                     method, target, body, dict(headers or {})
                 )
                 return _whole(response)
@@ -193,6 +202,7 @@
                 "the server runs there"
             ) from error
         except (OSError, HTTPParseError) as error:
+            self._drop(client)
             raise CallOutcomeUnknownError(
                 f"{method} {self._base_url + path!r} got no whole answer: "
                 f"{error}"
--- /dev/null
+++ b/filbertlb/platform/__main__.py
@@ -0,0 +1,31 @@
+"""Runs the role that the platform's settings file names."""
+
+from __future__ import annotations
+
+import sys
+
+from loguru import logger
+
+from filbertlb.errors import FilbertlbError
+from filbertlb.logs import logging_to
+from filbertlb.logs import LogSettings
+from filbertlb.platform.roles import run_agent
+from filbertlb.platform.roles import run_entry
+from filbertlb.platform.settings import load_settings_file
+
+RUN_BY_ROLE = {"entry": run_entry, "agent": run_agent}
+
+
+def main() -> int:
+    """Run one role and return the exit code."""
+    with logging_to(LogSettings(json_lines=True), sys.stdout):
+        try:
+            settings = load_settings_file()
+            RUN_BY_ROLE[settings.role](settings)
+        except FilbertlbError as error:
+            logger.error("stops: {} {}", error.code, error)
+            return 1
+    return 0
+
+
+sys.exit(main())
--- /dev/null
+++ b/filbertlb/platform/ingress.py
@@ -0,0 +1,109 @@
+"""Callers' interface of the platform: jobs under a queue's prefix."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from filbertlb.errors import FilbertlbError
+from filbertlb.errors import NotFoundError
+from filbertlb.errors import UnavailableError
+from filbertlb.platform.http import Answer
+from filbertlb.platform.http import failure
+from filbertlb.platform.wire import decode_job
+from filbertlb.platform.wire import header
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
+    from filbertlb.batch.configuration import InForce
+    from filbertlb.batch.configuration import Queue
+    from filbertlb.batch.service import JobService
+    from filbertlb.core.clock import Clock
+
+RETRY_AFTER_S = 1.0
+
+
+class Ingress:
+    """Serves callers of jobs.
+
+    Parameters
+    ----------
+    available : callable
+        Tells whether the table answered lately.
+    """
+
+    def __init__(
+        self,
+        service: JobService,
+        in_force: InForce,
+        clock: Clock,
+        available: Callable[[], bool],
+    ) -> None:
+        self._service = service
+        self._in_force = in_force
+        self._clock = clock
+        self._available = available
+        self.in_flight = 0
+
+    def handle(self, environ: Mapping[str, Any]) -> Answer:
+        """Answer one call and log what decided it."""
+        started_s = self._clock.monotonic()
+        self.in_flight += 1
+        try:
+            answer = self._route(environ)
+        except FilbertlbError as error:
+            answer = failure(error)
+            if answer.status in (429, 503) and answer.retry_after_s is None:
+                answer = Answer(answer.status, answer.body, RETRY_AFTER_S)
+        finally:
+            self.in_flight -= 1
+        spent_ms = (self._clock.monotonic() - started_s) * 1000
+        logger.info(
+            "{} {} -> {} in {:.0f} ms, configuration {}: {}",
+            *(environ["REQUEST_METHOD"], environ["PATH_INFO"]),
+            *(answer.status, spent_ms, self._in_force.version),
+            answer.body,
+        )
+        return answer
+
+    def _route(self, environ: Mapping[str, Any]) -> Answer:
+        configuration = self._in_force.get()
+        host = header(environ, "Host").partition(":")[0]
+        path = environ["PATH_INFO"]
+        queue = configuration.queue_for(host, path)
+        owner = configuration.organisation_of(
+            queue, header(environ, "X-Api-Key")
+        )
+        job_id = path.removeprefix(queue.prefix)
+        method = environ["REQUEST_METHOD"]
+        if not job_id and method == "GET":
+            return Answer(200, {"pending": self._service.pending(queue.name)})
+        if not job_id or "/" in job_id:
+            raise NotFoundError(f"no job is named {job_id!r}")
+        if method == "POST":
+            return self._submit(environ, queue, owner, job_id)
+        if method == "GET":
+            return Answer(200, {"state": self._service.state(job_id).value})
+        if method == "DELETE":
+            self._service.cancel(job_id)
+            return Answer(200)
+        return Answer(405, {"code": "method_not_allowed"})
+
+    def _submit(
+        self,
+        environ: Mapping[str, Any],
+        queue: Queue,
+        owner: str,
+        job_id: str,
+    ) -> Answer:
+        now_ms = int(self._clock.wall() * 1000)
+        body = environ["wsgi.input"].read()
+        job = decode_job(body, job_id, queue, owner, now_ms)
+        if not self._available():
+            raise UnavailableError("the table does not answer; try again")
+        self._service.submit(job)
+        return Answer(200)
--- /dev/null
+++ b/filbertlb/platform/roles.py
@@ -0,0 +1,153 @@
+"""The two programs that run on the platform's machines."""
+
+from __future__ import annotations
+
+import signal
+from contextlib import contextmanager
+from contextlib import ExitStack
+from typing import TYPE_CHECKING
+
+from gevent import signal_handler
+from gevent import sleep
+from gevent import spawn
+from gevent.event import Event
+from loguru import logger
+
+from filbertlb.batch.agent import Agent
+from filbertlb.batch.configuration import InForce
+from filbertlb.batch.decider import Decider
+from filbertlb.batch.index import JobIndex
+from filbertlb.batch.model import STATE_TABLE
+from filbertlb.batch.service import JobService
+from filbertlb.core.clock import SystemClock
+from filbertlb.httpserver import serving_http
+from filbertlb.platform.configuration import ConfigurationReader
+from filbertlb.platform.configuration import OPERATOR_TABLE
+from filbertlb.platform.heartbeats import Heartbeats
+from filbertlb.platform.http import Answer
+from filbertlb.platform.http import split_address
+from filbertlb.platform.http import wsgi
+from filbertlb.platform.ingress import Ingress
+from filbertlb.platform.runner import PlatformWorker
+from filbertlb.platform.store import PlatformTable
+from filbertlb.settings.process import Limits
+from filbertlb.table.mirror import Follower
+from filbertlb.table.mirror import Mirror
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterator
+    from collections.abc import Mapping
+    from typing import Any
+
+    from filbertlb.platform.settings import Settings
+    from filbertlb.platform.wire import Heartbeat
+
+UNREADY_AFTER_S = 2.0
+"""Silence of the table after which the balancer is told to go elsewhere."""
+LEAVE_S = 2.3
+"""The balancer looks each second and stops after two misses."""
+DRAIN_S = 2.5
+LIMITS = Limits(drain_s=DRAIN_S, connection_idle_s=30.0)
+
+
+def run_entry(settings: Settings) -> None:
+    """Serve callers, and place jobs while holding the lease."""
+    clock = SystemClock()
+    table = PlatformTable(settings.store_address)
+    index, mirror, in_force = JobIndex(), Mirror(), InForce()
+    mirror.listen(index.saw)
+    jobs = Follower(table, STATE_TABLE, mirror, clock)
+    operators = Mirror()
+    reader = ConfigurationReader(in_force)
+    operators.listen(reader.saw)
+    decider = Decider(
+        table,
+        mirror,
+        index,
+        clock,
+        settings.node,
+        settings.region,
+        in_force.guaranteed,
+    )
+    stopping = _stop_event()
+
+    def available() -> bool:
+        if not mirror.loaded:
+            return False
+        silent_s = clock.monotonic() - jobs.contact_s
+        return jobs.failure is None or silent_s < UNREADY_AFTER_S
+
+    service = JobService(table, mirror, index, clock)
+    ingress = Ingress(service, in_force, clock, available)
+
+    def ready(_: Mapping[str, Any]) -> Answer:
+        good = available() and in_force.version >= 0
+        return Answer(200 if good and not stopping.is_set() else 503)
+
+    tasks = (
+        jobs.run,
+        Follower(table, OPERATOR_TABLE, operators, clock).run,
+        decider.keep_lease,
+        decider.run,
+        lambda: reader.poll(table),
+    )
+    with ExitStack() as stack:
+        stack.enter_context(_running(tasks))
+        for address, application in (
+            (settings.client_address, wsgi(ingress.handle)),
+            (settings.readiness_address, wsgi(ready)),
+        ):
+            host, port = split_address(address)
+            stack.enter_context(serving_http(application, host, port, LIMITS))
+        logger.info("entry {} serves", settings.node)
+        stopping.wait()
+        logger.info("entry {} leaves", settings.node)
+        decider.retire()
+        sleep(LEAVE_S)
+    logger.info("entry {} stopped", settings.node)
+
+
+def run_agent(settings: Settings) -> None:
+    """Run the orders of the worker on this machine."""
+    clock = SystemClock()
+    table = PlatformTable(settings.store_address)
+    worker = PlatformWorker(settings.worker_address, clock)
+    agent = Agent(table, worker, clock, settings.node)
+
+    def heard(heartbeat: Heartbeat) -> None:
+        worker.heard(heartbeat)
+        agent.announced(heartbeat.worker)
+
+    stopping = _stop_event()
+    host, port = split_address(settings.heartbeat_address)
+    application = wsgi(Heartbeats(heard).handle)
+
+    def serve() -> None:
+        agent.run()
+        stopping.set()
+
+    with (
+        _running((serve,)),
+        serving_http(application, host, port, LIMITS),
+    ):
+        logger.info("agent {} serves", settings.node)
+        stopping.wait()
+    logger.info("agent {} stopped", settings.node)
+
+
+def _stop_event() -> Event:
+    event = Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal_handler(number, event.set)
+    return event
+
+
+@contextmanager
+def _running(tasks: tuple[Callable[[], None], ...]) -> Iterator[None]:
+    running = [spawn(task) for task in tasks]
+    try:
+        yield
+    finally:
+        for task in running:
+            task.kill()
--- /dev/null
+++ b/filbertlb/platform/runner.py
@@ -0,0 +1,190 @@
+"""Calls to the platform's worker beside an agent."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+import msgspec
+from loguru import logger
+
+from filbertlb.batch.gate import LEASE_S
+from filbertlb.batch.gate import ListedEnd
+from filbertlb.batch.gate import StartResult
+from filbertlb.batch.model import EndCause
+from filbertlb.batch.model import Run
+from filbertlb.batch.model import RunEnd
+from filbertlb.batch.worker_link import Look
+from filbertlb.httpcall import CallNotSentError
+from filbertlb.httpcall import CallOutcomeUnknownError
+from filbertlb.httpcall import HttpCaller
+from filbertlb.platform.wire import incarnation_name
+from filbertlb.platform.wire import instance_of
+
+if TYPE_CHECKING:
+    from filbertlb.batch.model import Order
+    from filbertlb.core.clock import Clock
+    from filbertlb.httpcall import Reply
+    from filbertlb.platform.wire import Heartbeat
+
+CALL_TIMEOUT_S = 0.8
+LOOK_SLACK_S = 0.8
+ENDS_PER_LOOK = 500
+HTTP_OK = 200
+HTTP_CONFLICT = 409
+
+_RESULT_BY_STATUS = {
+    200: StartResult.STARTED,
+    400: StartResult.INVALID,
+    421: StartResult.OTHER_INCARNATION,
+    429: StartResult.UNHEALTHY,
+    503: StartResult.UNHEALTHY,
+}
+_RESULT_BY_REASON = {
+    "fence": StartResult.FENCED,
+    "old": StartResult.TOO_OLD,
+    "late": StartResult.TOO_LATE,
+    "room": StartResult.NO_ROOM,
+}
+
+
+class _Answer(msgspec.Struct, rename="camel"):
+    clock_ms: int = 0
+    reason: str = ""
+
+
+class _Lists(msgspec.Struct, rename="camel"):
+    clock_ms: int = 0
+    born: int = 0
+    running: list[list[Any]] = []
+    finished: list[list[Any]] = []
+
+
+class PlatformWorker:
+    """One worker, called from its own machine.
+
+    Parameters
+    ----------
+    address : str
+        Host and port of the worker.
+    """
+
+    def __init__(self, address: str, clock: Clock) -> None:
+        self._caller = HttpCaller(f"http://{address}")
+        self._clock = clock
+        self._instance_id = ""
+        self._clock_ahead_ms = 0.0
+
+    def heard(self, heartbeat: Heartbeat) -> None:
+        """Take in whom to call, and the worker's clock."""
+        self._instance_id = instance_of(heartbeat.worker.incarnation)
+        self._set_clock(heartbeat.clock_ms)
+
+    def start(
+        self, order: Order, payload: str, fence: int, extend: bool
+    ) -> StartResult:
+        """Start a run."""
+        body = {
+            "task": order.task,
+            "attempt": order.attempt,
+            "spec": payload,
+            "deadlineMs": self._lease_end_ms() if extend else 0,
+            "fencingToken": fence,
+        }
+        if order.saved:
+            body["checkpointed"] = order.saved
+        try:
+            reply = self._post("run-start", body, CALL_TIMEOUT_S)
+        except CallNotSentError:
+            return StartResult.UNHEALTHY
+        except CallOutcomeUnknownError as error:
+            logger.info("start of {} unanswered: {}", order.task, error)
+            return StartResult.UNKNOWN
+        if reply.status == HTTP_CONFLICT:
+            reason = self._decode(reply, _Answer()).reason
+            return _RESULT_BY_REASON.get(reason, StartResult.INVALID)
+        return _RESULT_BY_STATUS.get(reply.status, StartResult.UNKNOWN)
+
+    def stop(self, task: str, attempt: int, fence: int) -> bool:
+        """Stop a run; return whether the worker answered."""
+        body = {"task": task, "attempt": attempt, "fencingToken": fence}
+        try:
+            reply = self._post("run-stop", body, CALL_TIMEOUT_S)
+        except (CallNotSentError, CallOutcomeUnknownError) as error:
+            logger.info("stop of {} unanswered: {}", task, error)
+            return False
+        if reply.status != HTTP_OK:
+            logger.warning("stop of {} got {}", task, reply.status)
+        return reply.status == HTTP_OK
+
+    def look(
+        self, fence: int, taken_to: int, extend: bool, wait_s: float
+    ) -> Look | None:
+        """Return what the worker holds, or None without an answer."""
+        body: dict[str, Any] = {
+            "fencingToken": fence,
+            "ackedSeq": taken_to,
+            "waitMs": int(wait_s * 1000),
+        }
+        if extend:
+            body["deadlineMs"] = self._lease_end_ms()
+        try:
+            reply = self._post("hold", body, wait_s + LOOK_SLACK_S)
+        except (CallNotSentError, CallOutcomeUnknownError) as error:
+            logger.info("worker silent: {}", error)
+            return None
+        if reply.status != HTTP_OK:
+            logger.warning(
+                "worker answers a look with {}: {}",
+                *(reply.status, reply.body[:120]),
+            )
+            return None
+        lists = self._decode(reply, _Lists())
+        return Look(
+            tuple(_run(entry) for entry in lists.running),
+            tuple(_end(entry) for entry in lists.finished),
+            len(lists.finished) < ENDS_PER_LOOK,
+            incarnation_name(self._instance_id, lists.born),
+        )
+
+    def _post(self, call: str, body: Any, timeout_s: float) -> Reply:
+        headers = {
+            "Content-Type": "application/json",
+            # The worker refuses calls that are meant for another life.
+            "X-Expect-Instance": self._instance_id,
+        }
+        return self._caller.post(
+            f"/filbertlb/{call}",
+            msgspec.json.encode(body),
+            timeout_s,
+            headers,
+        )
+
+    def _decode(self, reply: Reply, empty: Any) -> Any:
+        try:
+            found = msgspec.json.decode(reply.body, type=type(empty))
+        except msgspec.MsgspecError as error:
+            logger.warning("worker's answer cannot be read: {}", error)
+            return empty
+        self._set_clock(found.clock_ms)
+        return found
+
+    def _set_clock(self, clock_ms: int) -> None:
+        if clock_ms:
+            now_ms = self._clock.monotonic() * 1000
+            self._clock_ahead_ms = clock_ms - now_ms
+
+    def _lease_end_ms(self) -> int:
+        now_ms = self._clock.monotonic() * 1000
+        return int(now_ms + self._clock_ahead_ms + LEASE_S * 1000)
+
+
+def _run(entry: list[Any]) -> Run:
+    task, attempt, saved, percent = entry[:4]
+    return Run(str(task), int(attempt), str(saved), int(percent))
+
+
+def _end(entry: list[Any]) -> ListedEnd:
+    number, task, attempt, how, saved = entry[:5]
+    end = RunEnd(str(task), int(attempt), EndCause(how), str(saved))
+    return ListedEnd(int(number), end)
--- a/filbertlb/table/base.py
+++ b/filbertlb/table/base.py
@@ -8,6 +8,7 @@
 import attrs
 
 from filbertlb.errors import ConflictError
+from filbertlb.errors import FilbertlbError
 from filbertlb.errors import OutcomeUnknownError
 from filbertlb.errors import UnavailableError
 
@@ -39,6 +40,12 @@
     code = "write_outcome_unknown"
 
 
+class HistoryLostError(FilbertlbError):
+    """The changes asked for are no longer kept; read everything again."""
+
+    code = "history_lost"
+
+
 @attrs.frozen
 class Row:
     """One stored value.
@@ -116,3 +123,63 @@
             If the answer was lost.
         """
         ...
+
+
+@attrs.frozen
+class Snapshot:
+    """All rows under a prefix.
+
+    Parameters
+    ----------
+    version : int
+        Changes after this version are not all in it.
+    """
+
+    rows: tuple[Row, ...]
+    version: int
+
+
+@attrs.frozen
+class Changes:
+    """What changed in a table after a version.
+
+    Parameters
+    ----------
+    deleted : dict of str to int
+        Keys of deleted rows with the version of the deletion.
+    version : int
+        Where to go on.
+    """
+
+    rows: tuple[Row, ...]
+    deleted: dict[str, int]
+    version: int
+
+
+class WatchedTable(TableService, Protocol):
+    """Table service that tells what changes.
+
+    The part of a key before its first slash names a table.
+    """
+
+    def snapshot(self, prefix: str) -> Snapshot:
+        """Return all rows under a prefix.
+
+        Raises
+        ------
+        TableUnavailableError
+            If the service does not answer.
+        """
+        ...
+
+    def changes(self, table: str, after: int, wait_s: float) -> Changes:
+        """Return what changed after a version; wait for the first change.
+
+        Raises
+        ------
+        HistoryLostError
+            If these changes are no longer kept.
+        TableUnavailableError
+            If the service does not answer.
+        """
+        ...
--- a/filbertlb/table/lease.py
+++ b/filbertlb/table/lease.py
@@ -77,6 +77,11 @@
         """The row as it was read or written last, for status pages."""
         return self._tracker.record
 
+    @property
+    def version(self) -> int:
+        """Version of the lease row as it was read or written last."""
+        return self._tracker.version
+
     def held(self) -> Lease | None:
         """Return the lease if this process may act on it now."""
         return self._tracker.held(self._clock.monotonic())
--- a/filbertlb/table/memory.py
+++ b/filbertlb/table/memory.py
@@ -8,8 +8,11 @@
 from gevent import sleep
 
 from filbertlb.table.base import ABSENT
+from filbertlb.table.base import Changes
+from filbertlb.table.base import HistoryLostError
 from filbertlb.table.base import Row
 from filbertlb.table.base import RowConflictError
+from filbertlb.table.base import Snapshot
 from filbertlb.table.base import TableUnavailableError
 from filbertlb.table.base import WriteOutcomeUnknownError
 
@@ -54,6 +57,8 @@
     writes: int = 0
     _row_by_key: dict[str, Row] = attrs.Factory(dict)
     _last_version: int = ABSENT
+    _deleted_at: dict[str, int] = attrs.Factory(dict)
+    _history_from: int = ABSENT
 
     def get(self, key: str) -> Row | None:
         """Return the row of a key, or None."""
@@ -86,6 +91,34 @@
             raise WriteOutcomeUnknownError("the answer was lost")
         return versions
 
+    def snapshot(self, prefix: str) -> Snapshot:
+        """Return all rows under a prefix."""
+        rows = self.scan(prefix, limit=len(self._row_by_key))
+        return Snapshot(tuple(rows), self._last_version)
+
+    def changes(self, table: str, after: int, wait_s: float) -> Changes:
+        """Return what changed after a version, without waiting."""
+        self._enter()
+        if after < self._history_from:
+            raise HistoryLostError(
+                f"changes after {after!r} are gone; read the table again"
+            )
+        rows = [
+            row
+            for row in self.scan(f"{table}/", limit=len(self._row_by_key))
+            if row.version > after
+        ]
+        deleted = {
+            key: version
+            for key, version in self._deleted_at.items()
+            if key.startswith(f"{table}/") and version > after
+        }
+        return Changes(tuple(rows), deleted, self._last_version)
+
+    def forget_history(self) -> None:
+        """Drop the record of all changes so far."""
+        self._history_from = self._last_version
+
     def _enter(self) -> None:
         if self.faults.delay_s:
             sleep(self.faults.delay_s)
@@ -108,7 +141,9 @@
 
     def _apply(self, write: Write) -> int:
         if write.value is None:
-            self._row_by_key.pop(write.key, None)
+            if self._row_by_key.pop(write.key, None) is not None:
+                self._last_version += 1
+                self._deleted_at[write.key] = self._last_version
             return ABSENT
         # One counter for all keys: a deleted and recreated row never
         # shows a version that it had before.
