--- a/filbertlb/batch/agent.py
+++ b/filbertlb/batch/agent.py
@@ -71,7 +71,7 @@
         self._node = node
         self._registration = token_hex(6)
         self._key = WORKER_PREFIX + node
-        self._gate = WorkerGate()
+        self._gate = WorkerGate(clock.monotonic())
         self._wake = Event()
         self._report_wake = Event()
         self._mirror = Mirror()
@@ -175,9 +175,15 @@
     def _extends(self) -> bool:
         """Tell whether leases may be extended now.
 
-        The decider waits out the longest lease that follows from this.
+        The decider waits out the longest lease that follows from the
+        agent's contact with the table. A worker that does not answer
+        gets no extensions either, so that its runs end by a known time.
         """
-        return self._clock.monotonic() - self._contact_s < CONTACT_LOST_S
+        now_s = self._clock.monotonic()
+        return (
+            now_s - self._contact_s < CONTACT_LOST_S
+            and now_s - self._answered_s < UNANSWERED_S
+        )
 
     def _look_loop(self) -> None:
         while not self._gate.fenced:
--- a/filbertlb/batch/gate.py
+++ b/filbertlb/batch/gate.py
@@ -109,12 +109,15 @@
     ----------
     fenced : bool
         Another agent process has taken over; stop.
+    opened_s : float
+        Monotonic time at which this agent process began.
     listed_to : int
         Highest number of an end that was taken in.
     changed : bool
         The report changed since it was last taken.
     """
 
+    opened_s: float = 0.0
     worker: Worker | None = None
     orders: Orders | None = None
     fenced: bool = False
@@ -158,10 +161,10 @@
     def due(self, now_s: float) -> list[StartCall | StopCall]:
         """Return the calls to send now."""
         orders = self.orders
-        if orders is None or self.worker is None or self.fenced:
+        if orders is None or self.fenced:
             return []
-        self._drop_lapsed(now_s)
-        if not self._looked:
+        self._drop_lapsed(orders, now_s)
+        if self.worker is None or not self._looked:
             return []
         calls: list[StartCall | StopCall] = []
         wanted = set()
@@ -397,14 +400,21 @@
                 cause = EndCause.STOPPED if stopping else EndCause.LOST
                 self._end(key, cause, "not listed by the worker")
 
-    def _drop_lapsed(self, now_s: float) -> None:
+    def _drop_lapsed(self, orders: Orders, now_s: float) -> None:
         """Give up runs whose lease must have run out unseen."""
         lease_s = LEASE_S * CLOCK_DRIFT + LAPSE_SLACK_S
-        if now_s < self._last_extension_s + lease_s:
+        extended_s = max(self.opened_s, self._last_extension_s)
+        if now_s < extended_s + lease_s:
             return
         for key in list(self._runs):
             del self._runs[key]
             self._end(key, EndCause.LOST, "lease ran out")
+        if self.worker is not None:
+            return
+        for order in orders.orders:
+            key = (order.task, order.attempt)
+            if key not in self._ended:
+                self._end(key, EndCause.LOST, "no worker announced itself")
 
     def _end(self, key: RunKey, cause: EndCause, why: str) -> None:
         self._waiting_since.pop(key, None)
--- a/filbertlb/platform/roles.py
+++ b/filbertlb/platform/roles.py
@@ -20,6 +20,7 @@
 from filbertlb.batch.model import STATE_TABLE
 from filbertlb.batch.service import JobService
 from filbertlb.core.clock import SystemClock
+from filbertlb.errors import FilbertlbError
 from filbertlb.httpserver import serving_http
 from filbertlb.platform.configuration import ConfigurationReader
 from filbertlb.platform.configuration import OPERATOR_TABLE
@@ -29,6 +30,7 @@
 from filbertlb.platform.http import wsgi
 from filbertlb.platform.ingress import Ingress
 from filbertlb.platform.runner import PlatformWorker
+from filbertlb.platform.settings import load_settings_file
 from filbertlb.platform.store import PlatformTable
 from filbertlb.settings.process import Limits
 from filbertlb.table.mirror import Follower
@@ -70,7 +72,7 @@
         settings.region,
         in_force.guaranteed,
     )
-    stopping = _stop_event()
+    stopping = _stop_event(settings)
 
     def available() -> bool:
         if not mirror.loaded:
@@ -119,7 +121,7 @@
         worker.heard(heartbeat)
         agent.announced(heartbeat.worker)
 
-    stopping = _stop_event()
+    stopping = _stop_event(settings)
     host, port = split_address(settings.heartbeat_address)
     application = wsgi(Heartbeats(heard).handle)
 
@@ -136,8 +138,9 @@
     logger.info("agent {} stopped", settings.node)
 
 
-def _stop_event() -> Event:
+def _stop_event(settings: Settings) -> Event:
     event = Event()
+    signal_handler(signal.SIGHUP, _reload, settings)
     for number in (signal.SIGTERM, signal.SIGINT):
         signal_handler(number, event.set)
     return event
@@ -151,3 +154,16 @@
     finally:
         for task in running:
             task.kill()
+
+
+def _reload(settings: Settings) -> None:
+    """Read the settings again; they hold only what needs a restart."""
+    try:
+        changed = load_settings_file() != settings
+    except FilbertlbError as error:
+        logger.error("settings not reloaded, the former hold: {}", error)
+        return
+    if changed:
+        logger.warning("settings differ; they hold from the next start")
+    else:
+        logger.info("settings reloaded, nothing differs")
