Preempt only what costs little against the job's own work

Change: a job may throw away 150 core-seconds and 0.4 for each core-second of its own; one under its guarantee waits 1 s, then takes what it needs.

--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -32,6 +32,7 @@
     from collections.abc import Iterable
 
     from filbertlb.batch.model import Job
+    from filbertlb.batch.model import Step
     from filbertlb.batch.model import WorkerReport
     from filbertlb.core.amounts import Amount
 
@@ -42,6 +43,14 @@
 """Work since a checkpointable task saved last is at most this long."""
 NEAR_PATIENCE_MS = 4000
 """Wait for the rack where a step runs three times as fast."""
+CLAIM_PATIENCE_MS = 1000
+"""Wait of a guaranteed job for room before it stops costly work.
+
+The rest of the time that a claim may take is for the stop.
+"""
+CHEAP_LOSS_CORE_S = 150.0
+LOSS_PER_OWN_WORK = 0.4
+"""Work that a job may throw away for each core-second of its own."""
 MOST_CHANGED_ROWS = 80
 """A transaction holds at most 100 entries."""
 
@@ -323,11 +332,12 @@
         urgency = job.priority + 1
         if job.job_id in covered:
             urgency = 0
-        chain_ms = sum(step.estimate_ms for step in job.steps)
-        due_ms = job.accepted_ms + job.target_ms
-        due_ms += int(job.slack_factor * chain_ms)
-        late = now_ms + unit.step.estimate_ms > due_ms
-        return (urgency, late, due_ms, unit.name)
+        late = self._late(unit, now_ms)
+        return (urgency, late, _due_ms(job), unit.name)
+
+    def _late(self, unit: Unit, now_ms: int) -> bool:
+        """Tell whether a unit cannot end in time even if started now."""
+        return now_ms + unit.step.estimate_ms > _due_ms(unit.job)
 
     def _place_unit(
         self, unit: Unit, space: _Space, covered: set[str], now_ms: int
@@ -377,16 +387,32 @@
         found = best_group(
             groups, room, step.needs, step.count, step.max_per_worker
         )
-        if found is not None or unit.job.priority > 0:
+        if found is not None:
             return found
-        return best_group(
+        victims = self._victims(unit, covered, now_ms)
+        found = best_group(
             groups,
             room,
             step.needs,
             step.count,
             step.max_per_worker,
-            self._victims(unit, covered, now_ms),
+            victims,
         )
+        return self._affordable(found, unit, covered, now_ms)
+
+    def _affordable(
+        self, found: Fit | None, unit: Unit, covered: set[str], now_ms: int
+    ) -> Fit | None:
+        """Return a fit unless it throws too much work away."""
+        if found is None:
+            return None
+        job, step = unit.job, unit.step
+        own = _core_s(step, step.estimate_ms)
+        if found.cost <= CHEAP_LOSS_CORE_S + LOSS_PER_OWN_WORK * own:
+            return found
+        waited_ms = now_ms - job.accepted_ms
+        forced = job.job_id in covered and waited_ms >= CLAIM_PATIENCE_MS
+        return found if forced else None
 
     def _near_groups(
         self,
@@ -443,10 +469,7 @@
         for record in self.board.members(unit.name).values():
             if record.phase in (TaskPhase.ORDERED, TaskPhase.STOPPING):
                 used[record.node] = used.get(record.node, 0) + 1
-        victims: list[Held] = []
-        if unit.job.priority == 0:
-            victims = self._victims(unit, covered, now_ms)
-        for offered in ([], victims):
+        for offered in ([], self._victims(unit, covered, now_ms)):
             for group in groups:
                 found = fit(
                     {node: room[node] for node in group},
@@ -456,6 +479,7 @@
                     offered,
                     used,
                 )
+                found = self._affordable(found, unit, covered, now_ms)
                 if found is not None:
                     return found
         return None
@@ -463,8 +487,11 @@
     def _victims(
         self, unit: Unit, covered: set[str], now_ms: int
     ) -> list[Held]:
-        """Return the runs that may be stopped for an urgent unit."""
-        held = []
+        """Return the runs that may be stopped for a more urgent unit."""
+        held: list[Held] = []
+        claims = unit.job.job_id in covered
+        if not claims and self._late(unit, now_ms):
+            return held
         for node in self.board.nodes():
             for task in self.board.tasks_on(node):
                 record = self.board.record(task)
@@ -472,9 +499,7 @@
                     continue
                 job = self.board.jobs[job_of(task)]
                 borrows = (
-                    job.priority == 0
-                    and job.job_id not in covered
-                    and unit.job.job_id in covered
+                    job.priority == 0 and job.job_id not in covered and claims
                 )
                 if job.priority > unit.job.priority or borrows:
                     held.append(self._held(task, node, now_ms))
@@ -486,9 +511,10 @@
         run_ms = now_ms - self.board.record(task).since_ms
         if step.checkpointable:
             run_ms = min(run_ms, SAVE_INTERVAL_MS)
-        cores = step.needs[1] / 1000 + CORES_PER_ACCELERATOR * step.needs[0]
-        members = step.count if step.gang else 1
-        return Held(node, step.needs, name, cores * members * run_ms / 1000)
+        cost = _core_s(step, run_ms)
+        if not step.gang:
+            cost /= step.count
+        return Held(node, step.needs, name, cost)
 
     def _order(
         self,
@@ -545,6 +571,18 @@
         logger.info("stop {} for {}", victim, unit.name)
 
 
+def _core_s(step: Step, run_ms: int) -> float:
+    """Return the work of all tasks of a step in core-seconds."""
+    cores = step.needs[1] / 1000 + CORES_PER_ACCELERATOR * step.needs[0]
+    return cores * step.count * run_ms / 1000
+
+
+def _due_ms(job: Job) -> int:
+    """Return until when a job is on time."""
+    chain_ms = sum(step.estimate_ms for step in job.steps)
+    return job.accepted_ms + job.target_ms + int(job.slack_factor * chain_ms)
+
+
 def _due_count(job: Job, now_ms: int) -> int:
     """Return how many occurrences have come due."""
     if not job.times:
