--- a/filbertlb/batch/agent.py
+++ b/filbertlb/batch/agent.py
@@ -47,7 +47,7 @@
 """Silence after which the worker counts as not answering."""
 
 
-class Superseded(FilbertlbError):
+class SupersededError(FilbertlbError):
     """Another agent process has registered for the same worker."""
 
     code = "agent_superseded"
@@ -271,7 +271,7 @@
         while not self._gate.fenced:
             try:
                 self._report()
-            except Superseded as error:
+            except SupersededError as error:
                 logger.error("stops: {}", error)
                 return
             except FilbertlbError as error:
@@ -321,7 +321,7 @@
         row = self._table.get(self._key)
         former = self._former(row)
         if former is None or former.registration != self._registration:
-            raise Superseded(
+            raise SupersededError(
                 f"row {self._key!r} belongs to another agent process; "
                 "run one process beside each worker"
             )
--- /dev/null
+++ b/filbertlb/standin/row_store.py
@@ -0,0 +1,199 @@
+"""Stand-in of the platform's row store, speaking its protocol.
+
+Rows, conditional transactions and the feed of changes are kept in
+memory. :class:`StoreFaults` brings about what the real one shows.
+"""
+
+from __future__ import annotations
+
+from base64 import b64decode
+from base64 import b64encode
+from collections.abc import Callable
+from errno import ECONNRESET
+from json import loads
+from typing import Any
+from typing import TYPE_CHECKING
+from urllib.parse import parse_qs
+
+import attrs
+
+from filbertlb.platform.http import Answer
+from filbertlb.platform.http import wsgi
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+Place = tuple[str, str, str]
+PAGE_ROWS = 500
+OPERATOR_TABLES = frozenset(("op", "servers"))
+
+
+@attrs.define
+class StoreFaults:
+    """Failures that the store shows while they are set.
+
+    Parameters
+    ----------
+    refuse : int
+        Status of every answer; 0 for none.
+    lose_answers : int
+        Coming transactions that are applied without an answer.
+    hold_back : int
+        Coming transactions that get no answer and are applied by
+        :meth:`RowStore.apply_held_back`.
+    stale_by : int
+        Reads show the store as it was so many transactions ago.
+    """
+
+    refuse: int = 0
+    lose_answers: int = 0
+    hold_back: int = 0
+    stale_by: int = 0
+
+
+@attrs.define
+class _Stored:
+    value: str | None
+    version: int
+
+
+@attrs.define
+class RowStore:
+    """Rows in memory with their history."""
+
+    faults: StoreFaults = attrs.Factory(StoreFaults)
+    version: int = 0
+    history_from: int = 0
+    calls: int = 0
+    _history: dict[Place, list[_Stored]] = attrs.Factory(dict)
+    _held_back: list[dict[str, Any]] = attrs.Factory(list)
+
+    def application(self) -> Callable[..., Iterable[bytes]]:
+        """Return the WSGI application."""
+        return wsgi(self.handle)
+
+    def write(self, table: str, key: str, value: bytes) -> int:
+        """Write a row as the operator does; return its version."""
+        self.version += 1
+        stored = _Stored(b64encode(value).decode(), self.version)
+        self._history.setdefault((table, "", key), []).append(stored)
+        return self.version
+
+    def read(self, table: str, key: str) -> bytes | None:
+        """Return the value of a row, or None."""
+        stored = self._at((table, "", key), self.version)
+        if stored is None or stored.value is None:
+            return None
+        return b64decode(stored.value)
+
+    def forget_history(self) -> None:
+        """Refuse feeds from before now."""
+        self.history_from = self.version
+
+    def apply_held_back(self) -> list[int]:
+        """Apply what was held back where its conditions still hold."""
+        held, self._held_back = self._held_back, []
+        return [self._transact(body).status for body in held]
+
+    def handle(self, environ: Mapping[str, Any]) -> Answer:
+        """Answer one call."""
+        self.calls += 1
+        if self.faults.refuse:
+            return Answer(self.faults.refuse, {"code": "refused"})
+        path = environ["PATH_INFO"]
+        query = {
+            name: values[0]
+            for name, values in parse_qs(environ["QUERY_STRING"]).items()
+        }
+        if path == "/filbertlb/rows-tx":
+            return self._write(loads(environ["wsgi.input"].read()))
+        if path == "/filbertlb/rows-get":
+            return self._read(query)
+        if path == "/filbertlb/rows-feed":
+            return self._feed(query)
+        return Answer(404, {"code": "not_found"})
+
+    def _write(self, body: dict[str, Any]) -> Answer:
+        if self.faults.hold_back > 0:
+            self.faults.hold_back -= 1
+            self._held_back.append(body)
+            raise ConnectionResetError(ECONNRESET, "held back")
+        answer = self._transact(body)
+        if self.faults.lose_answers > 0 and answer.status == 200:
+            self.faults.lose_answers -= 1
+            raise ConnectionResetError(ECONNRESET, "answer lost")
+        return answer
+
+    def _transact(self, body: dict[str, Any]) -> Answer:
+        changed = [*body.get("puts", ()), *body.get("remove", ())]
+        if any(row["table"] in OPERATOR_TABLES for row in changed):
+            return Answer(403, {"code": "forbidden"})
+        for row in body.get("precondition", ()):
+            stored = self._at(_place(row), self.version)
+            current = 0
+            if stored is not None and stored.value is not None:
+                current = stored.version
+            if current != row["schemaVersion"]:
+                return Answer(412, {"rows": []})
+        self.version += 1
+        for row in changed:
+            stored = _Stored(row.get("value"), self.version)
+            self._history.setdefault(_place(row), []).append(stored)
+        return Answer(200, {"schemaVersion": self.version, "nowMs": 0})
+
+    def _read(self, query: Mapping[str, str]) -> Answer:
+        version = max(0, self.version - self.faults.stale_by)
+        limit = int(query.get("limit", PAGE_ROWS))
+        found = []
+        for place in sorted(self._history):
+            if place[0] != query["table"] or place[2] < query.get("from", ""):
+                continue
+            stored = self._at(place, version)
+            if stored is not None and stored.value is not None:
+                found.append(_row(place, stored))
+        return Answer(
+            200,
+            {
+                "rows": found[:limit],
+                "hasMore": len(found) > limit,
+                "schemaVersion": version,
+            },
+        )
+
+    def _feed(self, query: Mapping[str, str]) -> Answer:
+        after = int(query["after"])
+        if after < self.history_from:
+            return Answer(410, {"code": "gone"})
+        rows = []
+        for place, history in self._history.items():
+            newest = history[-1]
+            if place[0] == query["table"] and newest.version > after:
+                rows.append(_row(place, newest))
+        rows.sort(key=lambda row: row["schemaVersion"])
+        return Answer(200, {"rows": rows, "schemaVersion": self.version})
+
+    def _at(self, place: Place, version: int) -> _Stored | None:
+        for stored in reversed(self._history.get(place, ())):
+            if stored.version <= version:
+                return stored
+        return None
+
+
+def _place(row: Mapping[str, Any]) -> Place:
+    return (row["table"], row["part"], row["key"])
+
+
+def _row(place: Place, stored: _Stored) -> dict[str, Any]:
+    table, part, key = place
+    row: dict[str, Any] = {
+        "table": table,
+        "part": part,
+        "key": key,
+        "schemaVersion": stored.version,
+    }
+    if stored.value is None:
+        row["deleted"] = True
+    else:
+        row["value"] = stored.value
+    return row
--- /dev/null
+++ b/tests/batch/test_planner.py
@@ -0,0 +1,250 @@
+from __future__ import annotations
+
+import pytest
+
+from filbertlb.batch.model import EndCause
+from filbertlb.batch.model import JobState
+from filbertlb.batch.model import Run
+from filbertlb.batch.model import RunEnd
+from filbertlb.batch.model import TaskPhase
+from filbertlb.batch.planner import CLAIM_PATIENCE_MS
+from filbertlb.batch.planner import Planner
+from filbertlb.batch.testing import a_job
+from filbertlb.batch.testing import a_report
+from filbertlb.batch.testing import a_step
+from filbertlb.batch.testing import a_worker
+from filbertlb.batch.workers import ASIDE_S
+from filbertlb.batch.workers import DEAD_AFTER_S
+
+WHOLE = (8, 8_000, 8_000)
+
+
+def planner_with(*jobs, nodes=2, racks=None, guaranteed=None):
+    planner = Planner(guaranteed=guaranteed or {})
+    for number in range(nodes):
+        rack = racks[number] if racks else "r1-1"
+        worker = a_worker(incarnation=f"w{number}@1", rack=rack)
+        report(planner, f"n{number}", worker=worker)
+    for job in jobs:
+        planner.board.add_job(job)
+    return planner
+
+
+def report(planner, node, now_s=0.0, **changes):
+    view = planner.workers.get(node)
+    worker = view.report.worker if view else a_worker()
+    planner.saw_report(a_report(node, **({"worker": worker} | changes)), now_s)
+
+
+def end(planner, task, cause, now_ms=0, saved=""):
+    record = planner.board.record(task)
+    report(
+        planner,
+        record.node,
+        now_ms / 1000,
+        ended=(RunEnd(task, record.attempt, cause, saved),),
+    )
+
+
+def phases(planner, job_id):
+    tasks = planner.board.progress[job_id].tasks
+    return {task: record.phase for task, record in tasks.items()}
+
+
+def test_orders_a_job_and_completes_it():
+    planner = planner_with(a_job("a", a_step(2)))
+    planner.decide(0.0, 0)
+    report(planner, "n0", running=(Run("a.0.0.0", 1),))
+    planner.decide(0.1, 100)
+    assert planner.board.progress["a"].state is JobState.ACTIVE
+    for index in range(2):
+        end(planner, f"a.0.0.{index}", EndCause.DONE)
+        planner.decide(0.2, 200)
+    assert planner.board.progress["a"].state is JobState.COMPLETE
+
+
+def test_a_gang_is_ordered_whole_or_not_at_all():
+    job = a_job("a", a_step(3, needs=WHOLE, gang=True))
+    planner = planner_with(job, nodes=2)
+    planner.decide(0.0, 0)
+    assert phases(planner, "a") == {}
+    report(planner, "n2", worker=a_worker(incarnation="w2@1"))
+    planner.decide(0.1, 100)
+    records = planner.board.progress["a"].tasks.values()
+    assert [one.phase for one in records] == [TaskPhase.ORDERED] * 3
+    assert {one.attempt for one in records} == {1}
+
+
+def test_a_broken_gang_starts_again_with_one_number_for_all():
+    planner = planner_with(a_job("a", a_step(2, gang=True)))
+    planner.decide(0.0, 0)
+    end(planner, "a.0.0.0", EndCause.FAILED, saved="half")
+    planner.decide(0.1, 100)
+    assert phases(planner, "a")["a.0.0.1"] is TaskPhase.STOPPING
+    end(planner, "a.0.0.1", EndCause.BROKEN, 200)
+    planner.decide(0.2, 200)
+    records = planner.board.progress["a"].tasks.values()
+    assert {one.attempt for one in records} == {2}
+    assert {one.saved for one in records} == {"half"}
+
+
+def test_one_done_member_ends_its_gang():
+    planner = planner_with(a_job("a", a_step(2, gang=True)))
+    planner.decide(0.0, 0)
+    end(planner, "a.0.0.1", EndCause.DONE)
+    planner.decide(0.1, 100)
+    assert planner.board.progress["a"].state is JobState.COMPLETE
+
+
+def test_steps_wait_for_those_before():
+    planner = planner_with(a_job("a", a_step(), a_step(after=(0,))))
+    planner.decide(0.0, 0)
+    assert set(phases(planner, "a")) == {"a.0.0.0"}
+    end(planner, "a.0.0.0", EndCause.DONE)
+    planner.decide(0.1, 100)
+    assert phases(planner, "a")["a.0.1.0"] is TaskPhase.ORDERED
+
+
+def test_occurrences_start_when_due():
+    job = a_job("a", times=3, first_due_ms=5_000, interval_ms=2_000)
+    planner = planner_with(job)
+    planner.decide(0.0, 4_800)
+    assert phases(planner, "a") == {}
+    planner.decide(0.1, 5_000)
+    assert set(phases(planner, "a")) == {"a.0.0.0"}
+    planner.decide(0.2, 7_000)
+    assert set(phases(planner, "a")) == {"a.0.0.0", "a.1.0.0"}
+
+
+@pytest.mark.parametrize(
+    ("changes", "nodes"),
+    [
+        ({"required_label": "fast"}, set()),
+        ({"max_per_worker": 1}, {"n0", "n1"}),
+        ({"data_rack": "r1-2"}, {"n1"}),
+    ],
+)
+def test_a_step_runs_only_where_it_may(changes, nodes):
+    job = a_job("a", a_step(2, **changes))
+    planner = planner_with(job, racks=("r1-1", "r1-2"))
+    planner.decide(0.0, 0)
+    records = planner.board.progress["a"].tasks.values()
+    assert {one.node for one in records} == nodes
+
+
+def test_a_task_is_given_up_after_its_attempts():
+    planner = planner_with(a_job("a", attempts=2), nodes=3)
+    for attempt in (1, 2):
+        now_s = float(attempt)
+        for node in ("n0", "n1", "n2"):
+            report(planner, node, now_s)
+        planner.decide(now_s, attempt * 1000)
+        assert planner.board.record("a.0.0.0").attempt == attempt
+        end(planner, "a.0.0.0", EndCause.FAILED, attempt * 1000)
+        for view in planner.workers.values():
+            view.put_aside(now_s - ASIDE_S + 0.5)
+        planner.decide(now_s + 0.1, attempt * 1000 + 100)
+    assert planner.board.progress["a"].state is JobState.FAILED
+    assert planner.board.holding("a") == []
+
+
+@pytest.mark.parametrize(
+    "cause", [EndCause.LOST, EndCause.ALONE, EndCause.REFUSED]
+)
+def test_ends_that_are_nobodys_fault_cost_no_attempt(cause):
+    planner = planner_with(a_job("a", attempts=1))
+    planner.decide(0.0, 0)
+    end(planner, "a.0.0.0", cause)
+    planner.decide(0.1, 100)
+    record = planner.board.record("a.0.0.0")
+    assert (record.phase, record.attempt) == (TaskPhase.ORDERED, 2)
+
+
+def test_a_cancelled_job_is_stopped_and_never_started_again():
+    planner = planner_with(a_job("a", a_step(2)))
+    planner.decide(0.0, 0)
+    planner.board.cancelled.add("a")
+    planner.decide(0.1, 100)
+    assert set(phases(planner, "a").values()) == {TaskPhase.STOPPING}
+    for index in range(2):
+        end(planner, f"a.0.0.{index}", EndCause.STOPPED)
+        planner.decide(0.2, 200)
+    assert planner.board.progress["a"].state is JobState.CANCELLED
+    planner.decide(0.3, 300)
+    assert planner.board.holding("a") == []
+
+
+def test_nothing_new_goes_to_a_worker_that_drains():
+    planner = planner_with(a_job("a"), nodes=1)
+    report(planner, "n0", worker=a_worker(draining=True))
+    planner.decide(0.0, 0)
+    assert phases(planner, "a") == {}
+
+
+def test_a_worker_that_leaves_hands_over_what_can_be_saved():
+    saving = a_job("a", a_step(checkpointable=True))
+    planner = planner_with(saving, a_job("b"), nodes=1)
+    planner.decide(0.0, 0)
+    report(planner, "n0", worker=a_worker(draining=True))
+    planner.decide(0.1, 100)
+    assert phases(planner, "a") == {"a.0.0.0": TaskPhase.STOPPING}
+    assert phases(planner, "b") == {"b.0.0.0": TaskPhase.ORDERED}
+
+
+def test_a_silent_worker_keeps_its_tasks_until_its_leases_are_out():
+    planner = planner_with(a_job("a"), nodes=1)
+    planner.decide(0.0, 0)
+    planner.decide(DEAD_AFTER_S - 0.1, 14_000)
+    assert planner.board.record("a.0.0.0").attempt == 1
+    planner.decide(DEAD_AFTER_S + 0.1, 15_000)
+    assert phases(planner, "a") == {"a.0.0.0": TaskPhase.WAITING}
+
+
+def test_a_guaranteed_job_takes_its_room_from_others_in_time():
+    low = a_job("low", a_step(2, needs=WHOLE, estimate_ms=9000))
+    urgent = a_job(
+        "urgent",
+        a_step(2, needs=WHOLE, gang=True, estimate_ms=100),
+        priority=0,
+        accepted_ms=5000,
+    )
+    planner = planner_with(low, guaranteed={"divers": 16})
+    planner.decide(0.0, 0)
+    planner.board.add_job(urgent)
+    for now_ms in (5000, 5000 + CLAIM_PATIENCE_MS):
+        for node in ("n0", "n1"):
+            report(planner, node, now_ms / 1000)
+        planner.decide(now_ms / 1000, now_ms)
+        if now_ms == 5000:
+            assert phases(planner, "urgent") == {}
+    assert set(phases(planner, "urgent").values()) == {TaskPhase.ORDERED}
+    assert set(phases(planner, "low").values()) == {TaskPhase.STOPPING}
+
+
+def test_a_job_over_its_guarantee_stops_nothing_costly():
+    low = a_job("low", a_step(2, needs=WHOLE, estimate_ms=9000))
+    urgent = a_job(
+        "urgent",
+        a_step(2, needs=WHOLE, gang=True, estimate_ms=100),
+        priority=0,
+        accepted_ms=5000,
+    )
+    planner = planner_with(low, guaranteed={"divers": 8})
+    planner.decide(0.0, 0)
+    planner.board.add_job(urgent)
+    for now_ms in (5000, 9000):
+        for node in ("n0", "n1"):
+            report(planner, node, now_ms / 1000)
+        planner.decide(now_ms / 1000, now_ms)
+    assert phases(planner, "urgent") == {}
+
+
+def test_a_worker_where_several_jobs_fail_gets_no_new_work():
+    jobs = [a_job(name, a_step(needs=WHOLE)) for name in "ab"]
+    planner = planner_with(*jobs, nodes=2)
+    planner.decide(0.0, 0)
+    planner.workers["n0"].saw_end("x.0.0", True, 0.0)
+    assert planner.workers["n0"].saw_end("y.0.0", True, 0.1)
+    assert not planner.workers["n0"].usable(0.2)
+    report(planner, "n0", 9.0)
+    assert planner.workers["n0"].usable(9.0)
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+from __future__ import annotations
