End the runs of a worker as soon as it says that it leaves

Change: a departure ends the runs half a second later. Ruled out: the decider (it stopped the other member at once).

--- a/filbertlb/batch/agent.py
+++ b/filbertlb/batch/agent.py
@@ -104,6 +104,15 @@
             )
         self._touch()
 
+    def left(self) -> None:
+        """Take in that the worker ends now."""
+        worker = self._gate.worker
+        if worker is None:
+            return
+        logger.info("worker {} leaves", worker.incarnation)
+        self._gate.worker_left(worker.incarnation, self._clock.monotonic())
+        self._touch()
+
     def run(self) -> None:
         """Register, then serve until killed or superseded."""
         self._register()
@@ -187,8 +196,8 @@
 
     def _look_loop(self) -> None:
         while not self._gate.fenced:
-            if self._gate.worker is None:
-                sleep(REPORT_GATHER_S)
+            if self._gate.worker is None or self._gate.left:
+                sleep(RETRY_S)
                 continue
             sent_s = self._clock.monotonic()
             extends = self._extends()
--- a/filbertlb/batch/gate.py
+++ b/filbertlb/batch/gate.py
@@ -37,6 +37,10 @@
 CLOCK_DRIFT = 1.02
 """A worker's clock may be 2% slow."""
 LAPSE_SLACK_S = 0.3
+SHORTEST_PAUSE_S = 0.02
+LONGEST_PAUSE_S = 1.0
+LEAVING_S = 0.5
+"""Time that a worker may still be up after it said that it leaves."""
 
 RunKey = tuple[str, int]
 
@@ -128,6 +132,7 @@
     _waiting_since: dict[RunKey, float] = attrs.Factory(dict)
     _last_extension_s: float = 0.0
     _looked: bool = False
+    _left_s: float | None = None
 
     def restore(self, ended: Iterable[RunEnd]) -> None:
         """Take over the ends that a former process had reported."""
@@ -141,10 +146,18 @@
             self._runs.clear()
             self.listed_to = 0
             self._looked = False
+            self._left_s = None
         if former != worker:
             self.changed = True
         self.worker = worker
 
+    def worker_left(self, incarnation: str, now_s: float) -> None:
+        """Note that the worker ends, and with it all that it runs."""
+        if self.worker is None or self.worker.incarnation != incarnation:
+            return
+        self._left_s = now_s
+        self.changed = True
+
     def set_orders(self, orders: Orders) -> None:
         """Replace the orders, and forget ends that nobody waits for."""
         self.orders = orders
@@ -154,6 +167,11 @@
         for key in [key for key in self._waiting_since if key not in wanted]:
             del self._waiting_since[key]
 
+    @property
+    def left(self) -> bool:
+        """Whether the worker said that it ends."""
+        return self._left_s is not None
+
     def extended(self, now_s: float) -> None:
         """Note that a lease extension was sent, answered or not."""
         self._last_extension_s = now_s
@@ -163,6 +181,9 @@
         orders = self.orders
         if orders is None or self.fenced:
             return []
+        if self._left_s is not None:
+            self._drop_left(orders, now_s, self._left_s)
+            return []
         self._drop_lapsed(orders, now_s)
         if self.worker is None or not self._looked:
             return []
@@ -256,8 +277,11 @@
             for run in self._runs.values()
             if run.phase is not RunPhase.RUNNING and not run.in_flight
         ]
+        if self._left_s is not None:
+            times.append(self._left_s + LEAVING_S)
         times += [at + ROOM_WAIT_S for at in self._waiting_since.values()]
-        return max(0.02, min(times, default=now_s + 1.0) - now_s)
+        due_s = min(times, default=now_s + LONGEST_PAUSE_S)
+        return max(SHORTEST_PAUSE_S, due_s - now_s)
 
     def _follow(
         self, order: Order, orders: Orders, now_s: float
@@ -400,6 +424,16 @@
                 cause = EndCause.STOPPED if stopping else EndCause.LOST
                 self._end(key, cause, "not listed by the worker")
 
+    def _drop_left(self, orders: Orders, now_s: float, left_s: float) -> None:
+        """Give up everything once the worker that left has ended."""
+        if now_s < left_s + LEAVING_S:
+            return
+        self._runs.clear()
+        for order in orders.orders:
+            key = (order.task, order.attempt)
+            if key not in self._ended:
+                self._end(key, EndCause.LOST, "the worker has left")
+
     def _drop_lapsed(self, orders: Orders, now_s: float) -> None:
         """Give up runs whose lease must have run out unseen."""
         lease_s = LEASE_S * CLOCK_DRIFT + LAPSE_SLACK_S
--- a/filbertlb/platform/heartbeats.py
+++ b/filbertlb/platform/heartbeats.py
@@ -26,11 +26,17 @@
     ----------
     heard : callable
         Called with each heartbeat that is newer than all before.
+    left : callable
+        Called when the worker heard last says that it ends.
     """
 
-    def __init__(self, heard: Callable[[Heartbeat], None]) -> None:
+    def __init__(
+        self, heard: Callable[[Heartbeat], None], left: Callable[[], None]
+    ) -> None:
         self._heard = heard
+        self._left = left
         self._newest = (-1, -1)
+        self._instance_id = ""
 
     def handle(self, environ: Mapping[str, Any]) -> Answer:
         """Answer one call."""
@@ -39,13 +45,17 @@
             raise NotFoundError(f"nothing is served at {path!r}")
         instance_id = path.removeprefix(PREFIX)
         if environ["REQUEST_METHOD"] == "DELETE":
-            logger.info("worker {} has left", instance_id)
+            if instance_id == self._instance_id:
+                self._left()
+            else:
+                logger.info("worker {} left, not ours", instance_id)
             return Answer(200)
         body = environ["wsgi.input"].read()
         heartbeat = decode_heartbeat(instance_id, body)
         order = (heartbeat.born_ms, heartbeat.sequence)
         if order > self._newest:
             self._newest = order
+            self._instance_id = instance_id
             self._heard(heartbeat)
         else:
             logger.info(
--- a/filbertlb/platform/roles.py
+++ b/filbertlb/platform/roles.py
@@ -123,7 +123,7 @@
 
     stopping = _stop_event(settings)
     host, port = split_address(settings.heartbeat_address)
-    application = wsgi(Heartbeats(heard).handle)
+    application = wsgi(Heartbeats(heard, agent.left).handle)
 
     def serve() -> None:
         agent.run()
--- a/tests/batch/test_gate.py
+++ b/tests/batch/test_gate.py
@@ -164,3 +164,36 @@
     gate.started(call.order, StartResult.FENCED, 0.1)
     assert gate.fenced
     assert gate.due(5.0) == []
+
+
+def test_a_worker_that_left_has_lost_its_runs_soon_after():
+    gate = gate_with(an_order("j.0.0.0"))
+    start(gate)
+    gate.worker_left("w@0", 1.0)
+    assert not gate.left
+    gate.worker_left("w@1", 1.0)
+    gate.due(1.4)
+    assert causes(gate) == {}
+    gate.due(1.5)
+    assert causes(gate) == {"j.0.0.0": EndCause.LOST}
+
+
+def test_the_next_worker_is_served_after_one_left():
+    gate = gate_with(an_order("j.0.0.0"))
+    start(gate)
+    gate.worker_left("w@1", 1.0)
+    gate.set_worker(a_worker(incarnation="w@2"))
+    gate.looked(2.0, [], [], whole=True)
+    gate.set_orders(some_orders(an_order("k.0.0.0", incarnation="w@2")))
+    (call,) = gate.due(2.1)
+    assert call.order.task == "k.0.0.0"
+
+
+def test_a_restarted_agent_keeps_the_ends_of_the_former():
+    gate = WorkerGate()
+    gate.restore([RunEnd("j.0.0.0", 1, EndCause.DONE)])
+    gate.set_worker(a_worker())
+    gate.set_orders(some_orders(an_order("j.0.0.0")))
+    gate.looked(0.0, [], [], whole=True)
+    assert gate.due(0.1) == []
+    assert causes(gate) == {"j.0.0.0": EndCause.DONE}
