--- a/filbertlb/batch/agent.py
+++ b/filbertlb/batch/agent.py
@@ -36,6 +36,7 @@
     from filbertlb.batch.worker_link import Look
     from filbertlb.batch.worker_link import WorkerLink
     from filbertlb.core.clock import Clock
+    from filbertlb.metrics import Metrics
     from filbertlb.table.base import Row
     from filbertlb.table.base import WatchedTable
 
@@ -113,6 +114,12 @@
         self._gate.worker_left(worker.incarnation, self._clock.monotonic())
         self._touch()
 
+    def sample(self, metrics: Metrics) -> None:
+        """Set the gauges of this agent."""
+        metrics.runs.set(len(self._gate.running()))
+        age_s = self._clock.monotonic() - self._contact_s
+        metrics.contact_age_s.set(age_s)
+
     def run(self) -> None:
         """Register, then serve until killed or superseded."""
         self._register()
--- a/filbertlb/metrics.py
+++ b/filbertlb/metrics.py
@@ -62,6 +62,10 @@
         Configuration revision in force.
     leader : Gauge
         1 while this instance holds the lease of ``scope``.
+    runs : Gauge
+        Runs that an agent's worker holds.
+    contact_age_s : Gauge
+        Time since the table answered last, in seconds.
     """
 
     def __init__(self, role: str, instance_id: str) -> None:
@@ -96,6 +100,8 @@
         self.guarantees_at_risk = gauge("guarantees_at_risk")
         self.revision = gauge("revision")
         self.leader = gauge("leader")
+        self.runs = gauge("runs")
+        self.contact_age_s = gauge("contact_age_seconds")
 
     def render(self) -> bytes:
         """Return all values in the text format of Prometheus."""
--- /dev/null
+++ b/filbertlb/metrics_page.py
@@ -0,0 +1,82 @@
+"""Serves the metrics of one role as text.
+
+The metrics library is loaded by the first call that needs it: it takes
+as long to load, and as much memory, as the rest of a small process.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from gevent import sleep
+from loguru import logger
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+    from typing import Any
+
+    from filbertlb.metrics import Metrics
+
+LOAD_DELAY_S = 2.0
+
+
+class MetricsPage:
+    """Metrics of one role, loaded late.
+
+    Parameters
+    ----------
+    role, instance_id : str
+        Whose metrics they are.
+    sample : callable
+        Sets the gauges before they are shown.
+
+    Attributes
+    ----------
+    metrics : Metrics, optional
+        None until they are loaded; what happens before is not counted.
+    """
+
+    def __init__(
+        self, role: str, instance_id: str, sample: Callable[[Metrics], None]
+    ) -> None:
+        self.metrics: Metrics | None = None
+        self._role = role
+        self._instance_id = instance_id
+        self._sample = sample
+
+    def load_soon(self) -> None:
+        """Load the metrics once the process serves."""
+        sleep(LOAD_DELAY_S)
+        self._loaded()
+
+    def observe(self, code: str, spent_s: float) -> None:
+        """Count an answer to a caller and its time in seconds."""
+        if self.metrics is not None:
+            self.metrics.requests.add(1, {"code": code})
+            self.metrics.request_s.record(spent_s, {"code": code})
+
+    def application(
+        self, environ: Mapping[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        """Answer a call with all values."""
+        from filbertlb.metrics import METRICS_CONTENT_TYPE
+
+        metrics = self._loaded()
+        self._sample(metrics)
+        body = metrics.render()
+        headers = [
+            ("Content-Type", METRICS_CONTENT_TYPE),
+            ("Content-Length", str(len(body))),
+        ]
+        start_response("200 OK", headers)
+        return [body]
+
+    def _loaded(self) -> Metrics:
+        if self.metrics is None:
+            from filbertlb.metrics import Metrics
+
+            self.metrics = Metrics(self._role, self._instance_id)
+            logger.info("metrics of {} are counted", self._instance_id)
+        return self.metrics
--- a/filbertlb/platform/ingress.py
+++ b/filbertlb/platform/ingress.py
@@ -34,6 +34,8 @@
     ----------
     available : callable
         Tells whether the table answered lately.
+    observe : callable
+        Called with the status and the time of each answer in seconds.
     """
 
     def __init__(
@@ -42,30 +44,29 @@
         in_force: InForce,
         clock: Clock,
         available: Callable[[], bool],
+        observe: Callable[[str, float], None],
     ) -> None:
         self._service = service
         self._in_force = in_force
         self._clock = clock
         self._available = available
-        self.in_flight = 0
+        self._observe = observe
 
     def handle(self, environ: Mapping[str, Any]) -> Answer:
         """Answer one call and log what decided it."""
         started_s = self._clock.monotonic()
-        self.in_flight += 1
         try:
             answer = self._route(environ)
         except FilbertlbError as error:
             answer = failure(error)
             if answer.status in (429, 503) and answer.retry_after_s is None:
                 answer = Answer(answer.status, answer.body, RETRY_AFTER_S)
-        finally:
-            self.in_flight -= 1
-        spent_ms = (self._clock.monotonic() - started_s) * 1000
+        spent_s = self._clock.monotonic() - started_s
+        self._observe(str(answer.status), spent_s)
         logger.info(
             "{} {} -> {} in {:.0f} ms, configuration {}: {}",
             *(environ["REQUEST_METHOD"], environ["PATH_INFO"]),
-            *(answer.status, spent_ms, self._in_force.version),
+            *(answer.status, spent_s * 1000, self._in_force.version),
             answer.body,
         )
         return answer
--- a/filbertlb/platform/roles.py
+++ b/filbertlb/platform/roles.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+from collections import Counter
 from contextlib import contextmanager
 from contextlib import ExitStack
 from typing import TYPE_CHECKING
@@ -17,11 +18,13 @@
 from filbertlb.batch.configuration import InForce
 from filbertlb.batch.decider import Decider
 from filbertlb.batch.index import JobIndex
+from filbertlb.batch.model import JobState
 from filbertlb.batch.model import STATE_TABLE
 from filbertlb.batch.service import JobService
 from filbertlb.core.clock import SystemClock
 from filbertlb.errors import FilbertlbError
 from filbertlb.httpserver import serving_http
+from filbertlb.metrics_page import MetricsPage
 from filbertlb.platform.configuration import ConfigurationReader
 from filbertlb.platform.configuration import OPERATOR_TABLE
 from filbertlb.platform.heartbeats import Heartbeats
@@ -42,6 +45,7 @@
     from collections.abc import Mapping
     from typing import Any
 
+    from filbertlb.metrics import Metrics
     from filbertlb.platform.settings import Settings
     from filbertlb.platform.wire import Heartbeat
 
@@ -50,6 +54,8 @@
 LEAVE_S = 2.3
 """The balancer looks each second and stops after two misses."""
 DRAIN_S = 2.5
+METRICS_OFFSET = 1
+"""The deploy file names the second of the ports that are ours."""
 LIMITS = Limits(drain_s=DRAIN_S, connection_idle_s=30.0)
 
 
@@ -80,8 +86,17 @@
         silent_s = clock.monotonic() - jobs.contact_s
         return jobs.failure is None or silent_s < UNREADY_AFTER_S
 
+    def sample(metrics: Metrics) -> None:
+        counts = Counter(index.state(job_id) for job_id in index.jobs)
+        metrics.queued_jobs.set(counts[JobState.QUEUED])
+        metrics.running_jobs.set(counts[JobState.ACTIVE])
+        metrics.leader.set(int(decider.deciding), {"scope": settings.region})
+        metrics.revision.set(in_force.version)
+        metrics.contact_age_s.set(clock.monotonic() - jobs.contact_s)
+
+    page = MetricsPage("entry", settings.node, sample)
     service = JobService(table, mirror, index, clock)
-    ingress = Ingress(service, in_force, clock, available)
+    ingress = Ingress(service, in_force, clock, available, page.observe)
 
     def ready(_: Mapping[str, Any]) -> Answer:
         good = available() and in_force.version >= 0
@@ -93,12 +108,14 @@
         decider.keep_lease,
         decider.run,
         lambda: reader.poll(table),
+        page.load_soon,
     )
     with ExitStack() as stack:
         stack.enter_context(_running(tasks))
         for address, application in (
             (settings.client_address, wsgi(ingress.handle)),
             (settings.readiness_address, wsgi(ready)),
+            (_metrics_address(settings), page.application),
         ):
             host, port = split_address(address)
             stack.enter_context(serving_http(application, host, port, LIMITS))
@@ -129,9 +146,15 @@
         agent.run()
         stopping.set()
 
+    page = MetricsPage("agent", settings.node, agent.sample)
     with (
         _running((serve,)),
         serving_http(application, host, port, LIMITS),
+        serving_http(
+            page.application,
+            *split_address(_metrics_address(settings)),
+            LIMITS,
+        ),
     ):
         logger.info("agent {} serves", settings.node)
         stopping.wait()
@@ -146,6 +169,10 @@
     return event
 
 
+def _metrics_address(settings: Settings) -> str:
+    return f"{settings.ip}:{settings.first_port + METRICS_OFFSET}"
+
+
 @contextmanager
 def _running(tasks: tuple[Callable[[], None], ...]) -> Iterator[None]:
     running = [spawn(task) for task in tasks]
--- /dev/null
+++ b/filbertlb/standin/leased_worker.py
@@ -0,0 +1,152 @@
+"""Stand-in of the platform's worker, speaking its protocol.
+
+Runs take the milliseconds that their payload names. The worker knows
+leases, fencing tokens and incarnations; it does not hold members of a
+gang for each other.
+"""
+
+from __future__ import annotations
+
+from json import loads
+from typing import Any
+from typing import TYPE_CHECKING
+
+import attrs
+
+from filbertlb.platform.http import Answer
+from filbertlb.platform.http import wsgi
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+    from filbertlb.core.clock import Clock
+
+LEASE_MS = 6000
+DEFAULT_RUN_MS = 50
+
+
+@attrs.define
+class _Run:
+    attempt: int
+    ends_ms: int
+
+
+@attrs.define
+class LeasedWorker:
+    """One worker in memory.
+
+    Attributes
+    ----------
+    starts : list of tuple of str and int
+        Task and attempt of each run that began.
+    """
+
+    instance_id: str
+    clock: Clock
+    born_ms: int = 1
+    fence: int = 0
+    lease_end_ms: int = 0
+    starts: list[tuple[str, int]] = attrs.Factory(list)
+    finished: list[list[Any]] = attrs.Factory(list)
+    _runs: dict[str, _Run] = attrs.Factory(dict)
+    _barred: dict[str, int] = attrs.Factory(dict)
+    _number: int = 0
+    _beats: int = 0
+
+    def application(self) -> Callable[..., Iterable[bytes]]:
+        """Return the WSGI application."""
+        return wsgi(self.handle)
+
+    def heartbeat(self, service: str, state: str = "ready") -> dict[str, Any]:
+        """Return the body of the next heartbeat."""
+        self._beats += 1
+        return {
+            "service": service,
+            "addr": "127.0.0.1:1",
+            "zone": "a",
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "coldLeftMs": 0,
+            "capacity": {"cpu": 8000, "memMb": 8000, "gpu": 8},
+            "labels": ["a", "r1-1"],
+            "clockMs": self._now_ms(),
+            "born": self.born_ms,
+            "seq": self._beats,
+        }
+
+    def handle(self, environ: Mapping[str, Any]) -> Answer:
+        """Answer one call."""
+        self._advance()
+        body = loads(environ["wsgi.input"].read())
+        if environ.get("HTTP_X_EXPECT_INSTANCE") != self.instance_id:
+            return self._answer(421)
+        if body.get("fencingToken", 0) < self.fence:
+            return self._answer(409, reason="fence")
+        self.fence = body.get("fencingToken", 0)
+        self._extend(body.get("deadlineMs", 0))
+        call = environ["PATH_INFO"].rpartition("/")[2]
+        if call == "run-start":
+            return self._start(body)
+        if call == "run-stop":
+            return self._stop(body)
+        return self._hold(body)
+
+    def _start(self, body: dict[str, Any]) -> Answer:
+        task, attempt = body["task"], body["attempt"]
+        run = self._runs.get(task)
+        if run is not None and run.attempt == attempt:
+            return self._answer(200)
+        if attempt <= self._barred.get(task, 0):
+            return self._answer(409, reason="old")
+        if self.lease_end_ms <= self._now_ms():
+            return self._answer(409, reason="late")
+        spec = body["spec"]
+        run_ms = int(spec) if spec.isdigit() else DEFAULT_RUN_MS
+        self._runs[task] = _Run(attempt, self._now_ms() + run_ms)
+        self.starts.append((task, attempt))
+        return self._answer(200)
+
+    def _stop(self, body: dict[str, Any]) -> Answer:
+        task, attempt = body["task"], body["attempt"]
+        run = self._runs.get(task)
+        if run is not None and run.attempt == attempt:
+            self._end(task, "stopped")
+        self._barred[task] = max(attempt, self._barred.get(task, 0))
+        return self._answer(200)
+
+    def _hold(self, body: dict[str, Any]) -> Answer:
+        acked = body.get("ackedSeq", 0)
+        self.finished = [end for end in self.finished if end[0] > acked]
+        running = [
+            [task, run.attempt, "", 50] for task, run in self._runs.items()
+        ]
+        return self._answer(
+            200, born=self.born_ms, running=running, finished=self.finished
+        )
+
+    def _advance(self) -> None:
+        now_ms = self._now_ms()
+        for task, run in list(self._runs.items()):
+            if self.lease_end_ms <= min(now_ms, run.ends_ms):
+                self._end(task, "lapsed")
+            elif run.ends_ms <= now_ms:
+                self._end(task, "done")
+
+    def _end(self, task: str, how: str) -> None:
+        run = self._runs.pop(task)
+        self._barred[task] = run.attempt
+        self._number += 1
+        self.finished.append([self._number, task, run.attempt, how, ""])
+
+    def _extend(self, until_ms: int) -> None:
+        latest_ms = self._now_ms() + LEASE_MS
+        self.lease_end_ms = max(self.lease_end_ms, min(until_ms, latest_ms))
+
+    def _now_ms(self) -> int:
+        return int(self.clock.monotonic() * 1000)
+
+    def _answer(self, status: int, **fields: Any) -> Answer:
+        return Answer(status, {"clockMs": self._now_ms(), **fields})
--- /dev/null
+++ b/tests/platform/test_whole_path.py
@@ -0,0 +1,204 @@
+"""Entry and agent as separate processes against the stand-ins."""
+
+from __future__ import annotations
+
+import signal
+import subprocess
+import sys
+from contextlib import contextmanager
+from contextlib import ExitStack
+from contextlib import suppress
+from json import dumps
+from json import loads
+from socket import socket
+
+import pytest
+from gevent import sleep
+from gevent import spawn
+from geventhttpclient import HTTPClient
+
+from filbertlb.core.clock import SystemClock
+from filbertlb.httpcall import CallNotSentError
+from filbertlb.httpcall import HttpCaller
+from filbertlb.platform.http import split_address
+from filbertlb.platform.settings import SETTINGS_VARIABLE
+from filbertlb.standin.leased_worker import LeasedWorker
+from filbertlb.standin.row_store import RowStore
+from filbertlb.standin.wsgi import serving
+
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "q",
+            "host": "site.example",
+            "prefix": "/render/",
+            "service": "render",
+            "priority": 1,
+            "attempts": 2,
+            "slackFactor": 3.0,
+            "targetLatencyMs": 1000,
+        }
+    ],
+    "tenants": [{"name": "divers", "apiKeys": ["key"]}],
+}
+HEADERS = {"Host": "site.example", "X-Api-Key": "key"}
+JOB = "/render/00000000000000aa"
+DEADLINE_S = 30.0
+
+
+def free_port():
+    with socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def address():
+    return f"127.0.0.1:{free_port()}"
+
+
+class Site:
+    """Stand-ins, settings files and processes of one site."""
+
+    def __init__(self, folder, stack):
+        self.folder = folder
+        self.clock = SystemClock()
+        self.store = RowStore()
+        self.worker = LeasedWorker("i-1", self.clock)
+        self.store.write("op", "config", dumps(CONFIGURATION).encode())
+        store_url = stack.enter_context(serving(self.store.application()))
+        worker_url = stack.enter_context(serving(self.worker.application()))
+        self.client_address = address()
+        self.heartbeat_address = address()
+        self.common = {
+            "ip": "127.0.0.1",
+            "zone": "a",
+            "region": "coast",
+            "platform": {"addr": store_url.removeprefix("http://")},
+            "app": worker_url.removeprefix("http://"),
+        }
+        beats = spawn(self.beat)
+        stack.callback(beats.kill)
+
+    def settings(self, role):
+        port = free_port()
+        listen = {
+            "clientAddr": self.client_address,
+            "readiness": address(),
+            "admin": self.heartbeat_address,
+        }
+        body = self.common | {
+            "node": f"{role}-1",
+            "role": role,
+            "listen": listen,
+            "portRange": [port - 1, port + 10],
+        }
+        path = self.folder / f"{role}.json"
+        path.write_text(dumps(body))
+        return path
+
+    @contextmanager
+    def process(self, role):
+        command = [sys.executable, "-m", "filbertlb.platform"]
+        environment = {SETTINGS_VARIABLE: str(self.settings(role))}
+        log = (self.folder / f"{role}.log").open("a")
+        running = subprocess.Popen(
+            command, env=environment, stdout=log, stderr=log
+        )
+        try:
+            yield running
+        finally:
+            running.kill()
+            running.wait()
+            log.close()
+
+    def beat(self):
+        while True:
+            body = dumps(self.worker.heartbeat("render")).encode()
+            host, port = split_address(self.heartbeat_address)
+            # The agent is down at times; the next heartbeat comes soon.
+            with suppress(OSError):
+                client = HTTPClient(host, port)
+                client.put("/filbertlb/instances/i-1", body).read()
+                client.close()
+            sleep(0.2)
+
+    def caller(self):
+        return HttpCaller(f"http://{self.client_address}")
+
+    def until(self, path, wanted):
+        """Ask until an answer is as wanted, or fail at the deadline."""
+        end_s = self.clock.monotonic() + DEADLINE_S
+        reply = None
+        while self.clock.monotonic() < end_s:
+            try:
+                reply = self.caller().get(path, 2.0, HEADERS)
+            except CallNotSentError:
+                reply = None
+            if reply is not None and reply.status == 200:
+                body = loads(reply.body)
+                if wanted(body):
+                    return body
+            sleep(0.05)
+        raise AssertionError(f"{path} gave {reply!r}")
+
+    def submit(self, run_ms):
+        self.until("/render/", lambda body: True)
+        step = {"count": 2, "cpu": 1000, "memMb": 100, "gpu": 1}
+        job = {"spec": str(run_ms), "steps": [step]}
+        return self.caller().post(JOB, dumps(job).encode(), 5.0, HEADERS)
+
+
+@pytest.fixture
+def site(tmp_path):
+    with ExitStack() as stack:
+        yield Site(tmp_path, stack)
+
+
+def complete(body):
+    return body == {"state": "complete"}
+
+
+def test_a_job_runs_once_and_its_caller_learns_it(site):
+    with site.process("entry"), site.process("agent"):
+        assert site.submit(100).status == 200
+        site.until(JOB, complete)
+        assert site.submit(100).status == 200
+    assert sorted(site.worker.starts) == [
+        ("00000000000000aa.0.0.0", 1),
+        ("00000000000000aa.0.0.1", 1),
+    ]
+
+
+def test_killed_processes_neither_lose_nor_double_a_job(site):
+    with site.process("entry"):
+        with site.process("agent"):
+            site.submit(2500)
+            site.until(JOB, lambda body: body == {"state": "active"})
+        with site.process("agent"):
+            pass
+    with site.process("entry"), site.process("agent"):
+        site.until(JOB, complete)
+    assert sorted(site.worker.starts) == [
+        ("00000000000000aa.0.0.0", 1),
+        ("00000000000000aa.0.0.1", 1),
+    ]
+
+
+def test_a_planned_stop_ends_with_success(site):
+    with site.process("entry") as entry, site.process("agent") as agent:
+        site.submit(50)
+        site.until(JOB, complete)
+        for process in (entry, agent):
+            process.send_signal(signal.SIGTERM)
+            assert process.wait(DEADLINE_S) == 0
+
+
+def test_a_hangup_reads_the_settings_again(site):
+    with site.process("entry") as entry, site.process("agent"):
+        site.until("/render/", lambda body: True)
+        entry.send_signal(signal.SIGHUP)
+        site.submit(50)
+        site.until(JOB, complete)
+        assert entry.poll() is None
+    assert "settings reloaded" in (site.folder / "entry.log").read_text()
