Keep room for the units that wait, and throw away less work

Change: a unit that finds no room keeps the nodes where it can start soonest, up to half of the workers.

--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -48,8 +48,11 @@
 
 The rest of the time that a claim may take is for the stop.
 """
+KEPT_SHARE = 0.5
+"""Share of the workers that may be kept free for units that wait."""
+SHORTEST_REST_MS = 500
 CHEAP_LOSS_CORE_S = 150.0
-LOSS_PER_OWN_WORK = 0.4
+LOSS_PER_OWN_WORK = 0.15
 """Work that a job may throw away for each core-second of its own."""
 MOST_CHANGED_ROWS = 80
 """A transaction holds at most 100 entries."""
@@ -61,6 +64,7 @@
 
     room: dict[str, Amount]
     views: dict[str, WorkerView]
+    kept: set[str] = attrs.Factory(set)
 
     def take(self, node: str, needs: Amount) -> None:
         self.room[node] = minus(self.room[node], needs)
@@ -260,11 +264,53 @@
             self._ready_units(now_ms),
             key=lambda unit: self._rank(unit, covered, now_ms),
         )
+        most_kept = int(len(space.room) * KEPT_SHARE)
         for unit in units:
             changed = len(self.board.changed_jobs)
             if changed + len(self.board.changed_nodes) > MOST_CHANGED_ROWS:
                 return
             self._place_unit(unit, space, covered, now_ms)
+            waiting = self._waiting(unit)
+            if waiting and len(space.kept) < most_kept:
+                space.kept |= self._awaited(unit, waiting, space, now_ms)
+
+    def _awaited(
+        self, unit: Unit, waiting: list[str], space: _Space, now_ms: int
+    ) -> set[str]:
+        """Return the nodes where a unit can start soonest.
+
+        They are kept from less urgent units, which would otherwise take
+        each part that becomes free.
+        """
+        step = unit.step
+        room = {
+            node: space.room[node]
+            for node in self._candidates(unit, space, waiting)
+        }
+        groups = [list(room)]
+        if step.same_rack or step.data_rack:
+            groups = self._near_groups(unit, room, space, now_ms)
+        running = [
+            self._remaining(task, node, now_ms)
+            for node in room
+            for task in self.board.tasks_on(node)
+        ]
+        found = best_group(
+            groups,
+            room,
+            step.needs,
+            step.count if step.gang else 1,
+            step.max_per_worker,
+            running,
+        )
+        return set() if found is None else set(found.nodes)
+
+    def _remaining(self, task: str, node: str, now_ms: int) -> Held:
+        """Return a run with the time until its end as its cost."""
+        step = self.board.step_of(task)
+        run_ms = now_ms - self.board.record(task).since_ms
+        left_ms = max(SHORTEST_REST_MS, step.estimate_ms - run_ms)
+        return Held(node, step.needs, task, left_ms)
 
     def _space(self, now_s: float) -> _Space:
         usable = {
@@ -367,7 +413,9 @@
         for node, view in space.views.items():
             worker = view.report.worker
             assert worker is not None
-            if may_run(worker, unit.job.service, unit.step.required_label):
+            if node not in space.kept and may_run(
+                worker, unit.job.service, unit.step.required_label
+            ):
                 nodes.append(node)
         preferred = [node for node in nodes if node not in avoided]
         return preferred or nodes
--- a/tests/batch/test_planner.py
+++ b/tests/batch/test_planner.py
@@ -248,3 +248,19 @@
     assert not planner.workers["n0"].usable(0.2)
     report(planner, "n0", 9.0)
     assert planner.workers["n0"].usable(9.0)
+
+
+def test_room_that_becomes_free_is_kept_for_the_gang_that_waits():
+    small = [a_job(f"s{n}", a_step(needs=(4, 1, 1))) for n in range(4)]
+    planner = planner_with(*small)
+    planner.decide(0.0, 0)
+    gang = a_step(2, needs=WHOLE, gang=True)
+    planner.board.add_job(a_job("big", gang, accepted_ms=1))
+    for number in range(4, 8):
+        late = a_job(f"s{number}", a_step(needs=(4, 1, 1)), accepted_ms=2)
+        planner.board.add_job(late)
+    for number in range(4):
+        end(planner, f"s{number}.0.0.0", EndCause.DONE, 100 * number)
+        planner.decide(0.1 * number, 100 * number)
+    planner.decide(0.5, 500)
+    assert set(phases(planner, "big").values()) == {TaskPhase.ORDERED}
