Let a new agent learn of tasks that ended without one

Change: usage names the ends too, the agent adopts them as ended and reports them. Test: test_a_new_agent_learns..., failed before. The users' platform lists ends until acknowledged, so the path there never had this.

--- a/filbertlb/agent/worker.py
+++ b/filbertlb/agent/worker.py
@@ -119,14 +119,19 @@
             link.subscribe(cls, mailbox.deliver)
 
     def adopt_running(self) -> None:
-        """Take over the tasks that outlived this agent's former self.
+        """Take over what this agent's former self had started.
+
+        Tasks that have ended are reported too: their decider may not
+        have heard of it, and forgets them if it has.
 
         Raises
         ------
         FilbertlbError
             If the worker does not answer.
         """
-        for label in self._backend.usage().task_ids:
+        usage = self._backend.usage()
+        labels = (*usage.ended_task_ids, *usage.task_ids)
+        for label in dict.fromkeys(labels):
             report = self._backend.status(label)
             if report is None:
                 continue
--- a/filbertlb/backend/base.py
+++ b/filbertlb/backend/base.py
@@ -83,11 +83,15 @@
         Tasks that ran at ``as_of_s``.
     as_of_s : float
         Worker's own time of the report in seconds.
+    ended_task_ids : tuple of str
+        Tasks that ended last, oldest first, without a lag. An agent
+        that was replaced meanwhile learns of their ends from here.
     """
 
     used: Resources = Resources()
     task_ids: tuple[str, ...] = ()
     as_of_s: float = 0.0
+    ended_task_ids: tuple[str, ...] = ()
 
 
 class RunnerBackend(Protocol):
--- a/filbertlb/backend/fake.py
+++ b/filbertlb/backend/fake.py
@@ -151,6 +151,10 @@
             )
 
 
+ENDED_LISTED = 200
+"""Ends that a worker names in its report of usage."""
+
+
 @attrs.define
 class _Task:
     """One start of a task; its progress follows from the clock."""
@@ -279,7 +283,13 @@
             if task is not None and task.ran_at(as_of_s):
                 used += task.needs
                 task_ids.append(task_id)
-        return Usage(used, tuple(task_ids), as_of_s)
+        ended = sorted(
+            (task.ended_at_s, task_id)
+            for task_id, task in self._task_by_id.items()
+            if task.ended_at_s is not None
+        )
+        last = tuple(task_id for _, task_id in ended[-ENDED_LISTED:])
+        return Usage(used, tuple(task_ids), as_of_s, last)
 
     def _current(self, task_id: str) -> _Task | None:
         task = self._task_by_id.get(task_id)
--- a/tests/test_agents.py
+++ b/tests/test_agents.py
@@ -1,10 +1,13 @@
 from __future__ import annotations
 
+from json import dumps
+
 import pytest
 from gevent import idle
 from loguru import logger
 
 from filbertlb.agent.book import ReservationBook
+from filbertlb.agent.labels import encode_label
 from filbertlb.agent.runner import RunnerAgent
 from filbertlb.agent.slots import SlotBook
 from filbertlb.agent.worker import WorkerAgent
@@ -16,6 +19,8 @@
 from filbertlb.messages import Invoke
 from filbertlb.messages import Refused
 from filbertlb.messages import Reserve
+from filbertlb.messages import TaskPhase
+from filbertlb.messages import TaskStatus
 from filbertlb.messages import Token
 from filbertlb.tasks import Mailbox
 from filbertlb.transport.codec import Envelope
@@ -88,6 +93,25 @@
     assert isinstance(done, Done)
 
 
+def test_a_new_agent_learns_of_a_task_that_ended_without_one():
+    clock = VirtualClock()
+    backend = FakeWorker(clock=clock)
+    status = TaskStatus(
+        TOKEN, "j", "o", TaskPhase.RUNNING, Resources(accelerators=1)
+    )
+    command = dumps({"run_s": 0.2})
+    backend.start(encode_label(status), command, status.needs)
+    clock.advance(1.0)
+    book = ReservationBook("next", Resources(accelerators=1))
+    agent = WorkerAgent(
+        StubLink(), book, backend, Mailbox("m"), clock, lambda: SEEN
+    )
+    agent.adopt_running()
+    (adopted,) = book.statuses()
+    assert adopted.phase is TaskPhase.SUCCEEDED
+    assert adopted.token.attempt_id == TOKEN.attempt_id
+
+
 def test_request_id_reaches_the_agents_log():
     seen = []
     handler = logger.add(
