Split placing from the planner; never shut a node out for good

Found on the way: the node of a task's last failure was left out whenever any other node was usable, so a gang that needs all nodes never ran again; and a step near its data went away from it at once while the rack was kept for another unit.

--- a/filbertlb/batch/board.py
+++ b/filbertlb/batch/board.py
@@ -112,6 +112,26 @@
             self.changed_nodes.add(record.node)
         self.changed_jobs.add(job_id)
 
+    def move(self, task: str, phase: TaskPhase, now_ms: int) -> None:
+        """Change the phase of a task and nothing else."""
+        record = self.record(task)
+        self.update(task, attrs.evolve(record, phase=phase, since_ms=now_ms))
+
+    def waiting(self, unit: Unit) -> list[str]:
+        """Return the tasks of a unit that may be ordered now.
+
+        A gang waits until all of its members have ended.
+        """
+        tasks = unit.tasks()
+        waiting = [
+            task
+            for task in tasks
+            if self.record(task).phase is TaskPhase.WAITING
+        ]
+        if unit.step.gang and len(waiting) < len(tasks):
+            return []
+        return waiting
+
     def set_state(self, job_id: str, state: JobState, now_ms: int) -> None:
         """Change what callers are told of a job."""
         progress = self.progress[job_id]
--- a/filbertlb/batch/fitting.py
+++ b/filbertlb/batch/fitting.py
@@ -142,6 +142,7 @@
     count: int,
     max_per_worker: int,
     victims: Sequence[Held] = (),
+    used: Mapping[str, int] | None = None,
 ) -> Fit | None:
     """Place all tasks within one group of nodes, such as a rack.
 
@@ -151,7 +152,7 @@
     best: tuple[float, int, Fit] | None = None
     for group in groups:
         room = {node: room_by_node[node] for node in group}
-        found = fit(room, needs, count, max_per_worker, victims)
+        found = fit(room, needs, count, max_per_worker, victims, used)
         if found is None:
             continue
         left = sum(amount[0] for amount in room.values())
--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -13,61 +13,24 @@
 
 from filbertlb.batch.board import Board
 from filbertlb.batch.board import Unit
-from filbertlb.batch.fitting import best_group
-from filbertlb.batch.fitting import Fit
-from filbertlb.batch.fitting import fit
-from filbertlb.batch.fitting import Held
 from filbertlb.batch.model import EndCause
 from filbertlb.batch.model import job_of
 from filbertlb.batch.model import JobState
 from filbertlb.batch.model import RunEnd
 from filbertlb.batch.model import TaskPhase
-from filbertlb.batch.model import TaskRecord
 from filbertlb.batch.model import unit_of
-from filbertlb.batch.workers import may_run
+from filbertlb.batch.placing import Placer
+from filbertlb.batch.placing import space_of
 from filbertlb.batch.workers import WorkerView
-from filbertlb.core.amounts import minus
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from filbertlb.batch.model import Job
-    from filbertlb.batch.model import Step
     from filbertlb.batch.model import WorkerReport
-    from filbertlb.core.amounts import Amount
 
 EARLY_MS = 100
 """Occurrences start at most this long before they are due."""
-CORES_PER_ACCELERATOR = 8
-SAVE_INTERVAL_MS = 2000
-"""Work since a checkpointable task saved last is at most this long."""
-NEAR_PATIENCE_MS = 4000
-"""Wait for the rack where a step runs three times as fast."""
-CLAIM_PATIENCE_MS = 1000
-"""Wait of a guaranteed job for room before it stops costly work.
-
-The rest of the time that a claim may take is for the stop.
-"""
-KEPT_SHARE = 0.5
-"""Share of the workers that may be kept free for units that wait."""
-SHORTEST_REST_MS = 500
-CHEAP_LOSS_CORE_S = 150.0
-LOSS_PER_OWN_WORK = 0.15
-"""Work that a job may throw away for each core-second of its own."""
-MOST_CHANGED_ROWS = 80
-"""A transaction holds at most 100 entries."""
-
-
-@attrs.define
-class _Space:
-    """Room of the usable workers during one decision."""
-
-    room: dict[str, Amount]
-    views: dict[str, WorkerView]
-    kept: set[str] = attrs.Factory(set)
-
-    def take(self, node: str, needs: Amount) -> None:
-        self.room[node] = minus(self.room[node], needs)
 
 
 @attrs.define
@@ -104,7 +67,9 @@
         self._cancel(now_ms)
         self._evacuate(now_ms)
         self._settle(now_ms)
-        self._place(now_s, now_ms)
+        space = space_of(self.board, self.workers, now_s)
+        placer = Placer(self.board, space, self._covered(), now_ms)
+        placer.place(self._ready_units(now_ms))
 
     def _take_report(
         self, view: WorkerView, now_s: float, now_ms: int
@@ -169,18 +134,12 @@
         saved = self.board.record(task).saved
         for other, record in self.board.members(unit_of(task)).items():
             if done and record.phase is not TaskPhase.DONE:
-                self._move(other, TaskPhase.DONE, now_ms)
+                self.board.move(other, TaskPhase.DONE, now_ms)
             elif record.phase is TaskPhase.ORDERED:
-                self._move(other, TaskPhase.STOPPING, now_ms)
+                self.board.move(other, TaskPhase.STOPPING, now_ms)
             if saved and not done:
                 self.board.record(other).saved = saved
 
-    def _move(self, task: str, phase: TaskPhase, now_ms: int) -> None:
-        record = self.board.record(task)
-        self.board.update(
-            task, attrs.evolve(record, phase=phase, since_ms=now_ms)
-        )
-
     def _drop_dead(self, now_s: float, now_ms: int) -> None:
         for node in self.board.nodes():
             view = self.workers.get(node)
@@ -206,7 +165,7 @@
     def _stop_job(self, job_id: str, now_ms: int) -> None:
         for task in self.board.holding(job_id):
             if self.board.record(task).phase is TaskPhase.ORDERED:
-                self._move(task, TaskPhase.STOPPING, now_ms)
+                self.board.move(task, TaskPhase.STOPPING, now_ms)
 
     def _evacuate(self, now_ms: int) -> None:
         """Move work that can be saved off workers that leave."""
@@ -225,7 +184,7 @@
     ) -> None:
         for other, record in self.board.members(unit).items():
             if record.phase is TaskPhase.ORDERED and (gang or other == task):
-                self._move(other, TaskPhase.STOPPING, now_ms)
+                self.board.move(other, TaskPhase.STOPPING, now_ms)
 
     def _settle(self, now_ms: int) -> None:
         """End jobs that are complete or have failed too often."""
@@ -257,74 +216,6 @@
             for index in range(len(job.steps))
         )
 
-    def _place(self, now_s: float, now_ms: int) -> None:
-        space = self._space(now_s)
-        covered = self._covered()
-        units = sorted(
-            self._ready_units(now_ms),
-            key=lambda unit: self._rank(unit, covered, now_ms),
-        )
-        most_kept = int(len(space.room) * KEPT_SHARE)
-        for unit in units:
-            changed = len(self.board.changed_jobs)
-            if changed + len(self.board.changed_nodes) > MOST_CHANGED_ROWS:
-                return
-            self._place_unit(unit, space, covered, now_ms)
-            waiting = self._waiting(unit)
-            if waiting and len(space.kept) < most_kept:
-                space.kept |= self._awaited(unit, waiting, space, now_ms)
-
-    def _awaited(
-        self, unit: Unit, waiting: list[str], space: _Space, now_ms: int
-    ) -> set[str]:
-        """Return the nodes where a unit can start soonest.
-
-        They are kept from less urgent units, which would otherwise take
-        each part that becomes free.
-        """
-        step = unit.step
-        room = {
-            node: space.room[node]
-            for node in self._candidates(unit, space, waiting)
-        }
-        groups = [list(room)]
-        if step.same_rack or step.data_rack:
-            groups = self._near_groups(unit, room, space, now_ms)
-        running = [
-            self._remaining(task, node, now_ms)
-            for node in room
-            for task in self.board.tasks_on(node)
-        ]
-        found = best_group(
-            groups,
-            room,
-            step.needs,
-            step.count if step.gang else 1,
-            step.max_per_worker,
-            running,
-        )
-        return set() if found is None else set(found.nodes)
-
-    def _remaining(self, task: str, node: str, now_ms: int) -> Held:
-        """Return a run with the time until its end as its cost."""
-        step = self.board.step_of(task)
-        run_ms = now_ms - self.board.record(task).since_ms
-        left_ms = max(SHORTEST_REST_MS, step.estimate_ms - run_ms)
-        return Held(node, step.needs, task, left_ms)
-
-    def _space(self, now_s: float) -> _Space:
-        usable = {
-            node: view
-            for node, view in sorted(self.workers.items())
-            if view.usable(now_s)
-        }
-        room = {}
-        for node, view in usable.items():
-            assert view.report.worker is not None
-            taken = self.board.taken(node, stopping=False)
-            room[node] = minus(view.report.worker.capacity, taken)
-        return _Space(room, usable)
-
     def _ready_units(self, now_ms: int) -> Iterable[Unit]:
         for job, _ in self.board.open_jobs():
             if job.job_id in self.board.cancelled or job.advised:
@@ -339,23 +230,12 @@
             Unit(job, occurrence, index) for index in range(len(job.steps))
         ]
         for unit in units:
-            waiting = self._waiting(unit)
+            waiting = self.board.waiting(unit)
             if waiting and all(
                 self.board.done(units[index]) for index in unit.step.after
             ):
                 yield unit
 
-    def _waiting(self, unit: Unit) -> list[str]:
-        tasks = unit.tasks()
-        waiting = [
-            task
-            for task in tasks
-            if self.board.record(task).phase is TaskPhase.WAITING
-        ]
-        if unit.step.gang and len(waiting) < len(tasks):
-            return []
-        return waiting
-
     def _covered(self) -> set[str]:
         """Return the urgent jobs that their guarantees cover."""
         covered = set()
@@ -371,265 +251,6 @@
                 covered.add(job.job_id)
         return covered
 
-    def _rank(
-        self, unit: Unit, covered: set[str], now_ms: int
-    ) -> tuple[int, bool, int, str]:
-        job = unit.job
-        urgency = job.priority + 1
-        if job.job_id in covered:
-            urgency = 0
-        late = self._late(unit, now_ms)
-        return (urgency, late, _due_ms(job), unit.name)
-
-    def _late(self, unit: Unit, now_ms: int) -> bool:
-        """Tell whether a unit cannot end in time even if started now."""
-        return now_ms + unit.step.estimate_ms > _due_ms(unit.job)
-
-    def _place_unit(
-        self, unit: Unit, space: _Space, covered: set[str], now_ms: int
-    ) -> None:
-        step = unit.step
-        waiting = self._waiting(unit)
-        nodes = self._candidates(unit, space, waiting)
-        if not nodes or not waiting:
-            return
-        attempts = {node: space.room[node] for node in nodes}
-        if step.gang:
-            found = self._fit_gang(unit, attempts, space, covered, now_ms)
-            if found is not None:
-                self._order(unit, waiting, found, space, now_ms)
-            return
-        for task in waiting:
-            found = self._fit_task(unit, nodes, space, covered, now_ms)
-            if found is None:
-                return
-            self._order(unit, [task], found, space, now_ms)
-
-    def _candidates(
-        self, unit: Unit, space: _Space, waiting: list[str]
-    ) -> list[str]:
-        avoided = {self.board.record(task).avoid for task in waiting}
-        nodes = []
-        for node, view in space.views.items():
-            worker = view.report.worker
-            assert worker is not None
-            if node not in space.kept and may_run(
-                worker, unit.job.service, unit.step.required_label
-            ):
-                nodes.append(node)
-        preferred = [node for node in nodes if node not in avoided]
-        return preferred or nodes
-
-    def _fit_gang(
-        self,
-        unit: Unit,
-        room: dict[str, Amount],
-        space: _Space,
-        covered: set[str],
-        now_ms: int,
-    ) -> Fit | None:
-        step = unit.step
-        groups: list[list[str]] = [list(room)]
-        if step.same_rack or step.data_rack:
-            groups = self._near_groups(unit, room, space, now_ms)
-        found = best_group(
-            groups, room, step.needs, step.count, step.max_per_worker
-        )
-        if found is not None:
-            return found
-        victims = self._victims(unit, covered, now_ms)
-        found = best_group(
-            groups,
-            room,
-            step.needs,
-            step.count,
-            step.max_per_worker,
-            victims,
-        )
-        return self._affordable(found, unit, covered, now_ms)
-
-    def _affordable(
-        self, found: Fit | None, unit: Unit, covered: set[str], now_ms: int
-    ) -> Fit | None:
-        """Return a fit unless it throws too much work away."""
-        if found is None:
-            return None
-        job, step = unit.job, unit.step
-        own = _core_s(step, step.estimate_ms)
-        if found.cost <= CHEAP_LOSS_CORE_S + LOSS_PER_OWN_WORK * own:
-            return found
-        waited_ms = now_ms - job.accepted_ms
-        forced = job.job_id in covered and waited_ms >= CLAIM_PATIENCE_MS
-        return found if forced else None
-
-    def _near_groups(
-        self,
-        unit: Unit,
-        room: dict[str, Amount],
-        space: _Space,
-        now_ms: int,
-    ) -> list[list[str]]:
-        """Return the racks that can hold a unit, or all nodes as one."""
-        step = unit.step
-        racks: dict[str, list[str]] = {}
-        for node in room:
-            worker = space.views[node].report.worker
-            assert worker is not None
-            racks.setdefault(worker.rack, []).append(node)
-        if step.data_rack in racks:
-            racks = {step.data_rack: racks[step.data_rack]}
-        able = [
-            nodes
-            for nodes in racks.values()
-            if self._could_hold(unit, nodes, space)
-        ]
-        waited_ms = now_ms - unit.job.accepted_ms
-        patient = waited_ms < NEAR_PATIENCE_MS or unit.job.priority == 0
-        if able and patient:
-            return able
-        return [*able, list(room)]
-
-    def _could_hold(self, unit: Unit, nodes: list[str], space: _Space) -> bool:
-        """Tell whether a unit fits on nodes that run nothing else."""
-        whole = {}
-        for node in nodes:
-            worker = space.views[node].report.worker
-            assert worker is not None
-            whole[node] = worker.capacity
-        step = unit.step
-        count = step.count if step.gang else 1
-        return fit(whole, step.needs, count, step.max_per_worker) is not None
-
-    def _fit_task(
-        self,
-        unit: Unit,
-        nodes: list[str],
-        space: _Space,
-        covered: set[str],
-        now_ms: int,
-    ) -> Fit | None:
-        step = unit.step
-        room = {node: space.room[node] for node in nodes}
-        groups = [nodes]
-        if step.data_rack:
-            groups = self._near_groups(unit, room, space, now_ms)
-        used: dict[str, int] = {}
-        for record in self.board.members(unit.name).values():
-            if record.phase in (TaskPhase.ORDERED, TaskPhase.STOPPING):
-                used[record.node] = used.get(record.node, 0) + 1
-        for offered in ([], self._victims(unit, covered, now_ms)):
-            for group in groups:
-                found = fit(
-                    {node: room[node] for node in group},
-                    step.needs,
-                    1,
-                    step.max_per_worker,
-                    offered,
-                    used,
-                )
-                found = self._affordable(found, unit, covered, now_ms)
-                if found is not None:
-                    return found
-        return None
-
-    def _victims(
-        self, unit: Unit, covered: set[str], now_ms: int
-    ) -> list[Held]:
-        """Return the runs that may be stopped for a more urgent unit."""
-        held: list[Held] = []
-        claims = unit.job.job_id in covered
-        if not claims and self._late(unit, now_ms):
-            return held
-        for node in self.board.nodes():
-            for task in self.board.tasks_on(node):
-                record = self.board.record(task)
-                if record.phase is not TaskPhase.ORDERED:
-                    continue
-                job = self.board.jobs[job_of(task)]
-                borrows = (
-                    job.priority == 0 and job.job_id not in covered and claims
-                )
-                if job.priority > unit.job.priority or borrows:
-                    held.append(self._held(task, node, now_ms))
-        return held
-
-    def _held(self, task: str, node: str, now_ms: int) -> Held:
-        step = self.board.step_of(task)
-        name = unit_of(task) if step.gang else task
-        run_ms = now_ms - self.board.record(task).since_ms
-        if step.checkpointable:
-            run_ms = min(run_ms, SAVE_INTERVAL_MS)
-        cost = _core_s(step, run_ms)
-        if not step.gang:
-            cost /= step.count
-        return Held(node, step.needs, name, cost)
-
-    def _order(
-        self,
-        unit: Unit,
-        tasks: list[str],
-        found: Fit,
-        space: _Space,
-        now_ms: int,
-    ) -> None:
-        for victim in sorted(found.victims):
-            self._preempt(victim, unit, space, now_ms)
-        attempt = 1 + max(self.board.record(task).attempt for task in tasks)
-        for task, node in zip(tasks, found.nodes, strict=True):
-            worker = space.views[node].report.worker
-            assert worker is not None
-            record = self.board.record(task)
-            number = attempt if unit.step.gang else record.attempt + 1
-            self.board.update(
-                task,
-                TaskRecord(
-                    TaskPhase.ORDERED,
-                    number,
-                    record.failures,
-                    node,
-                    worker.incarnation,
-                    record.saved,
-                    now_ms,
-                    record.avoid,
-                ),
-            )
-            space.take(node, unit.step.needs)
-        logger.info(
-            "order {} attempt {} on {} (waited {} ms, stops {})",
-            *(unit.name, attempt, ",".join(found.nodes)),
-            *(now_ms - unit.job.accepted_ms, sorted(found.victims)),
-        )
-
-    def _preempt(
-        self, victim: str, unit: Unit, space: _Space, now_ms: int
-    ) -> None:
-        """Stop a unit or a single task for a more urgent unit."""
-        tasks = list(self.board.members(victim)) or [victim]
-        for task in tasks:
-            record = self.board.record(task)
-            if record.phase is not TaskPhase.ORDERED:
-                continue
-            node = record.node
-            self._move(task, TaskPhase.STOPPING, now_ms)
-            if node in space.room:
-                taken = self.board.taken(node, stopping=False)
-                worker = space.views[node].report.worker
-                assert worker is not None
-                space.room[node] = minus(worker.capacity, taken)
-        logger.info("stop {} for {}", victim, unit.name)
-
-
-def _core_s(step: Step, run_ms: int) -> float:
-    """Return the work of all tasks of a step in core-seconds."""
-    cores = step.needs[1] / 1000 + CORES_PER_ACCELERATOR * step.needs[0]
-    return cores * step.count * run_ms / 1000
-
-
-def _due_ms(job: Job) -> int:
-    """Return until when a job is on time."""
-    chain_ms = sum(step.estimate_ms for step in job.steps)
-    return job.accepted_ms + job.target_ms + int(job.slack_factor * chain_ms)
-
 
 def _due_count(job: Job, now_ms: int) -> int:
     """Return how many occurrences have come due."""
--- a/tests/batch/test_planner.py
+++ b/tests/batch/test_planner.py
@@ -7,7 +7,7 @@
 from filbertlb.batch.model import Run
 from filbertlb.batch.model import RunEnd
 from filbertlb.batch.model import TaskPhase
-from filbertlb.batch.planner import CLAIM_PATIENCE_MS
+from filbertlb.batch.placing import CLAIM_PATIENCE_MS
 from filbertlb.batch.planner import Planner
 from filbertlb.batch.testing import a_job
 from filbertlb.batch.testing import a_report
@@ -264,3 +264,23 @@
         planner.decide(0.1 * number, 100 * number)
     planner.decide(0.5, 500)
     assert set(phases(planner, "big").values()) == {TaskPhase.ORDERED}
+
+
+def test_a_gang_uses_the_node_of_its_failure_if_it_needs_all():
+    job = a_job("a", a_step(2, needs=WHOLE, gang=True), attempts=9)
+    planner = planner_with(job)
+    planner.decide(0.0, 0)
+    end(planner, "a.0.0.0", EndCause.FAILED)
+    planner.decide(0.1, 100)
+    end(planner, "a.0.0.1", EndCause.BROKEN)
+    planner.decide(0.2, 200)
+    assert set(phases(planner, "a").values()) == {TaskPhase.ORDERED}
+
+
+def test_a_step_waits_for_its_data_while_the_rack_is_kept():
+    big = a_job("big", a_step(1, needs=WHOLE), priority=1)
+    near = a_job("near", a_step(1, data_rack="r1-1"))
+    planner = planner_with(a_job("s"), big, near, racks=("r1-1", "r1-2"))
+    report(planner, "n1", worker=a_worker(draining=True))
+    planner.decide(0.0, 0)
+    assert phases(planner, "near") == {}
