Bound the logs, refuse sooner when the store is silent, split the gate

Logs: at most 400 lines a second, what is left out is counted, a stalled reader costs lines and no time (tests).

--- a/filbertlb/batch/agent.py
+++ b/filbertlb/batch/agent.py
@@ -12,14 +12,14 @@
 from loguru import logger
 from msgspec.json import encode
 
-from filbertlb.batch.gate import StartCall
-from filbertlb.batch.gate import StopCall
 from filbertlb.batch.gate import WorkerGate
 from filbertlb.batch.model import Orders
 from filbertlb.batch.model import orders_key
 from filbertlb.batch.model import orders_table
 from filbertlb.batch.model import WORKER_PREFIX
 from filbertlb.batch.model import WorkerReport
+from filbertlb.batch.worker_link import StartCall
+from filbertlb.batch.worker_link import StopCall
 from filbertlb.batch.workers import CONTACT_LOST_S
 from filbertlb.errors import FilbertlbError
 from filbertlb.table.base import ABSENT
--- a/filbertlb/batch/gate.py
+++ b/filbertlb/batch/gate.py
@@ -6,15 +6,21 @@
 
 from __future__ import annotations
 
-from enum import StrEnum
 from typing import TYPE_CHECKING
 
 import attrs
 from loguru import logger
 
+from filbertlb.batch.local_run import LocalRun
+from filbertlb.batch.local_run import RunPhase
 from filbertlb.batch.model import EndCause
 from filbertlb.batch.model import Run
 from filbertlb.batch.model import RunEnd
+from filbertlb.batch.worker_link import CLOCK_DRIFT
+from filbertlb.batch.worker_link import LEASE_S
+from filbertlb.batch.worker_link import StartCall
+from filbertlb.batch.worker_link import StartResult
+from filbertlb.batch.worker_link import StopCall
 from filbertlb.core.amounts import covers
 from filbertlb.core.amounts import minus
 from filbertlb.core.amounts import NOTHING
@@ -26,6 +32,7 @@
     from filbertlb.batch.model import Order
     from filbertlb.batch.model import Orders
     from filbertlb.batch.model import Worker
+    from filbertlb.batch.worker_link import ListedEnd
     from filbertlb.core.amounts import Amount
 
 START_RETRY_S = 0.25
@@ -33,9 +40,6 @@
 ROOM_WAIT_S = 2.0
 """Longest wait of an order for room; other gang members wait 3 s."""
 UNHEALTHY_TRIES = 3
-LEASE_S = 6.0
-CLOCK_DRIFT = 1.02
-"""A worker's clock may be 2% slow."""
 LAPSE_SLACK_S = 0.3
 SHORTEST_PAUSE_S = 0.02
 LONGEST_PAUSE_S = 1.0
@@ -45,66 +49,6 @@
 RunKey = tuple[str, int]
 
 
-class RunPhase(StrEnum):
-    """What the agent knows of a run."""
-
-    STARTING = "starting"
-    RUNNING = "running"
-    STOPPING = "stopping"
-
-
-class StartResult(StrEnum):
-    """What became of a call to start a run."""
-
-    STARTED = "started"
-    NO_ROOM = "no_room"
-    TOO_OLD = "too_old"
-    TOO_LATE = "too_late"
-    FENCED = "fenced"
-    INVALID = "invalid"
-    UNHEALTHY = "unhealthy"
-    OTHER_INCARNATION = "other_incarnation"
-    UNKNOWN = "unknown"
-
-
-@attrs.frozen
-class StartCall:
-    """Start a run now."""
-
-    order: Order
-    payload: str
-
-
-@attrs.frozen
-class StopCall:
-    """Stop a run now."""
-
-    task: str
-    attempt: int
-
-
-@attrs.define
-class _LocalRun:
-    needs: Amount
-    phase: RunPhase
-    known: bool = True
-    acked_s: float = 0.0
-    retry_s: float = 0.0
-    in_flight: bool = False
-    tries: int = 0
-    unanswered: bool = False
-    saved: str = ""
-    percent: int = 0
-
-
-@attrs.frozen
-class ListedEnd:
-    """The end of a run as the worker lists it."""
-
-    number: int
-    end: RunEnd
-
-
 @attrs.define
 class WorkerGate:
     """Holds one worker to its orders.
@@ -127,7 +71,7 @@
     fenced: bool = False
     listed_to: int = 0
     changed: bool = False
-    _runs: dict[RunKey, _LocalRun] = attrs.Factory(dict)
+    _runs: dict[RunKey, LocalRun] = attrs.Factory(dict)
     _ended: dict[RunKey, RunEnd] = attrs.Factory(dict)
     _waiting_since: dict[RunKey, float] = attrs.Factory(dict)
     _last_extension_s: float = 0.0
@@ -324,7 +268,7 @@
                 self._end(key, EndCause.REFUSED, "no room in time")
             return None
         self._waiting_since.pop(key, None)
-        self._runs[key] = _LocalRun(
+        self._runs[key] = LocalRun(
             order.needs, RunPhase.STARTING, in_flight=True
         )
         return StartCall(order, orders.payload_by_job_id[order.job_id])
@@ -342,7 +286,7 @@
     def _stop(
         self,
         key: RunKey,
-        run: _LocalRun,
+        run: LocalRun,
         now_s: float,
         calls: list[StartCall | StopCall],
     ) -> None:
@@ -357,7 +301,7 @@
             calls.append(StopCall(*key))
 
     def _not_started(
-        self, key: RunKey, run: _LocalRun, result: StartResult
+        self, key: RunKey, run: LocalRun, result: StartResult
     ) -> None:
         run.tries += 1
         task, attempt = key
@@ -394,7 +338,7 @@
     def _take_running(self, key: RunKey, listed: Run, sent_s: float) -> None:
         run = self._runs.get(key)
         if run is None:
-            run = _LocalRun(self._needs_of(key), RunPhase.RUNNING)
+            run = LocalRun(self._needs_of(key), RunPhase.RUNNING)
             run.known = run.needs is not NOTHING
             self._runs[key] = run
             self.changed = True
--- a/filbertlb/batch/service.py
+++ b/filbertlb/batch/service.py
@@ -74,6 +74,11 @@
             *(job.job_id, job.queue, job.priority, job.organisation),
             versions[0],
         )
+        if job.advised:
+            logger.warning(
+                "job {} waits: advice of queue {} is not asked for yet",
+                *(job.job_id, job.queue),
+            )
         return True
 
     def state(self, job_id: str) -> JobState:
--- a/filbertlb/batch/worker_link.py
+++ b/filbertlb/batch/worker_link.py
@@ -2,16 +2,59 @@
 
 from __future__ import annotations
 
+from enum import StrEnum
 from typing import Protocol
 from typing import TYPE_CHECKING
 
 import attrs
 
 if TYPE_CHECKING:
-    from filbertlb.batch.gate import ListedEnd
-    from filbertlb.batch.gate import StartResult
     from filbertlb.batch.model import Order
     from filbertlb.batch.model import Run
+    from filbertlb.batch.model import RunEnd
+
+LEASE_S = 6.0
+"""Longest lease that a worker gives."""
+CLOCK_DRIFT = 1.02
+"""A worker's clock may be 2% slow."""
+
+
+class StartResult(StrEnum):
+    """What became of a call to start a run."""
+
+    STARTED = "started"
+    NO_ROOM = "no_room"
+    TOO_OLD = "too_old"
+    TOO_LATE = "too_late"
+    FENCED = "fenced"
+    INVALID = "invalid"
+    UNHEALTHY = "unhealthy"
+    OTHER_INCARNATION = "other_incarnation"
+    UNKNOWN = "unknown"
+
+
+@attrs.frozen
+class StartCall:
+    """Start a run now."""
+
+    order: Order
+    payload: str
+
+
+@attrs.frozen
+class StopCall:
+    """Stop a run now."""
+
+    task: str
+    attempt: int
+
+
+@attrs.frozen
+class ListedEnd:
+    """The end of a run as the worker lists it."""
+
+    number: int
+    end: RunEnd
 
 
 @attrs.frozen
--- a/filbertlb/batch/workers.py
+++ b/filbertlb/batch/workers.py
@@ -7,6 +7,9 @@
 
 import attrs
 
+from filbertlb.batch.worker_link import CLOCK_DRIFT
+from filbertlb.batch.worker_link import LEASE_S
+
 if TYPE_CHECKING:
     from filbertlb.batch.model import Worker
     from filbertlb.batch.model import WorkerReport
@@ -18,8 +21,6 @@
 """
 CONTACT_LOST_S = 8.0
 """Agents extend leases this long after their last report got through."""
-LEASE_S = 6.0
-CLOCK_DRIFT = 1.02
 DEAD_SLACK_S = 0.5
 DEAD_AFTER_S = CONTACT_LOST_S + LEASE_S * CLOCK_DRIFT + DEAD_SLACK_S
 """Silence after which nothing that was ordered there can still run."""
--- a/filbertlb/logs.py
+++ b/filbertlb/logs.py
@@ -29,6 +29,9 @@
 LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 MASK = "***"
 
+LINES_PER_S = 400
+"""Lines a second that a process writes at most; a day's peak is 60."""
+
 _DEFAULT_HANDLER_ID = 0
 _SECRET_NAME = compile_pattern(
     r"secret|password|authorization|api_?key|(^|_)(key|token)$", IGNORECASE
@@ -52,6 +55,36 @@
     json_lines: bool = False
 
 
+@attrs.define
+class LineBudget:
+    """Bounds the lines of each second and counts what it leaves out."""
+
+    lines_per_s: int = LINES_PER_S
+    _second: int = -1
+    _written: int = 0
+    _left_out: int = 0
+
+    def admit(self, now_s: float) -> bool:
+        """Tell whether a line may be written now."""
+        if int(now_s) != self._second:
+            self._second = int(now_s)
+            self._written = 0
+        self._written += 1
+        if self._written > self.lines_per_s:
+            self._left_out += 1
+            return False
+        return True
+
+    def lost(self) -> None:
+        """Count a line that the reader was too slow for."""
+        self._left_out += 1
+
+    def take_left_out(self) -> int:
+        """Return how many lines were left out, and count anew."""
+        left_out, self._left_out = self._left_out, 0
+        return left_out
+
+
 @contextmanager
 def logging_to(
     settings: LogSettings, stream: TextIO | None = None
@@ -66,9 +99,20 @@
     out = sys.stderr if stream is None else stream
     line = _json_line if settings.json_lines else _text_line
 
+    budget = LineBudget()
+
     def write(message: Message) -> None:
-        out.write(line(message.record) + "\n")
-        out.flush()
+        record = message.record
+        if not budget.admit(record["time"].timestamp()):
+            return
+        left_out = budget.take_left_out()
+        try:
+            if left_out:
+                out.write(f'{{"left_out_lines": {left_out}}}\n')
+            out.write(line(record) + "\n")
+            out.flush()
+        except BlockingIOError:
+            budget.lost()
 
     with suppress(ValueError):
         logger.remove(_DEFAULT_HANDLER_ID)
--- a/filbertlb/platform/__main__.py
+++ b/filbertlb/platform/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import sys
 
 from loguru import logger
@@ -18,6 +19,8 @@
 
 def main() -> int:
     """Run one role and return the exit code."""
+    # A reader that stalls must not hold the process up.
+    os.set_blocking(sys.stdout.fileno(), False)
     with logging_to(LogSettings(json_lines=True), sys.stdout):
         try:
             settings = load_settings_file()
--- a/filbertlb/platform/roles.py
+++ b/filbertlb/platform/roles.py
@@ -49,8 +49,12 @@
     from filbertlb.platform.settings import Settings
     from filbertlb.platform.wire import Heartbeat
 
-UNREADY_AFTER_S = 2.0
-"""Silence of the table after which the balancer is told to go elsewhere."""
+UNREADY_AFTER_S = 1.0
+"""Age of the table's last answer at which a failure counts.
+
+Then submissions are refused at once and the balancer goes elsewhere; a
+single reset connection is no reason.
+"""
 LEAVE_S = 2.3
 """The balancer looks each second and stops after two misses."""
 DRAIN_S = 2.5
--- a/filbertlb/platform/runner.py
+++ b/filbertlb/platform/runner.py
@@ -8,13 +8,13 @@
 import msgspec
 from loguru import logger
 
-from filbertlb.batch.gate import LEASE_S
-from filbertlb.batch.gate import ListedEnd
-from filbertlb.batch.gate import StartResult
 from filbertlb.batch.model import EndCause
 from filbertlb.batch.model import Run
 from filbertlb.batch.model import RunEnd
+from filbertlb.batch.worker_link import LEASE_S
+from filbertlb.batch.worker_link import ListedEnd
 from filbertlb.batch.worker_link import Look
+from filbertlb.batch.worker_link import StartResult
 from filbertlb.httpcall import CallNotSentError
 from filbertlb.httpcall import CallOutcomeUnknownError
 from filbertlb.httpcall import HttpCaller
--- a/tests/batch/test_gate.py
+++ b/tests/batch/test_gate.py
@@ -2,10 +2,6 @@
 
 import pytest
 
-from filbertlb.batch.gate import ListedEnd
-from filbertlb.batch.gate import StartCall
-from filbertlb.batch.gate import StartResult
-from filbertlb.batch.gate import StopCall
 from filbertlb.batch.gate import WorkerGate
 from filbertlb.batch.model import EndCause
 from filbertlb.batch.model import Run
@@ -13,6 +9,10 @@
 from filbertlb.batch.testing import a_worker
 from filbertlb.batch.testing import an_order
 from filbertlb.batch.testing import some_orders
+from filbertlb.batch.worker_link import ListedEnd
+from filbertlb.batch.worker_link import StartCall
+from filbertlb.batch.worker_link import StartResult
+from filbertlb.batch.worker_link import StopCall
 
 LAPSED_S = 6.0 * 1.02 + 0.4
 WHOLE_WORKER = (8, 1_000, 1_000)
--- a/tests/batch/test_world_machine.py
+++ b/tests/batch/test_world_machine.py
@@ -16,10 +16,6 @@
 from msgspec.json import decode
 from msgspec.json import encode
 
-from filbertlb.batch.gate import LEASE_S
-from filbertlb.batch.gate import ListedEnd
-from filbertlb.batch.gate import StartCall
-from filbertlb.batch.gate import StartResult
 from filbertlb.batch.gate import WorkerGate
 from filbertlb.batch.model import EndCause
 from filbertlb.batch.model import job_of
@@ -35,6 +31,10 @@
 from filbertlb.batch.testing import a_step
 from filbertlb.batch.testing import a_worker
 from filbertlb.batch.testing import CAPACITY
+from filbertlb.batch.worker_link import LEASE_S
+from filbertlb.batch.worker_link import ListedEnd
+from filbertlb.batch.worker_link import StartCall
+from filbertlb.batch.worker_link import StartResult
 from filbertlb.core.amounts import covers
 from filbertlb.core.amounts import NOTHING
 from filbertlb.core.amounts import plus
--- a/tests/test_logs_metrics.py
+++ b/tests/test_logs_metrics.py
@@ -7,6 +7,7 @@
 import pytest
 from loguru import logger
 
+from filbertlb.logs import LineBudget
 from filbertlb.logs import log_context
 from filbertlb.logs import logging_to
 from filbertlb.logs import LogSettings
@@ -71,3 +72,32 @@
     assert 'filbertlb_request_seconds_bucket{le="0.25"} 0.0' in lines
     assert 'filbertlb_endpoints{role="runner",state="up"} 4.0' in lines
     assert not any("request_seconds" in line for line in other)
+
+
+def test_lines_over_the_budget_are_left_out_and_counted():
+    budget = LineBudget(lines_per_s=2)
+    assert [budget.admit(at_s) for at_s in (1.0, 1.1, 1.2, 1.9, 2.0)] == [
+        *(True, True, False, False),
+        True,
+    ]
+    assert budget.take_left_out() == 2
+    assert budget.take_left_out() == 0
+
+
+def test_a_reader_that_stalls_costs_lines_not_time():
+    class Stalled(StringIO):
+        full = True
+
+        def write(self, text):
+            if self.full:
+                raise BlockingIOError
+            return super().write(text)
+
+    stream = Stalled()
+    with logging_to(LogSettings(json_lines=True), stream):
+        logger.info("one")
+        stream.full = False
+        logger.info("two")
+    first, second = stream.getvalue().splitlines()
+    assert first == '{"left_out_lines": 1}'
+    assert "two" in second
