--- a/filbertlb/cli/main.py
+++ b/filbertlb/cli/main.py
@@ -12,6 +12,7 @@
 from filbertlb.cli.endpoints import endpoint
 from filbertlb.cli.jobs import job
 from filbertlb.cli.organisations import organisation
+from filbertlb.cli.platform import platform
 from filbertlb.cli.roles import agent
 from filbertlb.cli.roles import entry
 from filbertlb.cli.standin import standin
@@ -62,6 +63,7 @@
     entry,
     job,
     organisation,
+    platform,
     standin,
     status,
     token,
