--- a/filbertlb/platform/configuration.py
+++ b/filbertlb/platform/configuration.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from filbertlb.batch.configuration import InForce
+    from filbertlb.batch.peers import Peers
     from filbertlb.table.base import Row
     from filbertlb.table.base import TableService
 
@@ -27,6 +28,11 @@
 class ConfigurationReader:
     """Puts each newer configuration in force.
 
+    Parameters
+    ----------
+    peers : Peers, optional
+        Other entries, asked while the table does not answer.
+
     Attributes
     ----------
     row_version : int
@@ -34,6 +40,7 @@
     """
 
     in_force: InForce
+    peers: Peers | None = None
     row_version: int = 0
 
     def saw(self, key: str, row: Row | None) -> None:
@@ -48,6 +55,8 @@
             logger.error("configuration ignored: {}", error)
             return
         self.row_version = row.version
+        if self.peers is not None:
+            self.peers.read(row)
         self.in_force.offer(offered, f"row version {row.version}")
 
     def poll(self, table: TableService) -> None:
@@ -60,4 +69,10 @@
                     "configuration not read, {} stays in force: {}",
                     *(self.in_force.version, error),
                 )
+                self._ask_peers()
             sleep(POLL_S)
+
+    def _ask_peers(self) -> None:
+        """Take what other entries read while the table is silent here."""
+        for row in self.peers.ask() if self.peers is not None else ():
+            self.saw(row.key, row)
--- a/filbertlb/platform/roles.py
+++ b/filbertlb/platform/roles.py
@@ -20,6 +20,7 @@
 from filbertlb.batch.index import JobIndex
 from filbertlb.batch.model import JobState
 from filbertlb.batch.model import STATE_TABLE
+from filbertlb.batch.peers import Peers
 from filbertlb.batch.service import JobService
 from filbertlb.core.clock import SystemClock
 from filbertlb.errors import FilbertlbError
@@ -60,6 +61,7 @@
 DRAIN_S = 2.5
 METRICS_OFFSET = 1
 """The deploy file names the second of the ports that are ours."""
+PEER_OFFSET = 2
 LIMITS = Limits(drain_s=DRAIN_S, connection_idle_s=30.0)
 
 
@@ -71,7 +73,8 @@
     mirror.listen(index.saw)
     jobs = Follower(table, STATE_TABLE, mirror, clock)
     operators = Mirror()
-    reader = ConfigurationReader(in_force)
+    peers = Peers(settings.node, _own_address(settings, PEER_OFFSET), mirror)
+    reader = ConfigurationReader(in_force, peers)
     operators.listen(reader.saw)
     decider = Decider(
         table,
@@ -112,6 +115,7 @@
         decider.keep_lease,
         decider.run,
         lambda: reader.poll(table),
+        lambda: peers.announce(table),
         page.load_soon,
     )
     with ExitStack() as stack:
@@ -119,7 +123,8 @@
         for address, application in (
             (settings.client_address, wsgi(ingress.handle)),
             (settings.readiness_address, wsgi(ready)),
-            (_metrics_address(settings), page.application),
+            (_own_address(settings, METRICS_OFFSET), page.application),
+            (peers.address, peers.application),
         ):
             host, port = split_address(address)
             stack.enter_context(serving_http(application, host, port, LIMITS))
@@ -156,7 +161,7 @@
         serving_http(application, host, port, LIMITS),
         serving_http(
             page.application,
-            *split_address(_metrics_address(settings)),
+            *split_address(_own_address(settings, METRICS_OFFSET)),
             LIMITS,
         ),
     ):
@@ -173,8 +178,9 @@
     return event
 
 
-def _metrics_address(settings: Settings) -> str:
-    return f"{settings.ip}:{settings.first_port + METRICS_OFFSET}"
+def _own_address(settings: Settings, offset: int) -> str:
+    """Return an address on one of the ports that are ours."""
+    return f"{settings.ip}:{settings.first_port + offset}"
 
 
 @contextmanager
