Let no refused copy of a start end the run that it found

Change: the answer to a start counts only while the run has not been seen; else it is logged. Ruled out: the decider (it ordered after a reported end), the fence (one agent process).

--- a/filbertlb/batch/gate.py
+++ b/filbertlb/batch/gate.py
@@ -162,7 +162,15 @@
             run.acked_s = now_s
             self.changed = True
             return
-        self._not_started(key, run, result)
+        if result is StartResult.FENCED:
+            self.fenced = True
+        elif run.phase is RunPhase.STARTING:
+            self._not_started(key, run, result)
+        else:
+            logger.info(
+                "copy of the start of {} attempt {} got {}, the run goes on",
+                *(*key, result.value),
+            )
 
     def stopped(self, call: StopCall, answered: bool, now_s: float) -> None:
         """Take in the reply to a stop."""
@@ -311,8 +319,6 @@
         )
         if result is StartResult.UNKNOWN:
             run.unanswered = True
-        elif result is StartResult.FENCED:
-            self.fenced = True
         elif result is StartResult.OTHER_INCARNATION:
             del self._runs[key]
         elif (
--- a/filbertlb/batch/model.py
+++ b/filbertlb/batch/model.py
@@ -11,7 +11,6 @@
 import attrs
 
 from filbertlb.core.amounts import Amount
-from filbertlb.core.amounts import NOTHING
 
 JOB_PREFIX = "state/job/"
 PROGRESS_PREFIX = "state/progress/"
@@ -297,6 +296,3 @@
 def orders_key(node: str) -> str:
     """Return the key of a node's orders row."""
     return f"{orders_table(node)}/{node}"
-
-
-NO_NEEDS = NOTHING
--- a/filbertlb/platform/wire.py
+++ b/filbertlb/platform/wire.py
@@ -125,9 +125,7 @@
     found = _decode(body, _Heartbeat)
     if found.state not in STATES:
         raise UnreadableMessageError(f"state {found.state!r} is not known")
-    rack = next(
-        (one for one in found.labels if "-" in one and one[:1] == "r"), ""
-    )
+    rack = next((one for one in found.labels if _is_rack(one)), "")
     worker = Worker(
         incarnation_name(instance_id, found.born),
         found.service,
@@ -141,6 +139,10 @@
     return Heartbeat(worker, found.seq, found.born, found.clock_ms)
 
 
+def _is_rack(label: str) -> bool:
+    return label.startswith(RACK_LABEL_PREFIX) and "-" in label
+
+
 def incarnation_name(instance_id: str, born_ms: int) -> str:
     """Return the name of one life of a worker."""
     return f"{instance_id}@{born_ms}"
--- a/tests/batch/test_gate.py
+++ b/tests/batch/test_gate.py
@@ -197,3 +197,17 @@
     gate.looked(0.0, [], [], whole=True)
     assert gate.due(0.1) == []
     assert causes(gate) == {"j.0.0.0": EndCause.DONE}
+
+
+def test_a_refused_copy_of_a_start_does_not_end_the_run_it_found():
+    gate = gate_with(an_order("j.0.0.0"))
+    for now_s in (0.0, 1.0, 2.0):
+        (call,) = gate.due(now_s)
+        if now_s < 2.0:
+            gate.started(call.order, StartResult.UNKNOWN, now_s)
+    # The first copy was carried out late, the third is refused.
+    gate.looked(2.1, [Run("j.0.0.0", 1)], [], whole=True)
+    gate.started(call.order, StartResult.UNHEALTHY, 2.2)
+    gate.due(2.3)
+    assert causes(gate) == {}
+    assert gate.running() == (Run("j.0.0.0", 1),)
