Wait for the circuit breaker at the end of a table outage in the API tests

Cause: end_outage() waited on a read of the configuration history, which bypasses the breaker, so it returned while the breaker was still open and the next submissions got 503. Change: it reads a job's row, which passes the breaker. The new test opens the breaker and failed before.

--- a/tests/api_site.py
+++ b/tests/api_site.py
@@ -84,13 +84,20 @@
     def end_outage(self):
         """Switch the table on; return once the entry uses it again."""
         self.table.faults.down = False
-        while True:
-            try:
-                self.call("GET", "/v1/config/history")
-            except CallFailedError:
-                sleep(0.05)
-            else:
-                return
+        while not self._table_answers():
+            sleep(0.05)
+
+    def _table_answers(self):
+        """Return whether the entry's circuit breaker lets calls through.
+
+        The call must read a row of a job: reads of the configuration
+        bypass the breaker.
+        """
+        try:
+            self.call("GET", "/v1/jobs/none", "dairies")
+        except CallFailedError as error:
+            return error.server_code == "job_not_found"
+        return False
 
     def call(self, method, path, name="operator", value=None):
         client = self.client(name)
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -9,6 +9,7 @@
 
 from filbertlb.client import CallFailedError
 from filbertlb.client import open_client
+from filbertlb.core.breaker import FAILURE_THRESHOLD
 from filbertlb.errors import Ran
 from filbertlb.httpcall import HttpCaller
 from filbertlb.messages import Drain
@@ -195,6 +196,15 @@
     assert job_id not in {item["job_id"] for item in listed}
 
 
+def test_outage_has_ended_only_once_the_breaker_is_closed(site):
+    site.table.faults.down = True
+    for _ in range(FAILURE_THRESHOLD + 1):
+        status, _ = send(site, "GET", f"{JOBS}/none", "dairies", b"", NONE)
+        assert status == 503
+    site.end_outage()
+    assert submit(site, "after-outage")[0] == 202
+
+
 def command(key):
     return {**JOB, "idempotent": False, "command": json.dumps({"key": key})}
 
