--- a/filbertlb/batch/agent.py
+++ b/filbertlb/batch/agent.py
@@ -14,7 +14,6 @@
 from gevent import spawn
 from gevent.event import Event
 from loguru import logger
-from msgspec.json import encode
 
 from filbertlb.batch.model import Orders
 from filbertlb.batch.model import orders_key
@@ -34,6 +33,7 @@
 from filbertlb.table.mirror import Follower
 from filbertlb.table.mirror import Mirror
 from filbertlb.table.rows import decode_row
+from filbertlb.table.rows import encode_value
 from filbertlb.table.rows import UnreadableRowError
 
 if TYPE_CHECKING:
@@ -174,7 +174,7 @@
                     report, ended=previous.ended, worker=previous.worker
                 )
             version = ABSENT if row is None else row.version
-            write = Write(self._report_key, encode(report), version)
+            write = Write(self._report_key, encode_value(report), version)
             self._report_version = self._table.commit((write,))[0]
         self._fence = self._report_version
         self._last_contact_s = sent_s
@@ -359,7 +359,7 @@
         )
         try:
             write = Write(
-                self._report_key, encode(report), self._report_version
+                self._report_key, encode_value(report), self._report_version
             )
             self._report_version = self._table.commit((write,))[0]
         except (RowConflictError, WriteOutcomeUnknownError):
--- a/filbertlb/batch/decider.py
+++ b/filbertlb/batch/decider.py
@@ -3,42 +3,60 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from contextlib import contextmanager
 from secrets import token_hex
 from typing import TYPE_CHECKING
 
 import attrs
 from gevent import sleep
+from gevent import spawn
 from loguru import logger
-from msgspec.json import encode
 
 from filbertlb.batch.model import CANCEL_PREFIX
 from filbertlb.batch.model import JOB_PREFIX
-from filbertlb.batch.model import orders_key
 from filbertlb.batch.model import PROGRESS_PREFIX
-from filbertlb.batch.model import STATE_TABLE
-from filbertlb.batch.model import WORKER_PREFIX
-from filbertlb.batch.model import WorkerReport
-from filbertlb.batch.planner import Planner
+from filbertlb.batch.model import STATUS_PREFIX
+from filbertlb.batch.model import WORKER_TABLE
+from filbertlb.batch.takeover import apply_report
+from filbertlb.batch.takeover import build_planner
+from filbertlb.batch.write_plan import changed_units
+from filbertlb.batch.write_plan import divide
 from filbertlb.errors import FilbertlbError
+from filbertlb.errors import UnavailableError
+from filbertlb.table.base import TableRejectedError
+from filbertlb.table.base import TableUnavailableError
+from filbertlb.table.base import TransactionLimits
 from filbertlb.table.base import Write
 from filbertlb.table.lease import LeaseManager
-from filbertlb.table.rows import decode_row
-from filbertlb.table.rows import UnreadableRowError
+from filbertlb.table.mirror import Follower
+from filbertlb.table.mirror import Mirror
 
 if TYPE_CHECKING:
+    from collections.abc import Generator
+
     from filbertlb.batch.index import JobIndex
+    from filbertlb.batch.planner import Planner
     from filbertlb.core.clock import Clock
     from filbertlb.core.lease import Lease
     from filbertlb.table.base import Row
     from filbertlb.table.base import WatchedTable
-    from filbertlb.table.mirror import Mirror
 
 LEASE_TTL_S = 1.8
 LEASE_MARGIN_S = 0.3
+LEASE_ENTRIES = 2
+"""Entries of the lease in each transaction: its row and its condition."""
+LEASE_BYTES = 1000
+"""Size of the lease row in a transaction, at most."""
 MAX_PAUSE_S = 0.2
 """Maximum pause between decisions, for events that depend on time."""
 BATCH_DELAY_S = 0.01
 """Pause after a decision, so that the next covers several changes."""
+MIN_BACKOFF_S = 0.05
+MAX_BACKOFF_S = 0.8
+STALL_TIMEOUT_S = 2.5
+"""Time without a successful decision after which the lease is given up."""
+STAND_ASIDE_S = 4.0
+"""Time for which a decider that gave the lease up lets others take it."""
 CLEANUP_PERIOD_S = 10.0
 CLEANUP_JOBS = 20
 """Maximum number of jobs whose rows are deleted at a time."""
@@ -46,13 +64,43 @@
 """Callers may query ended jobs for 120 s; the other 60 s are a margin."""
 
 
+class WorkersUnknownError(UnavailableError):
+    """The reports of the workers have not been read yet."""
+
+    code = "workers_unknown"
+
+
+@attrs.define
+class Term:
+    """Time during which this process decides under one lease epoch.
+
+    Attributes
+    ----------
+    workers : Mirror
+        Reports of the workers.
+    planner : Planner, optional
+        None until it is built, and after a write of unknown outcome.
+    changed_reports : set of str
+        Keys of the reports that the planner has not seen.
+    """
+
+    epoch: int
+    workers: Mirror
+    planner: Planner | None = None
+    changed_reports: set[str] = attrs.Factory(set)
+
+
 class Decider:
     """Places the jobs of a site while it holds the lease.
 
     Parameters
     ----------
+    mirror : Mirror
+        Copy of the state table that the entry follows.
     guarantees : callable
         Returns the guaranteed accelerators by organisation.
+    limits : TransactionLimits, optional
+        Largest transaction that the table accepts.
     """
 
     def __init__(
@@ -64,12 +112,14 @@
         node: str,
         scope: str,
         guarantees: Callable[[], dict[str, int]],
+        limits: TransactionLimits | None = None,
     ) -> None:
         self._table = table
         self._mirror = mirror
         self._index = index
         self._clock = clock
         self._guarantees = guarantees
+        self._limits = limits or TransactionLimits()
         self._holder_id = f"{node}-{token_hex(4)}"
         self._keeper = LeaseManager(
             table,
@@ -79,22 +129,26 @@
             LEASE_TTL_S,
             LEASE_MARGIN_S,
         )
-        self._planner: Planner | None = None
-        self._epoch = 0
+        self._term: Term | None = None
+        self._wake = mirror.changed
         self._changed_keys: set[str] = set()
         self._next_cleanup_s = 0.0
+        self._backoff_s = MIN_BACKOFF_S
+        self._last_success_s = clock.monotonic()
+        self._aside_until_s = float("-inf")
         self._stepped_down = False
         mirror.add_listener(self._on_row_change)
 
     @property
     def deciding(self) -> bool:
         """Whether this process is the leader and places jobs."""
-        return self._planner is not None
+        return self._term is not None and self._term.planner is not None
 
     def keep_lease(self) -> None:
         """Acquire and renew the lease until stepping down."""
         while not self._stepped_down:
-            if self._mirror.loaded:
+            now_s = self._clock.monotonic()
+            if self._mirror.loaded and now_s >= self._aside_until_s:
                 self._keeper.step()
             pause_s = self._keeper.next_due_s() - self._clock.monotonic()
             sleep(max(0.05, pause_s))
@@ -102,81 +156,131 @@
     def run(self) -> None:
         """Make and write decisions until killed."""
         while True:
-            self._mirror.changed.wait(MAX_PAUSE_S)
-            self._mirror.changed.clear()
-            try:
-                self._step()
-            except FilbertlbError as error:
-                logger.warning(
-                    "decision of epoch {} not written: {}",
-                    *(self._epoch, error),
-                )
-                self._planner = None
-                sleep(MAX_PAUSE_S)
-            sleep(BATCH_DELAY_S)
+            lease = self._held_lease()
+            if lease is None:
+                self._wake.wait(MAX_PAUSE_S)
+                self._wake.clear()
+                continue
+            with self._term_of(lease) as term:
+                while self._holds(term):
+                    self._try_step(term)
+            logger.warning("lease of epoch {} is no longer held", lease.epoch)
 
     def step_down(self) -> None:
         """Release the lease, so that another process can take over at once."""
         self._stepped_down = True
-        if self._keeper.held() is None:
+        self._release_lease()
+
+    def _held_lease(self) -> Lease | None:
+        if self._stepped_down:
+            return None
+        return self._keeper.held()
+
+    def _holds(self, term: Term) -> bool:
+        lease = self._held_lease()
+        return lease is not None and lease.epoch == term.epoch
+
+    @contextmanager
+    def _term_of(self, lease: Lease) -> Generator[Term]:
+        """Follow the reports of the workers while the lease is held."""
+        term = Term(lease.epoch, Mirror(changed=self._wake))
+        term.workers.add_listener(lambda key, _: term.changed_reports.add(key))
+        follower = Follower(
+            self._table, WORKER_TABLE, term.workers, self._clock
+        )
+        following = spawn(follower.run)
+        self._term = term
+        self._last_success_s = self._clock.monotonic()
+        try:
+            yield term
+        finally:
+            self._term = None
+            following.kill()
+
+    def _try_step(self, term: Term) -> None:
+        """Make and write a decision, or wait after a failure.
+
+        A refused write changed nothing, so its rows stay changed and are
+        written next. After any other failure the planner is built anew.
+        """
+        self._wake.wait(MAX_PAUSE_S)
+        self._wake.clear()
+        try:
+            self._step(term)
+        except FilbertlbError as error:
+            logger.warning(
+                "decision of epoch {} not written, next try in {:.2f} s: {}",
+                *(term.epoch, self._backoff_s, error),
+            )
+            if not isinstance(error, TableUnavailableError):
+                term.planner = None
+            if isinstance(error, TableRejectedError):
+                self._limits = self._limits.halved()
+            self._back_off()
+            return
+        self._last_success_s = self._clock.monotonic()
+        self._backoff_s = MIN_BACKOFF_S
+        sleep(BATCH_DELAY_S)
+
+    def _back_off(self) -> None:
+        sleep(self._backoff_s)
+        self._backoff_s = min(MAX_BACKOFF_S, 2 * self._backoff_s)
+        now_s = self._clock.monotonic()
+        if now_s - self._last_success_s > STALL_TIMEOUT_S:
+            logger.warning(
+                "no decision for {:.1f} s: leaving the lease to others",
+                now_s - self._last_success_s,
+            )
+            self._aside_until_s = now_s + STAND_ASIDE_S
+            self._release_lease()
+
+    def _release_lease(self) -> None:
+        lease = self._keeper.held()
+        if lease is None:
             return
-        self._planner = None
         try:
             self._keeper.release()
-            logger.info("lease of epoch {} released", self._epoch)
+            logger.info("lease of epoch {} released", lease.epoch)
         except FilbertlbError as error:
             logger.warning("lease not released, it will expire: {}", error)
 
     def _on_row_change(self, key: str, _: Row | None) -> None:
         self._changed_keys.add(key)
 
-    def _step(self) -> None:
-        lease = None if self._stepped_down else self._keeper.held()
-        if lease is None:
-            if self._planner is not None:
-                logger.warning("lease of epoch {} lost", self._epoch)
-            self._planner = None
-            return
-        if self._planner is None or lease.epoch != self._epoch:
-            self._take_over(lease)
-        planner = self._planner
-        assert planner is not None
+    def _step(self, term: Term) -> None:
+        if term.planner is None:
+            term.planner = self._take_over(term)
+        planner = term.planner
         planner.guaranteed = self._guarantees()
-        self._apply_changes(planner)
+        self._apply_changes(planner, term)
         now_ms = int(self._clock.wall() * 1000)
         planner.decide(self._clock.monotonic(), now_ms)
-        self._write(planner)
+        self._write(planner, term.epoch, now_ms)
         self._delete_ended_jobs(planner, now_ms)
 
-    def _take_over(self, lease: Lease) -> None:
-        """Build a new planner from a snapshot of all rows."""
-        snapshot = self._table.snapshot(f"{STATE_TABLE}/")
-        self._mirror.replace(snapshot, self._clock.monotonic())
+    def _take_over(self, term: Term) -> Planner:
+        """Build a new planner from the rows of the table."""
+        if not term.workers.loaded:
+            raise WorkersUnknownError(
+                "the reports of the workers have not been read yet; wait for "
+                "them"
+            )
+        term.changed_reports.clear()
         self._changed_keys.clear()
-        planner = Planner()
-        for job in self._index.jobs.values():
-            planner.state.add_job(job)
-        for job_id, progress in self._index.progress.items():
-            if job_id in planner.state.jobs:
-                tasks = {
-                    task: attrs.evolve(record)
-                    for task, record in progress.tasks.items()
-                }
-                planner.state.add_progress(attrs.evolve(progress, tasks=tasks))
-        planner.state.cancelled.update(self._index.cancelled)
-        for key in list(self._mirror.row_by_key):
-            self._apply_worker_row(planner, key)
-        planner.state.changed_nodes.update(planner.workers)
-        planner.state.changed_nodes.update(planner.state.occupied_nodes())
-        self._planner = planner
-        self._epoch = lease.epoch
+        started_s = self._clock.monotonic()
+        planner = build_planner(
+            self._table, self._mirror, self._index, term.workers, self._clock
+        )
         logger.info(
-            "deciding with epoch {} from version {}: {} jobs, {} workers",
-            *(lease.epoch, snapshot.version, len(planner.state.jobs)),
-            len(planner.workers),
+            "deciding with epoch {} from version {} after {:.2f} s: {} jobs, "
+            "{} workers",
+            *(term.epoch, self._mirror.version),
+            self._clock.monotonic() - started_s,
+            *(len(planner.state.jobs), len(planner.workers)),
         )
+        return planner
 
-    def _apply_changes(self, planner: Planner) -> None:
+    def _apply_changes(self, planner: Planner, term: Term) -> None:
         changed, self._changed_keys = self._changed_keys, set()
         for key in sorted(changed):
             if key.startswith(JOB_PREFIX):
@@ -185,35 +289,26 @@
                     planner.state.add_job(job)
             elif key.startswith(CANCEL_PREFIX):
                 planner.state.cancelled.add(key.removeprefix(CANCEL_PREFIX))
-            else:
-                self._apply_worker_row(planner, key)
-
-    def _apply_worker_row(self, planner: Planner, key: str) -> None:
-        row = self._mirror.row_by_key.get(key)
-        if row is None or not key.startswith(WORKER_PREFIX):
-            return
-        try:
-            report = decode_row(row, WorkerReport)
-        except UnreadableRowError as error:
-            logger.error("row {} ignored: {}", key, error)
-            return
-        planner.record_report(report, self._mirror.seen_s_by_key[key])
+        reports, term.changed_reports = term.changed_reports, set()
+        for key in sorted(reports):
+            apply_report(planner, term.workers, key)
 
-    def _write(self, planner: Planner) -> None:
+    def _write(self, planner: Planner, epoch: int, now_ms: int) -> None:
+        """Write the changed rows, in as many transactions as they need."""
         state = planner.state
-        if not state.changed_jobs and not state.changed_nodes:
-            return
-        writes = [
-            Write(PROGRESS_PREFIX + job_id, encode(state.progress[job_id]))
-            for job_id in sorted(state.changed_jobs)
-        ]
-        writes += [
-            Write(orders_key(node), encode(state.orders_of(node, self._epoch)))
-            for node in sorted(state.changed_nodes)
-        ]
-        self._keeper.commit(writes)
-        state.changed_jobs.clear()
-        state.changed_nodes.clear()
+        limits = attrs.evolve(
+            self._limits,
+            entries=self._limits.entries - LEASE_ENTRIES,
+            total_bytes=self._limits.total_bytes - LEASE_BYTES,
+        )
+        plan = divide(changed_units(state, epoch), limits)
+        while oversized_jobs := plan.oversized_jobs():
+            for job_id in sorted(oversized_jobs):
+                planner.fail_oversized_job(job_id, now_ms)
+            plan = divide(changed_units(state, epoch), limits)
+        for unit in plan.transactions:
+            self._keeper.commit(unit.writes)
+            state.mark_written(unit.jobs, unit.nodes)
 
     def _delete_ended_jobs(self, planner: Planner, now_ms: int) -> None:
         """Delete the rows of jobs whose retention period is over."""
@@ -228,7 +323,7 @@
         ][:CLEANUP_JOBS]
         if not expired:
             return
-        prefixes = (JOB_PREFIX, PROGRESS_PREFIX, CANCEL_PREFIX)
+        prefixes = (JOB_PREFIX, STATUS_PREFIX, PROGRESS_PREFIX, CANCEL_PREFIX)
         self._keeper.commit(
             [
                 Write(prefix + job_id, None)
--- a/filbertlb/batch/index.py
+++ b/filbertlb/batch/index.py
@@ -12,8 +12,8 @@
 from filbertlb.batch.model import Job
 from filbertlb.batch.model import JOB_PREFIX
 from filbertlb.batch.model import JobState
-from filbertlb.batch.model import Progress
-from filbertlb.batch.model import PROGRESS_PREFIX
+from filbertlb.batch.model import JobStatus
+from filbertlb.batch.model import STATUS_PREFIX
 from filbertlb.table.rows import decode_row
 from filbertlb.table.rows import UnreadableRowError
 
@@ -23,10 +23,10 @@
 
 @attrs.define
 class JobIndex:
-    """Jobs, progress and cancellations by job id."""
+    """Jobs, their status and cancellations by job id."""
 
     jobs: dict[str, Job] = attrs.Factory(dict)
-    progress: dict[str, Progress] = attrs.Factory(dict)
+    status_by_job_id: dict[str, JobStatus] = attrs.Factory(dict)
     cancelled: set[str] = attrs.Factory(set)
 
     def apply_row(self, key: str, row: Row | None) -> None:
@@ -46,10 +46,9 @@
         A job with a cancellation row counts as cancelled even if its tasks
         are still being stopped.
         """
-        progress = self.progress.get(job_id)
-        state = JobState.QUEUED if progress is None else progress.state
         if job_id not in self.jobs:
             return None
+        state = self.status_by_job_id.get(job_id, JobStatus()).state
         if job_id in self.cancelled and state not in FINAL_STATES:
             return JobState.CANCELLED
         return state
@@ -60,9 +59,11 @@
         for job in self.jobs.values():
             if job.queue != queue:
                 continue
-            progress = self.progress.get(job.job_id)
-            started = progress is not None and progress.started
-            if not started and self.state(job.job_id) not in FINAL_STATES:
+            status = self.status_by_job_id.get(job.job_id, JobStatus())
+            if (
+                not status.started
+                and self.state(job.job_id) not in FINAL_STATES
+            ):
                 count += 1
         return count
 
@@ -73,12 +74,12 @@
                 self.jobs.pop(job_id, None)
             else:
                 self.jobs[job_id] = decode_row(row, Job)
-        elif key.startswith(PROGRESS_PREFIX):
-            job_id = key.removeprefix(PROGRESS_PREFIX)
+        elif key.startswith(STATUS_PREFIX):
+            job_id = key.removeprefix(STATUS_PREFIX)
             if row is None:
-                self.progress.pop(job_id, None)
+                self.status_by_job_id.pop(job_id, None)
             else:
-                self.progress[job_id] = decode_row(row, Progress)
+                self.status_by_job_id[job_id] = decode_row(row, JobStatus)
         elif key.startswith(CANCEL_PREFIX):
             job_id = key.removeprefix(CANCEL_PREFIX)
             if row is None:
--- a/filbertlb/batch/model.py
+++ b/filbertlb/batch/model.py
@@ -12,11 +12,19 @@
 
 from filbertlb.core.amounts import Amount
 
+STATE_TABLE = "state"
+"""What every entry follows: jobs, their states and cancellations."""
 JOB_PREFIX = "state/job/"
-PROGRESS_PREFIX = "state/progress/"
+STATUS_PREFIX = "state/status/"
 CANCEL_PREFIX = "state/cancel/"
-WORKER_PREFIX = "state/worker/"
-STATE_TABLE = "state"
+PROGRESS_TABLE = "progress"
+"""Tasks of jobs; written and read by the decider only."""
+PROGRESS_PREFIX = "progress/"
+WORKER_TABLE = "workers"
+"""Reports of workers; only the decider follows them."""
+WORKER_PREFIX = "workers/"
+WORKER_PARTITIONS = 16
+"""Partitions of the reports, as each agent writes one every second."""
 ORDER_TABLES = 64
 """Number of tables that the orders rows are partitioned over.
 
@@ -200,6 +208,14 @@
     ended_ms: int = 0
 
 
+@attrs.frozen
+class JobStatus:
+    """What callers are told about a job; written by the decider."""
+
+    state: JobState = JobState.QUEUED
+    started: bool = False
+
+
 @attrs.frozen
 class Order:
     """One run that a worker must start, keep running or stop."""
--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -33,6 +33,12 @@
 EARLY_START_MS = 100
 """Maximum time by which an occurrence starts before it is due."""
 
+MAX_LOST_TASKS = 40
+"""Tasks of one silent worker that a decision ends; others follow.
+
+Their jobs and the worker's orders are written in one transaction.
+"""
+
 
 @attrs.define
 class Planner:
@@ -74,6 +80,20 @@
         )
         placer.place(self._ready_groups(now_ms))
 
+    def fail_oversized_job(self, job_id: str, now_ms: int) -> None:
+        """Fail a job whose progress is too large to be stored.
+
+        Its records are dropped, so agents stop its runs as not ordered.
+        """
+        state = self.state
+        logger.error(
+            "job {} failed, code job_progress_too_large: the progress of its "
+            "{} tasks exceeds a row of the table; submit smaller jobs",
+            *(job_id, len(state.progress[job_id].tasks)),
+        )
+        state.drop_records(job_id)
+        state.set_job_state(job_id, JobState.FAILED, now_ms)
+
     def _process_report(
         self, view: WorkerView, now_s: float, now_ms: int
     ) -> None:
@@ -92,8 +112,7 @@
         for run in report.running:
             progress = self.state.progress.get(job_id_of(run.task))
             if progress is not None and not progress.started:
-                progress.started = True
-                self.state.changed_jobs.add(progress.job_id)
+                self.state.mark_started(progress.job_id)
                 if progress.state is JobState.QUEUED:
                     self.state.set_job_state(
                         progress.job_id, JobState.ACTIVE, now_ms
@@ -177,8 +196,9 @@
                 "worker {} is silent for {:.1f} s: its leases have run out",
                 *(node, now_s - view.seen_s),
             )
-            for task in self.state.tasks_on(node):
+            for task in self.state.tasks_on(node)[:MAX_LOST_TASKS]:
                 attempt = self.state.record(task).attempt
+                self.state.mark_lost(task, node)
                 self._apply_end(RunEnd(task, attempt, EndCause.LOST), now_ms)
 
     def _stop_cancelled_jobs(self, now_ms: int) -> None:
--- a/filbertlb/batch/planner_state.py
+++ b/filbertlb/batch/planner_state.py
@@ -29,6 +29,9 @@
 ALLOCATED_PHASES = (TaskPhase.ORDERED, TaskPhase.STOPPING)
 """Phases in which a task occupies resources on its node."""
 
+MAX_PAYLOAD_BYTES = 36_000
+"""Payloads of one orders row; the table stores 48 KiB of values."""
+
 
 @attrs.frozen
 class TaskGroup:
@@ -71,19 +74,29 @@
 
     Attributes
     ----------
-    changed_jobs, changed_nodes : set of str
+    changed_jobs, changed_statuses, changed_nodes : set of str
         Jobs and nodes whose rows in the table are out of date.
+    jobs_lost_by_node : dict of str to set of str
+        Jobs with tasks that left a silent node without its agent's report,
+        by node; not yet written.
+    ignored_jobs : set of str
+        Jobs whose progress is unreadable; nothing is decided about them.
     """
 
     jobs: dict[str, Job] = attrs.Factory(dict)
     progress: dict[str, Progress] = attrs.Factory(dict)
     cancelled: set[str] = attrs.Factory(set)
     changed_jobs: set[str] = attrs.Factory(set)
+    changed_statuses: set[str] = attrs.Factory(set)
     changed_nodes: set[str] = attrs.Factory(set)
+    jobs_lost_by_node: dict[str, set[str]] = attrs.Factory(dict)
+    ignored_jobs: set[str] = attrs.Factory(set)
     _tasks_by_node: dict[str, set[str]] = attrs.Factory(dict)
 
     def add_job(self, job: Job) -> None:
-        """Add an accepted job."""
+        """Add an accepted job unless it is ignored."""
+        if job.job_id in self.ignored_jobs:
+            return
         self.jobs[job.job_id] = job
         self.progress.setdefault(job.job_id, Progress(job.job_id))
 
@@ -100,13 +113,41 @@
         self.progress.pop(job_id, None)
         self.cancelled.discard(job_id)
 
+    def mark_lost(self, task: str, node: str) -> None:
+        """Record that a task leaves a silent node."""
+        lost_jobs = self.jobs_lost_by_node.setdefault(node, set())
+        lost_jobs.add(job_id_of(task))
+
+    def mark_started(self, job_id: str) -> None:
+        """Record that a task of a job has started."""
+        self.progress[job_id].started = True
+        self._mark_status(job_id)
+
+    def mark_written(
+        self, jobs: frozenset[str], nodes: frozenset[str]
+    ) -> None:
+        """Record that the rows of these jobs and nodes are up to date."""
+        self.changed_jobs -= jobs
+        self.changed_statuses -= jobs
+        self.changed_nodes -= nodes
+        for node in nodes:
+            self.jobs_lost_by_node.pop(node, None)
+
+    def _mark_status(self, job_id: str) -> None:
+        self.changed_jobs.add(job_id)
+        self.changed_statuses.add(job_id)
+
     def record(self, task: str) -> TaskRecord:
         """Return the record of a task, or a new one if it has none."""
         return self.progress[job_id_of(task)].tasks.get(task) or TaskRecord()
 
+    def job_of(self, task: str) -> Job:
+        """Return the job that a task belongs to."""
+        return self.jobs[job_id_of(task)]
+
     def step_of(self, task: str) -> Step:
         """Return the step that a task belongs to."""
-        return self.jobs[job_id_of(task)].steps[int(task.split(".")[2])]
+        return self.job_of(task).steps[int(task.split(".")[2])]
 
     def set_record(self, task: str, record: TaskRecord) -> None:
         """Replace the record of a task and mark its rows as changed."""
@@ -122,6 +163,14 @@
             self.changed_nodes.add(record.node)
         self.changed_jobs.add(job_id)
 
+    def drop_records(self, job_id: str) -> None:
+        """Remove the records of all tasks of a job."""
+        for task in self.allocated_tasks(job_id):
+            node = self.record(task).node
+            self._tasks_by_node[node].discard(task)
+            self.changed_nodes.add(node)
+        self.progress[job_id].tasks.clear()
+
     def set_phase(self, task: str, phase: TaskPhase, now_ms: int) -> None:
         """Change the phase of a task and the time of the change only."""
         record = self.record(task)
@@ -150,7 +199,7 @@
         if progress.state is not state:
             progress.state = state
             progress.ended_ms = now_ms if state in FINAL_STATES else 0
-            self.changed_jobs.add(job_id)
+            self._mark_status(job_id)
 
     def unfinished_jobs(self) -> Iterator[tuple[Job, Progress]]:
         """Yield the jobs that are in no final state."""
@@ -205,12 +254,21 @@
         )
 
     def orders_of(self, node: str, epoch: int) -> Orders:
-        """Return the value of the orders row of a node."""
+        """Return the value of the orders row of a node.
+
+        Runs whose payloads would make the row too large are ordered once
+        older ones have ended.
+        """
         orders = []
-        payloads = {}
+        payloads: dict[str, str] = {}
+        payload_bytes = 0
         for task in self.tasks_on(node):
             record = self.record(task)
             job_id = job_id_of(task)
+            if job_id not in payloads:
+                payload_bytes += len(self.jobs[job_id].payload.encode())
+            if payload_bytes > MAX_PAYLOAD_BYTES:
+                break
             orders.append(
                 Order(
                     task,
--- a/filbertlb/batch/service.py
+++ b/filbertlb/batch/service.py
@@ -6,7 +6,6 @@
 
 import attrs
 from loguru import logger
-from msgspec.json import encode
 
 from filbertlb.batch.model import CANCEL_PREFIX
 from filbertlb.batch.model import Job
@@ -20,6 +19,7 @@
 from filbertlb.table.base import WriteOutcomeUnknownError
 from filbertlb.table.commit import commit_with_read_back
 from filbertlb.table.commit import Proof
+from filbertlb.table.rows import encode_value
 
 if TYPE_CHECKING:
     from filbertlb.batch.index import JobIndex
@@ -56,7 +56,8 @@
             logger.info("job {} is already stored", job.job_id)
             return False
         key = JOB_PREFIX + job.job_id
-        write = Write(key, encode(job), ABSENT)
+        value = encode_value(job)
+        write = Write(key, value, ABSENT)
         try:
             versions = commit_with_read_back(
                 self.table,
@@ -67,7 +68,7 @@
         except RowConflictError:
             logger.info("job {} was stored by another entry", job.job_id)
             return False
-        self._update_mirror(Row(key, encode(job), versions[0]))
+        self._update_mirror(Row(key, value, versions[0]))
         logger.info(
             "job {} accepted: queue {} priority {} organisation {} at "
             "version {}, steps {}",
--- /dev/null
+++ b/filbertlb/batch/takeover.py
@@ -0,0 +1,117 @@
+"""Builds the planner of a new decider from the rows of the table."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from gevent import sleep
+from loguru import logger
+
+from filbertlb.batch.model import Progress
+from filbertlb.batch.model import PROGRESS_PREFIX
+from filbertlb.batch.model import PROGRESS_TABLE
+from filbertlb.batch.model import STATE_TABLE
+from filbertlb.batch.model import WorkerReport
+from filbertlb.batch.planner import Planner
+from filbertlb.table.base import HistoryLostError
+from filbertlb.table.base import TableUnavailableError
+from filbertlb.table.rows import decode_row
+from filbertlb.table.rows import UnreadableRowError
+
+if TYPE_CHECKING:
+    from filbertlb.batch.index import JobIndex
+    from filbertlb.core.clock import Clock
+    from filbertlb.table.base import Row
+    from filbertlb.table.base import WatchedTable
+    from filbertlb.table.mirror import Mirror
+
+ROWS_PER_TURN = 20
+"""Rows decoded before other tasks, such as lease renewal, get a turn."""
+
+
+def build_planner(
+    table: WatchedTable,
+    state_mirror: Mirror,
+    index: JobIndex,
+    worker_mirror: Mirror,
+    clock: Clock,
+) -> Planner:
+    """Return a planner that knows all jobs, progress and reports.
+
+    The lease must be held, so that nobody else changes the progress
+    meanwhile. The copy of the jobs is brought up to date after the progress
+    was read: a job that has progress must not be missing.
+
+    Raises
+    ------
+    TableUnavailableError
+        If the table does not answer.
+    """
+    planner = Planner()
+    snapshot = table.snapshot(f"{PROGRESS_TABLE}/")
+    _catch_up(table, state_mirror, clock, snapshot.version)
+    for number, row in enumerate(snapshot.rows):
+        _add_progress(planner, index, row)
+        _yield_sometimes(number)
+    for job in index.jobs.values():
+        planner.state.add_job(job)
+    planner.state.cancelled.update(index.cancelled)
+    for number, key in enumerate(list(worker_mirror.row_by_key)):
+        apply_report(planner, worker_mirror, key)
+        _yield_sometimes(number)
+    # An earlier decider may have stored progress without its orders.
+    planner.state.changed_nodes.update(planner.workers)
+    planner.state.changed_nodes.update(planner.state.occupied_nodes())
+    return planner
+
+
+def apply_report(planner: Planner, worker_mirror: Mirror, key: str) -> None:
+    """Pass a worker's report to the planner; an unreadable one is logged."""
+    row = worker_mirror.row_by_key.get(key)
+    if row is None:
+        return
+    try:
+        report = decode_row(row, WorkerReport)
+    except UnreadableRowError as error:
+        logger.error("row {} ignored: {}", key, error)
+        return
+    planner.record_report(report, worker_mirror.seen_s_by_key[key])
+
+
+def _catch_up(
+    table: WatchedTable, mirror: Mirror, clock: Clock, version: int
+) -> None:
+    """Apply the changes of the state table up to a version to its mirror."""
+    try:
+        changes = table.changes(STATE_TABLE, mirror.version, 0.0)
+    except HistoryLostError as error:
+        logger.info("reading the whole state table: {}", error)
+        snapshot = table.snapshot(f"{STATE_TABLE}/")
+        mirror.replace(snapshot, clock.monotonic())
+    else:
+        mirror.apply(changes, clock.monotonic())
+    if mirror.version < version:
+        raise TableUnavailableError(
+            f"stale changes up to version {mirror.version!r}, expected "
+            f"{version!r} or later; read again"
+        )
+
+
+def _add_progress(planner: Planner, index: JobIndex, row: Row) -> None:
+    """Add the progress of a job; without it the job is left alone.
+
+    A job that seemed to have no progress would run again.
+    """
+    try:
+        progress = decode_row(row, Progress)
+    except UnreadableRowError as error:
+        logger.error("job left alone: {}", error)
+        planner.state.ignored_jobs.add(row.key.removeprefix(PROGRESS_PREFIX))
+        return
+    if progress.job_id in index.jobs:
+        planner.state.add_progress(progress)
+
+
+def _yield_sometimes(number: int) -> None:
+    if number % ROWS_PER_TURN == 0:
+        sleep(0)
--- a/filbertlb/httpcall.py
+++ b/filbertlb/httpcall.py
@@ -29,6 +29,8 @@
 CONNECT_TIMEOUT_S = 2.0
 MAX_TIMEOUT_S = 24 * 3600.0
 READ_BLOCK_BYTES = 64 * 1024
+BODY_PART_BYTES = 16 * 1024
+"""Part of an answer's body that must arrive within the call's timeout."""
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
 _TARGET = compile_pattern(r"/(?!/)[!-~]*")
@@ -147,9 +149,17 @@
         path: str,
         timeout_s: float,
         headers: Mapping[str, str] | None = None,
+        body_s: float = 0.0,
     ) -> Reply:
         """Send a GET, again if needed, and return its whole answer.
 
+        Parameters
+        ----------
+        timeout_s : float
+            Longest wait for the answer to begin, and for each part of it.
+        body_s : float
+            Longest time for the whole answer, if it is over ``timeout_s``.
+
         Raises
         ------
         InvalidTargetError
@@ -159,7 +169,7 @@
         CallOutcomeUnknownError
             If the connection or the time ended before the whole answer.
         """
-        return self._call("GET", path, b"", timeout_s, headers)
+        return self._call("GET", path, b"", timeout_s, headers, body_s)
 
     def close(self) -> None:
         """Close the kept connections."""
@@ -178,6 +188,7 @@
         body: bytes,
         timeout_s: float,
         headers: Mapping[str, str] | None,
+        body_s: float = 0.0,
     ) -> Reply:
         target = self._base_path + path
         # The library would keep the connection on such a failure.
@@ -191,11 +202,12 @@
         expired = TimeoutError(f"no answer within {timeout_s!r} s")
         client = self._client
         try:
-            with Timeout(timeout_s, expired):
-                response = client.request(
-                    method, target, body, dict(headers or {})
-                )
-                return _whole(response)
+            with Timeout(max(timeout_s, body_s), expired):
+                with Timeout(timeout_s, expired):
+                    response = client.request(
+                        method, target, body, dict(headers or {})
+                    )
+                return _whole(response, timeout_s)
         except _NoConnectionError as error:
             raise CallNotSentError(
                 f"no connection to {self._base_url!r}: {error}; check that "
@@ -209,8 +221,20 @@
             ) from error
 
 
-def _whole(response: HTTPSocketPoolResponse) -> Reply:
-    """Read a response to its end, or fail."""
+def _next_part(
+    response: HTTPSocketPoolResponse, timeout_s: float
+) -> bytes | bytearray:
+    expired = TimeoutError(f"no part of the body within {timeout_s!r} s")
+    with Timeout(timeout_s, expired):
+        return response.read(BODY_PART_BYTES)
+
+
+def _whole(response: HTTPSocketPoolResponse, timeout_s: float) -> Reply:
+    """Read a response to its end, or fail.
+
+    The timeout holds for each part of the body: a large answer on a slow
+    link is not lost while parts of it arrive.
+    """
     announced = response.content_length
     if announced is not None and announced > MAX_ANSWER_BYTES:
         response.release()
@@ -220,7 +244,7 @@
         # Its end would look the same as a lost connection.
         raise HTTPParseError("answer states no length")
     parts = []
-    while part := response.read(READ_BLOCK_BYTES):
+    while part := _next_part(response, timeout_s):
         parts.append(part)
     body = b"".join(parts)
     if not response.message_complete or announced not in (None, len(body)):
--- a/filbertlb/platform/roles.py
+++ b/filbertlb/platform/roles.py
@@ -21,6 +21,8 @@
 from filbertlb.batch.index import JobIndex
 from filbertlb.batch.model import JobState
 from filbertlb.batch.model import STATE_TABLE
+from filbertlb.batch.model import WORKER_PARTITIONS
+from filbertlb.batch.model import WORKER_TABLE
 from filbertlb.batch.peers import Peers
 from filbertlb.batch.service import JobService
 from filbertlb.core.clock import SystemClock
@@ -38,6 +40,7 @@
 from filbertlb.platform.settings import load_settings_file
 from filbertlb.platform.store import PlatformTable
 from filbertlb.settings.process import Limits
+from filbertlb.table.base import TransactionLimits
 from filbertlb.table.mirror import Follower
 from filbertlb.table.mirror import Mirror
 from filbertlb.typedserver import Service
@@ -75,7 +78,7 @@
 def run_entry(settings: Settings) -> None:
     """Run an entry: serve callers; schedule jobs while it holds the lease."""
     clock = SystemClock()
-    table = PlatformTable(settings.store_address)
+    table = _open_table(settings)
     index, mirror, in_force = JobIndex(), Mirror(), CurrentConfiguration()
     mirror.add_listener(index.apply_row)
     state_follower = Follower(table, STATE_TABLE, mirror, clock)
@@ -93,6 +96,7 @@
         settings.node,
         settings.region,
         in_force.guaranteed,
+        table.limits,
     )
     stopping = _stop_event(settings)
 
@@ -152,7 +156,7 @@
 def run_agent(settings: Settings) -> None:
     """Run an agent: execute the orders for the worker on this machine."""
     clock = SystemClock()
-    table = PlatformTable(settings.store_address)
+    table = _open_table(settings)
     worker = PlatformWorkerClient(settings.worker_address, clock)
     agent = Agent(table, worker, clock, settings.node)
 
@@ -185,6 +189,14 @@
     logger.info("agent {} stopped", settings.node)
 
 
+def _open_table(settings: Settings) -> PlatformTable:
+    return PlatformTable(
+        settings.store_address,
+        {WORKER_TABLE: WORKER_PARTITIONS},
+        TransactionLimits(row_bytes=settings.store_row_bytes),
+    )
+
+
 def _stop_event(settings: Settings) -> Event:
     """Return an event that SIGTERM and SIGINT set; SIGHUP checks settings."""
     event = Event()
--- a/filbertlb/platform/settings.py
+++ b/filbertlb/platform/settings.py
@@ -24,8 +24,10 @@
     admin: str = ""
 
 
-class _Store(msgspec.Struct):
+class _Store(msgspec.Struct, rename="camel"):
     addr: str
+    # Largest value of a row, in characters of base64.
+    row_bytes: int = 65_536
 
 
 class _File(msgspec.Struct, rename="camel"):
@@ -55,6 +57,8 @@
         Address at which an agent calls its worker.
     store_address : str
         Address of the platform's row store.
+    store_row_bytes : int
+        Largest value of a row in base64.
     first_port : int
         Start of the port range assigned to the process.
     """
@@ -69,6 +73,7 @@
     heartbeat_address: str
     worker_address: str
     store_address: str
+    store_row_bytes: int
     first_port: int
 
 
@@ -105,5 +110,6 @@
         file.listen.admin,
         file.app,
         file.platform.addr,
+        file.platform.row_bytes,
         file.port_range[0],
     )
--- a/filbertlb/platform/store.py
+++ b/filbertlb/platform/store.py
@@ -4,13 +4,17 @@
 
 from base64 import b64decode
 from base64 import b64encode
+from time import monotonic
 from typing import Any
 from typing import TYPE_CHECKING
 from urllib.parse import urlencode
+from zlib import crc32
 
 import msgspec
+from gevent import sleep
+from gevent.pool import Pool
+from loguru import logger
 
-from filbertlb.errors import FilbertlbError
 from filbertlb.httpcall import CallNotSentError
 from filbertlb.httpcall import CallOutcomeUnknownError
 from filbertlb.httpcall import HttpCaller
@@ -20,21 +24,35 @@
 from filbertlb.table.base import Row
 from filbertlb.table.base import RowConflictError
 from filbertlb.table.base import Snapshot
+from filbertlb.table.base import TableRejectedError
 from filbertlb.table.base import TableUnavailableError
+from filbertlb.table.base import TransactionLimits
 from filbertlb.table.base import WriteOutcomeUnknownError
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
     from collections.abc import Sequence
 
     from filbertlb.httpcall import Reply
     from filbertlb.table.base import Write
 
 READ_TIMEOUT_S = 0.8
+"""Longest wait for a reply to begin, and for each part of it."""
+READ_BODY_S = 8.0
+"""Longest time for a whole reply to a read on a slow link."""
 WRITE_TIMEOUT_S = 1.2
 """A slow store takes 0.6 s for a transaction."""
 FEED_TIMEOUT_MARGIN_S = 0.8
 """Added to the long-poll wait of a feed call to get its timeout."""
-ROWS_PER_PAGE = 500
+MAX_PAGE_ROWS = 500
+FIRST_PAGE_ROWS = 100
+SLOW_PAGE_S = 0.4
+"""Duration of a page's read from which later pages are smaller."""
+MAX_PAGE_TRIES = 5
+"""Tries of one page of a snapshot, each of half as many rows."""
+PAGE_RETRY_S = 0.1
+CONCURRENT_READS = 8
+"""Partitions of one table that are read at the same time."""
 
 HTTP_OK = 200
 HTTP_GONE = 410
@@ -43,12 +61,6 @@
 """Statuses with which the store refuses a call without any effect."""
 
 
-class TableRejectedError(FilbertlbError):
-    """The store rejects the call as such; trying again does not help."""
-
-    code = "table_rejected"
-
-
 class _StoredRow(msgspec.Struct, rename="camel"):
     table: str
     key: str
@@ -70,25 +82,41 @@
     """Table service that maps path-like keys to rows of the store.
 
     The part of a key before its first slash names the table in the store,
-    the rest is the key within that table. All rows share one partition,
-    so that one transaction can write any of them.
+    the rest is the key within that table. Rows share one partition, so that
+    one transaction can write any of them, except those of the tables in
+    ``partitions_by_table``: each partition takes a limited number of
+    transactions a second, so tables that many processes write are spread
+    over several.
 
     Parameters
     ----------
     address : str
         Host and port of the store.
+    partitions_by_table : mapping of str to int, optional
+        Number of partitions of the tables that have more than one.
+    limits : TransactionLimits
+        Largest transaction that the store accepts.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self,
+        address: str,
+        partitions_by_table: Mapping[str, int] | None = None,
+        limits: TransactionLimits | None = None,
+    ) -> None:
+        self.limits = limits or TransactionLimits()
+        self._partitions_by_table = dict(partitions_by_table or {})
         self._caller = HttpCaller(f"http://{address}")
         # Separate connections, as feed calls wait for changes.
         self._feed_caller = HttpCaller(f"http://{address}")
         self._newest_version = 0
+        self._page_rows = FIRST_PAGE_ROWS
 
     def get(self, key: str) -> Row | None:
         """Return the row of a key, or None."""
         table, _, name = key.partition("/")
-        page = self._read_page(table, name, limit=1)
+        partition = self._partition_of(table, name)
+        page = self._read_page(table, partition, name, limit=1)
         for row in page.rows:
             if row.key == name:
                 return _decode_row(row)
@@ -108,10 +136,28 @@
         it also returns changes made while later pages were read.
         """
         table, _, start = prefix.partition("/")
+        count = self._partitions_by_table.get(table)
+        if count is None:
+            return self._partition_snapshot(table, "", start)
+        partitions = [_partition_name(number) for number in range(count)]
+        reads = Pool(CONCURRENT_READS).imap_unordered(
+            lambda partition: self._partition_snapshot(
+                table, partition, start
+            ),
+            partitions,
+        )
+        snapshots = list(reads)
+        rows = tuple(row for snapshot in snapshots for row in snapshot.rows)
+        return Snapshot(rows, min(found.version for found in snapshots))
+
+    def _partition_snapshot(
+        self, table: str, partition: str, start: str
+    ) -> Snapshot:
+        """Read the rows of one partition page by page."""
         name, version = start, -1
         rows: list[Row] = []
         while True:
-            page = self._read_page(table, name, limit=ROWS_PER_PAGE)
+            page = self._read_page_with_retries(table, partition, name)
             if version < 0:
                 version = page.schema_version
             for row in page.rows:
@@ -122,6 +168,36 @@
                 return Snapshot(tuple(rows), version)
             name = page.rows[-1].key + "\0"
 
+    def _read_page_with_retries(
+        self, table: str, partition: str, name: str
+    ) -> _Rows:
+        """Read a page whose size follows what the link carries.
+
+        A read of many pages goes on from its last whole page, so a slow
+        link makes it slower but does not start it anew.
+        """
+        for _ in range(MAX_PAGE_TRIES - 1):
+            try:
+                return self._read_timed_page(table, partition, name)
+            except TableUnavailableError as error:
+                self._page_rows = max(1, self._page_rows // 2)
+                logger.info(
+                    "page of {} from {!r} not read, next try with {} rows: {}",
+                    *(table, name, self._page_rows, error),
+                )
+                sleep(PAGE_RETRY_S)
+        return self._read_timed_page(table, partition, name)
+
+    def _read_timed_page(self, table: str, partition: str, name: str) -> _Rows:
+        limit = self._page_rows
+        started_s = monotonic()
+        page = self._read_page(table, partition, name, limit)
+        if monotonic() - started_s > SLOW_PAGE_S:
+            self._page_rows = max(1, limit // 2)
+        elif len(page.rows) >= limit:
+            self._page_rows = min(MAX_PAGE_ROWS, limit * 2)
+        return page
+
     def changes(self, table: str, after: int, wait_s: float) -> Changes:
         """Return changes after a version; wait up to ``wait_s`` for one."""
         query = urlencode(
@@ -149,7 +225,7 @@
 
     def commit(self, writes: Sequence[Write]) -> tuple[int, ...]:
         """Apply all writes or none and return their new versions."""
-        body = msgspec.json.encode(_encode_transaction(writes))
+        body = msgspec.json.encode(self._encode_transaction(writes))
         try:
             reply = self._caller.post(
                 "/filbertlb/rows-tx", body, WRITE_TIMEOUT_S, _JSON_HEADERS
@@ -169,12 +245,42 @@
             ABSENT if write.value is None else version for write in writes
         )
 
+    def _encode_transaction(self, writes: Sequence[Write]) -> dict[str, Any]:
+        conditions = []
+        puts = []
+        removals = []
+        for write in writes:
+            table, _, name = write.key.partition("/")
+            store_key: dict[str, Any] = {
+                "table": table,
+                "part": self._partition_of(table, name),
+                "key": name,
+            }
+            if write.expected_version is not None:
+                conditions.append(
+                    store_key | {"schemaVersion": write.expected_version}
+                )
+            if write.value is None:
+                removals.append(store_key)
+            else:
+                value = b64encode(write.value).decode()
+                puts.append(store_key | {"value": value})
+        return {"precondition": conditions, "puts": puts, "remove": removals}
+
     def close(self) -> None:
         """Close the pooled connections."""
         self._caller.close()
         self._feed_caller.close()
 
-    def _read_page(self, table: str, name: str, limit: int) -> _Rows:
+    def _partition_of(self, table: str, name: str) -> str:
+        count = self._partitions_by_table.get(table)
+        if count is None:
+            return ""
+        return _partition_name(crc32(name.encode()) % count)
+
+    def _read_page(
+        self, table: str, partition: str, name: str, limit: int
+    ) -> _Rows:
         """Read rows of a table from a key on.
 
         Raises
@@ -184,7 +290,7 @@
             read or written before.
         """
         query = urlencode(
-            {"table": table, "part": "", "from": name, "limit": limit}
+            {"table": table, "part": partition, "from": name, "limit": limit}
         )
         newest_version = self._newest_version
         reply = self._get(
@@ -201,7 +307,7 @@
 
     def _get(self, caller: HttpCaller, path: str, timeout_s: float) -> Reply:
         try:
-            return caller.get(path, timeout_s)
+            return caller.get(path, timeout_s, body_s=READ_BODY_S)
         except (CallNotSentError, CallOutcomeUnknownError) as error:
             raise TableUnavailableError(error.message) from error
 
@@ -226,27 +332,13 @@
 _JSON_HEADERS = {"Content-Type": "application/json"}
 
 
+def _partition_name(number: int) -> str:
+    return f"p{number:02d}"
+
+
 def _decode_row(stored: _StoredRow) -> Row:
     return Row(
         f"{stored.table}/{stored.key}",
         b64decode(stored.value),
         stored.schema_version,
     )
-
-
-def _encode_transaction(writes: Sequence[Write]) -> dict[str, Any]:
-    conditions = []
-    puts = []
-    removals = []
-    for write in writes:
-        table, _, name = write.key.partition("/")
-        store_key: dict[str, Any] = {"table": table, "part": "", "key": name}
-        if write.expected_version is not None:
-            conditions.append(
-                store_key | {"schemaVersion": write.expected_version}
-            )
-        if write.value is None:
-            removals.append(store_key)
-        else:
-            puts.append(store_key | {"value": b64encode(write.value).decode()})
-    return {"precondition": conditions, "puts": puts, "remove": removals}
--- a/filbertlb/standin/row_store.py
+++ b/filbertlb/standin/row_store.py
@@ -27,6 +27,10 @@
 Place = tuple[str, str, str]
 PAGE_ROWS = 500
 OPERATOR_TABLES = frozenset(("op", "servers"))
+MAX_ENTRIES = 100
+"""Entries of one transaction: conditions, puts and removals."""
+MAX_TRANSACTION_BYTES = 1_000_000
+MAX_VALUE_CHARACTERS = 65_536
 
 
 @attrs.define
@@ -107,14 +111,17 @@
             for name, values in parse_qs(environ["QUERY_STRING"]).items()
         }
         if path == "/filbertlb/rows-tx":
-            return self._write(loads(environ["wsgi.input"].read()))
+            return self._write(environ["wsgi.input"].read())
         if path == "/filbertlb/rows-get":
             return self._read(query)
         if path == "/filbertlb/rows-feed":
             return self._feed(query)
         return JsonResponse(404, {"code": "not_found"})
 
-    def _write(self, body: dict[str, Any]) -> JsonResponse:
+    def _write(self, text: bytes) -> JsonResponse:
+        body = loads(text)
+        if len(text) > MAX_TRANSACTION_BYTES or _exceeds_limits(body):
+            return JsonResponse(400, {"code": "too_large"})
         if self.faults.hold_back > 0:
             self.faults.hold_back -= 1
             self._held_back.append(body)
@@ -145,9 +152,12 @@
     def _read(self, query: Mapping[str, str]) -> JsonResponse:
         version = max(0, self.version - self.faults.stale_by)
         limit = int(query.get("limit", PAGE_ROWS))
+        read_partition = (query["table"], query.get("part", ""))
         found = []
         for place in sorted(self._history):
-            if place[0] != query["table"] or place[2] < query.get("from", ""):
+            if place[:2] != read_partition:
+                continue
+            if place[2] < query.get("from", ""):
                 continue
             stored = self._at(place, version)
             if stored is not None and stored.value is not None:
@@ -180,6 +190,16 @@
         return None
 
 
+def _exceeds_limits(body: Mapping[str, Any]) -> bool:
+    puts = body.get("puts", ())
+    entries = [*puts, *body.get("remove", ()), *body.get("precondition", ())]
+    return (
+        len(entries) > MAX_ENTRIES
+        or len({row["part"] for row in entries}) > 1
+        or any(len(row["value"]) > MAX_VALUE_CHARACTERS for row in puts)
+    )
+
+
 def _place(row: Mapping[str, Any]) -> Place:
     return (row["table"], row["part"], row["key"])
 
--- a/filbertlb/table/base.py
+++ b/filbertlb/table/base.py
@@ -40,6 +40,12 @@
     code = "write_outcome_unknown"
 
 
+class TableRejectedError(FilbertlbError):
+    """The service rejects the call as such; trying again does not help."""
+
+    code = "table_rejected"
+
+
 class HistoryLostError(FilbertlbError):
     """The requested changes are no longer kept; read the whole table."""
 
@@ -85,6 +91,29 @@
     expected_version: int | None = None
 
 
+@attrs.frozen
+class TransactionLimits:
+    """Largest transaction that a table service accepts.
+
+    Parameters
+    ----------
+    entries : int
+        Number of entries: writes, and expected versions of writes.
+    total_bytes : int
+        Size of the whole transaction.
+    row_bytes : int
+        Size of one stored value.
+    """
+
+    entries: int = 100
+    total_bytes: int = 1_000_000
+    row_bytes: int = 65_536
+
+    def halved(self) -> TransactionLimits:
+        """Return limits of half as many entries, but at least one."""
+        return attrs.evolve(self, entries=max(1, self.entries // 2))
+
+
 class TableService(Protocol):
     """Operations that this system uses of the platform's table service."""
 
--- a/filbertlb/table/rows.py
+++ b/filbertlb/table/rows.py
@@ -1,12 +1,16 @@
-"""Decoding of JSON row values into typed objects."""
+"""Row values: typed objects as JSON, compressed if they are long."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 from typing import TypeVar
+from zlib import compress
+from zlib import decompressobj
+from zlib import error as ZlibError
 
 from msgspec import MsgspecError
 from msgspec.json import decode
+from msgspec.json import encode
 
 from filbertlb.errors import FilbertlbError
 
@@ -15,6 +19,13 @@
 
 _T = TypeVar("_T")
 
+COMPRESSION_THRESHOLD_BYTES = 400
+COMPRESSION_LEVEL = 1
+COMPRESSED_PREFIX = b"\x78"
+"""First byte of zlib's format; no JSON text starts with it."""
+MAX_VALUE_BYTES = 16 * 1024 * 1024
+"""Limit on decompressed values, against damaged or hostile rows."""
+
 
 class UnreadableRowError(FilbertlbError):
     """The value of a row does not have the type expected for its key."""
@@ -22,8 +33,16 @@
     code = "unreadable_row"
 
 
+def encode_value(value: object) -> bytes:
+    """Encode a typed object as the value of a row."""
+    text = encode(value)
+    if len(text) < COMPRESSION_THRESHOLD_BYTES:
+        return text
+    return compress(text, COMPRESSION_LEVEL)
+
+
 def decode_row(row: Row, cls: type[_T]) -> _T:
-    """Decode the value of a row.
+    """Decode the value of a row, compressed or not.
 
     Raises
     ------
@@ -31,9 +50,15 @@
         If the value is not of this type.
     """
     try:
-        return decode(row.value, type=cls)
-    except MsgspecError as error:
+        return decode(_decompressed(row.value), type=cls)
+    except (MsgspecError, ZlibError) as error:
         raise UnreadableRowError(
             f"row {row.key!r} holds {row.value[:80]!r}, which is not a "
             f"valid {cls.__name__}: {error}; restore the row from a backup"
         ) from error
+
+
+def _decompressed(value: bytes) -> bytes:
+    if not value.startswith(COMPRESSED_PREFIX):
+        return value
+    return decompressobj().decompress(value, MAX_VALUE_BYTES)
--- /dev/null
+++ b/tests/batch/test_decider.py
@@ -0,0 +1,201 @@
+"""Deciders against a table with the limits of a transaction."""
+
+from __future__ import annotations
+
+from contextlib import contextmanager
+from contextlib import ExitStack
+
+import attrs
+import pytest
+from gevent import sleep
+from gevent import spawn
+from gevent import Timeout
+
+from filbertlb.batch import decider as decider_module
+from filbertlb.batch.decider import Decider
+from filbertlb.batch.index import JobIndex
+from filbertlb.batch.model import JOB_PREFIX
+from filbertlb.batch.model import JobState
+from filbertlb.batch.model import Orders
+from filbertlb.batch.model import orders_key
+from filbertlb.batch.model import Progress
+from filbertlb.batch.model import PROGRESS_PREFIX
+from filbertlb.batch.model import STATE_TABLE
+from filbertlb.batch.model import TaskPhase
+from filbertlb.batch.model import TaskRecord
+from filbertlb.batch.model import WORKER_PREFIX
+from filbertlb.batch.testing import a_job
+from filbertlb.batch.testing import a_report
+from filbertlb.batch.testing import a_step
+from filbertlb.core.clock import SystemClock
+from filbertlb.table.base import TableRejectedError
+from filbertlb.table.base import TableUnavailableError
+from filbertlb.table.base import Write
+from filbertlb.table.memory import MemoryTable
+from filbertlb.table.mirror import Follower
+from filbertlb.table.mirror import Mirror
+from filbertlb.table.rows import decode_row
+from filbertlb.table.rows import encode_value
+
+DEADLINE_S = 30.0
+
+
+@attrs.define
+class LimitedTable(MemoryTable):
+    """Rejects large transactions; refuses some calls on demand.
+
+    Parameters
+    ----------
+    refused_commits : int
+        Coming transactions of several rows that are refused.
+    """
+
+    max_entries: int = 100
+    refused_commits: int = 0
+    rejected: int = 0
+    progress_reads: int = 0
+
+    def commit(self, writes):
+        entries = sum(
+            1 + (write.expected_version is not None) for write in writes
+        )
+        if entries > self.max_entries:
+            self.rejected += 1
+            raise TableRejectedError(f"{entries} entries")
+        if self.refused_commits and len(writes) > 1:
+            self.refused_commits -= 1
+            raise TableUnavailableError("429")
+        return MemoryTable.commit(self, writes)
+
+    def snapshot(self, prefix):
+        self.progress_reads += prefix == PROGRESS_PREFIX
+        return MemoryTable.snapshot(self, prefix)
+
+
+class UnreadableTable:
+    """A process's view of a table whose snapshots it cannot read."""
+
+    def __init__(self, table):
+        self._table = table
+
+    def __getattr__(self, name):
+        return getattr(self._table, name)
+
+    def snapshot(self, prefix):
+        if prefix != f"{STATE_TABLE}/":
+            raise TableUnavailableError("no answer")
+        return self._table.snapshot(prefix)
+
+
+@contextmanager
+def deciding(table, name="entry"):
+    """Run the tasks of one entry's decider."""
+    index, mirror, clock = JobIndex(), Mirror(), SystemClock()
+    mirror.add_listener(index.apply_row)
+    decider = Decider(table, mirror, index, clock, name, "coast", dict)
+    follower = Follower(table, STATE_TABLE, mirror, clock)
+    tasks = [
+        spawn(task) for task in (follower.run, decider.keep_lease, decider.run)
+    ]
+    try:
+        yield decider
+    finally:
+        for task in tasks:
+            task.kill()
+
+
+def wait_until(condition):
+    with Timeout(DEADLINE_S):
+        while not condition():
+            sleep(0.01)
+
+
+def put(table, key, value):
+    MemoryTable.commit(table, [Write(key, encode_value(value))])
+
+
+def put_workers(table, nodes):
+    for node in nodes:
+        put(table, WORKER_PREFIX + node, a_report(node))
+
+
+def put_running_jobs(table, nodes):
+    """Store one job a node whose run an earlier decider has ordered."""
+    for node in nodes:
+        job_id = f"job-{node}"
+        record = TaskRecord(
+            TaskPhase.ORDERED, attempt=1, node=node, incarnation="w@1"
+        )
+        progress = Progress(
+            job_id, JobState.ACTIVE, True, {f"{job_id}.0.0.0": record}
+        )
+        put(table, JOB_PREFIX + job_id, a_job(job_id))
+        put(table, PROGRESS_PREFIX + job_id, progress)
+
+
+def orders_on(table, node):
+    row = table.get(orders_key(node))
+    if row is None:
+        return None
+    return [order.task for order in decode_row(row, Orders).orders]
+
+
+@pytest.mark.parametrize("count", [160, 750])
+def test_take_over_of_many_workers_orders_what_was_decided(count):
+    table = LimitedTable()
+    nodes = [f"n{number}" for number in range(count)]
+    put_workers(table, nodes)
+    put_running_jobs(table, nodes)
+    expected = {node: [f"job-{node}.0.0.0"] for node in nodes}
+    with deciding(table):
+        wait_until(
+            lambda: (
+                {node: orders_on(table, node) for node in nodes} == expected
+            )
+        )
+    assert table.rejected == 0
+
+
+def test_refused_decision_is_written_later_without_a_new_planner():
+    table = LimitedTable()
+    put_workers(table, ["n0"])
+    with deciding(table) as decider:
+        wait_until(lambda: decider.deciding and orders_on(table, "n0") == [])
+        reads = table.progress_reads
+        table.refused_commits = 3
+        put(table, JOB_PREFIX + "j", a_job("j"))
+        wait_until(lambda: orders_on(table, "n0") == ["j.0.0.0"])
+        assert table.progress_reads == reads
+
+
+def test_rejected_transactions_get_smaller():
+    table = LimitedTable(max_entries=12)
+    nodes = [f"n{number}" for number in range(40)]
+    put_workers(table, nodes)
+    put(table, JOB_PREFIX + "wide", a_job("wide", a_step(320)))
+    with deciding(table):
+        wait_until(lambda: all(orders_on(table, node) for node in nodes))
+    assert 0 < table.rejected < 10
+
+
+def test_holder_that_cannot_read_leaves_the_lease_to_others(monkeypatch):
+    monkeypatch.setattr(decider_module, "STALL_TIMEOUT_S", 0.2)
+    table = LimitedTable()
+    put_workers(table, ["n0"])
+    put(table, JOB_PREFIX + "j", a_job("j"))
+    with ExitStack() as stack:
+        stack.enter_context(deciding(UnreadableTable(table), "cut-off"))
+        wait_until(lambda: table.get("lease/coast") is not None)
+        stack.enter_context(deciding(table, "sound"))
+        wait_until(lambda: orders_on(table, "n0") == ["j.0.0.0"])
+
+
+def test_job_with_unreadable_progress_is_not_run_again():
+    table = LimitedTable()
+    put_workers(table, ["n0"])
+    put(table, JOB_PREFIX + "a", a_job("a"))
+    MemoryTable.commit(table, [Write(PROGRESS_PREFIX + "a", b"\x78damaged")])
+    put(table, JOB_PREFIX + "b", a_job("b"))
+    with deciding(table):
+        wait_until(lambda: orders_on(table, "n0") == ["b.0.0.0"])
+    assert table.get(PROGRESS_PREFIX + "a").value == b"\x78damaged"
--- a/tests/batch/test_world_machine.py
+++ b/tests/batch/test_world_machine.py
@@ -1,5 +1,8 @@
 """Planner, reconcilers and workers under random faults, in virtual time.
 
+Each unit of a write plan is a transaction of its own, and a decider may die
+between any two of them. Agents may be silent until their runs are given up.
+
 Each start checks the invariants: no task runs twice at the same time, no
 task starts again after a stored end, and no worker gets more runs than
 its capacity allows. Once the faults are over, every job must complete.
@@ -13,15 +16,15 @@
 from hypothesis.stateful import initialize
 from hypothesis.stateful import rule
 from hypothesis.stateful import RuleBasedStateMachine
-from msgspec.json import decode
-from msgspec.json import encode
 
 from filbertlb.batch.model import EndCause
 from filbertlb.batch.model import job_id_of
 from filbertlb.batch.model import JobState
 from filbertlb.batch.model import Order
 from filbertlb.batch.model import Orders
+from filbertlb.batch.model import orders_key
 from filbertlb.batch.model import Progress
+from filbertlb.batch.model import PROGRESS_PREFIX
 from filbertlb.batch.model import Run
 from filbertlb.batch.model import RunEnd
 from filbertlb.batch.model import WorkerReport
@@ -35,9 +38,12 @@
 from filbertlb.batch.worker_link import ListedEnd
 from filbertlb.batch.worker_link import StartCall
 from filbertlb.batch.worker_link import StartResult
+from filbertlb.batch.write_plan import changed_units
 from filbertlb.core.amounts import covers
 from filbertlb.core.amounts import plus
 from filbertlb.core.amounts import ZERO_AMOUNT
+from filbertlb.table.base import Row
+from filbertlb.table.rows import decode_row
 
 NODES = ("n0", "n1", "n2")
 TICK_S = 0.25
@@ -120,6 +126,8 @@
         self.delayed_starts = []
         self.lose_next_start = False
         self.decider_paused_until_s = 0.0
+        self.written_before_death = None
+        self.silent_until_s = dict.fromkeys(NODES, 0.0)
         self.planner = None
         self.stored_done = set()
 
@@ -155,17 +163,18 @@
         self.agents[node] = SimAgent(reconciler, self.fence)
         self.announce(node)
         if node in self.orders:
-            reconciler.set_orders(decode(self.orders[node], type=Orders))
+            reconciler.set_orders(self.orders[node])
 
     def new_decider(self):
         self.planner = Planner(guaranteed={"divers": 8})
         for job in self.jobs.values():
             self.planner.state.add_job(job)
         for row in self.progress.values():
-            self.planner.state.add_progress(decode(row, type=Progress))
+            self.planner.state.add_progress(decode_row(row, Progress))
         self.planner.state.cancelled.update(self.cancelled)
         for node, report in self.reports.items():
             self.planner.record_report(report, self.report_seen_s[node])
+        self.planner.state.changed_nodes.update(NODES)
 
     @rule(
         count=st.integers(1, 4),
@@ -215,6 +224,15 @@
     def lose_start_answer(self):
         self.lose_next_start = True
 
+    @rule(transactions=st.integers(0, 4))
+    def die_while_writing(self, transactions):
+        self.written_before_death = transactions
+        self.tick()
+
+    @rule(node=st.sampled_from(NODES), seconds=st.integers(5, 30))
+    def silence_agent(self, node, seconds):
+        self.silent_until_s[node] = self.now_s + seconds
+
     @rule(seconds=st.integers(1, 5))
     def pause_decider(self, seconds):
         self.decider_paused_until_s = self.now_s + seconds
@@ -242,14 +260,17 @@
                 self.delayed_starts.remove((node, order, fence, at_s))
                 self.send_start(node, order, fence)
         for node in NODES:
-            self.run_agent(node)
+            if self.now_s >= self.silent_until_s[node]:
+                self.run_agent(node)
         if self.now_s >= self.decider_paused_until_s:
             self.planner.decide(self.now_s, int(self.now_s * 1000))
             self.write_rows()
 
     def end_due_runs(self, worker):
         for key, (_, since_s) in list(worker.runs.items()):
-            if worker.stopping.get(key, self.now_s + 1) <= self.now_s:
+            if worker.lease_end_s <= self.now_s:
+                worker.end(key, EndCause.LAPSED)
+            elif worker.stopping.get(key, self.now_s + 1) <= self.now_s:
                 worker.end(key, EndCause.STOPPED)
             elif since_s + RUN_DURATION_S <= self.now_s:
                 worker.end(key, EndCause.DONE)
@@ -277,6 +298,8 @@
     def run_agent(self, node):
         agent, worker = self.agents[node], self.workers[node]
         reconciler = agent.reconciler
+        if node in self.orders:
+            reconciler.set_orders(self.orders[node])
         sent_s = self.now_s
         reconciler.record_extension(sent_s)
         worker.lease_end_s = sent_s + LEASE_S
@@ -326,15 +349,26 @@
         self.planner.record_report(report, self.now_s)
 
     def write_rows(self):
+        """Write transaction by transaction, perhaps dying in between."""
         state = self.planner.state
-        for job_id in state.changed_jobs:
-            self.progress[job_id] = encode(state.progress[job_id])
-        for node in NODES:
-            row = state.orders_of(node, 1)
-            self.orders[node] = encode(row)
-            self.agents[node].reconciler.set_orders(row)
-        state.changed_jobs.clear()
-        state.changed_nodes.clear()
+        left, self.written_before_death = self.written_before_death, None
+        for unit in list(changed_units(state, 1)):
+            if left == 0:
+                self.new_decider()
+                return
+            left = None if left is None else left - 1
+            self.store(unit)
+            state.mark_written(unit.jobs, unit.nodes)
+
+    def store(self, unit):
+        for write in unit.writes:
+            row = Row(write.key, write.value, 1)
+            if write.key.startswith(PROGRESS_PREFIX):
+                job_id = write.key.removeprefix(PROGRESS_PREFIX)
+                self.progress[job_id] = row
+            for node in NODES:
+                if write.key == orders_key(node):
+                    self.orders[node] = decode_row(row, Orders)
 
     def teardown(self):
         if self.planner is None:
--- /dev/null
+++ b/tests/batch/test_write_plan.py
@@ -0,0 +1,154 @@
+"""Division of a decision's rows into bounded transactions."""
+
+from __future__ import annotations
+
+import pytest
+
+from filbertlb.batch.model import orders_key
+from filbertlb.batch.model import PROGRESS_PREFIX
+from filbertlb.batch.model import STATUS_PREFIX
+from filbertlb.batch.planner import Planner
+from filbertlb.batch.planner_state import MAX_PAYLOAD_BYTES
+from filbertlb.batch.testing import a_job
+from filbertlb.batch.testing import a_report
+from filbertlb.batch.testing import a_step
+from filbertlb.batch.testing import a_worker
+from filbertlb.batch.workers import DEAD_AFTER_S
+from filbertlb.batch.write_plan import changed_units
+from filbertlb.batch.write_plan import divide
+from filbertlb.batch.write_plan import WriteUnit
+from filbertlb.table.base import TransactionLimits
+from filbertlb.table.base import Write
+from filbertlb.table.rows import encode_value
+
+
+def a_unit(name, size=10, rows=1):
+    writes = tuple(
+        Write(f"state/{name}{number}", b"x" * size) for number in range(rows)
+    )
+    return WriteUnit(writes, jobs=frozenset((name,)))
+
+
+def planned(planner):
+    """Return the keys of each unit of a planner's changed rows."""
+    return [
+        [write.key for write in unit.writes]
+        for unit in changed_units(planner.state, epoch=1)
+    ]
+
+
+@pytest.mark.parametrize(
+    ("units", "limits", "expected"),
+    [
+        ([a_unit("a"), a_unit("b")], {"entries": 2}, ["ab"]),
+        ([a_unit("a"), a_unit("b")], {"entries": 1}, ["a", "b"]),
+        (
+            [a_unit("a", rows=2), a_unit("b"), a_unit("c", rows=2)],
+            {"entries": 3},
+            ["ab", "c"],
+        ),
+        (
+            [a_unit("a", size=600), a_unit("b", size=600)],
+            {"total_bytes": 1500},
+            ["a", "b"],
+        ),
+    ],
+)
+def test_units_are_joined_in_order_up_to_the_limits(units, limits, expected):
+    plan = divide(units, TransactionLimits(**limits))
+    jobs = ["".join(sorted(unit.jobs)) for unit in plan.transactions]
+    assert jobs == expected
+    assert not plan.oversized
+
+
+@pytest.mark.parametrize(
+    ("unit", "limits"),
+    [
+        (a_unit("b", rows=4), {"entries": 3}),
+        (a_unit("b", size=900), {"row_bytes": 1000}),
+        (a_unit("b", size=900), {"total_bytes": 1000}),
+        (
+            WriteUnit((Write("state/b", b"", expected_version=1),)),
+            {"entries": 1},
+        ),
+    ],
+)
+def test_unit_over_a_limit_does_not_stop_the_others(unit, limits):
+    units = [a_unit("a"), unit, a_unit("c")]
+    plan = divide(units, TransactionLimits(**limits))
+    written = {job for unit in plan.transactions for job in unit.jobs}
+    assert written == {"a", "c"}
+    assert plan.oversized == (unit,)
+
+
+def test_progress_precedes_orders_and_urgent_jobs_come_first():
+    planner = Planner()
+    planner.record_report(a_report("n1"), 0.0)
+    planner.record_report(a_report("n2"), 0.0)
+    planner.state.add_job(a_job("late", a_step(8), priority=2))
+    planner.state.add_job(a_job("urgent", a_step(8), priority=0))
+    planner.decide(0.0, 0)
+    assert planned(planner) == [
+        [PROGRESS_PREFIX + "urgent"],
+        [PROGRESS_PREFIX + "late"],
+        [orders_key(planner.state.record("urgent.0.0.0").node)],
+        [orders_key(planner.state.record("late.0.0.0").node)],
+    ]
+
+
+def test_tasks_leave_a_silent_worker_together_with_its_orders():
+    planner = Planner()
+    planner.record_report(a_report("n1"), 0.0)
+    planner.state.add_job(a_job("j", a_step(1)))
+    planner.decide(0.0, 0)
+    planner.state.mark_written(frozenset(("j",)), frozenset(("n1",)))
+    now_s = DEAD_AFTER_S + 1
+    planner.record_report(a_report("n2"), now_s)
+    planner.decide(now_s, int(now_s * 1000))
+    assert planned(planner) == [
+        [orders_key("n1"), PROGRESS_PREFIX + "j"],
+        [orders_key("n2")],
+    ]
+
+
+def test_status_is_written_only_when_it_changes():
+    planner = Planner()
+    planner.state.add_job(a_job("j"))
+    planner.state.mark_started("j")
+    keys = [PROGRESS_PREFIX + "j", STATUS_PREFIX + "j"]
+    assert planned(planner) == [keys]
+    planner.state.mark_written(frozenset(("j",)), frozenset())
+    planner.state.changed_jobs.add("j")
+    assert planned(planner) == [keys[:1]]
+
+
+def test_oversized_job_fails_and_its_runs_are_no_longer_ordered():
+    planner = Planner()
+    planner.record_report(a_report("n1"), 0.0)
+    planner.state.add_job(a_job("big", a_step(8)))
+    planner.decide(0.0, 0)
+    limits = TransactionLimits(
+        row_bytes=len(encode_value(planner.state.progress["big"]))
+    )
+    plan = divide(changed_units(planner.state, 1), limits)
+    assert plan.oversized_jobs() == {"big"}
+    planner.fail_oversized_job("big", 0)
+    plan = divide(changed_units(planner.state, 1), limits)
+    assert not plan.oversized
+    assert planner.state.orders_of("n1", 1).orders == ()
+    assert planner.state.ordered("n1") == (0, 0, 0)
+
+
+def test_orders_row_leaves_the_newest_payloads_for_later():
+    planner = Planner()
+    cores = 20
+    wide = a_worker(capacity=(cores, 1000 * cores, 1000 * cores))
+    planner.record_report(a_report("n1", worker=wide), 0.0)
+    for number in range(cores):
+        payload = "x" * 4000
+        planner.state.add_job(a_job(f"j{number:02d}", payload=payload))
+    planner.decide(0.0, 0)
+    row = planner.state.orders_of("n1", 1)
+    assert len(row.orders) == MAX_PAYLOAD_BYTES // 4000
+    oldest = planner.state.tasks_on("n1")[: len(row.orders)]
+    assert [order.task for order in row.orders] == oldest
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -3,12 +3,12 @@
 import pytest
 
 from filbertlb.platform.store import PlatformTable
-from filbertlb.platform.store import TableRejectedError
 from filbertlb.standin.row_store import RowStore
 from filbertlb.standin.wsgi import serving
 from filbertlb.table.base import ABSENT
 from filbertlb.table.base import HistoryLostError
 from filbertlb.table.base import RowConflictError
+from filbertlb.table.base import TableRejectedError
 from filbertlb.table.base import TableUnavailableError
 from filbertlb.table.base import Write
 from filbertlb.table.base import WriteOutcomeUnknownError
