Skip unreadable entries of a worker's listing

Cause: an entry of another shape or an unknown cause raised in the listing greenlet, which ended: the agent no longer extended leases or saw ends, and all that ran there lapsed. Change: the entry is logged and skipped, and the listing does not count as complete. The five cases failed before.

--- a/filbertlb/platform/runner.py
+++ b/filbertlb/platform/runner.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 from typing import TYPE_CHECKING
+from typing import TypeVar
 
 import msgspec
 from loguru import logger
@@ -23,11 +24,15 @@
 from filbertlb.platform.wire import instance_id_of
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from filbertlb.batch.model import Order
     from filbertlb.core.clock import Clock
     from filbertlb.httpcall import Reply
     from filbertlb.platform.wire import Heartbeat
 
+_T = TypeVar("_T")
+
 CALL_TIMEOUT_S = 0.8
 HOLD_TIMEOUT_MARGIN_S = 0.8
 """Added to the long-poll wait of a hold call to get its timeout."""
@@ -144,10 +149,16 @@
                 f"status {reply.status!r}: {reply.body[:120]!r}"
             )
         holding = self._decode(reply, _HoldReply())
+        runs = _decode_all(_decode_run, holding.running)
+        ends = _decode_all(_decode_end, holding.finished)
+        # A run that is listed in an unreadable entry has not ended.
+        readable = len(runs) + len(ends) == (
+            len(holding.running) + len(holding.finished)
+        )
         return RunListing(
-            tuple(_decode_run(entry) for entry in holding.running),
-            tuple(_decode_end(entry) for entry in holding.finished),
-            len(holding.finished) < MAX_ENDS_PER_REPLY,
+            runs,
+            ends,
+            readable and len(holding.finished) < MAX_ENDS_PER_REPLY,
             incarnation_name(self._instance_id, holding.born),
         )
 
@@ -185,6 +196,21 @@
         return int(now_ms + self._clock_offset_ms + LEASE_S * 1000)
 
 
+def _decode_all(
+    decode: Callable[[list[Any]], _T], entries: list[list[Any]]
+) -> tuple[_T, ...]:
+    """Decode the entries of a list; log and skip unreadable ones."""
+    decoded = []
+    for entry in entries:
+        try:
+            decoded.append(decode(entry))
+        except (TypeError, ValueError) as error:
+            logger.warning(
+                "entry {!r} of the worker skipped: {}", entry, error
+            )
+    return tuple(decoded)
+
+
 def _decode_run(entry: list[Any]) -> Run:
     task, attempt, saved, percent = entry[:4]
     return Run(str(task), int(attempt), str(saved), int(percent))
--- a/tests/platform/test_runner.py
+++ b/tests/platform/test_runner.py
@@ -1,7 +1,10 @@
 from __future__ import annotations
 
+from json import dumps
+
 import pytest
 
+from filbertlb.batch.model import Run
 from filbertlb.batch.worker_link import WorkerSilentError
 from filbertlb.core.clock import VirtualClock
 from filbertlb.platform.runner import PlatformWorkerClient
@@ -27,3 +30,31 @@
         query_runs(url.removeprefix("http://"))
     with pytest.raises(WorkerSilentError, match="no connection"):
         query_runs("127.0.0.1:1")
+
+
+GOOD_RUN = ["j.0.0.0", 1, "", 10, 0]
+GOOD_END = [1, "k.0.0.0", 1, "done", ""]
+
+
+@pytest.mark.parametrize(
+    ("runs", "ends"),
+    [
+        ([GOOD_RUN, ["short"]], []),
+        ([GOOD_RUN, ["j.0.0.1", "x", "", 10]], []),
+        ([GOOD_RUN], [[2, "k.0.0.1", 1, "vanished", ""]]),
+        ([GOOD_RUN], [["k.0.0.1"]]),
+        ([GOOD_RUN], [[None, "k.0.0.1", 1, "done", ""]]),
+    ],
+)
+def test_unreadable_entry_is_skipped_and_ends_no_run(runs, ends):
+    body = dumps({"running": runs, "finished": [GOOD_END, *ends]}).encode()
+
+    def listing(environ, start_response):
+        start_response("200 -", [("Content-Length", str(len(body)))])
+        return [body]
+
+    with serving(listing) as url:
+        found = query_runs(url.removeprefix("http://"))
+    assert found.running == (Run("j.0.0.0", 1, "", 10),)
+    assert [listed.end.task for listed in found.ends] == ["k.0.0.0"]
+    assert not found.ends_complete
