Resume lost runs from their latest reported checkpoint

Change: the agent keeps the checkpoint of each ordered run, also from the report of the process before it, and puts it into the end; the decider takes it from the last report of a silent worker. The three tests failed before.

--- a/filbertlb/batch/agent.py
+++ b/filbertlb/batch/agent.py
@@ -169,9 +169,12 @@
             self._report_version = row.version
         else:
             if previous is not None:
-                self._reconciler.restore(previous.ended)
+                self._reconciler.restore(previous.ended, previous.running)
                 report = attrs.evolve(
-                    report, ended=previous.ended, worker=previous.worker
+                    report,
+                    ended=previous.ended,
+                    running=previous.running,
+                    worker=previous.worker,
                 )
             version = ABSENT if row is None else row.version
             write = Write(self._report_key, encode_value(report), version)
--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -199,7 +199,10 @@
             for task in self.state.tasks_on(node)[:MAX_LOST_TASKS]:
                 attempt = self.state.record(task).attempt
                 self.state.mark_lost(task, node)
-                self._apply_end(RunEnd(task, attempt, EndCause.LOST), now_ms)
+                saved = _reported_checkpoint(view.report, task, attempt)
+                self._apply_end(
+                    RunEnd(task, attempt, EndCause.LOST, saved), now_ms
+                )
 
     def _stop_cancelled_jobs(self, now_ms: int) -> None:
         for job_id in self.state.cancelled & self.state.jobs.keys():
@@ -308,6 +311,14 @@
         return within_guarantee
 
 
+def _reported_checkpoint(report: WorkerReport, task: str, attempt: int) -> str:
+    """Return the checkpoint of a run in a report, or an empty string."""
+    for run in report.running:
+        if (run.task, run.attempt) == (task, attempt):
+            return run.saved
+    return ""
+
+
 def _due_count(job: Job, now_ms: int) -> int:
     """Return the number of occurrences that are due."""
     if not job.times:
--- a/filbertlb/batch/reconciler.py
+++ b/filbertlb/batch/reconciler.py
@@ -80,14 +80,22 @@
     _runs: dict[RunKey, LocalRun] = attrs.Factory(dict)
     _ended: dict[RunKey, RunEnd] = attrs.Factory(dict)
     _waiting_since_s: dict[RunKey, float] = attrs.Factory(dict)
+    _checkpoint_by_run: dict[RunKey, str] = attrs.Factory(dict)
     _last_extension_s: float = 0.0
     _listing_received: bool = False
     _departed_s: float | None = None
 
-    def restore(self, ended: Iterable[RunEnd]) -> None:
-        """Restore the ends that the previous agent process reported."""
+    def restore(
+        self, ended: Iterable[RunEnd], running: Iterable[Run] = ()
+    ) -> None:
+        """Restore the ends and checkpoints that the last process reported.
+
+        A run that was lost meanwhile can resume from its checkpoint.
+        """
         for end in ended:
             self._ended[(end.task, end.attempt)] = end
+        for run in running:
+            self._checkpoint_by_run[(run.task, run.attempt)] = run.saved
 
     def set_worker(self, worker: Worker) -> None:
         """Set what the worker announced; a new incarnation has no runs."""
@@ -116,6 +124,10 @@
             del self._ended[key]
         for key in [key for key in self._waiting_since_s if key not in wanted]:
             del self._waiting_since_s[key]
+        for key in [
+            key for key in self._checkpoint_by_run if key not in wanted
+        ]:
+            del self._checkpoint_by_run[key]
 
     @property
     def worker_departed(self) -> bool:
@@ -375,6 +387,8 @@
         if run.phase is RunPhase.RUNNING:
             run.acked_s = max(run.acked_s, sent_s)
         run.saved = listed.saved
+        if listed.saved:
+            self._checkpoint_by_run[key] = listed.saved
         run.percent = listed.percent
 
     def _needs_of(self, key: RunKey) -> Amount:
@@ -428,7 +442,8 @@
 
     def _end_run(self, key: RunKey, cause: EndCause, reason: str) -> None:
         self._waiting_since_s.pop(key, None)
-        self._ended[key] = RunEnd(key[0], key[1], cause)
+        saved = self._checkpoint_by_run.get(key, "")
+        self._ended[key] = RunEnd(key[0], key[1], cause, saved)
         self.report_changed = True
         logger.info(
             "run {} attempt {} ended {}: {}", *(*key, cause.value, reason)
--- a/tests/batch/test_planner.py
+++ b/tests/batch/test_planner.py
@@ -368,3 +368,13 @@
     report(planner, "n1", worker=a_worker(draining=True))
     planner.decide(0.0, 0)
     assert phases(planner, "near") == {}
+
+
+def test_task_of_a_silent_worker_resumes_from_its_reported_checkpoint():
+    job = a_job("a", a_step(checkpointable=True))
+    planner = planner_with(job, nodes=1)
+    planner.decide(0.0, 0)
+    report(planner, "n0", running=(Run("a.0.0.0", 1, "stored", 40),))
+    planner.decide(DEAD_AFTER_S + 0.1, 15_000)
+    record = planner.state.record("a.0.0.0")
+    assert (record.phase, record.saved) == (TaskPhase.WAITING, "stored")
--- a/tests/batch/test_reconciler.py
+++ b/tests/batch/test_reconciler.py
@@ -215,3 +215,33 @@
     reconciler.due_calls(2.3)
     assert cause_by_task(reconciler) == {}
     assert reconciler.running() == (Run("j.0.0.0", 1),)
+
+
+def list_running(reconciler, saved):
+    run = Run("j.0.0.0", 1, saved, 40)
+    reconciler.record_listing(0.5, [run], [], ends_complete=True)
+
+
+def replace_worker(reconciler):
+    reconciler.set_worker(a_worker(incarnation="w@2"))
+    reconciler.record_listing(1.0, [], [], ends_complete=True)
+    reconciler.due_calls(1.0)
+
+
+def test_run_lost_with_its_worker_ends_with_its_latest_checkpoint():
+    reconciler = reconciler_with(an_order("j.0.0.0"))
+    start_all(reconciler)
+    list_running(reconciler, "early")
+    list_running(reconciler, "late")
+    replace_worker(reconciler)
+    lost = RunEnd("j.0.0.0", 1, EndCause.LOST, "late")
+    assert reconciler.ended() == (lost,)
+
+
+def test_checkpoint_of_a_lost_run_outlives_the_agent():
+    reconciler = WorkerReconciler()
+    reconciler.restore([], [Run("j.0.0.0", 1, "stored", 40)])
+    reconciler.set_orders(some_orders(an_order("j.0.0.0")))
+    replace_worker(reconciler)
+    lost = RunEnd("j.0.0.0", 1, EndCause.LOST, "stored")
+    assert reconciler.ended() == (lost,)
