--- a/filbertlb/batch/decider.py
+++ b/filbertlb/batch/decider.py
@@ -53,6 +53,8 @@
 """Pause after a decision, so that the next covers several changes."""
 MIN_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 0.8
+SLOW_MACHINE_DELAY_S = 0.3
+"""Time for which slow machines leave a free lease to faster ones."""
 STALL_TIMEOUT_S = 2.5
 """Time without a successful decision after which the lease is given up."""
 STAND_ASIDE_S = 4.0
@@ -101,6 +103,8 @@
         Returns the guaranteed accelerators by organisation.
     limits : TransactionLimits, optional
         Largest transaction that the table accepts.
+    slow : bool
+        This machine's processor is slow, so that others are preferred.
     """
 
     def __init__(
@@ -113,6 +117,7 @@
         scope: str,
         guarantees: Callable[[], dict[str, int]],
         limits: TransactionLimits | None = None,
+        slow: bool = False,
     ) -> None:
         self._table = table
         self._mirror = mirror
@@ -120,6 +125,7 @@
         self._clock = clock
         self._guarantees = guarantees
         self._limits = limits or TransactionLimits()
+        self._lease_delay_s = SLOW_MACHINE_DELAY_S if slow else 0.0
         self._holder_id = f"{node}-{token_hex(4)}"
         self._keeper = LeaseManager(
             table,
@@ -149,9 +155,9 @@
         while not self._stepped_down:
             now_s = self._clock.monotonic()
             if self._mirror.loaded and now_s >= self._aside_until_s:
-                self._keeper.step()
-            pause_s = self._keeper.next_due_s() - self._clock.monotonic()
-            sleep(max(0.05, pause_s))
+                self._keeper.step(self._lease_delay_s)
+            due_s = self._keeper.next_due_s(self._lease_delay_s)
+            sleep(max(0.05, due_s - self._clock.monotonic()))
 
     def run(self) -> None:
         """Make and write decisions until killed."""
--- a/filbertlb/platform/roles.py
+++ b/filbertlb/platform/roles.py
@@ -69,6 +69,8 @@
 probes.
 """
 DRAIN_S = 2.5
+FAST_MACHINE_CORES = 1.0
+"""Processor of a machine that should decide for a site."""
 METRICS_OFFSET = 1
 """The deploy file declares the second port of the range for metrics."""
 PEER_OFFSET = 2
@@ -97,6 +99,7 @@
         settings.region,
         in_force.guaranteed,
         table.limits,
+        slow=settings.processor_cores < FAST_MACHINE_CORES,
     )
     stopping = _stop_event(settings)
 
--- a/filbertlb/platform/settings.py
+++ b/filbertlb/platform/settings.py
@@ -30,6 +30,12 @@
     row_bytes: int = 65_536
 
 
+class _Machine(msgspec.Struct, rename="camel"):
+    # Share of one core, as fast as `cores` cores together.
+    cpu_share: float = 1.0
+    cores: float = 1.0
+
+
 class _File(msgspec.Struct, rename="camel"):
     node: str
     role: str
@@ -38,6 +44,7 @@
     region: str
     listen: _Listen
     platform: _Store
+    limits: _Machine = msgspec.field(default_factory=_Machine)
     port_range: tuple[int, int] = (0, 0)
     # Address of the worker on an agent's machine.
     app: str = ""
@@ -59,6 +66,8 @@
         Address of the platform's row store.
     store_row_bytes : int
         Largest value of a row in base64.
+    processor_cores : float
+        Processor time available to the process, in cores.
     first_port : int
         Start of the port range assigned to the process.
     """
@@ -74,6 +83,7 @@
     worker_address: str
     store_address: str
     store_row_bytes: int
+    processor_cores: float
     first_port: int
 
 
@@ -111,5 +121,6 @@
         file.app,
         file.platform.addr,
         file.platform.row_bytes,
+        file.limits.cpu_share * file.limits.cores,
         file.port_range[0],
     )
--- a/tests/batch/test_decider.py
+++ b/tests/batch/test_decider.py
@@ -88,11 +88,13 @@
 
 
 @contextmanager
-def deciding(table, name="entry"):
+def deciding(table, name="entry", slow=False):
     """Run the tasks of one entry's decider."""
     index, mirror, clock = JobIndex(), Mirror(), SystemClock()
     mirror.add_listener(index.apply_row)
-    decider = Decider(table, mirror, index, clock, name, "coast", dict)
+    decider = Decider(
+        table, mirror, index, clock, name, "coast", dict, slow=slow
+    )
     follower = Follower(table, STATE_TABLE, mirror, clock)
     tasks = [
         spawn(task) for task in (follower.run, decider.keep_lease, decider.run)
@@ -190,6 +192,15 @@
         wait_until(lambda: orders_on(table, "n0") == ["j.0.0.0"])
 
 
+def test_free_lease_is_left_to_a_faster_machine(monkeypatch):
+    monkeypatch.setattr(decider_module, "SLOW_MACHINE_DELAY_S", DEADLINE_S)
+    table = LimitedTable()
+    with deciding(table, "slow", slow=True) as slow:
+        with deciding(table, "fast") as fast:
+            wait_until(lambda: fast.deciding)
+        assert not slow.deciding
+
+
 def test_job_with_unreadable_progress_is_not_run_again():
     table = LimitedTable()
     put_workers(table, ["n0"])
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -39,6 +39,17 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("limits", "cores"),
+    [({}, 1.0), ({"cpuShare": 0.25, "cores": 2, "memoryMb": 300}, 0.5)],
+)
+def test_processor_is_the_share_of_a_core_times_its_speed(
+    tmp_path, limits, cores
+):
+    path = write_settings(tmp_path, SETTINGS | {"limits": limits})
+    assert load_settings_file(path).processor_cores == cores
+
+
 @pytest.mark.parametrize(
     "body",
     ["", "{", {}, SETTINGS | {"platform": {}}, SETTINGS | {"portRange": "x"}],
