End the wait for a call to a worker that never returns

Cause: a run whose call raised an unexpected error, or never returned, kept its in-flight mark for ever: it was neither stopped nor ended, and its room stayed taken. Change: the mark expires after 2.5 s, longer than any call's timeout; a call's unexpected error is logged and counts as unanswered. Stops and starts can be repeated safely.

--- a/filbertlb/batch/agent.py
+++ b/filbertlb/batch/agent.py
@@ -22,6 +22,7 @@
 from filbertlb.batch.model import WorkerReport
 from filbertlb.batch.reconciler import WorkerReconciler
 from filbertlb.batch.worker_link import StartCall
+from filbertlb.batch.worker_link import StartResult
 from filbertlb.batch.worker_link import StopCall
 from filbertlb.batch.worker_link import WorkerSilentError
 from filbertlb.batch.workers import CONTACT_LOST_S
@@ -296,9 +297,14 @@
         extend_lease = self._may_extend_leases()
         if extend_lease:
             self._reconciler.record_extension(now_s)
-        result = self._link.start(
-            call.order, call.payload, self._fence, extend_lease
-        )
+        result = StartResult.UNKNOWN
+        try:
+            result = self._link.start(
+                call.order, call.payload, self._fence, extend_lease
+            )
+        except Exception:
+            # Whether the worker got the call is unknown, as after a timeout.
+            logger.exception("start of {} failed", call.order.task)
         logger.info(
             "start {} attempt {} with fence {}: {}",
             *(call.order.task, call.order.attempt, self._fence),
@@ -310,7 +316,11 @@
         self._wake_loops()
 
     def _stop(self, call: StopCall) -> None:
-        answered = self._link.stop(call.task, call.attempt, self._fence)
+        answered = False
+        try:
+            answered = self._link.stop(call.task, call.attempt, self._fence)
+        except Exception:
+            logger.exception("stop of {} failed", call.task)
         logger.info(
             "stop {} attempt {}: {}",
             *(call.task, call.attempt),
--- a/filbertlb/batch/local_run.py
+++ b/filbertlb/batch/local_run.py
@@ -10,6 +10,13 @@
 if TYPE_CHECKING:
     from filbertlb.core.amounts import Amount
 
+MAX_CALL_S = 2.5
+"""Time after which a call counts as unanswered, whatever became of it.
+
+Calls have shorter timeouts. One that never returns must not keep the run
+from being stopped.
+"""
+
 
 class RunPhase(StrEnum):
     """Phase of a run as seen by the agent."""
@@ -33,8 +40,9 @@
         running; 0 if there is none.
     retry_s : float
         Monotonic time at which the next call for the run is due.
-    in_flight : bool
-        A call for the run awaits its answer.
+    answer_due_s : float
+        Monotonic time until which a call for the run awaits its answer; 0
+        if there is none.
     tries : int
         Number of starts that were not confirmed.
     start_unanswered : bool
@@ -50,8 +58,21 @@
     needs_known: bool = True
     acked_s: float = 0.0
     retry_s: float = 0.0
-    in_flight: bool = False
+    answer_due_s: float = 0.0
     tries: int = 0
     start_unanswered: bool = False
     saved: str = ""
     percent: int = 0
+
+    def call_sent(self, now_s: float) -> None:
+        """Record that a call for the run is sent."""
+        self.answer_due_s = now_s + MAX_CALL_S
+
+    def call_ended(self, retry_s: float) -> None:
+        """Record that a call got its answer, or will get none."""
+        self.answer_due_s = 0.0
+        self.retry_s = retry_s
+
+    def awaits_answer(self, now_s: float) -> bool:
+        """Return whether a call for the run may still be answered."""
+        return now_s < self.answer_due_s
--- a/filbertlb/batch/reconciler.py
+++ b/filbertlb/batch/reconciler.py
@@ -173,8 +173,7 @@
         run = self._runs.get(key)
         if run is None:
             return
-        run.in_flight = False
-        run.retry_s = now_s + START_RETRY_S
+        run.call_ended(now_s + START_RETRY_S)
         if result is StartResult.STARTED:
             run.start_unanswered = False
             if run.phase is RunPhase.STARTING:
@@ -199,8 +198,7 @@
         run = self._runs.get((call.task, call.attempt))
         if run is None:
             return
-        run.in_flight = False
-        run.retry_s = now_s + STOP_RETRY_S
+        run.call_ended(now_s + STOP_RETRY_S)
         if answered:
             run.acked_s = now_s
 
@@ -247,9 +245,9 @@
     def next_pause_s(self, now_s: float) -> float:
         """Return the time in seconds until the next call may be due."""
         times = [
-            run.retry_s
+            max(run.retry_s, run.answer_due_s)
             for run in self._runs.values()
-            if run.phase is not RunPhase.RUNNING and not run.in_flight
+            if run.phase is not RunPhase.RUNNING
         ]
         if self._departed_s is not None:
             times.append(self._departed_s + SHUTDOWN_GRACE_S)
@@ -282,10 +280,10 @@
             return self._admit(order, orders, now_s)
         if (
             run.phase is RunPhase.STARTING
-            and not run.in_flight
+            and not run.awaits_answer(now_s)
             and now_s >= run.retry_s
         ):
-            run.in_flight = True
+            run.call_sent(now_s)
             return StartCall(order, orders.payload_by_job_id[order.job_id])
         return None
 
@@ -303,9 +301,9 @@
                 self._end_run(key, EndCause.REFUSED, "no capacity in time")
             return None
         self._waiting_since_s.pop(key, None)
-        self._runs[key] = LocalRun(
-            order.needs, RunPhase.STARTING, in_flight=True
-        )
+        run = LocalRun(order.needs, RunPhase.STARTING)
+        run.call_sent(now_s)
+        self._runs[key] = run
         return StartCall(order, orders.payload_by_job_id[order.job_id])
 
     def _free_capacity(self) -> Amount:
@@ -326,14 +324,14 @@
         now_s: float,
         calls: list[StartCall | StopCall],
     ) -> None:
-        if run.in_flight:
+        if run.awaits_answer(now_s):
             return
         if run.phase is not RunPhase.STOPPING:
             run.phase = RunPhase.STOPPING
             run.acked_s = 0.0
             run.retry_s = now_s
         if now_s >= run.retry_s:
-            run.in_flight = True
+            run.call_sent(now_s)
             calls.append(StopCall(*key))
 
     def _record_unconfirmed_start(
@@ -399,7 +397,7 @@
 
     def _end_unlisted(self, sent_s: float, listed: set[RunKey]) -> None:
         for key, run in list(self._runs.items()):
-            if key in listed or run.in_flight:
+            if key in listed or run.awaits_answer(sent_s):
                 continue
             if 0 < run.acked_s < sent_s:
                 del self._runs[key]
--- /dev/null
+++ b/tests/batch/test_agent.py
@@ -0,0 +1,76 @@
+"""The agent's tasks beside a worker link that fails."""
+
+from __future__ import annotations
+
+import attrs
+import pytest
+from gevent import sleep
+from gevent import spawn
+from gevent import Timeout
+
+from filbertlb.batch.agent import Agent
+from filbertlb.batch.model import orders_key
+from filbertlb.batch.model import Run
+from filbertlb.batch.testing import a_worker
+from filbertlb.batch.testing import an_order
+from filbertlb.batch.testing import some_orders
+from filbertlb.batch.worker_link import RunListing
+from filbertlb.batch.worker_link import StartResult
+from filbertlb.core.clock import SystemClock
+from filbertlb.table.base import Write
+from filbertlb.table.memory import MemoryTable
+from filbertlb.table.rows import encode_value
+
+DEADLINE_S = 30.0
+
+
+@attrs.define
+class FailingLink:
+    """Worker link whose first call of a kind raises an unexpected error."""
+
+    failing: str
+    calls: list = attrs.Factory(list)
+    running: tuple = ()
+
+    def start(self, order, payload, fence, extend_lease):
+        self._call("start")
+        self.running = (Run(order.task, order.attempt),)
+        return StartResult.STARTED
+
+    def stop(self, task, attempt, fence):
+        self._call("stop")
+        return True
+
+    def list_runs(self, fence, acked_number, extend_lease, wait_s):
+        sleep(0.01)
+        return RunListing(self.running, (), ends_complete=True)
+
+    def _call(self, kind):
+        self.calls.append(kind)
+        if kind == self.failing and self.calls.count(kind) == 1:
+            raise RuntimeError("unexpected")
+
+
+def put_orders(table, *orders):
+    value = encode_value(some_orders(*orders))
+    table.commit([Write(orders_key("n"), value)])
+
+
+@pytest.mark.parametrize("failing", ["start", "stop"])
+def test_call_that_fails_unexpectedly_is_made_again(failing):
+    table, link = MemoryTable(), FailingLink(failing)
+    agent = Agent(table, link, SystemClock(), "n")
+    agent.update_worker(a_worker())
+    order = an_order("j.0.0.0")
+    put_orders(table, order)
+    running = spawn(agent.run)
+    try:
+        with Timeout(DEADLINE_S):
+            while "start" not in link.calls:
+                sleep(0.01)
+            if failing == "stop":
+                put_orders(table, attrs.evolve(order, stop=True))
+            while link.calls.count(failing) < 2:
+                sleep(0.01)
+    finally:
+        running.kill()
--- a/tests/batch/test_reconciler.py
+++ b/tests/batch/test_reconciler.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from filbertlb.batch.local_run import MAX_CALL_S
 from filbertlb.batch.model import EndCause
 from filbertlb.batch.model import Run
 from filbertlb.batch.model import RunEnd
@@ -245,3 +246,27 @@
     replace_worker(reconciler)
     lost = RunEnd("j.0.0.0", 1, EndCause.LOST, "stored")
     assert reconciler.ended() == (lost,)
+
+
+def test_run_whose_start_never_returns_is_stopped_and_ends():
+    order = an_order("j.0.0.0", needs=FULL_CAPACITY)
+    reconciler = reconciler_with(order)
+    reconciler.due_calls(0.0)
+    stop = an_order("j.0.0.0", needs=FULL_CAPACITY, stop=True)
+    reconciler.set_orders(some_orders(stop))
+    assert reconciler.due_calls(MAX_CALL_S - 0.1) == []
+    stopped_s = MAX_CALL_S + 0.1
+    (call,) = reconciler.due_calls(stopped_s)
+    assert call == StopCall("j.0.0.0", 1)
+    reconciler.record_stop(call, answered=True, now_s=stopped_s)
+    reconciler.record_listing(stopped_s + 0.1, [], [], ends_complete=True)
+    assert cause_by_task(reconciler) == {"j.0.0.0": EndCause.STOPPED}
+
+
+def test_unanswered_start_is_awaited_before_the_next_call():
+    reconciler = reconciler_with(an_order("j.0.0.0"))
+    reconciler.due_calls(0.0)
+    assert reconciler.due_calls(MAX_CALL_S - 0.1) == []
+    assert reconciler.next_pause_s(0.0) == MAX_CALL_S
+    (call,) = reconciler.due_calls(MAX_CALL_S)
+    assert call.order.task == "j.0.0.0"
