Test paged reads, partitions and row values; grow pages by a quarter

The test of a thin link failed first: pages doubled after each quick one and so failed again and again. They grow by a quarter now. The stand-in of the store refuses pages over a length on demand.

--- a/filbertlb/platform/store.py
+++ b/filbertlb/platform/store.py
@@ -48,6 +48,8 @@
 FIRST_PAGE_ROWS = 100
 SLOW_PAGE_S = 0.4
 """Duration of a page's read from which later pages are smaller."""
+PAGE_GROWTH_DIVISOR = 4
+"""A page grows by a quarter, so that few pages on a thin link fail."""
 MAX_PAGE_TRIES = 5
 """Tries of one page of a snapshot, each of half as many rows."""
 PAGE_RETRY_S = 0.1
@@ -195,7 +197,8 @@
         if monotonic() - started_s > SLOW_PAGE_S:
             self._page_rows = max(1, limit // 2)
         elif len(page.rows) >= limit:
-            self._page_rows = min(MAX_PAGE_ROWS, limit * 2)
+            larger = limit + max(1, limit // PAGE_GROWTH_DIVISOR)
+            self._page_rows = min(MAX_PAGE_ROWS, larger)
         return page
 
     def changes(self, table: str, after: int, wait_s: float) -> Changes:
--- a/filbertlb/standin/row_store.py
+++ b/filbertlb/standin/row_store.py
@@ -48,12 +48,16 @@
         :meth:`RowStore.apply_held_back`.
     stale_by : int
         Reads show the store as it was so many transactions ago.
+    longest_page : int
+        Reads of more rows are refused, as those over a thin link fail; 0
+        for none.
     """
 
     refuse: int = 0
     lose_answers: int = 0
     hold_back: int = 0
     stale_by: int = 0
+    longest_page: int = 0
 
 
 @attrs.define
@@ -162,10 +166,13 @@
             stored = self._at(place, version)
             if stored is not None and stored.value is not None:
                 found.append(_row(place, stored))
+        rows = found[:limit]
+        if 0 < self.faults.longest_page < len(rows):
+            return JsonResponse(503, {"code": "page_too_long"})
         return JsonResponse(
             200,
             {
-                "rows": found[:limit],
+                "rows": rows,
                 "hasMore": len(found) > limit,
                 "schemaVersion": version,
             },
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -47,6 +47,63 @@
     assert snapshot.version == 4
 
 
+def test_snapshot_over_a_thin_link_goes_on_with_smaller_pages(table, store):
+    keys = [f"state/job/{number:03d}" for number in range(90)]
+    for key in keys:
+        table.commit([Write(key, b"{}")])
+    store.faults.longest_page = 30
+    calls = store.calls
+    assert [row.key for row in table.snapshot("state/job/").rows] == keys
+    # Read page by page in 100, 50, 25, 31, 15, 18, 22 and 27 rows, of which
+    # those over 30 fail, and none is read again from the start.
+    assert store.calls - calls == 8
+
+
+def test_snapshot_whose_pages_get_no_answer_fails(table, store):
+    table.commit([Write("state/a", b"{}"), Write("state/b", b"{}")])
+    store.faults.refuse = 503
+    with pytest.raises(TableUnavailableError):
+        table.snapshot("state/")
+
+
+@pytest.fixture
+def partitioned(store):
+    with serving(store.application()) as url:
+        address = url.removeprefix("http://")
+        yield PlatformTable(address, {"workers": 4})
+
+
+def test_rows_of_a_partitioned_table_are_read_as_one(partitioned):
+    keys = [f"workers/n{number}" for number in range(20)]
+    for key in keys:
+        partitioned.commit([Write(key, key.encode())])
+    found = {
+        row.key: row.value for row in partitioned.snapshot("workers/").rows
+    }
+    assert found == {key: key.encode() for key in keys}
+    assert partitioned.get("workers/n7").value == b"workers/n7"
+    changed = partitioned.changes("workers", 0, 0.0)
+    assert {row.key for row in changed.rows} == set(keys)
+
+
+def test_transaction_over_several_partitions_is_rejected(partitioned):
+    writes = [Write(f"workers/n{number}", b"{}") for number in range(20)]
+    with pytest.raises(TableRejectedError):
+        partitioned.commit(writes)
+
+
+@pytest.mark.parametrize(
+    "writes",
+    [
+        [Write(f"state/{number}", b"{}") for number in range(101)],
+        [Write("state/a", b"x" * 50_000)],
+    ],
+)
+def test_transaction_over_the_limits_is_rejected(table, writes):
+    with pytest.raises(TableRejectedError):
+        table.commit(writes)
+
+
 def test_failed_condition_rejects_whole_transaction(table):
     table.commit([Write("state/a", b"1", ABSENT)])
     with pytest.raises(RowConflictError):
