Wait for the workers' reports without an error; stand aside for 2 s

A new term logged a failed decision until the reports were read, which is no failure. Standing aside for 4 s kept a site whose other entries cannot decide either waiting for longer than it takes them to acquire the lease.

--- a/filbertlb/batch/decider.py
+++ b/filbertlb/batch/decider.py
@@ -22,7 +22,6 @@
 from filbertlb.batch.write_plan import changed_units
 from filbertlb.batch.write_plan import divide
 from filbertlb.errors import FilbertlbError
-from filbertlb.errors import UnavailableError
 from filbertlb.table.base import TableRejectedError
 from filbertlb.table.base import TableUnavailableError
 from filbertlb.table.base import TransactionLimits
@@ -57,7 +56,7 @@
 """Time for which slow machines leave a free lease to faster ones."""
 STALL_TIMEOUT_S = 2.5
 """Time without a successful decision after which the lease is given up."""
-STAND_ASIDE_S = 4.0
+STAND_ASIDE_S = 2.0
 """Time for which a decider that gave the lease up lets others take it."""
 CLEANUP_PERIOD_S = 10.0
 CLEANUP_JOBS = 20
@@ -66,12 +65,6 @@
 """Callers may query ended jobs for 120 s; the other 60 s are a margin."""
 
 
-class WorkersUnknownError(UnavailableError):
-    """The reports of the workers have not been read yet."""
-
-    code = "workers_unknown"
-
-
 @attrs.define
 class Term:
     """Time during which this process decides under one lease epoch.
@@ -204,33 +197,41 @@
             following.kill()
 
     def _try_step(self, term: Term) -> None:
-        """Make and write a decision, or wait after a failure.
-
-        A refused write changed nothing, so its rows stay changed and are
-        written next. After any other failure the planner is built anew.
-        """
+        """Make and write a decision, or wait after a failure."""
         self._wake.wait(MAX_PAUSE_S)
         self._wake.clear()
+        if not term.workers.loaded:
+            self._leave_if_stalled()
+            return
         try:
             self._step(term)
         except FilbertlbError as error:
-            logger.warning(
-                "decision of epoch {} not written, next try in {:.2f} s: {}",
-                *(term.epoch, self._backoff_s, error),
-            )
-            if not isinstance(error, TableUnavailableError):
-                term.planner = None
-            if isinstance(error, TableRejectedError):
-                self._limits = self._limits.halved()
-            self._back_off()
+            self._handle_failure(term, error)
             return
         self._last_success_s = self._clock.monotonic()
         self._backoff_s = MIN_BACKOFF_S
         sleep(BATCH_DELAY_S)
 
-    def _back_off(self) -> None:
+    def _handle_failure(self, term: Term, error: FilbertlbError) -> None:
+        """Prepare the next try of a decision that was not written.
+
+        A refused write changed nothing, so its rows stay changed and are
+        written next. After any other failure the planner is built anew.
+        """
+        logger.warning(
+            "decision of epoch {} not written, next try in {:.2f} s: {}",
+            *(term.epoch, self._backoff_s, error),
+        )
+        if not isinstance(error, TableUnavailableError):
+            term.planner = None
+        if isinstance(error, TableRejectedError):
+            self._limits = self._limits.halved()
         sleep(self._backoff_s)
         self._backoff_s = min(MAX_BACKOFF_S, 2 * self._backoff_s)
+        self._leave_if_stalled()
+
+    def _leave_if_stalled(self) -> None:
+        """Leave the lease to others if no decision succeeds here."""
         now_s = self._clock.monotonic()
         if now_s - self._last_success_s > STALL_TIMEOUT_S:
             logger.warning(
@@ -266,11 +267,6 @@
 
     def _take_over(self, term: Term) -> Planner:
         """Build a new planner from the rows of the table."""
-        if not term.workers.loaded:
-            raise WorkersUnknownError(
-                "the reports of the workers have not been read yet; wait for "
-                "them"
-            )
         term.changed_reports.clear()
         self._changed_keys.clear()
         started_s = self._clock.monotonic()
