Fail no job because transactions are rejected

Cause: each rejection halved the table's limits themselves, so after six to seven of them, whatever their reason, a job's rows counted as oversized: the job was failed, its row still did not fit, and the loop that waits for that never yielded. A rejected read halved them too. A unit of several jobs failed all of them for one large row.

Change: the limits stay those of the table; a rejected write halves only how many entries are joined in a transaction, down to one unit. Of an oversized unit the job with the largest row fails, each job once; what still does not fit is logged. A decision ends 12 tasks of a silent worker instead of 40, so that their rows fit into 1 MB. The plan adds up sizes once a unit instead of anew for each joined one.

--- a/filbertlb/batch/decider.py
+++ b/filbertlb/batch/decider.py
@@ -35,6 +35,8 @@
 
     from filbertlb.batch.index import JobIndex
     from filbertlb.batch.planner import Planner
+    from filbertlb.batch.write_plan import WritePlan
+    from filbertlb.batch.write_plan import WriteUnit
     from filbertlb.core.clock import Clock
     from filbertlb.core.lease import Lease
     from filbertlb.table.base import Row
@@ -117,7 +119,8 @@
         self._index = index
         self._clock = clock
         self._guarantees = guarantees
-        self._limits = limits or TransactionLimits()
+        self._limits = _without_lease(limits or TransactionLimits())
+        self._batch_entries = self._limits.entries
         self._lease_delay_s = SLOW_MACHINE_DELAY_S if slow else 0.0
         self._holder_id = f"{node}-{token_hex(4)}"
         self._keeper = LeaseManager(
@@ -224,8 +227,6 @@
         )
         if not isinstance(error, TableUnavailableError):
             term.planner = None
-        if isinstance(error, TableRejectedError):
-            self._limits = self._limits.halved()
         sleep(self._backoff_s)
         self._backoff_s = min(MAX_BACKOFF_S, 2 * self._backoff_s)
         self._leave_if_stalled()
@@ -297,20 +298,31 @@
 
     def _write(self, planner: Planner, epoch: int, now_ms: int) -> None:
         """Write the changed rows, in as many transactions as they need."""
-        state = planner.state
-        limits = attrs.evolve(
-            self._limits,
-            entries=self._limits.entries - LEASE_ENTRIES,
-            total_bytes=self._limits.total_bytes - LEASE_BYTES,
-        )
-        plan = divide(changed_units(state, epoch), limits)
-        while oversized_jobs := plan.oversized_jobs():
+        plan = self._plan_writes(planner, epoch)
+        failed: set[str] = set()
+        while oversized_jobs := plan.oversized_jobs() - failed:
             for job_id in sorted(oversized_jobs):
                 planner.fail_oversized_job(job_id, now_ms)
-            plan = divide(changed_units(state, epoch), limits)
+            failed |= oversized_jobs
+            plan = self._plan_writes(planner, epoch)
+        for unit in plan.oversized:
+            keys = [write.key for write in unit.writes]
+            logger.error("rows {} exceed the table's limits", keys)
         for unit in plan.transactions:
+            self._commit(unit)
+            planner.state.mark_written(unit.jobs, unit.nodes)
+
+    def _plan_writes(self, planner: Planner, epoch: int) -> WritePlan:
+        units = changed_units(planner.state, epoch)
+        return divide(units, self._limits, self._batch_entries)
+
+    def _commit(self, unit: WriteUnit) -> None:
+        """Write a transaction; after a rejection later ones are smaller."""
+        try:
             self._keeper.commit(unit.writes)
-            state.mark_written(unit.jobs, unit.nodes)
+        except TableRejectedError:
+            self._batch_entries = max(1, self._batch_entries // 2)
+            raise
 
     def _delete_ended_jobs(self, planner: Planner, now_ms: int) -> None:
         """Delete the rows of jobs whose retention period is over."""
@@ -336,3 +348,12 @@
         for job_id in expired:
             planner.state.forget(job_id)
         logger.info("rows of {} ended jobs deleted", len(expired))
+
+
+def _without_lease(limits: TransactionLimits) -> TransactionLimits:
+    """Return the limits for the other rows of a transaction."""
+    return attrs.evolve(
+        limits,
+        entries=limits.entries - LEASE_ENTRIES,
+        total_bytes=limits.total_bytes - LEASE_BYTES,
+    )
--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -33,10 +33,11 @@
 EARLY_START_MS = 100
 """Maximum time by which an occurrence starts before it is due."""
 
-MAX_LOST_TASKS = 40
+MAX_LOST_TASKS = 12
 """Tasks of one silent worker that a decision ends; others follow.
 
-Their jobs and the worker's orders are written in one transaction.
+Their jobs and the worker's orders are written in one transaction, which
+holds 1 MB: as many rows of 64 KiB.
 """
 
 
--- a/filbertlb/batch/write_plan.py
+++ b/filbertlb/batch/write_plan.py
@@ -29,6 +29,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
     from collections.abc import Iterator
+    from collections.abc import Sequence
 
     from filbertlb.batch.planner_state import PlannerState
     from filbertlb.table.base import TransactionLimits
@@ -66,13 +67,14 @@
             for write in self.writes
         )
 
-    def joined(self, other: WriteUnit) -> WriteUnit:
-        """Return a unit of the rows of both."""
-        return WriteUnit(
-            self.writes + other.writes,
-            self.jobs | other.jobs,
-            self.nodes | other.nodes,
-        )
+    def largest_job(self) -> str | None:
+        """Return the job with the largest progress row, if there is one."""
+        size_by_job = {
+            write.key.removeprefix(PROGRESS_PREFIX): _stored_bytes(write)
+            for write in self.writes
+            if write.key.startswith(PROGRESS_PREFIX)
+        }
+        return max(size_by_job, key=size_by_job.__getitem__, default=None)
 
 
 @attrs.frozen
@@ -89,8 +91,13 @@
     oversized: tuple[WriteUnit, ...] = ()
 
     def oversized_jobs(self) -> frozenset[str]:
-        """Return the jobs whose rows exceed the table's limits."""
-        return frozenset().union(*(unit.jobs for unit in self.oversized))
+        """Return the jobs that must get smaller for the rest to be written.
+
+        It is the one with the largest row of each unit: a unit of several
+        jobs does not fit because of that row.
+        """
+        jobs = (unit.largest_job() for unit in self.oversized)
+        return frozenset(job_id for job_id in jobs if job_id is not None)
 
 
 def changed_units(state: PlannerState, epoch: int) -> Iterator[WriteUnit]:
@@ -99,31 +106,55 @@
     nodes = set(state.changed_nodes)
     for node, left_jobs in sorted(state.jobs_lost_by_node.items()):
         left = sorted(left_jobs & jobs)
-        unit = _orders_unit(state, node, epoch)
-        for job_id in left:
-            unit = unit.joined(_job_unit(state, job_id))
+        units = [_job_unit(state, job_id) for job_id in left]
         jobs.difference_update(left)
         nodes.discard(node)
-        yield unit
+        yield _join([_orders_unit(state, node, epoch), *units])
     for job_id in sorted(jobs, key=lambda job_id: _job_rank(state, job_id)):
         yield _job_unit(state, job_id)
     for node in sorted(nodes, key=lambda node: _node_rank(state, node)):
         yield _orders_unit(state, node, epoch)
 
 
-def divide(units: Iterable[WriteUnit], limits: TransactionLimits) -> WritePlan:
-    """Join consecutive units as long as they stay within the limits."""
-    transactions: list[WriteUnit] = []
+def divide(
+    units: Iterable[WriteUnit],
+    limits: TransactionLimits,
+    batch_entries: int | None = None,
+) -> WritePlan:
+    """Join consecutive units as long as they stay within the limits.
+
+    Parameters
+    ----------
+    batch_entries : int, optional
+        Entries up to which units are joined, if fewer than the limit. A
+        single unit may have more.
+    """
+    max_entries = min(limits.entries, batch_entries or limits.entries)
+    batches: list[list[WriteUnit]] = []
     oversized: list[WriteUnit] = []
+    entries = total_bytes = 0
     for unit in units:
-        joined = transactions[-1].joined(unit) if transactions else unit
-        if _fits(joined, limits):
-            transactions[-1:] = [joined]
-        elif _fits(unit, limits):
-            transactions.append(unit)
-        else:
+        if not _fits(unit, limits):
             oversized.append(unit)
-    return WritePlan(tuple(transactions), tuple(oversized))
+            continue
+        entries += unit.entries
+        total_bytes += unit.total_bytes
+        full = entries > max_entries or total_bytes > limits.total_bytes
+        if full or not batches:
+            batches.append([])
+            entries, total_bytes = unit.entries, unit.total_bytes
+        batches[-1].append(unit)
+    transactions = tuple(_join(batch) for batch in batches)
+    return WritePlan(transactions, tuple(oversized))
+
+
+def _join(units: Sequence[WriteUnit]) -> WriteUnit:
+    """Return one unit of the rows of several."""
+    return WriteUnit(
+        tuple(write for unit in units for write in unit.writes),
+        frozenset().union(*(unit.jobs for unit in units)),
+        frozenset().union(*(unit.nodes for unit in units)),
+    )
 
 
 def _fits(unit: WriteUnit, limits: TransactionLimits) -> bool:
--- a/filbertlb/table/base.py
+++ b/filbertlb/table/base.py
@@ -109,10 +109,6 @@
     total_bytes: int = 1_000_000
     row_bytes: int = 65_536
 
-    def halved(self) -> TransactionLimits:
-        """Return limits of half as many entries, but at least one."""
-        return attrs.evolve(self, entries=max(1, self.entries // 2))
-
 
 class TableService(Protocol):
     """Operations that this system uses of the platform's table service."""
--- a/tests/batch/test_decider.py
+++ b/tests/batch/test_decider.py
@@ -48,10 +48,13 @@
     ----------
     refused_commits : int
         Coming transactions of several rows that are refused.
+    rejected_commits : int
+        Coming transactions of several rows that are rejected.
     """
 
     max_entries: int = 100
     refused_commits: int = 0
+    rejected_commits: int = 0
     rejected: int = 0
     progress_reads: int = 0
 
@@ -62,6 +65,9 @@
         if entries > self.max_entries:
             self.rejected += 1
             raise TableRejectedError(f"{entries} entries")
+        if self.rejected_commits and len(writes) > 1:
+            self.rejected_commits -= 1
+            raise TableRejectedError("403")
         if self.refused_commits and len(writes) > 1:
             self.refused_commits -= 1
             raise TableUnavailableError("429")
@@ -180,6 +186,18 @@
     assert 0 < table.rejected < 10
 
 
+@pytest.mark.parametrize("rejections", [3, 9])
+def test_rejected_transactions_fail_no_job(monkeypatch, rejections):
+    monkeypatch.setattr(decider_module, "MAX_BACKOFF_S", 0.05)
+    table = LimitedTable(rejected_commits=rejections)
+    put_workers(table, ["n0"])
+    put(table, JOB_PREFIX + "j", a_job("j"))
+    with deciding(table):
+        wait_until(lambda: orders_on(table, "n0") == ["j.0.0.0"])
+    progress = decode_row(table.get(PROGRESS_PREFIX + "j"), Progress)
+    assert progress.state is not JobState.FAILED
+
+
 def test_holder_that_cannot_read_leaves_the_lease_to_others(monkeypatch):
     monkeypatch.setattr(decider_module, "STALL_TIMEOUT_S", 0.2)
     table = LimitedTable()
--- a/tests/batch/test_write_plan.py
+++ b/tests/batch/test_write_plan.py
@@ -139,6 +139,24 @@
     assert planner.state.ordered("n1") == (0, 0, 0)
 
 
+def test_only_the_job_with_the_large_row_fails_of_a_silent_worker():
+    planner = Planner()
+    planner.record_report(a_report("n1"), 0.0)
+    planner.state.add_job(a_job("big"))
+    planner.state.add_job(a_job("small"))
+    planner.decide(0.0, 0)
+    checkpoint = "".join(str(number**5) for number in range(200))
+    planner.state.record("big.0.0.0").saved = checkpoint
+    planner.state.mark_written(frozenset(("big", "small")), frozenset(("n1",)))
+    now_s = DEAD_AFTER_S + 1
+    planner.decide(now_s, int(now_s * 1000))
+    limits = TransactionLimits(
+        row_bytes=len(encode_value(planner.state.progress["big"]))
+    )
+    plan = divide(changed_units(planner.state, 1), limits)
+    assert plan.oversized_jobs() == {"big"}
+
+
 def test_orders_row_leaves_the_newest_payloads_for_later():
     planner = Planner()
     cores = 20
