Decide on while the workers' reports are read anew

Cause: waits for the reports before each decision, though only a new planner needs them. When the store forgets its history the copy is read anew, and nothing was decided until that had worked. Change: only a term without a planner waits. The test failed before.

--- a/filbertlb/batch/decider.py
+++ b/filbertlb/batch/decider.py
@@ -203,7 +203,7 @@
         """Make and write a decision, or wait after a failure."""
         self._wake.wait(MAX_PAUSE_S)
         self._wake.clear()
-        if not term.workers.loaded:
+        if term.planner is None and not term.workers.loaded:
             self._leave_if_stalled()
             return
         try:
--- a/tests/batch/test_decider.py
+++ b/tests/batch/test_decider.py
@@ -32,6 +32,7 @@
 from filbertlb.table.base import TableUnavailableError
 from filbertlb.table.base import Write
 from filbertlb.table.memory import MemoryTable
+from filbertlb.table.mirror import BATCH_DELAY_S
 from filbertlb.table.mirror import Follower
 from filbertlb.table.mirror import Mirror
 from filbertlb.table.rows import decode_row
@@ -50,11 +51,14 @@
         Coming transactions of several rows that are refused.
     rejected_commits : int
         Coming transactions of several rows that are rejected.
+    unreadable : set of str
+        Prefixes whose snapshots get no answer.
     """
 
     max_entries: int = 100
     refused_commits: int = 0
     rejected_commits: int = 0
+    unreadable: set = attrs.Factory(set)
     rejected: int = 0
     progress_reads: int = 0
 
@@ -74,6 +78,8 @@
         return MemoryTable.commit(self, writes)
 
     def snapshot(self, prefix):
+        if prefix in self.unreadable:
+            raise TableUnavailableError("no answer")
         self.progress_reads += prefix == PROGRESS_PREFIX
         return MemoryTable.snapshot(self, prefix)
 
@@ -198,6 +204,20 @@
     assert progress.state is not JobState.FAILED
 
 
+def test_decisions_go_on_while_the_reports_are_read_anew():
+    table = LimitedTable()
+    put_workers(table, ["n0"])
+    with deciding(table) as decider:
+        wait_until(lambda: decider.deciding and orders_on(table, "n0") == [])
+        table.unreadable.add(WORKER_PREFIX)
+        table.discard_history()
+        put(table, WORKER_PREFIX + "n0", a_report("n0"))
+        table.discard_history()
+        sleep(10 * BATCH_DELAY_S)
+        put(table, JOB_PREFIX + "j", a_job("j"))
+        wait_until(lambda: orders_on(table, "n0") == ["j.0.0.0"])
+
+
 def test_holder_that_cannot_read_leaves_the_lease_to_others(monkeypatch):
     monkeypatch.setattr(decider_module, "STALL_TIMEOUT_S", 0.2)
     table = LimitedTable()
