Drop what runs are no longer ordered in one place; true comments

The reason given for MAX_CHANGED_ROWS no longer held, a planned stop logged a warning, and a test slept where it can wait for the read.

--- a/filbertlb/batch/decider.py
+++ b/filbertlb/batch/decider.py
@@ -76,7 +76,7 @@
     workers : Mirror
         Reports of the workers.
     planner : Planner, optional
-        None until it is built, and after a write of unknown outcome.
+        None until it is built, and after a write that was not just refused.
     changed_reports : set of str
         Keys of the reports that the planner has not seen.
     """
@@ -166,7 +166,7 @@
             with self._term_of(lease) as term:
                 while self._holds(term):
                     self._try_step(term)
-            logger.warning("lease of epoch {} is no longer held", lease.epoch)
+            logger.info("lease of epoch {} is no longer held", lease.epoch)
 
     def step_down(self) -> None:
         """Release the lease, so that another process can take over at once."""
--- a/filbertlb/batch/placing.py
+++ b/filbertlb/batch/placing.py
@@ -52,7 +52,7 @@
 MAX_DURATION_FACTOR = 2.0
 """Assumed maximum duration of a step, as a multiple of its estimate."""
 MAX_CHANGED_ROWS = 80
-"""Rows changed before placing stops; a transaction has at most 100."""
+"""Rows changed before placing stops, so that a decision stays short."""
 
 
 @attrs.define
--- a/filbertlb/batch/reconciler.py
+++ b/filbertlb/batch/reconciler.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from typing import Any
 from typing import TYPE_CHECKING
 
 import attrs
@@ -117,17 +118,17 @@
         self.report_changed = True
 
     def set_orders(self, orders: Orders) -> None:
-        """Replace the orders and drop ends that are no longer ordered."""
+        """Replace the orders; forget what concerns runs no longer ordered."""
         self.orders = orders
         wanted = {(order.task, order.attempt) for order in orders.orders}
-        for key in [key for key in self._ended if key not in wanted]:
-            del self._ended[key]
-        for key in [key for key in self._waiting_since_s if key not in wanted]:
-            del self._waiting_since_s[key]
-        for key in [
-            key for key in self._checkpoint_by_run if key not in wanted
-        ]:
-            del self._checkpoint_by_run[key]
+        by_run: tuple[dict[RunKey, Any], ...] = (
+            self._ended,
+            self._waiting_since_s,
+            self._checkpoint_by_run,
+        )
+        for entries in by_run:
+            for key in entries.keys() - wanted:
+                del entries[key]
 
     @property
     def worker_departed(self) -> bool:
--- a/tests/batch/test_decider.py
+++ b/tests/batch/test_decider.py
@@ -32,7 +32,6 @@
 from filbertlb.table.base import TableUnavailableError
 from filbertlb.table.base import Write
 from filbertlb.table.memory import MemoryTable
-from filbertlb.table.mirror import BATCH_DELAY_S
 from filbertlb.table.mirror import Follower
 from filbertlb.table.mirror import Mirror
 from filbertlb.table.rows import decode_row
@@ -53,12 +52,15 @@
         Coming transactions of several rows that are rejected.
     unreadable : set of str
         Prefixes whose snapshots get no answer.
+    unanswered : int
+        Number of such snapshots so far.
     """
 
     max_entries: int = 100
     refused_commits: int = 0
     rejected_commits: int = 0
     unreadable: set = attrs.Factory(set)
+    unanswered: int = 0
     rejected: int = 0
     progress_reads: int = 0
 
@@ -79,6 +81,7 @@
 
     def snapshot(self, prefix):
         if prefix in self.unreadable:
+            self.unanswered += 1
             raise TableUnavailableError("no answer")
         self.progress_reads += prefix == PROGRESS_PREFIX
         return MemoryTable.snapshot(self, prefix)
@@ -213,7 +216,7 @@
         table.discard_history()
         put(table, WORKER_PREFIX + "n0", a_report("n0"))
         table.discard_history()
-        sleep(10 * BATCH_DELAY_S)
+        wait_until(lambda: table.unanswered)
         put(table, JOB_PREFIX + "j", a_job("j"))
         wait_until(lambda: orders_on(table, "n0") == ["j.0.0.0"])
 
