Show a rounding error as no residual on the capacity page

Cause: such residuals are rounding errors of the linear algebra, which depend on the processor. The page held them as figures. Change: a residual below 1e-12 of the largest value is 0.

--- a/benchmarks/capacity_slopes.py
+++ b/benchmarks/capacity_slopes.py
@@ -14,6 +14,8 @@
     from collections.abc import Sequence
 
 IDLE_ENTRIES = 2
+ROUNDING_SHARE = 1e-12
+"""Residuals below this share of the largest value are rounding errors."""
 
 
 @attrs.frozen
@@ -45,15 +47,25 @@
     ys = np.fromiter(values, float)
     matrix = np.column_stack([np.ones_like(xs), xs])
     (base, slope), *_ = np.linalg.lstsq(matrix, ys, rcond=None)
-    residual = np.abs(matrix @ np.array([base, slope]) - ys).max()
-    return Line(float(base), float(slope), float(residual))
+    fitted = matrix @ np.array([base, slope])
+    return Line(float(base), float(slope), largest_residual(fitted, ys))
 
 
 def constant(values: Iterable[float]) -> Line:
     """Return the mean of values that depend on nothing measured."""
     ys = np.fromiter(values, float)
     mean = float(ys.mean())
-    return Line(mean, 0.0, float(np.abs(ys - mean).max()))
+    return Line(mean, 0.0, largest_residual(np.full_like(ys, mean), ys))
+
+
+def largest_residual(fitted: np.ndarray, values: np.ndarray) -> float:
+    """Return the largest residual, or 0 for a mere rounding error.
+
+    Rounding errors differ between processors.
+    """
+    residual = float(np.abs(fitted - values).max())
+    rounding = ROUNDING_SHARE * float(np.abs(values).max())
+    return residual if residual > rounding else 0.0
 
 
 TABLE_FIELDS = ("table_reads", "table_commits", "rows_written", "table_bytes")
@@ -76,7 +88,7 @@
     ys = np.array(values)
     factors, *_ = np.linalg.lstsq(matrix, ys, rcond=None)
     base, by_count, by_rate = (float(one) for one in factors)
-    residual = float(np.abs(matrix @ factors - ys).max())
+    residual = largest_residual(matrix @ factors, ys)
     return Line(base, by_count, residual), Line(0.0, by_rate, residual)
 
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -53,6 +53,13 @@
     assert found == pytest.approx(expected, abs=1e-9)
 
 
+def test_rounding_error_is_no_residual():
+    counts = [0.1 * number for number in range(1, 40)]
+    line = fit(counts, [241.7 + count / 3 for count in counts])
+    assert line.residual == 0
+    assert fit((0, 1, 2), (0, 1e-6, 0)).residual > 0
+
+
 @pytest.mark.parametrize(
     ("value", "limit", "expected"),
     [
