Read from the table and the object store through one function

Both HTTP clients had the same method that turns a lost answer to a read into a refusal. It is TypedCaller.read now. No change of behaviour; the contract tests of both stores pass.

--- a/filbertlb/objects/http.py
+++ b/filbertlb/objects/http.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
-from typing import TypeVar
 
 from filbertlb.httpcall import HttpCaller
 from filbertlb.objects.base import ObjectConflictError
@@ -23,8 +22,6 @@
 
 OBJECTS_TIMEOUT_S = 5.0
 
-_T = TypeVar("_T")
-
 
 class HttpObjects:
     """Adapter to an object store that speaks HTTP.
@@ -51,7 +48,8 @@
 
     def get(self, name: str) -> StoredObject | None:
         """Return an object, or None."""
-        return self._read("/objects/get", NameCall(name), GetReply).stored
+        call = NameCall(name)
+        return self._typed.read("/objects/get", call, GetReply).stored
 
     def put(
         self, name: str, data: bytes, expected_version: int | None = None
@@ -67,15 +65,8 @@
     def names(self, prefix: str) -> tuple[str, ...]:
         """Return the names that start with a prefix, in order."""
         call = ListCall(prefix)
-        return self._read("/objects/names", call, ListReply).names
+        return self._typed.read("/objects/names", call, ListReply).names
 
     def close(self) -> None:
         """Close the kept connections."""
         self._caller.close()
-
-    def _read(self, path: str, call: object, reply_type: type[_T]) -> _T:
-        try:
-            return self._typed.call(path, call, reply_type)
-        except ObjectOutcomeUnknownError as error:
-            # A read changes nothing, so its loss leaves no doubt.
-            raise ObjectsUnavailableError(error.message) from error
--- a/filbertlb/table/http.py
+++ b/filbertlb/table/http.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
-from typing import TypeVar
 
 from filbertlb.httpcall import HttpCaller
 from filbertlb.table.base import RowConflictError
@@ -25,8 +24,6 @@
 
 TABLE_TIMEOUT_S = 2.0
 
-_T = TypeVar("_T")
-
 
 class HttpTable:
     """Client of a table service over HTTP.
@@ -53,14 +50,14 @@
 
     def get(self, key: str) -> Row | None:
         """Return the row of a key, or None if there is none."""
-        return self._read("/table/get", GetCall(key), GetReply).row
+        return self._typed.read("/table/get", GetCall(key), GetReply).row
 
     def scan(
         self, prefix: str, *, after: str = "", limit: int = 1000
     ) -> list[Row]:
         """Return rows whose keys start with a prefix, in key order."""
         call = ScanCall(prefix, after, limit)
-        return list(self._read("/table/scan", call, ScanReply).rows)
+        return list(self._typed.read("/table/scan", call, ScanReply).rows)
 
     def commit(self, writes: Sequence[Write]) -> tuple[int, ...]:
         """Apply the writes atomically and return their new versions."""
@@ -70,10 +67,3 @@
     def close(self) -> None:
         """Close the connections that are kept open."""
         self._caller.close()
-
-    def _read(self, path: str, call: object, reply_type: type[_T]) -> _T:
-        try:
-            return self._typed.call(path, call, reply_type)
-        except WriteOutcomeUnknownError as error:
-            # A read has no effect, so it can be retried like a refused call.
-            raise TableUnavailableError(error.message) from error
--- a/filbertlb/typedcall.py
+++ b/filbertlb/typedcall.py
@@ -69,6 +69,16 @@
             raise self.unknown(error.message) from error
         return self._result(path, reply, reply_type)
 
+    def read(self, path: str, body: object, reply_type: type[_T]) -> _T:
+        """Send a call that changes nothing and return its typed answer.
+
+        Such a call can be sent again like a refused one.
+        """
+        try:
+            return self.call(path, body, reply_type)
+        except self.unknown as error:
+            raise self.refused(error.message) from error
+
     def _result(self, path: str, reply: Reply, reply_type: type[_T]) -> _T:
         try:
             if reply.status == _STATUS_OK:
