Go on deciding after an unexpected error

What callers would see: every accepted job waits for ever. Any error that is not a FilbertlbError ended the task that decides, while the task beside it went on renewing the lease, so no other entry could act (LOST for the whole site, until that process was ended from outside). A follower that ended in the same way left its process with a copy of the table that stayed as it was and looked up to date: the holder then decided on old reports or jobs.

Cause: the two endless tasks caught the project's errors only. The control plane's tasks (filbertlb/tasks.py) already guard each step; these did not.

Change: such an error counts as a failed decision. It is logged with its traceback, the planner is built anew, tries back off, and a holder without a decision for 2.5 s leaves the lease to others as after any other failure. A follower logs it, counts as failed (its entry says that it is not ready) and reads again.

Seen to fail first, each with a time-out: python -m pytest -q tests/batch/test_decider.py tests/table -n 3 test_decider_goes_on_after_an_unexpected_error test_holder_that_fails_unexpectedly_leaves_the_lease test_follower_goes_on_after_an_unexpected_error All pass now.

--- a/filbertlb/batch/decider.py
+++ b/filbertlb/batch/decider.py
@@ -211,11 +211,17 @@
         except FilbertlbError as error:
             self._handle_failure(term, error)
             return
+        except Exception as error:
+            # Without this task the lease would be renewed by an entry that
+            # no longer decides.
+            logger.exception("decision failed unexpectedly")
+            self._handle_failure(term, error)
+            return
         self._last_success_s = self._clock.monotonic()
         self._backoff_s = MIN_BACKOFF_S
         sleep(BATCH_DELAY_S)
 
-    def _handle_failure(self, term: Term, error: FilbertlbError) -> None:
+    def _handle_failure(self, term: Term, error: Exception) -> None:
         """Prepare the next try of a decision that was not written.
 
         A refused write changed nothing, so its rows stay changed and are
--- a/filbertlb/table/mirror.py
+++ b/filbertlb/table/mirror.py
@@ -158,6 +158,11 @@
             except FilbertlbError as error:
                 self._record_failure(error)
                 sleep(RETRY_DELAY_S)
+            except Exception as error:
+                # Without this task the copy would look up to date for ever.
+                logger.exception("following of {} failed", self.name)
+                self._record_failure(FilbertlbError(repr(error)))
+                sleep(RETRY_DELAY_S)
 
     def _step(self) -> None:
         sent_s = self.clock.monotonic()
--- a/tests/batch/test_decider.py
+++ b/tests/batch/test_decider.py
@@ -24,6 +24,7 @@
 from filbertlb.batch.model import TaskPhase
 from filbertlb.batch.model import TaskRecord
 from filbertlb.batch.model import WORKER_PREFIX
+from filbertlb.batch.planner import Planner
 from filbertlb.batch.testing import a_job
 from filbertlb.batch.testing import a_report
 from filbertlb.batch.testing import a_step
@@ -251,3 +252,41 @@
     with deciding(table):
         wait_until(lambda: orders_on(table, "n0") == ["b.0.0.0"])
     assert table.get(PROGRESS_PREFIX + "a").value == b"\x78damaged"
+
+
+class DefectiveTable(UnreadableTable):
+    """A process's view of a table whose progress makes it fail."""
+
+    def snapshot(self, prefix):
+        if prefix == PROGRESS_PREFIX:
+            raise KeyError(prefix)
+        return self._table.snapshot(prefix)
+
+
+def test_decider_goes_on_after_an_unexpected_error(monkeypatch):
+    # The deciding task ended, and its entry went on renewing the lease.
+    decide, errors = Planner.decide, [KeyError("unexpected")]
+
+    def fail_once(planner, now_s, now_ms):
+        if errors:
+            raise errors.pop()
+        decide(planner, now_s, now_ms)
+
+    monkeypatch.setattr(Planner, "decide", fail_once)
+    table = LimitedTable()
+    put_workers(table, ["n0"])
+    put(table, JOB_PREFIX + "j", a_job("j"))
+    with deciding(table):
+        wait_until(lambda: orders_on(table, "n0") == ["j.0.0.0"])
+
+
+def test_holder_that_fails_unexpectedly_leaves_the_lease(monkeypatch):
+    monkeypatch.setattr(decider_module, "STALL_TIMEOUT_S", 0.2)
+    table = LimitedTable()
+    put_workers(table, ["n0"])
+    put(table, JOB_PREFIX + "j", a_job("j"))
+    with ExitStack() as stack:
+        stack.enter_context(deciding(DefectiveTable(table), "defective"))
+        wait_until(lambda: table.get("lease/coast") is not None)
+        stack.enter_context(deciding(table, "sound"))
+        wait_until(lambda: orders_on(table, "n0") == ["j.0.0.0"])
--- a/tests/table/test_mirror.py
+++ b/tests/table/test_mirror.py
@@ -1,8 +1,16 @@
 from __future__ import annotations
 
+from gevent import sleep
+from gevent import spawn
+from gevent import Timeout
+
+from filbertlb.core.clock import SystemClock
 from filbertlb.table.base import Changes
 from filbertlb.table.base import Row
 from filbertlb.table.base import Snapshot
+from filbertlb.table.base import Write
+from filbertlb.table.memory import MemoryTable
+from filbertlb.table.mirror import Follower
 from filbertlb.table.mirror import Mirror
 
 
@@ -50,3 +58,22 @@
     mirror.apply(Changes((row,), {}, 11), 2.0)
     mirror.apply(Changes((), {"t/a": 12}, 12), 3.0)
     assert notifications == [("t/a", 11), ("t/a", None)]
+
+
+def test_follower_goes_on_after_an_unexpected_error():
+    # The following task ended, and its process decided on an old copy.
+    def fail_on_first_row(key, row):
+        if key == "t/a":
+            raise KeyError(key)
+
+    mirror, table = loaded_mirror(version=0), MemoryTable()
+    mirror.add_listener(fail_on_first_row)
+    following = spawn(Follower(table, "t", mirror, SystemClock()).run)
+    try:
+        for key in ("t/a", "t/b"):
+            table.commit([Write(key, b"1")])
+        with Timeout(10.0):
+            while "t/b" not in mirror.row_by_key:
+                sleep(0.01)
+    finally:
+        following.kill()
