End the orders of a worker that never answers a new agent

What callers would see: a task stays ordered on a worker and runs nowhere, for as long as that worker announces itself and answers no call (LOST). After a loss of all machines, or of one agent, the new agent process holds no run; it ended the orders as lost only if no worker had announced itself one lease after its start. With an announcement it waited for the first listing, without limit. Its reports went on, so the decider never took the worker for dead.

Cause: "no worker" stood for "nothing can run here". What shows that is that no listing was received: an agent extends no lease before the first answer of the worker (_may_extend_leases), so all runs there have lapsed one lease after the agent's start, or after the last extension if the worker began a new incarnation under the same agent.

Change: the orders end as lost one lease after that time unless the worker has listed its runs.

Ruled out: an end of a run that goes on. Starts wait for a listing, and calls of the former agent process carry a deadline that is over by then. An end as `done` that such a worker lists later lies before the lapse of its lease.

--- a/filbertlb/batch/reconciler.py
+++ b/filbertlb/batch/reconciler.py
@@ -421,7 +421,7 @@
     def _end_expired(self, orders: Orders, now_s: float) -> None:
         """End runs as lost once their lease must have expired.
 
-        Without a worker, all orders end as lost.
+        Without a worker that has listed its runs, all orders end as lost.
         """
         lease_s = LEASE_S * CLOCK_DRIFT + LEASE_MARGIN_S
         last_extension_s = max(self.created_s, self._last_extension_s)
@@ -430,13 +430,13 @@
         for key in list(self._runs):
             del self._runs[key]
             self._end_run(key, EndCause.LOST, "lease ran out")
-        if self.worker is not None:
+        if self._listing_received:
             return
         for order in orders.orders:
             key = (order.task, order.attempt)
             if key not in self._ended:
                 self._end_run(
-                    key, EndCause.LOST, "no worker has announced itself"
+                    key, EndCause.LOST, "no worker has listed its runs"
                 )
 
     def _end_run(self, key: RunKey, cause: EndCause, reason: str) -> None:
--- a/tests/batch/test_reconciler.py
+++ b/tests/batch/test_reconciler.py
@@ -270,3 +270,15 @@
     assert reconciler.next_pause_s(0.0) == MAX_CALL_S
     (call,) = reconciler.due_calls(MAX_CALL_S)
     assert call.order.task == "j.0.0.0"
+
+
+@pytest.mark.parametrize("incarnation", ["w@1", "w@2"])
+def test_orders_end_if_the_worker_never_answers_a_new_agent(incarnation):
+    # The agent reported on, so the decider left the tasks there for ever.
+    reconciler = WorkerReconciler(created_s=10.0)
+    reconciler.set_worker(a_worker(incarnation=incarnation))
+    reconciler.set_orders(some_orders(an_order("j.0.0.0")))
+    reconciler.due_calls(10.0 + LEASE_EXPIRED_S - 0.2)
+    assert cause_by_task(reconciler) == {}
+    reconciler.due_calls(10.0 + LEASE_EXPIRED_S)
+    assert cause_by_task(reconciler) == {"j.0.0.0": EndCause.LOST}
