End a stopped run that the worker never had

What callers would see: a gang whose members ended waits for ever for one member, with room free on all workers (LOST), and each later order on that worker is refused after 2 s for want of capacity.

Cause: a run whose start got no answer, and which the worker never had, ends once a listing that was requested after an answered stop doesn't show it. Each answer to a repeated stop moved that time. Stops are repeated 0.6 s after the answer, and a listing on a worker where nothing ends takes the whole long poll of 1 s, so a stop was always answered after the listing was requested: the same stop was repeated for ever. Any end on that worker cuts the long poll short and hid this; on an idle worker, as after a loss of all machines, nothing does. Class of fault: a request that is repeated unchanged and itself keeps its outcome from being accepted.

Change: the first answer to a stop counts.

--- a/filbertlb/batch/local_run.py
+++ b/filbertlb/batch/local_run.py
@@ -35,9 +35,9 @@
     needs_known : bool
         The run was ordered, so the resources that it needs are known.
     acked_s : float
-        Monotonic time of the worker's last answer to a start or stop of
-        the run, or of the last request for a listing that showed it
-        running; 0 if there is none.
+        Monotonic time of the worker's answer to a start of the run or of
+        the last request for a listing that showed it running; once the run
+        is being stopped, of the first answer to a stop. 0 if there is none.
     retry_s : float
         Monotonic time at which the next call for the run is due.
     answer_due_s : float
--- a/filbertlb/batch/reconciler.py
+++ b/filbertlb/batch/reconciler.py
@@ -195,12 +195,16 @@
     def record_stop(
         self, call: StopCall, answered: bool, now_s: float
     ) -> None:
-        """Record the reply to a stop."""
+        """Record the reply to a stop.
+
+        The first answer counts: from then on the worker starts no such run,
+        so the next listing without it proves that it has ended.
+        """
         run = self._runs.get((call.task, call.attempt))
         if run is None:
             return
         run.call_ended(now_s + STOP_RETRY_S)
-        if answered:
+        if answered and not run.acked_s:
             run.acked_s = now_s
 
     def record_listing(
--- a/tests/batch/test_reconciler.py
+++ b/tests/batch/test_reconciler.py
@@ -1,7 +1,9 @@
 from __future__ import annotations
 
+import attrs
 import pytest
 
+from filbertlb.batch.agent import LONG_POLL_S
 from filbertlb.batch.local_run import MAX_CALL_S
 from filbertlb.batch.model import EndCause
 from filbertlb.batch.model import Run
@@ -282,3 +284,24 @@
     assert cause_by_task(reconciler) == {}
     reconciler.due_calls(10.0 + LEASE_EXPIRED_S)
     assert cause_by_task(reconciler) == {"j.0.0.0": EndCause.LOST}
+
+
+def test_run_that_the_worker_never_had_ends_while_its_stop_is_repeated():
+    # Listings take longer than stops are apart, so none proved its end.
+    order = an_order("j.0.0.0", needs=FULL_CAPACITY)
+    reconciler = reconciler_with(order)
+    (start,) = reconciler.due_calls(0.0)
+    reconciler.record_start(start.order, StartResult.UNKNOWN, 0.8)
+    reconciler.set_orders(some_orders(attrs.evolve(order, stop=True)))
+    listing_sent_s = 0.5
+    for tick in range(10, 300):
+        now_s = tick / 10
+        for call in reconciler.due_calls(now_s):
+            reconciler.record_stop(call, answered=True, now_s=now_s)
+        if now_s - listing_sent_s >= LONG_POLL_S:
+            reconciler.record_extension(listing_sent_s)
+            reconciler.record_listing(
+                listing_sent_s, [], [], ends_complete=True
+            )
+            listing_sent_s = now_s
+    assert cause_by_task(reconciler) == {"j.0.0.0": EndCause.STOPPED}
