Test that every job runs again after the loss of all machines

No test had the whole sequence: jobs that run on 70 and more workers, all machines lost, a new decider that finds all ends at once. The existing take-over tests have more workers than a transaction has entries; the grown sites have fewer, and exceed the limit only together with their jobs' rows.

The table of the tests rejects a transaction over 1 MB too, as the store does.

--- a/tests/batch/test_decider.py
+++ b/tests/batch/test_decider.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from base64 import b64encode
 from contextlib import contextmanager
 from contextlib import ExitStack
+from random import Random
 
 import attrs
 import pytest
@@ -14,12 +16,15 @@
 from filbertlb.batch import decider as decider_module
 from filbertlb.batch.decider import Decider
 from filbertlb.batch.index import JobIndex
+from filbertlb.batch.model import EndCause
 from filbertlb.batch.model import JOB_PREFIX
 from filbertlb.batch.model import JobState
 from filbertlb.batch.model import Orders
 from filbertlb.batch.model import orders_key
 from filbertlb.batch.model import Progress
 from filbertlb.batch.model import PROGRESS_PREFIX
+from filbertlb.batch.model import Run
+from filbertlb.batch.model import RunEnd
 from filbertlb.batch.model import STATE_TABLE
 from filbertlb.batch.model import TaskPhase
 from filbertlb.batch.model import TaskRecord
@@ -27,6 +32,8 @@
 from filbertlb.batch.testing import a_job
 from filbertlb.batch.testing import a_report
 from filbertlb.batch.testing import a_step
+from filbertlb.batch.testing import a_worker
+from filbertlb.batch.testing import CAPACITY
 from filbertlb.core.clock import SystemClock
 from filbertlb.table.base import TableRejectedError
 from filbertlb.table.base import TableUnavailableError
@@ -57,6 +64,7 @@
     """
 
     max_entries: int = 100
+    max_bytes: int = 1_000_000
     refused_commits: int = 0
     rejected_commits: int = 0
     unreadable: set = attrs.Factory(set)
@@ -71,6 +79,13 @@
         if entries > self.max_entries:
             self.rejected += 1
             raise TableRejectedError(f"{entries} entries")
+        total_bytes = sum(
+            len(write.key) + len(b64encode(write.value or b""))
+            for write in writes
+        )
+        if total_bytes > self.max_bytes:
+            self.rejected += 1
+            raise TableRejectedError(f"{total_bytes} bytes")
         if self.rejected_commits and len(writes) > 1:
             self.rejected_commits -= 1
             raise TableRejectedError("403")
@@ -173,6 +188,106 @@
     assert table.rejected == 0
 
 
+def put_report_of_runs(table, node, incarnation, finishing):
+    """Store the report of an agent whose worker runs what is ordered."""
+    row = table.get(orders_key(node))
+    orders = () if row is None else decode_row(row, Orders).orders
+    active = [order for order in orders if order.incarnation == incarnation]
+    ended = [
+        RunEnd(order.task, order.attempt, EndCause.LOST)
+        for order in orders
+        if order.incarnation != incarnation
+    ]
+    if finishing:
+        ended += [
+            RunEnd(order.task, order.attempt, EndCause.DONE)
+            for order in active
+        ]
+        active = []
+    report = a_report(
+        node,
+        registration=f"agent of {incarnation}",
+        worker=a_worker(incarnation=incarnation),
+        running=tuple(Run(order.task, order.attempt) for order in active),
+        ended=tuple(ended),
+    )
+    put(table, WORKER_PREFIX + node, report)
+
+
+@contextmanager
+def machines(table, nodes, incarnation, *, finishing):
+    """Run an entry, agents and workers that all end at once.
+
+    Parameters
+    ----------
+    finishing : bool
+        Runs are done at once; otherwise they go on until the end.
+    """
+
+    def report_runs():
+        while True:
+            for node in nodes:
+                put_report_of_runs(table, node, incarnation, finishing)
+            sleep(0.1)
+
+    agents = spawn(report_runs)
+    try:
+        with deciding(table, f"entry of {incarnation}"):
+            yield
+    finally:
+        agents.kill()
+
+
+def progress_of(table, job_id):
+    row = table.get(PROGRESS_PREFIX + job_id)
+    return Progress(job_id) if row is None else decode_row(row, Progress)
+
+
+def put_job(table, job_id, step, payload_bytes):
+    """Store a job whose payload cannot be compressed."""
+    payload = b64encode(Random(job_id).randbytes(payload_bytes)).decode()
+    put(table, JOB_PREFIX + job_id, a_job(job_id, step, payload=payload))
+
+
+@pytest.mark.parametrize(
+    ("node_count", "tasks", "payload_bytes"),
+    [(80, 2, 10), (70, 1, 20_000)],
+    ids=["entries", "bytes"],
+)
+def test_every_job_runs_again_after_the_loss_of_all_machines(
+    node_count, tasks, payload_bytes
+):
+    # The first decision after the loss was rejected until the day's end.
+    table = LimitedTable()
+    nodes = [f"n{number}" for number in range(node_count)]
+    step = a_step(tasks, needs=CAPACITY)
+    running = [f"running-{n}" for n in range(node_count // tasks)]
+    waiting = [f"waiting-{n}" for n in range(10)]
+    with machines(table, nodes, "before", finishing=False):
+        for job_id in running:
+            put_job(table, job_id, step, payload_bytes)
+            wait_until(lambda key=job_id: progress_of(table, key).tasks)
+        for job_id in waiting:
+            put_job(table, job_id, step, payload_bytes)
+        wait_until(
+            lambda: all(progress_of(table, key).started for key in running)
+        )
+    with machines(table, nodes, "after", finishing=True):
+        wait_until(
+            lambda: all(
+                progress_of(table, job_id).state is JobState.COMPLETE
+                for job_id in running + waiting
+            )
+        )
+    attempts = {
+        record.attempt
+        for job_id in running
+        for record in progress_of(table, job_id).tasks.values()
+    }
+    assert attempts == {2}
+    assert table.rejected == 0
+
+
 def test_refused_decision_is_written_later_without_a_new_planner():
     table = LimitedTable()
     put_workers(table, ["n0"])
