Refuse jobs that would stop every decider

What callers would see: one accepted submission, and no job runs any more. A stored job is read by each decider in turn, so one that a decision fails on stops them all, and restarts don't help (LOST for the whole site).

Cause: the submission was decoded, and only counts and `after` were checked.

Change: filbertlb/batch/job_check.py refuses such jobs with 400 `invalid_job` before they are stored or forwarded. Limits: 64 characters of an id (the users' have 16), 8,000 bytes of a payload (theirs 4,000), 10,000 tasks due in the first minute; the progress of 1,200 running tasks with checkpoints fills a row of 65,536 characters, that of 10,000 ended ones 43,568.

Seen to fail first, all nine rows (answered 200 and stored): python -m pytest -q tests/platform/test_ingress.py test_job_that_would_stop_all_deciders_is_refused

Open: a job of 1,200 to 10,000 tasks is accepted and fails later with job_progress_too_large. Rows stored before this change are not checked.

--- a/filbertlb/batch/forwarding.py
+++ b/filbertlb/batch/forwarding.py
@@ -13,6 +13,7 @@
 import attrs
 from loguru import logger
 
+from filbertlb.batch.job_check import check_job
 from filbertlb.batch.model import Job
 from filbertlb.batch.model import JobState
 from filbertlb.batch.service import JobUnknownError
@@ -93,11 +94,14 @@
 
         Raises
         ------
+        InvalidJobError
+            If it cannot be scheduled as it is described.
         UnavailableError
             If it was not stored and will not be.
         OutcomeUnknownError
             If it may have been stored.
         """
+        check_job(job)
         self._local_or_forwarded(
             lambda: self.service.submit(job), SUBMIT, job.job_id, job
         )
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -150,3 +150,40 @@
     harness.call("POST")
     assert harness.call("GET", "/render/").body == {"pending": 1}
     assert harness.call("GET", "/").body == {"pending": 0}
+
+
+STEP = {"count": 1, "gpu": 1}
+
+
+@pytest.mark.parametrize(
+    ("job_id", "job"),
+    [
+        ("aa", {"steps": []}),
+        ("a.b", {"steps": [STEP]}),
+        ("a" * 190, {"steps": [STEP]}),
+        ("aa", {"steps": [{"count": 10**9, "gpu": 1}]}),
+        ("aa", {"steps": [STEP], "times": 10**9}),
+        ("aa", {"steps": [STEP], "times": 10**6, "intervalMs": 1}),
+        ("aa", {"steps": [STEP], "times": -1}),
+        ("aa", {"steps": [{"count": 1, "gpu": -8}]}),
+        ("aa", {"steps": [STEP], "spec": "x" * 40_000}),
+    ],
+)
+def test_job_that_would_stop_all_deciders_is_refused(harness, job_id, job):
+    # Each decider in turn read the stored job and failed.
+    response = harness.call("POST", f"/render/{job_id}", job)
+    assert response.status == 400
+    assert response.body["code"] == "invalid_job"
+    assert harness.table.scan("state/") == []
+
+
+@pytest.mark.parametrize(
+    "job",
+    [
+        {"steps": [{"count": 2000, "gpu": 1}]},
+        {"steps": [STEP], "times": 10**6, "startAtMs": 1, "intervalMs": 500},
+        {"steps": [STEP], "spec": "x" * 4000},
+    ],
+)
+def test_large_job_is_accepted(harness, job):
+    assert harness.call("POST", body=job).status == 200
