Give up a task that crashes worker after worker

Cause: ends as lost are not counted, as they are mostly no fault of the task; nothing told a crash at the start of a run from a cut, a power loss or a worker that crashes by itself.

Change: an agent that is refused connections by its own machine's worker reports how long after its start each run was hit. The decider keeps the crashes in the progress row, so they outlive it, and fails the job after two prompt ones on different nodes, three on one node, or four within 10 s of the start. A suspect prefers other nodes and idle ones, starts apart from other runs, and one at a time for a job, so that it is blamed alone.

--- a/filbertlb/batch/agent.py
+++ b/filbertlb/batch/agent.py
@@ -24,6 +24,7 @@
 from filbertlb.batch.worker_link import StartCall
 from filbertlb.batch.worker_link import StartResult
 from filbertlb.batch.worker_link import StopCall
+from filbertlb.batch.worker_link import WorkerDownError
 from filbertlb.batch.worker_link import WorkerSilentError
 from filbertlb.batch.workers import CONTACT_LOST_S
 from filbertlb.errors import FilbertlbError
@@ -241,9 +242,12 @@
             self._process_listing(listing, sent_s)
 
     def _record_silence(self, error: WorkerSilentError) -> None:
+        now_s = self._clock.monotonic()
+        if isinstance(error, WorkerDownError):
+            self._reconciler.record_down(now_s)
         if not self._silent:
             self._silent = True
-            silent_s = self._clock.monotonic() - self._last_answer_s
+            silent_s = now_s - self._last_answer_s
             logger.warning(
                 "worker does not answer, silent for {:.1f} s: {}",
                 *(silent_s, error),
--- /dev/null
+++ b/filbertlb/batch/crashes.py
@@ -0,0 +1,115 @@
+"""Tells tasks that crash the workers that start them from other crashes.
+
+A worker may also crash by itself, and then says nothing about its runs. A
+run is blamed for a crash that follows its start within a limited time. A
+blamed task is a suspect: it runs on, but apart from runs that start at the
+same time, so that the next crash blames it alone. A task with enough blame
+is given up, as each further run would cost another worker and its runs.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from filbertlb.batch.model import job_id_of
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from filbertlb.batch.model import Crash
+    from filbertlb.batch.planner_state import PlannerState
+
+PROMPT_CRASH_MS = 1000
+"""Time after a start within which a crash is most likely due to the run."""
+MAX_BLAME_MS = 10_000
+"""Age from which a run has shown that its task does not crash workers."""
+MAX_PROMPT_CRASHES = 2
+"""Prompt crashes on different nodes after which a task is given up."""
+MAX_PROMPT_CRASHES_ON_ONE_NODE = 3
+"""The same if all were on one node, which may be at fault itself."""
+MAX_CRASHES = 4
+"""Crashes of any age up to ``MAX_BLAME_MS`` after which it is given up."""
+SETTLING_MS = 1500
+"""Time from an order after which its run is no longer apart from others.
+
+It covers ``PROMPT_CRASH_MS`` and the time until the worker has the run.
+"""
+MAX_SEPARATION_MS = 5000
+"""Time that a suspect waits, at most, for a node of its own."""
+
+
+def with_crash(crashes: tuple[Crash, ...], crash: Crash) -> tuple[Crash, ...]:
+    """Return the crashes that a task is blamed for after another one."""
+    return () if crash.run_ms > MAX_BLAME_MS else (*crashes, crash)
+
+
+def crashes_workers(crashes: tuple[Crash, ...]) -> bool:
+    """Return whether a task must be given up for these crashes."""
+    prompt = [
+        crash.node for crash in crashes if crash.run_ms <= PROMPT_CRASH_MS
+    ]
+    return (
+        len(set(prompt)) >= MAX_PROMPT_CRASHES
+        or len(prompt) >= MAX_PROMPT_CRASHES_ON_ONE_NODE
+        or len(crashes) >= MAX_CRASHES
+    )
+
+
+@attrs.define
+class Separation:
+    """Keeps starts of suspects apart from other starts in one decision.
+
+    Without suspects it separates nothing and costs nothing.
+
+    Attributes
+    ----------
+    settling_nodes : set of str
+        Nodes with a run that was ordered a short time ago.
+    suspect_nodes : set of str
+        Those where that run is of a suspect.
+    suspect_jobs : set of str
+        Jobs of these suspects.
+    """
+
+    state: PlannerState
+    now_ms: int
+    settling_nodes: set[str] = attrs.Factory(set)
+    suspect_nodes: set[str] = attrs.Factory(set)
+    suspect_jobs: set[str] = attrs.Factory(set)
+
+    def __attrs_post_init__(self) -> None:
+        """Find the runs that were ordered a short time ago."""
+        if not self.state.suspects:
+            return
+        for node in self.state.occupied_nodes():
+            for task in self.state.tasks_on(node):
+                record = self.state.record(task)
+                if self.now_ms - record.since_ms < SETTLING_MS:
+                    self.record_order(task, node)
+
+    def record_order(self, task: str, node: str) -> None:
+        """Record that a run was ordered on a node."""
+        self.settling_nodes.add(node)
+        if task in self.state.suspects:
+            self.suspect_nodes.add(node)
+            self.suspect_jobs.add(job_id_of(task))
+
+    def is_held(self, task: str) -> bool:
+        """Return whether a waiting task is a suspect that starts apart."""
+        waits_ms = self.now_ms - self.state.record(task).since_ms
+        return task in self.state.suspects and waits_ms < MAX_SEPARATION_MS
+
+    def filter(self, nodes: Iterable[str], tasks: Iterable[str]) -> list[str]:
+        """Return the nodes where tasks may start now.
+
+        Suspects of one job start one after the other, so that a job with
+        many does not take many workers down at once.
+        """
+        held = [task for task in tasks if self.is_held(task)]
+        if not held:
+            return [node for node in nodes if node not in self.suspect_nodes]
+        if any(job_id_of(task) in self.suspect_jobs for task in held):
+            return []
+        return [node for node in nodes if node not in self.settling_nodes]
--- a/filbertlb/batch/local_run.py
+++ b/filbertlb/batch/local_run.py
@@ -34,6 +34,8 @@
     ----------
     needs_known : bool
         The run was ordered, so the resources that it needs are known.
+    started_s : float, optional
+        Monotonic time at which this agent process first sent the start.
     acked_s : float
         Monotonic time of the worker's last answer to a start or stop of
         the run, or of the last request for a listing that showed it
@@ -56,6 +58,7 @@
     needs: Amount
     phase: RunPhase
     needs_known: bool = True
+    started_s: float | None = None
     acked_s: float = 0.0
     retry_s: float = 0.0
     answer_due_s: float = 0.0
--- a/filbertlb/batch/model.py
+++ b/filbertlb/batch/model.py
@@ -167,6 +167,20 @@
     advised: bool = False
 
 
+@attrs.frozen
+class Crash:
+    """Crash of a worker while it had a run of a task.
+
+    Parameters
+    ----------
+    run_ms : int
+        Time from the start of the run until the crash.
+    """
+
+    node: str
+    run_ms: int
+
+
 @attrs.define
 class TaskRecord:
     """State of one task.
@@ -184,7 +198,9 @@
     since_ms : int
         Time at which the task entered its phase.
     avoid : str
-        Node of the latest failure; other nodes are preferred.
+        Node of the latest failure or crash; other nodes are preferred.
+    crashes : tuple of Crash
+        Crashes of workers that runs of the task may have caused.
     """
 
     phase: TaskPhase = TaskPhase.WAITING
@@ -195,6 +211,7 @@
     saved: str = ""
     since_ms: int = 0
     avoid: str = ""
+    crashes: tuple[Crash, ...] = ()
 
 
 @attrs.define
@@ -264,12 +281,20 @@
 
 @attrs.frozen
 class RunEnd:
-    """End of a run, reported until the decider has processed it."""
+    """End of a run, reported until the decider has processed it.
+
+    Parameters
+    ----------
+    crashed_after_ms : int, optional
+        Time from the start of the run until its worker crashed; None if the
+        worker did not crash, or if that is not known.
+    """
 
     task: str
     attempt: int
     cause: EndCause
     saved: str = ""
+    crashed_after_ms: int | None = None
 
 
 @attrs.frozen
--- a/filbertlb/batch/placing.py
+++ b/filbertlb/batch/placing.py
@@ -7,13 +7,13 @@
 import attrs
 from loguru import logger
 
+from filbertlb.batch.crashes import Separation
 from filbertlb.batch.fitting import place_in_best_group
 from filbertlb.batch.fitting import place_tasks
 from filbertlb.batch.fitting import RunningTask
 from filbertlb.batch.model import job_id_of
 from filbertlb.batch.model import task_group_of
 from filbertlb.batch.model import TaskPhase
-from filbertlb.batch.model import TaskRecord
 from filbertlb.batch.planner_state import ALLOCATED_PHASES
 from filbertlb.batch.workers import is_eligible
 from filbertlb.core.amounts import minus
@@ -107,6 +107,11 @@
     available: AvailableCapacity
     within_guarantee: set[str]
     now_ms: int
+    separation: Separation = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Find the starts that the new ones are to be separated from."""
+        self.separation = Separation(self.state, self.now_ms)
 
     def place(self, groups: Iterable[TaskGroup]) -> None:
         """Order the tasks that fit; reserve nodes for the first others."""
@@ -116,7 +121,11 @@
             if changed + len(self.state.changed_nodes) > MAX_CHANGED_ROWS:
                 return
             self._place_group(group)
-            waiting = self.state.waiting(group)
+            waiting = [
+                task
+                for task in self.state.waiting(group)
+                if not self.separation.is_held(task)
+            ]
             if waiting and len(self.available.reserved) < max_reserved:
                 self.available.reserved |= self._nodes_to_reserve(group)
 
@@ -143,7 +152,7 @@
             if placement is not None:
                 self._order(group, waiting, placement)
             return
-        for task in waiting:
+        for task in sorted(waiting, key=self.separation.is_held):
             placement = self._find_placement(group, 1, [task])
             if placement is None:
                 return
@@ -152,13 +161,22 @@
     def _find_placement(
         self, group: TaskGroup, count: int, tasks: list[str]
     ) -> Placement | None:
-        """Find nodes, preferably other than those where the tasks failed."""
+        """Find nodes, preferably other than those where the tasks failed.
+
+        Tasks that may have crashed a worker prefer idle ones, where the next
+        crash harms nobody else.
+        """
         nodes = self._candidates(group)
+        if not self._may_claim_guarantee(group):
+            nodes = self.separation.filter(nodes, tasks)
         avoided = {self.state.record(task).avoid for task in tasks}
         preferred = [node for node in nodes if node not in avoided]
         choices = (
             [preferred, nodes] if len(preferred) < len(nodes) else [nodes]
         )
+        if not self.state.suspects.isdisjoint(tasks):
+            idle = [n for n in preferred if not self.state.tasks_on(n)]
+            choices.insert(0, idle)
         for choice in choices:
             placement = self._place_on(group, choice, count)
             if placement is not None:
@@ -357,20 +375,18 @@
             self._preempt(victim, group)
         attempt = 1 + max(self.state.record(task).attempt for task in tasks)
         for task, node in zip(tasks, placement.nodes, strict=True):
-            record = self.state.record(task)
             self.state.set_record(
                 task,
-                TaskRecord(
-                    TaskPhase.ORDERED,
-                    attempt,
-                    record.failures,
-                    node,
-                    self.available.workers[node].incarnation,
-                    record.saved,
-                    self.now_ms,
-                    record.avoid,
+                attrs.evolve(
+                    self.state.record(task),
+                    phase=TaskPhase.ORDERED,
+                    attempt=attempt,
+                    node=node,
+                    incarnation=self.available.workers[node].incarnation,
+                    since_ms=self.now_ms,
                 ),
             )
+            self.separation.record_order(task, node)
             room = self.available.room[node]
             self.available.room[node] = minus(room, group.step.needs)
         logger.info(
--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -12,6 +12,9 @@
 import attrs
 from loguru import logger
 
+from filbertlb.batch.crashes import crashes_workers
+from filbertlb.batch.crashes import with_crash
+from filbertlb.batch.model import Crash
 from filbertlb.batch.model import EndCause
 from filbertlb.batch.model import job_id_of
 from filbertlb.batch.model import JobState
@@ -28,6 +31,7 @@
     from collections.abc import Iterable
 
     from filbertlb.batch.model import Job
+    from filbertlb.batch.model import TaskRecord
     from filbertlb.batch.model import WorkerReport
 
 EARLY_START_MS = 100
@@ -155,6 +159,7 @@
         step = state.step_of(end.task)
         done = end.cause is EndCause.DONE and not step.long_running
         failed = end.cause is EndCause.FAILED
+        crashed = end.crashed_after_ms is not None
         logger.info(
             "end of {} attempt {} on {}: {}",
             *(end.task, end.attempt, record.node, end.cause.value),
@@ -167,7 +172,8 @@
                 failures=record.failures + failed,
                 saved=end.saved or record.saved,
                 since_ms=now_ms,
-                avoid=record.node if failed else record.avoid,
+                avoid=record.node if failed or crashed else record.avoid,
+                crashes=_crashes_after(record, end),
             ),
         )
         if step.gang:
@@ -241,11 +247,11 @@
                 self.state.set_phase(other, TaskPhase.STOPPING, now_ms)
 
     def _finish_jobs(self, now_ms: int) -> None:
-        """Finish jobs that are complete or have exhausted their attempts."""
+        """Finish jobs that are complete or have to fail."""
         for job, progress in self.state.unfinished_jobs():
             if job.job_id in self.state.cancelled:
                 continue
-            if self._attempts_exhausted(job):
+            if self._must_fail(job):
                 self._stop_job(job.job_id, now_ms)
                 if not self.state.allocated_tasks(job.job_id):
                     self.state.set_job_state(
@@ -254,6 +260,13 @@
             elif progress.tasks and self._is_complete(job):
                 self.state.set_job_state(job.job_id, JobState.COMPLETE, now_ms)
 
+    def _must_fail(self, job: Job) -> bool:
+        """Return whether a task has failed, or crashed workers, too often."""
+        records = self.state.progress[job.job_id].tasks.values()
+        return self._attempts_exhausted(job) or any(
+            crashes_workers(record.crashes) for record in records
+        )
+
     def _attempts_exhausted(self, job: Job) -> bool:
         failures: dict[str, int] = {}
         for task, record in self.state.progress[job.job_id].tasks.items():
@@ -276,7 +289,7 @@
         for job, _ in self.state.unfinished_jobs():
             if job.job_id in self.state.cancelled or job.advised:
                 continue
-            if self._attempts_exhausted(job):
+            if self._must_fail(job):
                 continue
             for occurrence in range(_due_count(job, now_ms)):
                 yield from self._ready_steps(job, occurrence)
@@ -312,6 +325,21 @@
         return within_guarantee
 
 
+def _crashes_after(record: TaskRecord, end: RunEnd) -> tuple[Crash, ...]:
+    """Return the crashes that a task is blamed for after the end of a run."""
+    if end.crashed_after_ms is None:
+        return record.crashes
+    crash = Crash(record.node, end.crashed_after_ms)
+    crashes = with_crash(record.crashes, crash)
+    logger.warning(
+        "worker on {} crashed {} ms after the start of {} attempt {}; the "
+        "task is blamed for {} crashes{}",
+        *(crash.node, crash.run_ms, end.task, end.attempt, len(crashes)),
+        " and given up" if crashes_workers(crashes) else "",
+    )
+    return crashes
+
+
 def _reported_checkpoint(report: WorkerReport, task: str, attempt: int) -> str:
     """Return the checkpoint of a run in a report, or an empty string."""
     for run in report.running:
--- a/filbertlb/batch/planner_state.py
+++ b/filbertlb/batch/planner_state.py
@@ -81,6 +81,8 @@
         by node; not yet written.
     ignored_jobs : set of str
         Jobs whose progress is unreadable; nothing is decided about them.
+    suspects : set of str
+        Unfinished tasks that may have crashed a worker.
     """
 
     jobs: dict[str, Job] = attrs.Factory(dict)
@@ -91,6 +93,7 @@
     changed_nodes: set[str] = attrs.Factory(set)
     jobs_lost_by_node: dict[str, set[str]] = attrs.Factory(dict)
     ignored_jobs: set[str] = attrs.Factory(set)
+    suspects: set[str] = attrs.Factory(set)
     _tasks_by_node: dict[str, set[str]] = attrs.Factory(dict)
 
     def add_job(self, job: Job) -> None:
@@ -106,6 +109,8 @@
         for task, record in progress.tasks.items():
             if record.phase in ALLOCATED_PHASES:
                 self._tasks_by_node.setdefault(record.node, set()).add(task)
+            if progress.state not in FINAL_STATES:
+                self._update_suspect(task, record)
 
     def forget(self, job_id: str) -> None:
         """Remove a job whose rows were deleted."""
@@ -161,14 +166,22 @@
         if record.phase in ALLOCATED_PHASES:
             self._tasks_by_node.setdefault(record.node, set()).add(task)
             self.changed_nodes.add(record.node)
+        self._update_suspect(task, record)
         self.changed_jobs.add(job_id)
 
+    def _update_suspect(self, task: str, record: TaskRecord) -> None:
+        if record.crashes and record.phase is not TaskPhase.DONE:
+            self.suspects.add(task)
+        else:
+            self.suspects.discard(task)
+
     def drop_records(self, job_id: str) -> None:
         """Remove the records of all tasks of a job."""
         for task in self.allocated_tasks(job_id):
             node = self.record(task).node
             self._tasks_by_node[node].discard(task)
             self.changed_nodes.add(node)
+        self.suspects.difference_update(self.progress[job_id].tasks)
         self.progress[job_id].tasks.clear()
 
     def set_phase(self, task: str, phase: TaskPhase, now_ms: int) -> None:
@@ -199,6 +212,8 @@
         if progress.state is not state:
             progress.state = state
             progress.ended_ms = now_ms if state in FINAL_STATES else 0
+            if state in FINAL_STATES:
+                self.suspects.difference_update(progress.tasks)
             self._mark_status(job_id)
 
     def unfinished_jobs(self) -> Iterator[tuple[Job, Progress]]:
--- a/filbertlb/batch/reconciler.py
+++ b/filbertlb/batch/reconciler.py
@@ -85,6 +85,7 @@
     _last_extension_s: float = 0.0
     _listing_received: bool = False
     _departed_s: float | None = None
+    _down_since_s: float | None = None
 
     def restore(
         self, ended: Iterable[RunEnd], running: Iterable[Run] = ()
@@ -102,7 +103,9 @@
         """Set what the worker announced; a new incarnation has no runs."""
         previous = self.worker
         if previous is not None and previous.incarnation != worker.incarnation:
+            self._end_crashed_runs()
             self._runs.clear()
+            self._down_since_s = None
             self.last_end_number = 0
             self._listing_received = False
             self._departed_s = None
@@ -135,6 +138,11 @@
         """Whether the worker has announced its departure."""
         return self._departed_s is not None
 
+    def record_down(self, now_s: float) -> None:
+        """Record that the worker's process has ended."""
+        if self._down_since_s is None:
+            self._down_since_s = now_s
+
     def record_extension(self, now_s: float) -> None:
         """Record that a lease extension was sent, answered or not."""
         self._last_extension_s = now_s
@@ -220,6 +228,7 @@
             All unacknowledged ends are listed.
         """
         self._listing_received = True
+        self._down_since_s = None
         listed = set()
         for listed_end in ends:
             listed.add((listed_end.end.task, listed_end.end.attempt))
@@ -302,7 +311,7 @@
                 self._end_run(key, EndCause.REFUSED, "no capacity in time")
             return None
         self._waiting_since_s.pop(key, None)
-        run = LocalRun(order.needs, RunPhase.STARTING)
+        run = LocalRun(order.needs, RunPhase.STARTING, started_s=now_s)
         run.call_sent(now_s)
         self._runs[key] = run
         return StartCall(order, orders.payload_by_job_id[order.job_id])
@@ -406,6 +415,28 @@
                 cause = EndCause.STOPPED if stopping else EndCause.LOST
                 self._end_run(key, cause, "not listed by the worker")
 
+    def _end_crashed_runs(self) -> None:
+        """End the runs that the worker had when it crashed."""
+        for key, run in self._runs.items():
+            run_ms = self._crashed_after_ms(run)
+            if run_ms is not None:
+                reason = f"worker crashed {run_ms} ms after the start"
+                self._end_run(key, EndCause.LOST, reason, run_ms)
+
+    def _crashed_after_ms(self, run: LocalRun) -> int | None:
+        """Return the age of a run when the worker crashed under it.
+
+        None if the worker runs, was to leave anyway, or was down before the
+        run was started.
+        """
+        down_s, started_s = self._down_since_s, run.started_s
+        if down_s is None or started_s is None or started_s > down_s:
+            return None
+        leaves = self.worker is not None and self.worker.draining
+        if leaves or self.worker_departed:
+            return None
+        return round(1000 * (down_s - started_s))
+
     def _end_departed(
         self, orders: Orders, now_s: float, departed_s: float
     ) -> None:
@@ -427,9 +458,10 @@
         last_extension_s = max(self.created_s, self._last_extension_s)
         if now_s < last_extension_s + lease_s:
             return
-        for key in list(self._runs):
+        for key, run in list(self._runs.items()):
             del self._runs[key]
-            self._end_run(key, EndCause.LOST, "lease ran out")
+            run_ms = self._crashed_after_ms(run)
+            self._end_run(key, EndCause.LOST, "lease ran out", run_ms)
         if self.worker is not None:
             return
         for order in orders.orders:
@@ -439,10 +471,18 @@
                     key, EndCause.LOST, "no worker has announced itself"
                 )
 
-    def _end_run(self, key: RunKey, cause: EndCause, reason: str) -> None:
+    def _end_run(
+        self,
+        key: RunKey,
+        cause: EndCause,
+        reason: str,
+        crashed_after_ms: int | None = None,
+    ) -> None:
         self._waiting_since_s.pop(key, None)
         saved = self._checkpoint_by_run.get(key, "")
-        self._ended[key] = RunEnd(key[0], key[1], cause, saved)
+        self._ended[key] = RunEnd(
+            key[0], key[1], cause, saved, crashed_after_ms
+        )
         self.report_changed = True
         logger.info(
             "run {} attempt {} ended {}: {}", *(*key, cause.value, reason)
--- a/filbertlb/batch/worker_link.py
+++ b/filbertlb/batch/worker_link.py
@@ -27,6 +27,12 @@
     code = "worker_silent"
 
 
+class WorkerDownError(WorkerSilentError):
+    """The worker refuses connections: its process has ended."""
+
+    code = "worker_down"
+
+
 class StartResult(StrEnum):
     """Outcome of a call to start a run."""
 
@@ -137,6 +143,7 @@
         Raises
         ------
         WorkerSilentError
-            If the worker gives no usable answer.
+            If the worker gives no usable answer; a WorkerDownError if its
+            process has ended.
         """
         ...
--- a/filbertlb/httpcall.py
+++ b/filbertlb/httpcall.py
@@ -48,6 +48,12 @@
     code = "call_not_sent"
 
 
+class CallRefusedError(CallNotSentError):
+    """Nothing listens at the server's address; its process is not there."""
+
+    code = "call_refused"
+
+
 class CallOutcomeUnknownError(OutcomeUnknownError):
     """The call was sent, but no whole answer came back."""
 
@@ -67,6 +73,10 @@
     """Raised in place of any failure to get a connection."""
 
 
+class _NoListenerError(_NoConnectionError):
+    """Raised in place of a refused connection."""
+
+
 class _Pool(ConnectionPool):
     """Pool whose failures to connect have their own type."""
 
@@ -78,6 +88,8 @@
             # second waits for the peer's delayed acknowledgement.
             found.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
             return found
+        except ConnectionRefusedError as error:
+            raise _NoListenerError(str(error)) from error
         except (OSError, RuntimeError) as error:
             raise _NoConnectionError(str(error)) from error
 
@@ -138,7 +150,7 @@
         InvalidTargetError
             If the path is not one of an HTTP request.
         CallNotSentError
-            If no connection was made.
+            If no connection was made; a CallRefusedError if it was refused.
         CallOutcomeUnknownError
             If the connection or the time ended before the whole answer.
         """
@@ -209,7 +221,9 @@
                     )
                 return _whole(response, timeout_s)
         except _NoConnectionError as error:
-            raise CallNotSentError(
+            refused = isinstance(error, _NoListenerError)
+            failure = CallRefusedError if refused else CallNotSentError
+            raise failure(
                 f"no connection to {self._base_url!r}: {error}; check that "
                 "the server runs there"
             ) from error
--- a/filbertlb/platform/runner.py
+++ b/filbertlb/platform/runner.py
@@ -16,9 +16,11 @@
 from filbertlb.batch.worker_link import ListedEnd
 from filbertlb.batch.worker_link import RunListing
 from filbertlb.batch.worker_link import StartResult
+from filbertlb.batch.worker_link import WorkerDownError
 from filbertlb.batch.worker_link import WorkerSilentError
 from filbertlb.httpcall import CallNotSentError
 from filbertlb.httpcall import CallOutcomeUnknownError
+from filbertlb.httpcall import CallRefusedError
 from filbertlb.httpcall import HttpCaller
 from filbertlb.platform.wire import incarnation_name
 from filbertlb.platform.wire import instance_id_of
@@ -142,6 +144,8 @@
             body["deadlineMs"] = self._lease_end_ms()
         try:
             reply = self._post("hold", body, wait_s + HOLD_TIMEOUT_MARGIN_S)
+        except CallRefusedError as error:
+            raise WorkerDownError(error.message) from error
         except (CallNotSentError, CallOutcomeUnknownError) as error:
             raise WorkerSilentError(error.message) from error
         if reply.status != HTTP_OK:
--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -9,16 +9,21 @@
 from gevent import Timeout
 
 from filbertlb.batch.agent import Agent
+from filbertlb.batch.model import EndCause
 from filbertlb.batch.model import orders_key
 from filbertlb.batch.model import Run
+from filbertlb.batch.model import WORKER_PREFIX
+from filbertlb.batch.model import WorkerReport
 from filbertlb.batch.testing import a_worker
 from filbertlb.batch.testing import an_order
 from filbertlb.batch.testing import some_orders
 from filbertlb.batch.worker_link import RunListing
 from filbertlb.batch.worker_link import StartResult
+from filbertlb.batch.worker_link import WorkerDownError
 from filbertlb.core.clock import SystemClock
 from filbertlb.table.base import Write
 from filbertlb.table.memory import MemoryTable
+from filbertlb.table.rows import decode_row
 from filbertlb.table.rows import encode_value
 
 DEADLINE_S = 30.0
@@ -74,3 +79,49 @@
                 sleep(0.01)
     finally:
         running.kill()
+
+
+@attrs.define
+class CrashingLink:
+    """Worker link whose worker crashes as soon as it starts a run."""
+
+    down: bool = False
+
+    def start(self, order, payload, fence, extend_lease):
+        self.down = True
+        return StartResult.STARTED
+
+    def stop(self, task, attempt, fence):
+        return False
+
+    def list_runs(self, fence, acked_number, extend_lease, wait_s):
+        sleep(0.01)
+        if self.down:
+            raise WorkerDownError("no connection")
+        return RunListing((), (), ends_complete=True)
+
+
+def reported_ends(table):
+    row = table.get(WORKER_PREFIX + "n")
+    return () if row is None else decode_row(row, WorkerReport).ended
+
+
+def test_crash_of_the_worker_at_a_start_is_reported():
+    table, link = MemoryTable(), CrashingLink()
+    agent = Agent(table, link, SystemClock(), "n")
+    agent.update_worker(a_worker())
+    put_orders(table, an_order("j.0.0.0"))
+    running = spawn(agent.run)
+    try:
+        with Timeout(DEADLINE_S):
+            while not link.down:
+                sleep(0.01)
+            sleep(0.5)
+            agent.update_worker(a_worker(incarnation="w@2"))
+            while not reported_ends(table):
+                sleep(0.01)
+    finally:
+        running.kill()
+    (end,) = reported_ends(table)
+    assert end.cause is EndCause.LOST
+    assert end.crashed_after_ms is not None
--- /dev/null
+++ b/tests/batch/test_crashes.py
@@ -0,0 +1,230 @@
+from __future__ import annotations
+
+import pytest
+
+from filbertlb.batch.crashes import crashes_workers
+from filbertlb.batch.crashes import MAX_BLAME_MS
+from filbertlb.batch.crashes import MAX_SEPARATION_MS
+from filbertlb.batch.crashes import PROMPT_CRASH_MS
+from filbertlb.batch.crashes import SETTLING_MS
+from filbertlb.batch.crashes import with_crash
+from filbertlb.batch.model import Crash
+from filbertlb.batch.model import EndCause
+from filbertlb.batch.model import JobState
+from filbertlb.batch.model import Progress
+from filbertlb.batch.model import PROGRESS_PREFIX
+from filbertlb.batch.model import RunEnd
+from filbertlb.batch.model import TaskPhase
+from filbertlb.batch.planner import Planner
+from filbertlb.batch.testing import a_job
+from filbertlb.batch.testing import a_report
+from filbertlb.batch.testing import a_step
+from filbertlb.batch.testing import a_worker
+from filbertlb.table.base import Row
+from filbertlb.table.rows import decode_row
+from filbertlb.table.rows import encode_value
+
+PROMPT = PROMPT_CRASH_MS
+LATE = PROMPT_CRASH_MS + 1
+ALL_ACCELERATORS = (8, 8_000, 8_000)
+
+
+def some_crashes(*crashes):
+    return tuple(Crash(node, run_ms) for node, run_ms in crashes)
+
+
+@pytest.mark.parametrize(
+    ("crashes", "given_up"),
+    [
+        ([], False),
+        ([("n0", 5)], False),
+        ([("n0", 5), ("n1", PROMPT)], True),
+        ([("n0", 5), ("n0", 5)], False),
+        ([("n0", 5)] * 3, True),
+        ([("n0", 5), ("n1", LATE)], False),
+        ([("n0", 5), ("n1", LATE), ("n2", LATE)], False),
+        ([("n0", LATE), ("n1", LATE), ("n2", LATE), ("n0", LATE)], True),
+    ],
+)
+def test_task_is_given_up_by_the_crashes_it_is_blamed_for(crashes, given_up):
+    assert crashes_workers(some_crashes(*crashes)) is given_up
+
+
+def test_long_run_clears_a_task_of_earlier_crashes():
+    crashes = some_crashes(("n0", 5), ("n1", LATE))
+    assert with_crash(crashes, Crash("n2", MAX_BLAME_MS + 1)) == ()
+
+
+class Site:
+    """Planner with workers that crash and return under a new incarnation."""
+
+    def __init__(self, *jobs, nodes=3):
+        self.jobs = jobs
+        self.nodes = [f"n{number}" for number in range(nodes)]
+        self.incarnation_by_node = dict.fromkeys(self.nodes, 0)
+        self.now_ms = 0
+        self.progress_rows = {}
+        self.new_decider()
+
+    def new_decider(self):
+        self.planner = Planner()
+        for job in self.jobs:
+            self.planner.state.add_job(job)
+        for row in self.progress_rows.values():
+            self.planner.state.add_progress(decode_row(row, Progress))
+        for node in self.nodes:
+            self.report(node)
+
+    def report(self, node, **changes):
+        incarnation = f"{node}@{self.incarnation_by_node[node]}"
+        worker = a_worker(incarnation=incarnation)
+        self.planner.record_report(
+            a_report(node, worker=worker, **changes), self.now_ms / 1000
+        )
+
+    def decide(self, after_ms=100):
+        self.now_ms += after_ms
+        for node in self.nodes:
+            view = self.planner.workers[node]
+            view.seen_s = self.now_ms / 1000
+        self.planner.decide(self.now_ms / 1000, self.now_ms)
+        for job_id, progress in self.planner.state.progress.items():
+            key = PROGRESS_PREFIX + job_id
+            self.progress_rows[job_id] = Row(key, encode_value(progress), 1)
+
+    def add(self, job):
+        self.jobs = (*self.jobs, job)
+        self.planner.state.add_job(job)
+
+    def end(self, task, cause):
+        record = self.record(task)
+        self.report(record.node, ended=(RunEnd(task, record.attempt, cause),))
+
+    def crash(self, node, run_ms):
+        """End all runs of a node; ``run_ms`` None if the cause is unknown."""
+        self.incarnation_by_node[node] += 1
+        ended = tuple(
+            RunEnd(task, self.record(task).attempt, EndCause.LOST, "", run_ms)
+            for task in self.planner.state.tasks_on(node)
+        )
+        self.report(node, ended=ended)
+
+    def record(self, task):
+        return self.planner.state.record(task)
+
+    def node_of(self, task):
+        record = self.record(task)
+        return record.node if record.phase is TaskPhase.ORDERED else None
+
+    def state(self, job_id):
+        return self.planner.state.progress[job_id].state
+
+
+def crash_until_given_up(site, task, run_ms, most=10):
+    """Crash the worker of a task at each start; return the nodes."""
+    nodes = []
+    site.decide()
+    while len(nodes) < most:
+        node = site.node_of(task)
+        if node is None:
+            break
+        nodes.append(node)
+        site.crash(node, run_ms)
+        site.decide()
+        site.new_decider()
+    return nodes
+
+
+@pytest.mark.parametrize(
+    ("nodes", "gang", "starts"), [(3, False, 2), (3, True, 2), (1, False, 3)]
+)
+def test_task_crashes_one_worker_after_another(nodes, gang, starts):
+    # Each decider dies after the crash that it saw.
+    step = a_step(needs=ALL_ACCELERATORS, gang=gang)
+    site = Site(a_job("a", step), nodes=nodes)
+    crashed = crash_until_given_up(site, "a.0.0.0", run_ms=10)
+    assert len(crashed) == starts
+    assert len(set(crashed)) == min(nodes, starts)
+    assert site.state("a") is JobState.FAILED
+    assert site.planner.state.suspects == set()
+
+
+def test_task_that_lasts_is_given_up_too():
+    site = Site(a_job("a", a_step(long_running=True)))
+    assert len(crash_until_given_up(site, "a.0.0.0", run_ms=10)) == 2
+    assert site.state("a") is JobState.FAILED
+
+
+@pytest.mark.parametrize("run_ms", [None, MAX_BLAME_MS + 1])
+def test_task_is_not_given_up_for_workers_lost_otherwise(run_ms):
+    site = Site(a_job("a"))
+    assert len(crash_until_given_up(site, "a.0.0.0", run_ms)) == 10
+    assert site.state("a") is not JobState.FAILED
+
+
+def test_task_beside_one_that_crashes_workers_is_not_given_up():
+    jobs = [a_job(name, a_step(2)) for name in ("a", "b", "c")]
+    site = Site(*jobs)
+    for _ in range(200):
+        site.decide()
+        node = site.node_of("a.0.0.0")
+        if node is not None:
+            site.crash(node, 10)
+    assert site.state("a") is JobState.FAILED
+    suspects = site.planner.state.suspects
+    assert not any(task.startswith("a.") for task in suspects)
+    for job_id in ("b", "c"):
+        assert site.state(job_id) is not JobState.FAILED
+        records = site.planner.state.progress[job_id].tasks.values()
+        assert all(rec.phase is TaskPhase.ORDERED for rec in records)
+
+
+def test_suspect_starts_apart_from_other_runs():
+    site = Site(a_job("a"), a_job("b"), nodes=2)
+    site.decide()
+    assert site.node_of("a.0.0.0") == site.node_of("b.0.0.0") == "n0"
+    site.crash("n0", 10)
+    site.decide()
+    assert site.node_of("a.0.0.0") == "n1"
+    assert site.node_of("b.0.0.0") == "n0"
+    site.add(a_job("c"))
+    site.decide()
+    assert site.node_of("c.0.0.0") is None
+    site.decide(after_ms=SETTLING_MS)
+    assert site.node_of("c.0.0.0") is not None
+
+
+def test_suspect_prefers_an_idle_worker():
+    site = Site(a_job("a"), a_job("b", a_step(2, max_per_worker=1)))
+    site.decide()
+    site.crash("n0", 10)
+    site.decide(after_ms=SETTLING_MS)
+    assert site.node_of("b.0.0.1") == "n1"
+    assert site.node_of("a.0.0.0") == "n2"
+
+
+def test_suspects_of_one_job_start_one_after_the_other():
+    site = Site(a_job("a", a_step(3, needs=ALL_ACCELERATORS)))
+    site.decide()
+    for node in site.nodes:
+        site.crash(node, 10)
+    started = []
+    for _ in range(3):
+        site.decide()
+        running = [n for n in range(3) if site.node_of(f"a.0.0.{n}")]
+        started.append(len(running))
+        site.decide(after_ms=SETTLING_MS)
+    assert started == [1, 2, 3]
+
+
+def test_suspect_is_not_held_for_ever():
+    site = Site(a_job("a"), nodes=1)
+    site.decide()
+    site.crash("n0", 10)
+    for number in range(MAX_SEPARATION_MS // 500):
+        site.add(a_job(f"b{number}", priority=0))
+        site.decide(after_ms=500)
+        assert site.record("a.0.0.0").attempt == 1
+        site.end(f"b{number}.0.0.0", EndCause.DONE)
+    site.decide(after_ms=500)
+    assert site.record("a.0.0.0").attempt == 2
--- a/tests/platform/test_runner.py
+++ b/tests/platform/test_runner.py
@@ -5,6 +5,7 @@
 import pytest
 
 from filbertlb.batch.model import Run
+from filbertlb.batch.worker_link import WorkerDownError
 from filbertlb.batch.worker_link import WorkerSilentError
 from filbertlb.core.clock import VirtualClock
 from filbertlb.platform.runner import PlatformWorkerClient
@@ -25,10 +26,11 @@
 def test_unusable_reply_is_reported_with_its_reason():
     with (
         serving(unhealthy) as url,
-        pytest.raises(WorkerSilentError, match=r"503.*busy"),
+        pytest.raises(WorkerSilentError, match=r"503.*busy") as raised,
     ):
         query_runs(url.removeprefix("http://"))
-    with pytest.raises(WorkerSilentError, match="no connection"):
+    assert not isinstance(raised.value, WorkerDownError)
+    with pytest.raises(WorkerDownError, match="no connection"):
         query_runs("127.0.0.1:1")
 
 
