Offer no work to a worker that refuses connections

Cause: an agent reports that its worker answers until 3 s have passed without an answer; it knows at once when connections are refused.

Change: such a worker is reported as not answering until it announces itself again or answers. A silent one still gets 3 s.

Test: test_worker_that_has_crashed_is_offered_work did not end before.

--- a/filbertlb/batch/agent.py
+++ b/filbertlb/batch/agent.py
@@ -219,6 +219,15 @@
             and now_s - self._last_answer_s < WORKER_TIMEOUT_S
         )
 
+    def _worker_answers(self, now_s: float) -> bool:
+        """Return whether the worker may get new work.
+
+        One that refuses connections gets none at once; one that is silent
+        only after a while, since single answers are lost.
+        """
+        silent_s = now_s - self._last_answer_s
+        return silent_s < WORKER_TIMEOUT_S and not self._reconciler.worker_down
+
     def _listing_loop(self) -> None:
         while not self._reconciler.fenced:
             if (
@@ -370,7 +379,7 @@
             self._registration,
             self._sequence,
             worker,
-            sent_s - self._last_answer_s < WORKER_TIMEOUT_S,
+            self._worker_answers(sent_s),
             self._reconciler.running(),
             self._reconciler.ended(),
         )
--- a/filbertlb/batch/reconciler.py
+++ b/filbertlb/batch/reconciler.py
@@ -142,6 +142,12 @@
         """Record that the worker's process has ended."""
         if self._down_since_s is None:
             self._down_since_s = now_s
+            self.report_changed = True
+
+    @property
+    def worker_down(self) -> bool:
+        """Whether the worker's process has ended and not returned yet."""
+        return self._down_since_s is not None
 
     def record_extension(self, now_s: float) -> None:
         """Record that a lease extension was sent, answered or not."""
--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from contextlib import contextmanager
+
 import attrs
 import pytest
 from gevent import sleep
@@ -21,6 +23,7 @@
 from filbertlb.batch.worker_link import StartResult
 from filbertlb.batch.worker_link import WorkerDownError
 from filbertlb.core.clock import SystemClock
+from filbertlb.core.clock import VirtualClock
 from filbertlb.table.base import Write
 from filbertlb.table.memory import MemoryTable
 from filbertlb.table.rows import decode_row
@@ -101,27 +104,41 @@
         return RunListing((), (), ends_complete=True)
 
 
-def reported_ends(table):
-    row = table.get(WORKER_PREFIX + "n")
-    return () if row is None else decode_row(row, WorkerReport).ended
+def await_report(table, holds):
+    """Return the first report of the agent for which ``holds`` is true."""
+    with Timeout(DEADLINE_S):
+        while True:
+            row = table.get(WORKER_PREFIX + "n")
+            if row is not None and holds(decode_row(row, WorkerReport)):
+                return decode_row(row, WorkerReport)
+            sleep(0.01)
 
 
-def test_crash_of_the_worker_at_a_start_is_reported():
-    table, link = MemoryTable(), CrashingLink()
-    agent = Agent(table, link, SystemClock(), "n")
+@contextmanager
+def agent_beside(link, table, clock=None):
+    """Run an agent with one order until the end of the block."""
+    agent = Agent(table, link, clock or SystemClock(), "n")
     agent.update_worker(a_worker())
     put_orders(table, an_order("j.0.0.0"))
     running = spawn(agent.run)
     try:
-        with Timeout(DEADLINE_S):
-            while not link.down:
-                sleep(0.01)
-            sleep(0.5)
-            agent.update_worker(a_worker(incarnation="w@2"))
-            while not reported_ends(table):
-                sleep(0.01)
+        yield agent
     finally:
         running.kill()
-    (end,) = reported_ends(table)
+
+
+def test_crash_of_the_worker_at_a_start_is_reported():
+    table, link = MemoryTable(), CrashingLink()
+    with agent_beside(link, table) as agent:
+        await_report(table, lambda report: link.down and not report.answers)
+        agent.update_worker(a_worker(incarnation="w@2"))
+        (end,) = await_report(table, lambda report: report.ended).ended
     assert end.cause is EndCause.LOST
     assert end.crashed_after_ms is not None
+
+
+def test_worker_that_has_crashed_is_offered_work():
+    # The clock of the agent stands, so no time without an answer passes.
+    table, link, clock = MemoryTable(), CrashingLink(), VirtualClock()
+    with agent_beside(link, table, clock):
+        await_report(table, lambda report: link.down and not report.answers)
