--- a/filbertlb/batch/agent.py
+++ b/filbertlb/batch/agent.py
@@ -24,6 +24,7 @@
 from filbertlb.batch.worker_link import StartCall
 from filbertlb.batch.worker_link import StartResult
 from filbertlb.batch.worker_link import StopCall
+from filbertlb.batch.worker_link import WorkerDownError
 from filbertlb.batch.worker_link import WorkerSilentError
 from filbertlb.batch.workers import CONTACT_LOST_S
 from filbertlb.errors import FilbertlbError
@@ -218,6 +219,15 @@
             and now_s - self._last_answer_s < WORKER_TIMEOUT_S
         )
 
+    def _worker_answers(self, now_s: float) -> bool:
+        """Return whether the worker may get new work.
+
+        One that refuses connections gets none at once; one that is silent
+        only after a while, since single answers are lost.
+        """
+        silent_s = now_s - self._last_answer_s
+        return silent_s < WORKER_TIMEOUT_S and not self._reconciler.worker_down
+
     def _listing_loop(self) -> None:
         while not self._reconciler.fenced:
             if (
@@ -241,9 +251,12 @@
             self._process_listing(listing, sent_s)
 
     def _record_silence(self, error: WorkerSilentError) -> None:
+        now_s = self._clock.monotonic()
+        if isinstance(error, WorkerDownError):
+            self._reconciler.record_down(now_s)
         if not self._silent:
             self._silent = True
-            silent_s = self._clock.monotonic() - self._last_answer_s
+            silent_s = now_s - self._last_answer_s
             logger.warning(
                 "worker does not answer, silent for {:.1f} s: {}",
                 *(silent_s, error),
@@ -366,7 +379,7 @@
             self._registration,
             self._sequence,
             worker,
-            sent_s - self._last_answer_s < WORKER_TIMEOUT_S,
+            self._worker_answers(sent_s),
             self._reconciler.running(),
             self._reconciler.ended(),
         )
