Repeat no start on a worker that has shrunk or drains meanwhile

Seen in a test: a start that got no answer, or 429 or 503, was repeated every 0.25 s without a look at what the worker had announced since. On a worker that shrank after the first call the repeat brought it over its capacity (LIMIT); on one that drains it started a task later than drainMs (DRAIN). Cause: capacity and draining were checked when an order was admitted only, not for the calls that follow. Change: a repeat is made only if the worker doesn't drain and all that may run on it still fits. Otherwise a start that was refused is admitted anew, so it waits for capacity as any order does. A start without an answer may still be carried out, seconds later; it is stopped, as the worker then refuses it ("a run that is not there yet will be rejected"). An answer that is overdue (MAX_CALL_S) counts as missing. test_start_was_repeated_on_a_worker_that_shrank_or_drains failed before in its four cases: each got a StartCall. The second test shows that the stop is repeated until it is answered and that growth doesn't bring the start back.

--- a/filbertlb/batch/local_run.py
+++ b/filbertlb/batch/local_run.py
@@ -76,3 +76,7 @@
     def awaits_answer(self, now_s: float) -> bool:
         """Return whether a call for the run may still be answered."""
         return now_s < self.answer_due_s
+
+    def call_due(self, now_s: float) -> bool:
+        """Return whether the next call for the run may be sent."""
+        return not self.awaits_answer(now_s) and now_s >= self.retry_s
--- a/filbertlb/batch/reconciler.py
+++ b/filbertlb/batch/reconciler.py
@@ -23,6 +23,7 @@
 from filbertlb.batch.worker_link import StartResult
 from filbertlb.batch.worker_link import StopCall
 from filbertlb.core.amounts import covers
+from filbertlb.core.amounts import is_negative
 from filbertlb.core.amounts import minus
 from filbertlb.core.amounts import plus
 from filbertlb.core.amounts import ZERO_AMOUNT
@@ -163,7 +164,9 @@
         for key, run in self._runs.items():
             if key not in wanted:
                 run.needs_known = False
-                self._stop(key, run, now_s, calls)
+                stop = self._stop(key, run, now_s)
+                if stop is not None:
+                    calls.append(stop)
         return calls
 
     def record_start(
@@ -268,25 +271,37 @@
         if order.incarnation != self.worker.incarnation:
             self._end_run(key, EndCause.LOST, "other incarnation")
             return None
-        if order.stop:
-            if run is None:
-                self._end_run(
-                    key, EndCause.STOPPED, "stopped before it started"
-                )
-                return None
-            calls: list[StartCall | StopCall] = []
-            self._stop(key, run, now_s, calls)
-            return calls[0] if calls else None
         if run is None:
-            return self._admit(order, orders, now_s)
-        if (
-            run.phase is RunPhase.STARTING
-            and not run.awaits_answer(now_s)
-            and now_s >= run.retry_s
-        ):
+            if not order.stop:
+                return self._admit(order, orders, now_s)
+            self._end_run(key, EndCause.STOPPED, "stopped before it started")
+            return None
+        if order.stop or run.phase is RunPhase.STOPPING:
+            return self._stop(key, run, now_s)
+        if run.phase is RunPhase.STARTING and run.call_due(now_s):
+            return self._repeat_start(run, order, orders, now_s)
+        return None
+
+    def _repeat_start(
+        self, run: LocalRun, order: Order, orders: Orders, now_s: float
+    ) -> StartCall | StopCall | None:
+        """Repeat a start that was not confirmed if it may still be made.
+
+        The worker may have shrunk, or begun to drain, since the last call.
+        A stop then makes it refuse a start that it may still carry out.
+        """
+        assert self.worker is not None
+        key = (order.task, order.attempt)
+        if run.answer_due_s:
+            run.start_unanswered = True
+        if not self.worker.draining and not is_negative(self._free_capacity()):
             run.call_sent(now_s)
             return StartCall(order, orders.payload_by_job_id[order.job_id])
-        return None
+        if run.start_unanswered:
+            logger.info("unanswered start of {} attempt {} withdrawn", *key)
+            return self._stop(key, run, now_s)
+        del self._runs[key]
+        return self._admit(order, orders, now_s)
 
     def _admit(
         self, order: Order, orders: Orders, now_s: float
@@ -319,21 +334,18 @@
         return minus(self.worker.capacity, used)
 
     def _stop(
-        self,
-        key: RunKey,
-        run: LocalRun,
-        now_s: float,
-        calls: list[StartCall | StopCall],
-    ) -> None:
+        self, key: RunKey, run: LocalRun, now_s: float
+    ) -> StopCall | None:
         if run.awaits_answer(now_s):
-            return
+            return None
         if run.phase is not RunPhase.STOPPING:
             run.phase = RunPhase.STOPPING
             run.acked_s = 0.0
             run.retry_s = now_s
-        if now_s >= run.retry_s:
-            run.call_sent(now_s)
-            calls.append(StopCall(*key))
+        if not run.call_due(now_s):
+            return None
+        run.call_sent(now_s)
+        return StopCall(*key)
 
     def _record_unconfirmed_start(
         self, key: RunKey, run: LocalRun, result: StartResult
--- a/tests/batch/test_reconciler.py
+++ b/tests/batch/test_reconciler.py
@@ -17,6 +17,7 @@
 
 LEASE_EXPIRED_S = 6.0 * 1.02 + 0.4
 FULL_CAPACITY = (8, 1_000, 1_000)
+HALF_CAPACITY = (4, 16_000, 65_536)
 
 
 def reconciler_with(*orders, worker=None):
@@ -218,6 +219,59 @@
     assert reconciler.running() == (Run("j.0.0.0", 1),)
 
 
+@pytest.mark.parametrize(
+    ("result", "changes", "calls", "causes"),
+    [
+        (
+            StartResult.UNKNOWN,
+            {"capacity": HALF_CAPACITY},
+            [StopCall("j.0.0.0", 1)],
+            {},
+        ),
+        (
+            StartResult.UNKNOWN,
+            {"draining": True},
+            [StopCall("j.0.0.0", 1)],
+            {},
+        ),
+        (StartResult.UNHEALTHY, {"capacity": HALF_CAPACITY}, [], {}),
+        (
+            StartResult.UNHEALTHY,
+            {"draining": True},
+            [],
+            {"j.0.0.0": EndCause.REFUSED},
+        ),
+    ],
+)
+def test_start_was_repeated_on_a_worker_that_shrank_or_drains(
+    result, changes, calls, causes
+):
+    # A stop makes the worker refuse a start that it may still get.
+    order = an_order("j.0.0.0", needs=FULL_CAPACITY)
+    reconciler = reconciler_with(order)
+    reconciler.due_calls(0.0)
+    reconciler.record_start(order, result, 0.5)
+    reconciler.set_worker(a_worker(**changes))
+    assert reconciler.due_calls(1.0) == calls
+    assert cause_by_task(reconciler) == causes
+
+
+def test_withdrawn_start_is_stopped_until_answered_and_not_made_again():
+    order = an_order("j.0.0.0", needs=FULL_CAPACITY)
+    reconciler = reconciler_with(order)
+    reconciler.due_calls(0.0)
+    reconciler.record_start(order, StartResult.UNKNOWN, 0.5)
+    reconciler.set_worker(a_worker(capacity=HALF_CAPACITY))
+    for now_s, answered in ((1.0, False), (2.0, True)):
+        (call,) = reconciler.due_calls(now_s)
+        assert call == StopCall("j.0.0.0", 1)
+        reconciler.record_stop(call, answered, now_s)
+        reconciler.set_worker(a_worker())
+        reconciler.record_listing(now_s + 0.1, [], [], ends_complete=True)
+    assert reconciler.due_calls(2.2) == []
+    assert cause_by_task(reconciler) == {"j.0.0.0": EndCause.STOPPED}
+
+
 def list_running(reconciler, saved):
     run = Run("j.0.0.0", 1, saved, 40)
     reconciler.record_listing(0.5, [run], [], ends_complete=True)
