Know the needs of adopted runs listed before their orders were read

Seen in a test: a new agent process whose first listing comes before its orders (a listing is answered at once if ends are unacknowledged; the table may be slow) took the runs for unordered ones of unknown needs, and never changed its mind. Nothing started beside them until they had ended; each order was refused after CAPACITY_WAIT_S, and the decider, which sees free capacity there, ordered again and again. Cause: the needs were looked up when a run was first listed only. Change: set_orders sets the needs of the runs that it names. Unknown needs are None; they were a zero amount told apart by its identity, and a flag. test_adopted_run_listed_before_its_order_kept_its_worker_from_starts failed before: no call.

--- a/filbertlb/batch/local_run.py
+++ b/filbertlb/batch/local_run.py
@@ -32,8 +32,8 @@
 
     Parameters
     ----------
-    needs_known : bool
-        The run was ordered, so the resources that it needs are known.
+    needs : Amount or None
+        Resources that the run uses; None if it was not ordered.
     acked_s : float
         Monotonic time of the worker's last answer to a start or stop of
         the run, or of the last request for a listing that showed it
@@ -53,9 +53,8 @@
         Share of the work that is done, as the worker listed it.
     """
 
-    needs: Amount
+    needs: Amount | None
     phase: RunPhase
-    needs_known: bool = True
     acked_s: float = 0.0
     retry_s: float = 0.0
     answer_due_s: float = 0.0
--- a/filbertlb/batch/reconciler.py
+++ b/filbertlb/batch/reconciler.py
@@ -121,14 +121,18 @@
     def set_orders(self, orders: Orders) -> None:
         """Replace the orders; forget what concerns runs no longer ordered."""
         self.orders = orders
-        wanted = {(order.task, order.attempt) for order in orders.orders}
+        wanted = {
+            (order.task, order.attempt): order for order in orders.orders
+        }
+        for key in self._runs.keys() & wanted.keys():
+            self._runs[key].needs = wanted[key].needs
         by_run: tuple[dict[RunKey, Any], ...] = (
             self._ended,
             self._waiting_since_s,
             self._checkpoint_by_run,
         )
         for entries in by_run:
-            for key in entries.keys() - wanted:
+            for key in entries.keys() - wanted.keys():
                 del entries[key]
 
     @property
@@ -163,7 +167,6 @@
                 calls.append(call)
         for key, run in self._runs.items():
             if key not in wanted:
-                run.needs_known = False
                 stop = self._stop(key, run, now_s)
                 if stop is not None:
                     calls.append(stop)
@@ -326,7 +329,7 @@
         assert self.worker is not None
         used = ZERO_AMOUNT
         for run in self._runs.values():
-            if run.needs is ZERO_AMOUNT and not run.needs_known:
+            if run.needs is None:
                 # A run that was not ordered may use any amount of
                 # resources, so nothing starts until it has ended.
                 return (-1, -1, -1)
@@ -384,7 +387,6 @@
         run = self._runs.get(key)
         if run is None:
             run = LocalRun(self._needs_of(key), RunPhase.RUNNING)
-            run.needs_known = run.needs is not ZERO_AMOUNT
             self._runs[key] = run
             self.report_changed = True
             logger.info(
@@ -402,11 +404,11 @@
             self._checkpoint_by_run[key] = listed.saved
         run.percent = listed.percent
 
-    def _needs_of(self, key: RunKey) -> Amount:
+    def _needs_of(self, key: RunKey) -> Amount | None:
         for order in self.orders.orders if self.orders else ():
             if (order.task, order.attempt) == key:
                 return order.needs
-        return ZERO_AMOUNT
+        return None
 
     def _end_unlisted(self, sent_s: float, listed: set[RunKey]) -> None:
         for key, run in list(self._runs.items()):
--- a/tests/batch/test_reconciler.py
+++ b/tests/batch/test_reconciler.py
@@ -145,6 +145,23 @@
     assert reconciler.running() == (Run("j.0.0.0", 1, "", 30),)
 
 
+def test_adopted_run_listed_before_its_order_kept_its_worker_from_starts():
+    # After a restart the listing may come before the orders are read.
+    reconciler = WorkerReconciler()
+    reconciler.set_worker(a_worker(capacity=HALF_CAPACITY))
+    reconciler.record_listing(0.1, [Run("j.0.0.0", 1)], [], ends_complete=True)
+    adopted = an_order("j.0.0.0", needs=(3, 1_000, 1_000))
+    reconciler.set_orders(
+        some_orders(
+            adopted,
+            an_order("k.0.0.0", needs=(2, 1_000, 1_000)),
+            an_order("l.0.0.0"),
+        )
+    )
+    calls = reconciler.due_calls(0.2)
+    assert [call.order.task for call in calls] == ["l.0.0.0"]
+
+
 def test_unordered_run_is_stopped_before_any_start():
     reconciler = reconciler_with(an_order("j.0.0.0"))
     reconciler.record_listing(0.1, [Run("x.0.0.0", 1)], [], ends_complete=True)
