Refuse an order at once that no stop can make fit on a shrunken worker

Seen in a test: an order that reached a worker after it had shrunk waited for CAPACITY_WAIT_S (2 s) before it was refused, although nothing there was being stopped or the worker was too small even when idle. An urgent job that has 2.7 to 3.4 s to start (reclaimMs) was placed elsewhere only then. Cause: the wait is meant for the ends of runs that are being stopped, but was not tied to them; before workers could shrink, orders always fitted once those had ended. Change: an order that doesn't fit beside the runs that are to be kept is refused at once. The decider doesn't order it there again: the same report carries the capacity, and its sum of ordered runs includes all those that the agent keeps. test_order_waited_in_vain_on_a_worker_that_had_shrunk failed before in three of four cases (nothing refused). Two tests change with it. test_order_without_capacity_is_refused_after_timeout lets the other run be stopped, as only this makes an order wait now, and also checks that nothing is refused at 1.9 s.

--- a/filbertlb/batch/reconciler.py
+++ b/filbertlb/batch/reconciler.py
@@ -40,7 +40,7 @@
 START_RETRY_S = 0.25
 STOP_RETRY_S = 0.6
 CAPACITY_WAIT_S = 2.0
-"""Time that an order may wait for free capacity before it is refused.
+"""Time that an order may wait for stopped runs to end before it is refused.
 
 It is less than the 3 s for which gang members wait for each other.
 """
@@ -316,7 +316,10 @@
             return None
         if not covers(self._free_capacity(), order.needs):
             since_s = self._waiting_since_s.setdefault(key, now_s)
-            if now_s - since_s > CAPACITY_WAIT_S:
+            after_stops = self._capacity_after_stops(orders)
+            if not covers(after_stops, order.needs):
+                self._end_run(key, EndCause.REFUSED, "worker too small")
+            elif now_s - since_s > CAPACITY_WAIT_S:
                 self._end_run(key, EndCause.REFUSED, "no capacity in time")
             return None
         self._waiting_since_s.pop(key, None)
@@ -336,6 +339,15 @@
             used = plus(used, run.needs)
         return minus(self.worker.capacity, used)
 
+    def _capacity_after_stops(self, orders: Orders) -> Amount:
+        """Return the capacity that the runs to be kept don't use."""
+        assert self.worker is not None
+        room = self.worker.capacity
+        for order in orders.orders:
+            if not order.stop and (order.task, order.attempt) in self._runs:
+                room = minus(room, order.needs)
+        return room
+
     def _stop(
         self, key: RunKey, run: LocalRun, now_s: float
     ) -> StopCall | None:
--- a/tests/batch/test_reconciler.py
+++ b/tests/batch/test_reconciler.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import attrs
 import pytest
 
 from filbertlb.batch.local_run import MAX_CALL_S
@@ -95,16 +96,52 @@
 
 
 def test_order_without_capacity_is_refused_after_timeout():
-    reconciler = reconciler_with(
-        an_order("a.0.0.0", needs=FULL_CAPACITY),
-        an_order("b.0.0.0", needs=FULL_CAPACITY),
-    )
+    stopping = an_order("a.0.0.0", needs=FULL_CAPACITY)
+    reconciler = reconciler_with(stopping)
     start_all(reconciler)
-    assert reconciler.due_calls(1.9) == []
+    reconciler.set_orders(
+        some_orders(
+            attrs.evolve(stopping, stop=True),
+            an_order("b.0.0.0", needs=FULL_CAPACITY),
+        )
+    )
+    for now_s in (0.0, 1.9):
+        assert reconciler.due_calls(now_s) == [StopCall("a.0.0.0", 1)]
+        reconciler.record_stop(StopCall("a.0.0.0", 1), False, now_s)
+        assert cause_by_task(reconciler) == {}
     reconciler.due_calls(2.1)
     assert cause_by_task(reconciler) == {"b.0.0.0": EndCause.REFUSED}
 
 
+@pytest.mark.parametrize(
+    ("used", "stop", "needed", "waits"),
+    [
+        # The run that is being stopped makes room for the order.
+        (8, True, 4, True),
+        (8, True, 5, False),
+        (8, False, 1, False),
+        (2, False, 3, False),
+    ],
+)
+def test_order_waited_in_vain_on_a_worker_that_had_shrunk(
+    used, stop, needed, waits
+):
+    running = an_order("a.0.0.0", needs=(used, 1_000, 1_000))
+    reconciler = reconciler_with(running)
+    start_all(reconciler)
+    reconciler.set_worker(a_worker(capacity=HALF_CAPACITY))
+    reconciler.set_orders(
+        some_orders(
+            attrs.evolve(running, stop=stop),
+            an_order("b.0.0.0", needs=(needed, 1_000, 1_000)),
+        )
+    )
+    calls = reconciler.due_calls(1.0)
+    assert calls == ([StopCall("a.0.0.0", 1)] if stop else [])
+    refused = {} if waits else {"b.0.0.0": EndCause.REFUSED}
+    assert cause_by_task(reconciler) == refused
+
+
 def test_run_missing_from_later_listing_is_lost():
     reconciler = reconciler_with(an_order("j.0.0.0"))
     start_all(reconciler, 1.0)
@@ -251,7 +288,12 @@
             [StopCall("j.0.0.0", 1)],
             {},
         ),
-        (StartResult.UNHEALTHY, {"capacity": HALF_CAPACITY}, [], {}),
+        (
+            StartResult.UNHEALTHY,
+            {"capacity": HALF_CAPACITY},
+            [],
+            {"j.0.0.0": EndCause.REFUSED},
+        ),
         (
             StartResult.UNHEALTHY,
             {"draining": True},
