Let workers shrink and grow in the world machine

Rules resize_worker and shrink_worker_after_its_next_start_fails; a start may now also be refused as from an unhealthy worker. The invariant was that no worker gets more runs than the one capacity of all; it is now that no start brings a worker over the capacity that it has announced to its agent.

The machine is stricter: a late start may go over the capacity only if the agent has run less than WITHDRAWAL_TICKS times (0.75 s) since the worker shrank; until then the agent could not stop it. Starts on time must fit the newest capacity.

--- a/tests/batch/test_world_machine.py
+++ b/tests/batch/test_world_machine.py
@@ -2,14 +2,19 @@
 
 Each unit of a write plan is a transaction of its own, and a decider may die
 between any two of them. Agents may be silent until their runs are given up.
+Workers shrink and grow while they run.
 
 Each start checks the invariants: no task runs twice at the same time, no
-task starts again after a stored end, and no worker gets more runs than
-its capacity allows. Once the faults are over, every job must complete.
+task starts again after a stored end, and no start brings a worker over the
+capacity that it has announced. A start that the worker carries out late may
+do so only until the agent could withdraw it. Once the faults are over,
+every job must complete.
 """
 
 from __future__ import annotations
 
+from collections import deque
+
 import attrs
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -49,6 +54,8 @@
 TICK_S = 0.25
 RUN_DURATION_S = 2.0
 STOP_DURATION_S = 0.9
+WITHDRAWAL_TICKS = 3
+"""Ticks in which an agent learns of a smaller capacity and stops a start."""
 
 
 @attrs.define
@@ -63,6 +70,7 @@
     last_attempt_by_task: dict = attrs.Factory(dict)
     stopping: dict = attrs.Factory(dict)
     last_end_number: int = 0
+    capacity: tuple = CAPACITY
 
     def start(self, order, fence, now_s):
         if fence < self.fence:
@@ -124,12 +132,16 @@
         self.workers = {}
         self.agents = {}
         self.delayed_starts = []
-        self.lose_next_start = False
+        self.next_start_result = None
+        self.node_of_failed_start = None
         self.decider_paused_until_s = 0.0
         self.written_before_death = None
         self.silent_until_s = dict.fromkeys(NODES, 0.0)
         self.planner = None
         self.stored_done = set()
+        self.announced = {
+            node: deque([CAPACITY], WITHDRAWAL_TICKS) for node in NODES
+        }
 
     @initialize()
     def begin(self):
@@ -145,14 +157,14 @@
             self.announce(node)
 
     def announce(self, node):
-        worker = a_worker(incarnation=self.workers[node].incarnation)
+        worker = self.workers[node]
         agent = self.agents[node]
-        if (
-            agent.reconciler.worker is None
-            or agent.reconciler.worker != worker
-        ):
+        previous = agent.reconciler.worker
+        if previous is None or previous.incarnation != worker.incarnation:
             agent.acked_number = 0
-        agent.reconciler.set_worker(worker)
+        agent.reconciler.set_worker(
+            a_worker(incarnation=worker.incarnation, capacity=worker.capacity)
+        )
 
     def new_agent(self, node):
         self.fence += 1
@@ -216,13 +228,32 @@
     def crash_worker(self, node):
         self.new_worker(node)
 
+    @rule(
+        node=st.sampled_from(NODES), accelerators=st.sampled_from([0, 1, 4, 8])
+    )
+    def resize_worker(self, node, accelerators):
+        self.workers[node].capacity = (accelerators, *CAPACITY[1:])
+
     @rule()
     def replace_decider(self):
         self.new_decider()
 
-    @rule()
-    def lose_start_answer(self):
-        self.lose_next_start = True
+    @rule(result=st.sampled_from([StartResult.UNKNOWN, StartResult.UNHEALTHY]))
+    def fail_next_start(self, result):
+        self.next_start_result = result
+
+    @rule(
+        result=st.sampled_from([StartResult.UNKNOWN, StartResult.UNHEALTHY]),
+        accelerators=st.sampled_from([0, 1, 4]),
+    )
+    def shrink_worker_after_its_next_start_fails(self, result, accelerators):
+        self.next_start_result = result
+        self.node_of_failed_start = None
+        for _ in range(8):
+            self.tick()
+            if self.node_of_failed_start is not None:
+                self.resize_worker(self.node_of_failed_start, accelerators)
+                return
 
     @rule(transactions=st.integers(0, 4))
     def die_while_writing(self, transactions):
@@ -258,7 +289,8 @@
         for node, order, fence, at_s in list(self.delayed_starts):
             if at_s <= self.now_s:
                 self.delayed_starts.remove((node, order, fence, at_s))
-                self.send_start(node, order, fence)
+                allowed = max(self.announced[node])
+                self.send_start(node, order, fence, allowed)
         for node in NODES:
             if self.now_s >= self.silent_until_s[node]:
                 self.run_agent(node)
@@ -275,13 +307,13 @@
             elif since_s + RUN_DURATION_S <= self.now_s:
                 worker.end(key, EndCause.DONE)
 
-    def send_start(self, node, order, fence):
+    def send_start(self, node, order, fence, allowed):
         worker = self.workers[node]
         if order.incarnation != worker.incarnation:
             return StartResult.OTHER_INCARNATION
         result = worker.start(order, fence, self.now_s)
         if result is StartResult.STARTED:
-            assert covers(CAPACITY, worker.used()), worker
+            assert covers(allowed, worker.used()), (worker, allowed)
             self.check_start(order)
         return result
 
@@ -298,6 +330,8 @@
     def run_agent(self, node):
         agent, worker = self.agents[node], self.workers[node]
         reconciler = agent.reconciler
+        self.announce(node)
+        self.announced[node].append(worker.capacity)
         if node in self.orders:
             reconciler.set_orders(self.orders[node])
         sent_s = self.now_s
@@ -315,20 +349,22 @@
             if not isinstance(call, StartCall):
                 worker.stop(call.task, call.attempt, agent.fence, self.now_s)
                 reconciler.record_stop(call, answered=True, now_s=self.now_s)
-            elif self.lose_next_start:
-                self.lose_next_start = False
-                delayed_to_s = self.now_s + 8 * TICK_S
-                self.delayed_starts.append(
-                    (node, call.order, agent.fence, delayed_to_s)
-                )
-                reconciler.record_start(
-                    call.order, StartResult.UNKNOWN, self.now_s
-                )
             else:
-                result = self.send_start(node, call.order, agent.fence)
+                result = self.make_start(node, call.order, agent.fence)
                 reconciler.record_start(call.order, result, self.now_s)
         self.store_report(node, agent)
 
+    def make_start(self, node, order, fence):
+        result, self.next_start_result = self.next_start_result, None
+        if result is None:
+            allowed = self.workers[node].capacity
+            return self.send_start(node, order, fence, allowed)
+        self.node_of_failed_start = node
+        if result is StartResult.UNKNOWN:
+            delayed_to_s = self.now_s + 8 * TICK_S
+            self.delayed_starts.append((node, order, fence, delayed_to_s))
+        return result
+
     def store_report(self, node, agent):
         reconciler = agent.reconciler
         report = WorkerReport(
@@ -373,6 +409,8 @@
     def teardown(self):
         if self.planner is None:
             return
+        for worker in self.workers.values():
+            worker.capacity = CAPACITY
         for _ in range(400):
             self.tick()
         for job_id, job in self.jobs.items():
