Test that urgent jobs get what a site with a shrunken worker has

A table of running work and steps on two workers of which one shrinks to half, also below what it runs: an urgent job is ordered at once on the other worker, near its data or not, or on the shrunken one if it fits, and the run there goes on. A job within its guarantee preempts a run that is larger than the capacity. An order that was refused isn't repeated before the worker has grown, and then at once.

--- a/tests/batch/test_planner.py
+++ b/tests/batch/test_planner.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import attrs
 import pytest
 
 from filbertlb.batch.model import EndCause
@@ -378,3 +379,90 @@
     planner.decide(DEAD_AFTER_S + 0.1, 15_000)
     record = planner.state.record("a.0.0.0")
     assert (record.phase, record.saved) == (TaskPhase.WAITING, "stored")
+
+
+HALF_CAPACITY = (4, 16_000, 65_536)
+
+
+def resize(planner, node, capacity, now_s=0.0, **changes):
+    """Report that a worker has another capacity now."""
+    worker = planner.workers[node].report.worker
+    resized = attrs.evolve(worker, capacity=capacity)
+    report(planner, node, now_s, worker=resized, **changes)
+
+
+def nodes_by_job(planner):
+    """Return the nodes that the tasks of each job are ordered on."""
+    found = {}
+    for job_id, progress in planner.state.progress.items():
+        for record in progress.tasks.values():
+            if record.phase is TaskPhase.ORDERED:
+                found.setdefault(job_id, []).append(record.node)
+    return found
+
+
+@pytest.mark.parametrize(
+    ("running", "step", "nodes"),
+    [
+        # The worker runs more than it has room for now, or as much.
+        (ALL_ACCELERATORS, a_step(), ["n1"]),
+        (HALF_CAPACITY, a_step(), ["n1"]),
+        ((1, 1, 1), a_step(needs=HALF_CAPACITY), ["n1"]),
+        ((1, 1, 1), a_step(needs=(3, 1, 1)), ["n0"]),
+        ((1, 1, 1), a_step(2, needs=(3, 1, 1), gang=True), ["n0", "n1"]),
+        # The rack of the data, or each rack, is too small even when idle.
+        ((1, 1, 1), a_step(needs=(5, 1, 1), data_rack="r1-1"), ["n1"]),
+        (
+            ALL_ACCELERATORS,
+            a_step(3, needs=(4, 1, 1), gang=True, same_rack=True),
+            None,
+        ),
+        (
+            (1, 1, 1),
+            a_step(3, needs=(3, 1, 1), gang=True, same_rack=True),
+            ["n0", "n1", "n1"],
+        ),
+    ],
+)
+def test_urgent_job_is_ordered_at_once_where_a_shrunken_site_has_room(
+    running, step, nodes
+):
+    planner = planner_with(
+        a_job("low", a_step(needs=running)),
+        racks=("r1-1", "r1-2"),
+        guaranteed={"divers": 16},
+    )
+    planner.decide(0.0, 0)
+    assert nodes_by_job(planner) == {"low": ["n0"]}
+    resize(planner, "n0", HALF_CAPACITY)
+    planner.state.add_job(a_job("urgent", step, priority=0))
+    planner.decide(0.1, 100)
+    ordered = nodes_by_job(planner)
+    assert ordered["low"] == ["n0"]
+    assert ordered.get("urgent") == nodes
+
+
+def test_job_preempts_on_a_worker_that_runs_more_than_its_capacity():
+    low = a_job("low", a_step(needs=ALL_ACCELERATORS))
+    planner = planner_with(low, nodes=1, guaranteed={"divers": 4})
+    planner.decide(0.0, 0)
+    urgent = a_job("urgent", a_step(needs=HALF_CAPACITY), priority=0)
+    planner.state.add_job(urgent)
+    for now_ms in (100, GUARANTEE_PREEMPTION_DELAY_MS):
+        resize(planner, "n0", HALF_CAPACITY, now_ms / 1000)
+        planner.decide(now_ms / 1000, now_ms)
+    assert phases(planner, "low") == {"low.0.0.0": TaskPhase.STOPPING}
+    assert nodes_by_job(planner) == {"urgent": ["n0"]}
+
+
+def test_order_refused_by_a_shrunken_worker_waits_until_it_has_grown():
+    planner = planner_with(a_job("a", a_step(needs=(5, 1, 1))), nodes=1)
+    planner.decide(0.0, 0)
+    refused = RunEnd("a.0.0.0", 1, EndCause.REFUSED)
+    resize(planner, "n0", HALF_CAPACITY, ended=(refused,))
+    for _ in range(3):
+        planner.decide(0.1, 100)
+        assert nodes_by_job(planner) == {}
+    resize(planner, "n0", ALL_ACCELERATORS)
+    planner.decide(0.2, 200)
+    assert nodes_by_job(planner) == {"a": ["n0"]}
