Count the room of stopping runs once when nodes are reserved

Seen in a test: a job that needs a whole worker had the wrong node reserved and a smaller, less urgent job took half of the one that would have become free. The free room of a node already counts runs that are being stopped; the search for a reservation added them again. So a shrunken worker with a run that was being stopped seemed to have room for more than its capacity. The same held for gangs without any shrinking. Change: only ordered runs count as room that becomes free. test_waiting_job_reserved_the_room_of_a_stopping_run_twice failed before: the small job was ordered on n1 (reserved: n0).

--- a/filbertlb/batch/placing.py
+++ b/filbertlb/batch/placing.py
@@ -337,6 +337,7 @@
             self._run_with_remaining_time(task, node)
             for node in nodes
             for task in self.state.tasks_on(node)
+            if self.state.record(task).phase is TaskPhase.ORDERED
         ]
         count = group.step.count if group.step.gang else 1
         node_groups = self._node_groups(group, nodes)
--- a/tests/batch/test_planner.py
+++ b/tests/batch/test_planner.py
@@ -466,3 +466,21 @@
     resize(planner, "n0", ALL_ACCELERATORS)
     planner.decide(0.2, 200)
     assert nodes_by_job(planner) == {"a": ["n0"]}
+
+
+def test_waiting_job_reserved_the_room_of_a_stopping_run_twice():
+    # The shrunken worker stays too small; the other one will have room.
+    stopping = a_job("stopping", a_step(needs=ALL_ACCELERATORS))
+    half = a_step(needs=HALF_CAPACITY, estimate_ms=9000)
+    planner = planner_with(stopping, a_job("a", half), a_job("b", half))
+    planner.decide(0.0, 0)
+    on_stopping = planner.state.record("stopping.0.0.0").node
+    assert on_stopping not in nodes_by_job(planner)["a"]
+    planner.state.cancelled.add("stopping")
+    resize(planner, on_stopping, HALF_CAPACITY)
+    large = a_job("large", a_step(needs=ALL_ACCELERATORS), priority=1)
+    planner.state.add_job(large)
+    planner.state.add_job(a_job("small", a_step(needs=HALF_CAPACITY)))
+    end(planner, "a.0.0.0", EndCause.DONE)
+    planner.decide(0.1, 100)
+    assert nodes_by_job(planner)["small"] == [on_stopping]
