Start nothing on a capacity that was announced long ago

Change: a capacity announced more than 3.2 s ago (two heartbeats and some) counts as unknown, as runs of unknown needs make it: orders wait, are refused after CAPACITY_WAIT_S, and an unanswered start is withdrawn. The agent's older test announces its worker again and again now, as workers do.

--- a/filbertlb/batch/agent.py
+++ b/filbertlb/batch/agent.py
@@ -103,6 +103,7 @@
         """Record what the worker announces about itself."""
         previous = self._reconciler.worker
         self._reconciler.set_worker(worker)
+        self._reconciler.record_announcement(self._clock.monotonic())
         if previous is None or previous.incarnation != worker.incarnation:
             self._acked_number = 0
             logger.info("worker {} of {}", worker.incarnation, worker.service)
@@ -218,6 +219,13 @@
             and now_s - self._last_answer_s < WORKER_TIMEOUT_S
         )
 
+    def _worker_responds(self, now_s: float) -> bool:
+        """Return whether the worker answers calls and announces itself."""
+        return (
+            now_s - self._last_answer_s < WORKER_TIMEOUT_S
+            and self._reconciler.capacity_known(now_s)
+        )
+
     def _listing_loop(self) -> None:
         while not self._reconciler.fenced:
             if (
@@ -366,7 +374,7 @@
             self._registration,
             self._sequence,
             worker,
-            sent_s - self._last_answer_s < WORKER_TIMEOUT_S,
+            self._worker_responds(sent_s),
             self._reconciler.running(),
             self._reconciler.ended(),
         )
--- a/filbertlb/batch/reconciler.py
+++ b/filbertlb/batch/reconciler.py
@@ -44,6 +44,12 @@
 
 It is less than the 3 s for which gang members wait for each other.
 """
+MAX_ANNOUNCEMENT_AGE_S = 3.2
+"""Age up to which starts rely on the worker's latest announcement.
+
+Workers announce themselves every 1.5 s, and a smaller capacity counts 4.5 s
+after it was announced.
+"""
 MAX_START_TRIES = 3
 """Number of unconfirmed starts after which an order is refused."""
 LEASE_MARGIN_S = 0.3
@@ -53,6 +59,9 @@
 SHUTDOWN_GRACE_S = 0.5
 """Time that a worker may keep running after it announced its departure."""
 
+NO_CAPACITY: Amount = (-1, -1, -1)
+"""Free capacity with which nothing starts, not even what needs nothing."""
+
 RunKey = tuple[str, int]
 
 
@@ -83,6 +92,7 @@
     _ended: dict[RunKey, RunEnd] = attrs.Factory(dict)
     _waiting_since_s: dict[RunKey, float] = attrs.Factory(dict)
     _checkpoint_by_run: dict[RunKey, str] = attrs.Factory(dict)
+    _announced_s: float = float("-inf")
     _last_extension_s: float = 0.0
     _listing_received: bool = False
     _departed_s: float | None = None
@@ -111,6 +121,14 @@
             self.report_changed = True
         self.worker = worker
 
+    def record_announcement(self, now_s: float) -> None:
+        """Record that the worker announced itself, changed or not."""
+        self._announced_s = now_s
+
+    def capacity_known(self, now_s: float) -> bool:
+        """Return whether the announced capacity is recent enough."""
+        return now_s - self._announced_s <= MAX_ANNOUNCEMENT_AGE_S
+
     def record_departure(self, incarnation: str, now_s: float) -> None:
         """Record that the worker is shutting down, which ends its runs."""
         if self.worker is None or self.worker.incarnation != incarnation:
@@ -297,7 +315,9 @@
         key = (order.task, order.attempt)
         if run.answer_due_s:
             run.start_unanswered = True
-        if not self.worker.draining and not is_negative(self._free_capacity()):
+        if not self.worker.draining and not is_negative(
+            self._free_capacity(now_s)
+        ):
             run.call_sent(now_s)
             return StartCall(order, orders.payload_by_job_id[order.job_id])
         if run.start_unanswered:
@@ -314,7 +334,7 @@
         if self.worker.draining:
             self._end_run(key, EndCause.REFUSED, "worker is draining")
             return None
-        if not covers(self._free_capacity(), order.needs):
+        if not covers(self._free_capacity(now_s), order.needs):
             since_s = self._waiting_since_s.setdefault(key, now_s)
             after_stops = self._capacity_after_stops(orders)
             if not covers(after_stops, order.needs):
@@ -328,14 +348,16 @@
         self._runs[key] = run
         return StartCall(order, orders.payload_by_job_id[order.job_id])
 
-    def _free_capacity(self) -> Amount:
+    def _free_capacity(self, now_s: float) -> Amount:
         assert self.worker is not None
+        if not self.capacity_known(now_s):
+            return NO_CAPACITY
         used = ZERO_AMOUNT
         for run in self._runs.values():
             if run.needs is None:
                 # A run that was not ordered may use any amount of
                 # resources, so nothing starts until it has ended.
-                return (-1, -1, -1)
+                return NO_CAPACITY
             used = plus(used, run.needs)
         return minus(self.worker.capacity, used)
 
--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from contextlib import contextmanager
+
 import attrs
 import pytest
 from gevent import sleep
@@ -11,14 +13,19 @@
 from filbertlb.batch.agent import Agent
 from filbertlb.batch.model import orders_key
 from filbertlb.batch.model import Run
+from filbertlb.batch.model import WORKER_PREFIX
+from filbertlb.batch.model import WorkerReport
+from filbertlb.batch.reconciler import MAX_ANNOUNCEMENT_AGE_S
 from filbertlb.batch.testing import a_worker
 from filbertlb.batch.testing import an_order
 from filbertlb.batch.testing import some_orders
 from filbertlb.batch.worker_link import RunListing
 from filbertlb.batch.worker_link import StartResult
 from filbertlb.core.clock import SystemClock
+from filbertlb.core.clock import VirtualClock
 from filbertlb.table.base import Write
 from filbertlb.table.memory import MemoryTable
+from filbertlb.table.rows import decode_row
 from filbertlb.table.rows import encode_value
 
 DEADLINE_S = 30.0
@@ -51,6 +58,16 @@
             raise RuntimeError("unexpected")
 
 
+@contextmanager
+def running(agent):
+    greenlet = spawn(agent.run)
+    try:
+        with Timeout(DEADLINE_S):
+            yield
+    finally:
+        greenlet.kill()
+
+
 def put_orders(table, *orders):
     value = encode_value(some_orders(*orders))
     table.commit([Write(orders_key("n"), value)])
@@ -63,14 +80,30 @@
     agent.update_worker(a_worker())
     order = an_order("j.0.0.0")
     put_orders(table, order)
-    running = spawn(agent.run)
-    try:
-        with Timeout(DEADLINE_S):
-            while "start" not in link.calls:
-                sleep(0.01)
-            if failing == "stop":
-                put_orders(table, attrs.evolve(order, stop=True))
-            while link.calls.count(failing) < 2:
-                sleep(0.01)
-    finally:
-        running.kill()
+    with running(agent):
+        while "start" not in link.calls:
+            sleep(0.01)
+            agent.update_worker(a_worker())
+        if failing == "stop":
+            put_orders(table, attrs.evolve(order, stop=True))
+        while link.calls.count(failing) < 2:
+            sleep(0.01)
+            agent.update_worker(a_worker())
+
+
+def await_report(table, found):
+    while True:
+        sleep(0.01)
+        row = table.get(f"{WORKER_PREFIX}n")
+        if row is not None and found(decode_row(row, WorkerReport)):
+            return
+
+
+def test_worker_that_stopped_announcing_itself_was_reported_as_usable():
+    table, clock = MemoryTable(), VirtualClock()
+    agent = Agent(table, FailingLink(""), clock, "n")
+    with running(agent):
+        agent.update_worker(a_worker())
+        await_report(table, lambda report: report.answers)
+        clock.advance(MAX_ANNOUNCEMENT_AGE_S + 0.1)
+        await_report(table, lambda report: not report.answers)
--- a/tests/batch/test_reconciler.py
+++ b/tests/batch/test_reconciler.py
@@ -7,6 +7,7 @@
 from filbertlb.batch.model import EndCause
 from filbertlb.batch.model import Run
 from filbertlb.batch.model import RunEnd
+from filbertlb.batch.reconciler import MAX_ANNOUNCEMENT_AGE_S
 from filbertlb.batch.reconciler import WorkerReconciler
 from filbertlb.batch.testing import a_worker
 from filbertlb.batch.testing import an_order
@@ -24,6 +25,7 @@
 def reconciler_with(*orders, worker=None):
     reconciler = WorkerReconciler()
     reconciler.set_worker(worker or a_worker())
+    reconciler.record_announcement(0.0)
     reconciler.record_listing(0.0, [], [], ends_complete=True)
     reconciler.record_extension(0.0)
     reconciler.set_orders(some_orders(*orders))
@@ -142,6 +144,16 @@
     assert cause_by_task(reconciler) == refused
 
 
+@pytest.mark.parametrize(
+    ("age_s", "starts"),
+    [(MAX_ANNOUNCEMENT_AGE_S, 1), (MAX_ANNOUNCEMENT_AGE_S + 0.1, 0)],
+)
+def test_start_relied_on_a_capacity_announced_long_ago(age_s, starts):
+    reconciler = reconciler_with(an_order("j.0.0.0"))
+    assert len(reconciler.due_calls(age_s)) == starts
+    assert cause_by_task(reconciler) == {}
+
+
 def test_run_missing_from_later_listing_is_lost():
     reconciler = reconciler_with(an_order("j.0.0.0"))
     start_all(reconciler, 1.0)
@@ -186,6 +198,7 @@
     # After a restart the listing may come before the orders are read.
     reconciler = WorkerReconciler()
     reconciler.set_worker(a_worker(capacity=HALF_CAPACITY))
+    reconciler.record_announcement(0.0)
     reconciler.record_listing(0.1, [Run("j.0.0.0", 1)], [], ends_complete=True)
     adopted = an_order("j.0.0.0", needs=(3, 1_000, 1_000))
     reconciler.set_orders(
--- a/tests/batch/test_world_machine.py
+++ b/tests/batch/test_world_machine.py
@@ -165,6 +165,7 @@
         agent.reconciler.set_worker(
             a_worker(incarnation=worker.incarnation, capacity=worker.capacity)
         )
+        agent.reconciler.record_announcement(self.now_s)
 
     def new_agent(self, node):
         self.fence += 1
