--- a/filbertlb/batch/agent.py
+++ b/filbertlb/batch/agent.py
@@ -55,6 +55,11 @@
 WORKER_TIMEOUT_S = 3.0
 """Time without an answer after which the worker counts as silent."""
 
+MAX_WAKE_DELAY_S = 1.0
+"""Delay of a wake-up above which the process must have been paused."""
+PAUSE_RECOVERY_S = 0.3
+"""Time after a pause in which the waiting announcements are read."""
+
 
 class SupersededError(FilbertlbError):
     """Another agent process has registered for the same worker."""
@@ -104,6 +109,7 @@
         """Record what the worker announces about itself."""
         previous = self._reconciler.worker
         self._reconciler.set_worker(worker)
+        self._reconciler.record_announcement(self._clock.monotonic())
         if previous is None or previous.incarnation != worker.incarnation:
             self._acked_number = 0
             logger.info("worker {} of {}", worker.incarnation, worker.service)
@@ -219,14 +225,17 @@
             and now_s - self._last_answer_s < WORKER_TIMEOUT_S
         )
 
-    def _worker_answers(self, now_s: float) -> bool:
-        """Return whether the worker may get new work.
+    def _worker_responds(self, now_s: float) -> bool:
+        """Return whether the worker answers calls and announces itself.
 
-        One that refuses connections gets none at once; one that is silent
-        only after a while, since single answers are lost.
+        One that refuses connections gets no new work at once; one that is
+        silent only after a while, since single answers are lost.
         """
-        silent_s = now_s - self._last_answer_s
-        return silent_s < WORKER_TIMEOUT_S and not self._reconciler.worker_down
+        return (
+            now_s - self._last_answer_s < WORKER_TIMEOUT_S
+            and not self._reconciler.worker_down
+            and self._reconciler.capacity_known(now_s)
+        )
 
     def _listing_loop(self) -> None:
         while not self._reconciler.fenced:
@@ -302,8 +311,14 @@
                     spawn(self._stop, call)
             if self._reconciler.report_changed:
                 self._report_wake.set()
-            self._call_wake.wait(self._reconciler.next_pause_s(now_s))
+            pause_s = self._reconciler.next_pause_s(now_s)
+            self._call_wake.wait(pause_s)
             self._call_wake.clear()
+            late_s = self._clock.monotonic() - now_s - pause_s
+            if late_s > MAX_WAKE_DELAY_S:
+                # Announcements wait to be read, the oldest first.
+                logger.warning("was paused for {:.1f} s", late_s)
+                sleep(PAUSE_RECOVERY_S)
 
     def _start(self, call: StartCall) -> None:
         now_s = self._clock.monotonic()
@@ -379,7 +394,7 @@
             self._registration,
             self._sequence,
             worker,
-            self._worker_answers(sent_s),
+            self._worker_responds(sent_s),
             self._reconciler.running(),
             self._reconciler.ended(),
         )
--- a/filbertlb/batch/local_run.py
+++ b/filbertlb/batch/local_run.py
@@ -32,8 +32,8 @@
 
     Parameters
     ----------
-    needs_known : bool
-        The run was ordered, so the resources that it needs are known.
+    needs : Amount or None
+        Resources that the run uses; None if it was not ordered.
     started_s : float, optional
         Monotonic time at which this agent process first sent the start.
     acked_s : float
@@ -55,9 +55,8 @@
         Share of the work that is done, as the worker listed it.
     """
 
-    needs: Amount
+    needs: Amount | None
     phase: RunPhase
-    needs_known: bool = True
     started_s: float | None = None
     acked_s: float = 0.0
     retry_s: float = 0.0
@@ -79,3 +78,7 @@
     def awaits_answer(self, now_s: float) -> bool:
         """Return whether a call for the run may still be answered."""
         return now_s < self.answer_due_s
+
+    def call_due(self, now_s: float) -> bool:
+        """Return whether the next call for the run may be sent."""
+        return not self.awaits_answer(now_s) and now_s >= self.retry_s
--- a/filbertlb/batch/reconciler.py
+++ b/filbertlb/batch/reconciler.py
@@ -23,6 +23,7 @@
 from filbertlb.batch.worker_link import StartResult
 from filbertlb.batch.worker_link import StopCall
 from filbertlb.core.amounts import covers
+from filbertlb.core.amounts import is_negative
 from filbertlb.core.amounts import minus
 from filbertlb.core.amounts import plus
 from filbertlb.core.amounts import ZERO_AMOUNT
@@ -39,10 +40,16 @@
 START_RETRY_S = 0.25
 STOP_RETRY_S = 0.6
 CAPACITY_WAIT_S = 2.0
-"""Time that an order may wait for free capacity before it is refused.
+"""Time that an order may wait for stopped runs to end before it is refused.
 
 It is less than the 3 s for which gang members wait for each other.
 """
+MAX_ANNOUNCEMENT_AGE_S = 3.2
+"""Age up to which starts rely on the worker's latest announcement.
+
+Workers announce themselves every 1.5 s, and a smaller capacity counts 4.5 s
+after it was announced.
+"""
 MAX_START_TRIES = 3
 """Number of unconfirmed starts after which an order is refused."""
 LEASE_MARGIN_S = 0.3
@@ -52,6 +59,9 @@
 SHUTDOWN_GRACE_S = 0.5
 """Time that a worker may keep running after it announced its departure."""
 
+NO_CAPACITY: Amount = (-1, -1, -1)
+"""Free capacity with which nothing starts, not even what needs nothing."""
+
 RunKey = tuple[str, int]
 
 
@@ -82,6 +92,7 @@
     _ended: dict[RunKey, RunEnd] = attrs.Factory(dict)
     _waiting_since_s: dict[RunKey, float] = attrs.Factory(dict)
     _checkpoint_by_run: dict[RunKey, str] = attrs.Factory(dict)
+    _announced_s: float = float("-inf")
     _last_extension_s: float = 0.0
     _listing_received: bool = False
     _departed_s: float | None = None
@@ -113,6 +124,14 @@
             self.report_changed = True
         self.worker = worker
 
+    def record_announcement(self, now_s: float) -> None:
+        """Record that the worker announced itself, changed or not."""
+        self._announced_s = now_s
+
+    def capacity_known(self, now_s: float) -> bool:
+        """Return whether the announced capacity is recent enough."""
+        return now_s - self._announced_s <= MAX_ANNOUNCEMENT_AGE_S
+
     def record_departure(self, incarnation: str, now_s: float) -> None:
         """Record that the worker is shutting down, which ends its runs."""
         if self.worker is None or self.worker.incarnation != incarnation:
@@ -123,14 +142,18 @@
     def set_orders(self, orders: Orders) -> None:
         """Replace the orders; forget what concerns runs no longer ordered."""
         self.orders = orders
-        wanted = {(order.task, order.attempt) for order in orders.orders}
+        wanted = {
+            (order.task, order.attempt): order for order in orders.orders
+        }
+        for key in self._runs.keys() & wanted.keys():
+            self._runs[key].needs = wanted[key].needs
         by_run: tuple[dict[RunKey, Any], ...] = (
             self._ended,
             self._waiting_since_s,
             self._checkpoint_by_run,
         )
         for entries in by_run:
-            for key in entries.keys() - wanted:
+            for key in entries.keys() - wanted.keys():
                 del entries[key]
 
     @property
@@ -176,8 +199,9 @@
                 calls.append(call)
         for key, run in self._runs.items():
             if key not in wanted:
-                run.needs_known = False
-                self._stop(key, run, now_s, calls)
+                stop = self._stop(key, run, now_s)
+                if stop is not None:
+                    calls.append(stop)
         return calls
 
     def record_start(
@@ -287,25 +311,39 @@
         if order.incarnation != self.worker.incarnation:
             self._end_run(key, EndCause.LOST, "other incarnation")
             return None
-        if order.stop:
-            if run is None:
-                self._end_run(
-                    key, EndCause.STOPPED, "stopped before it started"
-                )
-                return None
-            calls: list[StartCall | StopCall] = []
-            self._stop(key, run, now_s, calls)
-            return calls[0] if calls else None
         if run is None:
-            return self._admit(order, orders, now_s)
-        if (
-            run.phase is RunPhase.STARTING
-            and not run.awaits_answer(now_s)
-            and now_s >= run.retry_s
+            if not order.stop:
+                return self._admit(order, orders, now_s)
+            self._end_run(key, EndCause.STOPPED, "stopped before it started")
+            return None
+        if order.stop or run.phase is RunPhase.STOPPING:
+            return self._stop(key, run, now_s)
+        if run.phase is RunPhase.STARTING and run.call_due(now_s):
+            return self._repeat_start(run, order, orders, now_s)
+        return None
+
+    def _repeat_start(
+        self, run: LocalRun, order: Order, orders: Orders, now_s: float
+    ) -> StartCall | StopCall | None:
+        """Repeat a start that was not confirmed if it may still be made.
+
+        The worker may have shrunk, or begun to drain, since the last call.
+        A stop then makes it refuse a start that it may still carry out.
+        """
+        assert self.worker is not None
+        key = (order.task, order.attempt)
+        if run.answer_due_s:
+            run.start_unanswered = True
+        if not self.worker.draining and not is_negative(
+            self._free_capacity(now_s)
         ):
             run.call_sent(now_s)
             return StartCall(order, orders.payload_by_job_id[order.job_id])
-        return None
+        if run.start_unanswered:
+            logger.info("unanswered start of {} attempt {} withdrawn", *key)
+            return self._stop(key, run, now_s)
+        del self._runs[key]
+        return self._admit(order, orders, now_s)
 
     def _admit(
         self, order: Order, orders: Orders, now_s: float
@@ -315,9 +353,12 @@
         if self.worker.draining:
             self._end_run(key, EndCause.REFUSED, "worker is draining")
             return None
-        if not covers(self._free_capacity(), order.needs):
+        if not covers(self._free_capacity(now_s), order.needs):
             since_s = self._waiting_since_s.setdefault(key, now_s)
-            if now_s - since_s > CAPACITY_WAIT_S:
+            after_stops = self._capacity_after_stops(orders)
+            if not covers(after_stops, order.needs):
+                self._end_run(key, EndCause.REFUSED, "worker too small")
+            elif now_s - since_s > CAPACITY_WAIT_S:
                 self._end_run(key, EndCause.REFUSED, "no capacity in time")
             return None
         self._waiting_since_s.pop(key, None)
@@ -326,33 +367,41 @@
         self._runs[key] = run
         return StartCall(order, orders.payload_by_job_id[order.job_id])
 
-    def _free_capacity(self) -> Amount:
+    def _free_capacity(self, now_s: float) -> Amount:
         assert self.worker is not None
+        if not self.capacity_known(now_s):
+            return NO_CAPACITY
         used = ZERO_AMOUNT
         for run in self._runs.values():
-            if run.needs is ZERO_AMOUNT and not run.needs_known:
+            if run.needs is None:
                 # A run that was not ordered may use any amount of
                 # resources, so nothing starts until it has ended.
-                return (-1, -1, -1)
+                return NO_CAPACITY
             used = plus(used, run.needs)
         return minus(self.worker.capacity, used)
 
+    def _capacity_after_stops(self, orders: Orders) -> Amount:
+        """Return the capacity that the runs to be kept don't use."""
+        assert self.worker is not None
+        room = self.worker.capacity
+        for order in orders.orders:
+            if not order.stop and (order.task, order.attempt) in self._runs:
+                room = minus(room, order.needs)
+        return room
+
     def _stop(
-        self,
-        key: RunKey,
-        run: LocalRun,
-        now_s: float,
-        calls: list[StartCall | StopCall],
-    ) -> None:
+        self, key: RunKey, run: LocalRun, now_s: float
+    ) -> StopCall | None:
         if run.awaits_answer(now_s):
-            return
+            return None
         if run.phase is not RunPhase.STOPPING:
             run.phase = RunPhase.STOPPING
             run.acked_s = 0.0
             run.retry_s = now_s
-        if now_s >= run.retry_s:
-            run.call_sent(now_s)
-            calls.append(StopCall(*key))
+        if not run.call_due(now_s):
+            return None
+        run.call_sent(now_s)
+        return StopCall(*key)
 
     def _record_unconfirmed_start(
         self, key: RunKey, run: LocalRun, result: StartResult
@@ -391,7 +440,6 @@
         run = self._runs.get(key)
         if run is None:
             run = LocalRun(self._needs_of(key), RunPhase.RUNNING)
-            run.needs_known = run.needs is not ZERO_AMOUNT
             self._runs[key] = run
             self.report_changed = True
             logger.info(
@@ -409,11 +457,11 @@
             self._checkpoint_by_run[key] = listed.saved
         run.percent = listed.percent
 
-    def _needs_of(self, key: RunKey) -> Amount:
+    def _needs_of(self, key: RunKey) -> Amount | None:
         for order in self.orders.orders if self.orders else ():
             if (order.task, order.attempt) == key:
                 return order.needs
-        return ZERO_AMOUNT
+        return None
 
     def _end_unlisted(self, sent_s: float, listed: set[RunKey]) -> None:
         for key, run in list(self._runs.items()):
