Judge the age of an announcement by the site's heartbeat period

A worker whose announcements are older than 3.2 s gets no work since 'Start nothing on a capacity that was announced long ago'. On a site whose heartbeats are further apart nothing would have started at all: the period is a setting of the platform, 1.5 s on the sites at hand. It is read now; the limit is 2.2 periods.

--- a/filbertlb/batch/agent.py
+++ b/filbertlb/batch/agent.py
@@ -20,6 +20,7 @@
 from filbertlb.batch.model import orders_table
 from filbertlb.batch.model import WORKER_PREFIX
 from filbertlb.batch.model import WorkerReport
+from filbertlb.batch.reconciler import HEARTBEAT_PERIOD_S
 from filbertlb.batch.reconciler import WorkerReconciler
 from filbertlb.batch.worker_link import StartCall
 from filbertlb.batch.worker_link import StartResult
@@ -74,10 +75,17 @@
     ----------
     node : str
         Name of the machine; part of the keys of the agent's rows.
+    heartbeat_period_s : float
+        Time between the announcements of the worker.
     """
 
     def __init__(
-        self, table: WatchedTable, link: WorkerLink, clock: Clock, node: str
+        self,
+        table: WatchedTable,
+        link: WorkerLink,
+        clock: Clock,
+        node: str,
+        heartbeat_period_s: float = HEARTBEAT_PERIOD_S,
     ) -> None:
         self._table = table
         self._link = link
@@ -85,7 +93,9 @@
         self._node = node
         self._registration = token_hex(6)
         self._report_key = WORKER_PREFIX + node
-        self._reconciler = WorkerReconciler(clock.monotonic())
+        self._reconciler = WorkerReconciler(
+            clock.monotonic(), heartbeat_period_s
+        )
         self._call_wake = Event()
         self._report_wake = Event()
         self._mirror = Mirror()
--- a/filbertlb/batch/reconciler.py
+++ b/filbertlb/batch/reconciler.py
@@ -44,11 +44,12 @@
 
 It is less than the 3 s for which gang members wait for each other.
 """
-MAX_ANNOUNCEMENT_AGE_S = 3.2
-"""Age up to which starts rely on the worker's latest announcement.
+HEARTBEAT_PERIOD_S = 1.5
+"""Time between the announcements of a worker, unless the site states it."""
+MAX_HEARTBEAT_PERIODS = 2.2
+"""Age of the latest announcement, in periods, up to which starts rely on it.
 
-Workers announce themselves every 1.5 s, and a smaller capacity counts 4.5 s
-after it was announced.
+A worker that has shrunk must not be overfilled long after it has said so.
 """
 MAX_START_TRIES = 3
 """Number of unconfirmed starts after which an order is refused."""
@@ -76,6 +77,8 @@
         replaced this one, which must stop.
     created_s : float
         Monotonic time at which this agent process started.
+    heartbeat_period_s : float
+        Time between the announcements of the worker.
     last_end_number : int
         Highest number of an end that was recorded.
     report_changed : bool
@@ -83,6 +86,7 @@
     """
 
     created_s: float = 0.0
+    heartbeat_period_s: float = HEARTBEAT_PERIOD_S
     worker: Worker | None = None
     orders: Orders | None = None
     fenced: bool = False
@@ -130,7 +134,8 @@
 
     def capacity_known(self, now_s: float) -> bool:
         """Return whether the announced capacity is recent enough."""
-        return now_s - self._announced_s <= MAX_ANNOUNCEMENT_AGE_S
+        max_age_s = MAX_HEARTBEAT_PERIODS * self.heartbeat_period_s
+        return now_s - self._announced_s <= max_age_s
 
     def record_departure(self, incarnation: str, now_s: float) -> None:
         """Record that the worker is shutting down, which ends its runs."""
--- a/filbertlb/platform/roles.py
+++ b/filbertlb/platform/roles.py
@@ -161,7 +161,9 @@
     clock = SystemClock()
     table = _open_table(settings)
     worker = PlatformWorkerClient(settings.worker_address, clock)
-    agent = Agent(table, worker, clock, settings.node)
+    agent = Agent(
+        table, worker, clock, settings.node, settings.heartbeat_period_s
+    )
 
     def on_heartbeat(heartbeat: Heartbeat) -> None:
         worker.on_heartbeat(heartbeat)
--- a/filbertlb/platform/settings.py
+++ b/filbertlb/platform/settings.py
@@ -45,6 +45,7 @@
     listen: _Listen
     platform: _Store
     limits: _Machine = msgspec.field(default_factory=_Machine)
+    heartbeat_ms: int = 1500
     port_range: tuple[int, int] = (0, 0)
     # Address of the worker on an agent's machine.
     app: str = ""
@@ -60,6 +61,8 @@
         Addresses on which an entry serves callers and readiness checks.
     heartbeat_address : str
         Address on which an agent receives its worker's heartbeats.
+    heartbeat_period_s : float
+        Time between two heartbeats of a worker.
     worker_address : str
         Address at which an agent calls its worker.
     store_address : str
@@ -80,6 +83,7 @@
     client_address: str
     readiness_address: str
     heartbeat_address: str
+    heartbeat_period_s: float
     worker_address: str
     store_address: str
     store_row_bytes: int
@@ -118,6 +122,7 @@
         file.listen.client_addr,
         file.listen.readiness,
         file.listen.admin,
+        file.heartbeat_ms / 1000,
         file.app,
         file.platform.addr,
         file.platform.row_bytes,
--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -16,7 +16,8 @@
 from filbertlb.batch.model import Run
 from filbertlb.batch.model import WORKER_PREFIX
 from filbertlb.batch.model import WorkerReport
-from filbertlb.batch.reconciler import MAX_ANNOUNCEMENT_AGE_S
+from filbertlb.batch.reconciler import HEARTBEAT_PERIOD_S
+from filbertlb.batch.reconciler import MAX_HEARTBEAT_PERIODS
 from filbertlb.batch.testing import a_worker
 from filbertlb.batch.testing import an_order
 from filbertlb.batch.testing import CAPACITY
@@ -32,6 +33,7 @@
 from filbertlb.table.rows import encode_value
 
 DEADLINE_S = 30.0
+MAX_ANNOUNCEMENT_AGE_S = MAX_HEARTBEAT_PERIODS * HEARTBEAT_PERIOD_S
 
 
 @attrs.define
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -50,6 +50,14 @@
     assert load_settings_file(path).processor_cores == cores
 
 
+@pytest.mark.parametrize(
+    ("fields", "period_s"), [({}, 1.5), ({"heartbeatMs": 4000}, 4.0)]
+)
+def test_heartbeat_period_is_that_of_the_site(tmp_path, fields, period_s):
+    path = write_settings(tmp_path, SETTINGS | fields)
+    assert load_settings_file(path).heartbeat_period_s == period_s
+
+
 @pytest.mark.parametrize(
     "body",
     ["", "{", {}, SETTINGS | {"platform": {}}, SETTINGS | {"portRange": "x"}],
