End an order whose worker has been replaced, instead of repeating it

Seen in a test: a start that another incarnation of the worker refused (421) was dropped and admitted anew, so it was sent again every 20 ms, 500 times in 1.5 s by a probe, until the new incarnation announced itself.

Change: the incarnation that the order is for has ended, so its run ends as lost at once, and the task is placed again up to a heartbeat sooner.

test_start_refused_by_another_incarnation_is_not_repeated_at_once got a second start before.

--- a/filbertlb/batch/reconciler.py
+++ b/filbertlb/batch/reconciler.py
@@ -421,6 +421,7 @@
             run.start_unanswered = True
         elif result is StartResult.OTHER_INCARNATION:
             del self._runs[key]
+            self._end_run(key, EndCause.LOST, "other incarnation")
         elif (
             result in (StartResult.TOO_OLD, StartResult.INVALID)
             or run.tries >= MAX_START_TRIES
--- a/tests/batch/test_reconciler.py
+++ b/tests/batch/test_reconciler.py
@@ -507,3 +507,12 @@
             )
             listing_sent_s = now_s
     assert cause_by_task(reconciler) == {"j.0.0.0": EndCause.STOPPED}
+
+
+def test_start_refused_by_another_incarnation_is_not_repeated_at_once():
+    # The start was admitted anew and sent every 20 ms until a heartbeat came.
+    reconciler = reconciler_with(an_order("j.0.0.0"))
+    (call,) = reconciler.due_calls(0.0)
+    reconciler.record_start(call.order, StartResult.OTHER_INCARNATION, 0.0)
+    assert reconciler.due_calls(0.1) == []
+    assert cause_by_task(reconciler) == {"j.0.0.0": EndCause.LOST}
