Give up a start that stays without an answer after three tries

Seen in a test: a start that got no answer once was repeated for as long as the worker answered the next ones with 503, or not at all, 200 times a minute by a probe; the order was never refused, as the first start might still be carried out, and its task ran nowhere.

Change: after three tries it is stopped, as on a worker that shrank; the next listing without it ends it and the task is placed again.

--- a/filbertlb/batch/reconciler.py
+++ b/filbertlb/batch/reconciler.py
@@ -52,7 +52,7 @@
 A worker that has shrunk must not be overfilled long after it has said so.
 """
 MAX_START_TRIES = 3
-"""Number of unconfirmed starts after which an order is refused."""
+"""Number of unconfirmed starts after which an order is given up."""
 LEASE_MARGIN_S = 0.3
 """Margin added to a lease before its runs count as lost."""
 MIN_PAUSE_S = 0.02
@@ -332,16 +332,17 @@
     ) -> StartCall | StopCall | None:
         """Repeat a start that was not confirmed if it may still be made.
 
-        The worker may have shrunk, or begun to drain, since the last call.
-        A stop then makes it refuse a start that it may still carry out.
+        The worker may have shrunk, or begun to drain, since the last call,
+        or it leaves all starts without an answer. A stop then makes it
+        refuse a start that it may still carry out.
         """
         assert self.worker is not None
         key = (order.task, order.attempt)
         if run.answer_due_s:
             run.start_unanswered = True
-        if not self.worker.draining and not is_negative(
-            self._free_capacity(now_s)
-        ):
+            run.tries += 1
+        fits = not is_negative(self._free_capacity(now_s))
+        if fits and not self.worker.draining and run.tries < MAX_START_TRIES:
             run.call_sent(now_s)
             return StartCall(order, orders.payload_by_job_id[order.job_id])
         if run.start_unanswered:
--- a/tests/batch/test_reconciler.py
+++ b/tests/batch/test_reconciler.py
@@ -10,6 +10,7 @@
 from filbertlb.batch.model import RunEnd
 from filbertlb.batch.reconciler import HEARTBEAT_PERIOD_S
 from filbertlb.batch.reconciler import MAX_HEARTBEAT_PERIODS
+from filbertlb.batch.reconciler import MAX_START_TRIES
 from filbertlb.batch.reconciler import WorkerReconciler
 from filbertlb.batch.testing import a_worker
 from filbertlb.batch.testing import an_order
@@ -516,3 +517,23 @@
     reconciler.record_start(call.order, StartResult.OTHER_INCARNATION, 0.0)
     assert reconciler.due_calls(0.1) == []
     assert cause_by_task(reconciler) == {"j.0.0.0": EndCause.LOST}
+
+
+@pytest.mark.parametrize("later", [StartResult.UNHEALTHY, StartResult.UNKNOWN])
+def test_start_without_an_answer_is_not_repeated_for_ever(later):
+    reconciler = reconciler_with(an_order("j.0.0.0"))
+    starts = 0
+    for tick in range(40):
+        now_s = tick / 4
+        reconciler.record_announcement(now_s)
+        reconciler.record_extension(now_s)
+        for call in reconciler.due_calls(now_s):
+            if isinstance(call, StopCall):
+                reconciler.record_stop(call, answered=True, now_s=now_s)
+                continue
+            result = later if starts else StartResult.UNKNOWN
+            reconciler.record_start(call.order, result, now_s)
+            starts += 1
+        reconciler.record_listing(now_s, [], [], ends_complete=True)
+    assert starts == MAX_START_TRIES
+    assert cause_by_task(reconciler) == {"j.0.0.0": EndCause.STOPPED}
