--- a/filbertlb/batch/crashes.py
+++ b/filbertlb/batch/crashes.py
@@ -98,15 +98,19 @@
 
     def is_held(self, task: str) -> bool:
         """Return whether a waiting task is a suspect that starts apart."""
+        if task not in self.state.suspects:
+            return False
         waits_ms = self.now_ms - self.state.record(task).since_ms
-        return task in self.state.suspects and waits_ms < MAX_SEPARATION_MS
+        return waits_ms < MAX_SEPARATION_MS
 
-    def filter(self, nodes: Iterable[str], tasks: Iterable[str]) -> list[str]:
+    def filter(self, nodes: list[str], tasks: Iterable[str]) -> list[str]:
         """Return the nodes where tasks may start now.
 
         Suspects of one job start one after the other, so that a job with
         many does not take many workers down at once.
         """
+        if not self.state.suspects:
+            return nodes
         held = [task for task in tasks if self.is_held(task)]
         if not held:
             return [node for node in nodes if node not in self.suspect_nodes]
