Don't hold starts because of orders that a clock ahead made

Cause: tasks are marked with the wall time of the decider that ordered them. After a take-over by an entry whose clock is behind, runs seemed to have been ordered in the future, so their nodes counted as settling, and the suspects among them as just ordered, for the difference of the clocks more.

Seen in a probe: with one node and a clock 5 s behind, a job that nothing is held against waited 6.6 s instead of 1.6 s, and so did a second suspect.

Change: what seems to lie in the future counts as older than the limits.

test_decider_with_a_clock_behind_held_starts_for_the_difference failed before for -5 s and -60 s.

--- a/filbertlb/batch/crashes.py
+++ b/filbertlb/batch/crashes.py
@@ -80,13 +80,16 @@
     suspect_jobs: set[str] = attrs.Factory(set)
 
     def __attrs_post_init__(self) -> None:
-        """Find the runs that were ordered a short time ago."""
+        """Find the runs that were ordered a short time ago.
+
+        Those that a decider with a clock ahead ordered count as older.
+        """
         if not self.state.suspects:
             return
         for node in self.state.occupied_nodes():
             for task in self.state.tasks_on(node):
                 record = self.state.record(task)
-                if self.now_ms - record.since_ms < SETTLING_MS:
+                if 0 <= self.now_ms - record.since_ms < SETTLING_MS:
                     self.record_order(task, node)
 
     def record_order(self, task: str, node: str) -> None:
@@ -101,7 +104,7 @@
         if task not in self.state.suspects:
             return False
         waits_ms = self.now_ms - self.state.record(task).since_ms
-        return waits_ms < MAX_SEPARATION_MS
+        return 0 <= waits_ms < MAX_SEPARATION_MS
 
     def filter(self, nodes: list[str], tasks: Iterable[str]) -> list[str]:
         """Return the nodes where tasks may start now.
--- a/tests/batch/test_crashes.py
+++ b/tests/batch/test_crashes.py
@@ -228,3 +228,20 @@
         site.end(f"b{number}.0.0.0", EndCause.DONE)
     site.decide(after_ms=500)
     assert site.record("a.0.0.0").attempt == 2
+
+
+@pytest.mark.parametrize("step_ms", [0, -5000, -60_000])
+def test_decider_with_a_clock_behind_held_starts_for_the_difference(step_ms):
+    # Runs that the last decider ordered seemed to begin in the future.
+    jobs = [a_job(name, a_step(needs=(4, 1, 1))) for name in ("a", "b")]
+    site = Site(*jobs, nodes=1)
+    site.now_ms = 100_000
+    site.decide()
+    site.crash("n0", 10)
+    site.decide()
+    site.now_ms += step_ms
+    site.new_decider()
+    for _ in range(5):
+        site.decide(after_ms=SETTLING_MS // 4)
+    for job_id in ("a", "b"):
+        assert site.node_of(f"{job_id}.0.0.0") == "n0"
