Blame no run for a crash whose start the worker had refused

Cause: a run was blamed for a crash that followed its first start call, also if the worker had answered each call with 503 or "room", or refused the connection as it had just crashed. Two of these on different nodes fail the job, though no worker has crashed under it (LOST: failed without cause).

Change: a run counts only if the worker may have begun it.

test_run_that_the_worker_had_refused_was_blamed_for_its_crash failed before in the rows "unhealthy" and "no room".

--- a/filbertlb/batch/local_run.py
+++ b/filbertlb/batch/local_run.py
@@ -79,6 +79,18 @@
         """Return whether a call for the run may still be answered."""
         return now_s < self.answer_due_s
 
+    @property
+    def may_have_begun(self) -> bool:
+        """Whether the worker may have begun the run.
+
+        It has not if it refused each start that was sent.
+        """
+        return (
+            self.phase is not RunPhase.STARTING
+            or self.start_unanswered
+            or self.answer_due_s > 0
+        )
+
     def call_due(self, now_s: float) -> bool:
         """Return whether the next call for the run may be sent."""
         return not self.awaits_answer(now_s) and now_s >= self.retry_s
--- a/filbertlb/batch/reconciler.py
+++ b/filbertlb/batch/reconciler.py
@@ -492,13 +492,13 @@
         """Return the age of a run when the worker crashed under it.
 
         None if the worker runs, was to leave anyway, or was down before the
-        run was started.
+        run was started, or if it had refused the run.
         """
         down_s, started_s = self._down_since_s, run.started_s
         if down_s is None or started_s is None or started_s > down_s:
             return None
         leaves = self.worker is not None and self.worker.draining
-        if leaves or self.worker_departed:
+        if leaves or self.worker_departed or not run.may_have_begun:
             return None
         return round(1000 * (down_s - started_s))
 
--- a/tests/batch/test_reconciler.py
+++ b/tests/batch/test_reconciler.py
@@ -537,3 +537,27 @@
         reconciler.record_listing(now_s, [], [], ends_complete=True)
     assert starts == MAX_START_TRIES
     assert cause_by_task(reconciler) == {"j.0.0.0": EndCause.STOPPED}
+
+
+@pytest.mark.parametrize(
+    ("result", "crashed_after_ms"),
+    [
+        (StartResult.STARTED, 200),
+        (StartResult.UNKNOWN, 200),
+        (None, 200),
+        (StartResult.UNHEALTHY, None),
+        (StartResult.NO_ROOM, None),
+    ],
+)
+def test_run_that_the_worker_had_refused_was_blamed_for_its_crash(
+    result, crashed_after_ms
+):
+    reconciler = reconciler_with(an_order("j.0.0.0"))
+    (call,) = reconciler.due_calls(1.0)
+    if result is not None:
+        reconciler.record_start(call.order, result, 1.1)
+    reconciler.record_down(1.2)
+    returns(reconciler)
+    (end,) = reconciler.ended()
+    assert end.cause is EndCause.LOST
+    assert end.crashed_after_ms == crashed_after_ms
