Prefer other workers after a refused order

Cause: an order that a worker refused was made again on the same worker, as the best fit does not change: with a worker that answers 503 to starts and lists its runs, eight times of eight in a probe, while another one was idle. Class: a call that is repeated unchanged without end.

Change: as after a failure, other nodes are preferred for the task.

test_refused_order_was_made_again_on_the_same_worker failed before.

--- a/filbertlb/batch/model.py
+++ b/filbertlb/batch/model.py
@@ -198,7 +198,8 @@
     since_ms : int
         Time at which the task entered its phase.
     avoid : str
-        Node of the latest failure or crash; other nodes are preferred.
+        Node of the latest failure, refusal or crash; other nodes are
+        preferred.
     crashes : tuple of Crash
         Crashes of workers that runs of the task may have caused.
     """
--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -160,6 +160,8 @@
         done = end.cause is EndCause.DONE and not step.long_running
         failed = end.cause is EndCause.FAILED
         crashed = end.crashed_after_ms is not None
+        refused = end.cause is EndCause.REFUSED
+        avoids = failed or crashed or refused
         logger.info(
             "end of {} attempt {} on {}: {}",
             *(end.task, end.attempt, record.node, end.cause.value),
@@ -172,7 +174,7 @@
                 failures=record.failures + failed,
                 saved=end.saved or record.saved,
                 since_ms=now_ms,
-                avoid=record.node if failed or crashed else record.avoid,
+                avoid=record.node if avoids else record.avoid,
                 crashes=_crashes_after(record, end),
             ),
         )
--- a/tests/batch/test_planner.py
+++ b/tests/batch/test_planner.py
@@ -484,3 +484,13 @@
     end(planner, "a.0.0.0", EndCause.DONE)
     planner.decide(0.1, 100)
     assert nodes_by_job(planner)["small"] == [on_stopping]
+
+
+def test_refused_order_was_made_again_on_the_same_worker():
+    # The worker may refuse every start and answer all other calls.
+    planner = planner_with(a_job("a"))
+    planner.decide(0.0, 0)
+    (refusing,) = nodes_by_job(planner)["a"]
+    end(planner, "a.0.0.0", EndCause.REFUSED)
+    planner.decide(0.1, 100)
+    assert nodes_by_job(planner)["a"] != [refusing]
