Take no answer of another incarnation for one of the old worker

Cause: a listing of another incarnation was dropped, but counted as an answer, so the next one carried a lease extension, which put off the time at which the leases must be out. As long as no announcement of the new incarnation is accepted (not delivered, unreadable, or its start time lower after a clock step), the orders for the old one never ended, and the agent reported on, so the decider did not end them either. Class: a repeated call that itself keeps its outcome from being accepted.

Change: such an answer does not count.

test_orders_end_if_the_worker_only_answers_under_another_incarnation failed before (no end within 30 s).

--- a/filbertlb/batch/agent.py
+++ b/filbertlb/batch/agent.py
@@ -295,12 +295,13 @@
     def _process_listing(self, listing: RunListing, sent_s: float) -> None:
         worker = self._reconciler.worker
         assert worker is not None
-        self._record_answer(worker)
         if listing.incarnation and listing.incarnation != worker.incarnation:
             # The worker has restarted. Its announcement has more details
-            # than the listing, so wait for that.
+            # than the listing, so wait for that. The answer extends no
+            # lease of the runs before.
             sleep(REPORT_BATCH_S)
             return
+        self._record_answer(worker)
         self._reconciler.record_listing(
             sent_s, listing.running, listing.ends, listing.ends_complete
         )
--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -177,3 +177,33 @@
             sleep(0.02)
         await_report(table, lambda report: report.ended)
     assert link.calls == []
+
+
+@attrs.define
+class ListingLink(FailingLink):
+    """Worker link whose listings can fail or name another incarnation."""
+
+    incarnation: str = ""
+
+    def list_runs(self, fence, acked_number, extend_lease, wait_s):
+        sleep(0.01)
+        self._call("list")
+        runs = () if self.incarnation else self.running
+        return RunListing(runs, (), True, self.incarnation)
+
+
+def test_orders_end_if_the_worker_only_answers_under_another_incarnation():
+    # Each answer was taken for the old worker's and extended its leases.
+    table, clock, link = MemoryTable(), VirtualClock(), ListingLink("")
+    agent = Agent(table, link, clock, "n")
+    agent.update_worker(a_worker())
+    with running(agent):
+        await_report(table, lambda report: report.answers)
+        put_orders(table, an_order("j.0.0.0"))
+        await_report(table, lambda report: report.running)
+        link.incarnation = "w@2"
+        while not decode_row(
+            table.get(f"{WORKER_PREFIX}n"), WorkerReport
+        ).ended:
+            clock.advance(0.05)
+            sleep(0.01)
