Let an agent carry out orders after an unexpected error

Cause: an unexpected error ended the task that lists the runs, or the one that calls the worker, for good, while the agent reported on. Without the second, orders stay without a start or an end.

Change: both tasks start again.

test_agent_lists_runs_again_after_an_unexpected_error and test_agent_starts_runs_after_an_unexpected_error failed before. No way to such an error is known.

--- a/filbertlb/batch/agent.py
+++ b/filbertlb/batch/agent.py
@@ -40,6 +40,8 @@
 from filbertlb.table.rows import UnreadableRowError
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from filbertlb.batch.model import Worker
     from filbertlb.batch.worker_link import RunListing
     from filbertlb.batch.worker_link import WorkerLink
@@ -151,12 +153,9 @@
         """Register, then run until killed or superseded."""
         self._register()
         tasks = [
-            spawn(task)
-            for task in (
-                self._follower.run,
-                self._listing_loop,
-                self._call_loop,
-            )
+            spawn(self._follower.run),
+            spawn(self._run_until_fenced, self._listing_loop),
+            spawn(self._run_until_fenced, self._call_loop),
         ]
         try:
             self._report_loop()
@@ -164,6 +163,18 @@
             for task in tasks:
                 task.kill()
 
+    def _run_until_fenced(self, loop: Callable[[], None]) -> None:
+        """Run a loop again after an unexpected error.
+
+        Without it the agent would report on, but no longer carry out orders.
+        """
+        while not self._reconciler.fenced:
+            try:
+                loop()
+            except Exception:
+                logger.exception("a task of the agent failed, starts again")
+                sleep(RETRY_S)
+
     def _register(self) -> None:
         """Write the report row; its version becomes the fencing token."""
         while True:
--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -18,6 +18,7 @@
 from filbertlb.batch.model import WorkerReport
 from filbertlb.batch.reconciler import HEARTBEAT_PERIOD_S
 from filbertlb.batch.reconciler import MAX_HEARTBEAT_PERIODS
+from filbertlb.batch.reconciler import WorkerReconciler
 from filbertlb.batch.testing import a_worker
 from filbertlb.batch.testing import an_order
 from filbertlb.batch.testing import CAPACITY
@@ -207,3 +208,32 @@
         ).ended:
             clock.advance(0.05)
             sleep(0.01)
+
+
+def test_agent_lists_runs_again_after_an_unexpected_error():
+    # The listing task ended, and the worker got no work until a restart.
+    link = ListingLink("list")
+    agent = Agent(MemoryTable(), link, SystemClock(), "n")
+    agent.update_worker(a_worker())
+    with running(agent):
+        while link.calls.count("list") < 2:
+            sleep(0.01)
+
+
+def test_agent_starts_runs_after_an_unexpected_error(monkeypatch):
+    # The task that calls the worker ended, and the agent reported on.
+    due_calls, errors = WorkerReconciler.due_calls, [KeyError("unexpected")]
+
+    def fail_once(reconciler, now_s):
+        if errors and reconciler.orders is not None:
+            raise errors.pop()
+        return due_calls(reconciler, now_s)
+
+    monkeypatch.setattr(WorkerReconciler, "due_calls", fail_once)
+    table, link = MemoryTable(), FailingLink("")
+    agent = Agent(table, link, SystemClock(), "n")
+    with running(agent):
+        put_orders(table, an_order("j.0.0.0"))
+        while "start" not in link.calls:
+            agent.update_worker(a_worker())
+            sleep(0.01)
