Test that suspects keep no guaranteed job from a node

Taking the guarantee out of Placer._find_placement (`if True`) left all tests green; the limit for urgent starts is shorter than the separation. The new test fails then (None instead of n0 after 1 s).

--- a/tests/batch/test_crashes.py
+++ b/tests/batch/test_crashes.py
@@ -15,6 +15,7 @@
 from filbertlb.batch.model import PROGRESS_PREFIX
 from filbertlb.batch.model import RunEnd
 from filbertlb.batch.model import TaskPhase
+from filbertlb.batch.placing import GUARANTEE_PREEMPTION_DELAY_MS
 from filbertlb.batch.planner import Planner
 from filbertlb.batch.testing import a_job
 from filbertlb.batch.testing import a_report
@@ -245,3 +246,18 @@
         site.decide(after_ms=SETTLING_MS // 4)
     for job_id in ("a", "b"):
         assert site.node_of(f"{job_id}.0.0.0") == "n0"
+
+
+def test_guaranteed_job_was_kept_from_a_node_by_a_suspect():
+    # It has to start within a limit that is shorter than the separation.
+    site = Site(a_job("a"), nodes=1)
+    site.planner.guaranteed = {"divers": 8}
+    site.decide()
+    site.crash("n0", 10)
+    site.decide()
+    assert site.node_of("a.0.0.0") == "n0"
+    site.add(a_job("urgent", priority=0, accepted_ms=site.now_ms))
+    site.decide(after_ms=GUARANTEE_PREEMPTION_DELAY_MS - 100)
+    assert site.node_of("urgent.0.0.0") is None
+    site.decide(after_ms=100)
+    assert site.node_of("urgent.0.0.0") == "n0"
