Test that a start whose call never ends is given up

Taking the count out of WorkerReconciler._repeat_start for calls that got neither an answer nor an end (a paused agent) left all tests green. The new test fails then: the start is sent a fourth time.

--- a/tests/batch/test_reconciler.py
+++ b/tests/batch/test_reconciler.py
@@ -561,3 +561,16 @@
     (end,) = reconciler.ended()
     assert end.cause is EndCause.LOST
     assert end.crashed_after_ms == crashed_after_ms
+
+
+def test_start_whose_call_never_ends_is_not_repeated_for_ever():
+    reconciler = reconciler_with(an_order("j.0.0.0"))
+    calls = []
+    for number in range(MAX_START_TRIES + 1):
+        now_s = number * MAX_CALL_S
+        reconciler.record_announcement(now_s)
+        reconciler.record_extension(now_s)
+        calls += reconciler.due_calls(now_s)
+    starts = [call for call in calls if not isinstance(call, StopCall)]
+    assert len(starts) == MAX_START_TRIES
+    assert calls[-1] == StopCall("j.0.0.0", 1)
