Let an agent report after an unexpected error

Cause: an unexpected error in the registration or a report ended the agent's main task; its process lived on and answered heartbeats, but reported nothing and extended no lease, so its worker got no work until the process ended.

Change: both are tried again.

test_agent_reports_again_after_an_unexpected_error failed before in both rows. No way to such an error is known.

--- a/filbertlb/batch/agent.py
+++ b/filbertlb/batch/agent.py
@@ -184,6 +184,9 @@
             except FilbertlbError as error:
                 logger.warning("registration failed, retrying: {}", error)
                 sleep(RETRY_S)
+            except Exception:
+                logger.exception("registration failed unexpectedly")
+                sleep(RETRY_S)
 
     def _try_register(self) -> None:
         sent_s = self._clock.monotonic()
@@ -399,6 +402,12 @@
                 )
                 sleep(RETRY_S)
                 self._report_wake.set()
+            except Exception:
+                # Without this task the process would live on without use.
+                logger.exception("report {} failed", self._sequence)
+                sleep(RETRY_S)
+                self._reconciler.report_changed = True
+                self._report_wake.set()
             self._report_wake.wait(REPORT_PERIOD_S)
             self._report_wake.clear()
             sleep(REPORT_BATCH_S)
--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -237,3 +237,28 @@
         while "start" not in link.calls:
             agent.update_worker(a_worker())
             sleep(0.01)
+
+
+class DefectiveTable(MemoryTable):
+    """Table whose calls raise unexpected errors when they are due."""
+
+    errors = 0
+
+    def commit(self, writes):
+        if self.errors:
+            self.errors -= 1
+            raise RuntimeError("unexpected")
+        return super().commit(writes)
+
+
+@pytest.mark.parametrize("registered", [False, True])
+def test_agent_reports_again_after_an_unexpected_error(registered):
+    # Its process lived on, but reported nothing and carried out no orders.
+    table = DefectiveTable()
+    table.errors = not registered
+    agent = Agent(table, FailingLink(""), SystemClock(), "n")
+    with running(agent):
+        await_report(table, lambda report: True)
+        table.errors = registered
+        agent.update_worker(a_worker())
+        await_report(table, lambda report: report.answers)
