--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -266,7 +266,9 @@
         """Return whether a task has failed, or crashed workers, too often."""
         records = self.state.progress[job.job_id].tasks.values()
         return self._attempts_exhausted(job) or any(
-            crashes_workers(record.crashes) for record in records
+            crashes_workers(record.crashes)
+            for record in records
+            if record.crashes
         )
 
     def _attempts_exhausted(self, job: Job) -> bool:
--- a/filbertlb/platform/runner.py
+++ b/filbertlb/platform/runner.py
@@ -93,7 +93,7 @@
     def start(
         self, order: Order, payload: str, fence: int, extend_lease: bool
     ) -> StartResult:
-        """Start a run; with ``extend``, also extend the worker's lease."""
+        """Start a run; with ``extend_lease``, extend the worker's lease."""
         body = {
             "task": order.task,
             "attempt": order.attempt,
@@ -132,8 +132,9 @@
     ) -> RunListing:
         """Return the worker's running and ended runs.
 
-        Waits up to ``wait_s`` for a run to end. Ends up to ``taken_to`` are
-        acknowledged; with ``extend``, the worker's lease is extended.
+        Waits up to ``wait_s`` for a run to end. Ends up to ``acked_number``
+        are acknowledged; with ``extend_lease``, the worker's lease is
+        extended.
         """
         body: dict[str, Any] = {
             "fencingToken": fence,
--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -149,8 +149,10 @@
 
 def test_worker_that_has_crashed_is_offered_work():
     # The clock of the agent stands, so no time without an answer passes.
-    with agent_beside_crash(MemoryTable(), VirtualClock()):
-        pass
+    table = MemoryTable()
+    with agent_beside_crash(table, VirtualClock()):
+        report = decode_row(table.get(f"{WORKER_PREFIX}n"), WorkerReport)
+        assert not report.answers
 
 
 def test_worker_that_stopped_announcing_itself_was_reported_as_usable():
