--- a/filbertlb/batch/model.py
+++ b/filbertlb/batch/model.py
@@ -33,6 +33,10 @@
 """
 
 
+RunKey = tuple[str, int]
+"""Task and attempt of a run."""
+
+
 class JobState(StrEnum):
     """State of a job as reported to callers."""
 
@@ -246,6 +250,11 @@
     saved: str = ""
     stop: bool = False
 
+    @property
+    def key(self) -> RunKey:
+        """Task and attempt."""
+        return (self.task, self.attempt)
+
 
 @attrs.frozen
 class Orders:
@@ -279,6 +288,11 @@
     saved: str = ""
     percent: int = 0
 
+    @property
+    def key(self) -> RunKey:
+        """Task and attempt."""
+        return (self.task, self.attempt)
+
 
 @attrs.frozen
 class RunEnd:
@@ -297,6 +311,11 @@
     saved: str = ""
     crashed_after_ms: int | None = None
 
+    @property
+    def key(self) -> RunKey:
+        """Task and attempt."""
+        return (self.task, self.attempt)
+
 
 @attrs.frozen
 class Worker:
--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -347,7 +347,7 @@
 def _reported_checkpoint(report: WorkerReport, task: str, attempt: int) -> str:
     """Return the checkpoint of a run in a report, or an empty string."""
     for run in report.running:
-        if (run.task, run.attempt) == (task, attempt):
+        if run.key == (task, attempt):
             return run.saved
     return ""
 
--- a/filbertlb/batch/reconciler.py
+++ b/filbertlb/batch/reconciler.py
@@ -33,6 +33,7 @@
 
     from filbertlb.batch.model import Order
     from filbertlb.batch.model import Orders
+    from filbertlb.batch.model import RunKey
     from filbertlb.batch.model import Worker
     from filbertlb.batch.worker_link import ListedEnd
     from filbertlb.core.amounts import Amount
@@ -63,8 +64,6 @@
 NO_CAPACITY: Amount = (-1, -1, -1)
 """Free capacity with which nothing starts, not even what needs nothing."""
 
-RunKey = tuple[str, int]
-
 
 @attrs.define
 class WorkerReconciler:
@@ -110,9 +109,9 @@
         A run that was lost meanwhile can resume from its checkpoint.
         """
         for end in ended:
-            self._ended[(end.task, end.attempt)] = end
+            self._ended[end.key] = end
         for run in running:
-            self._checkpoint_by_run[(run.task, run.attempt)] = run.saved
+            self._checkpoint_by_run[run.key] = run.saved
 
     def set_worker(self, worker: Worker) -> None:
         """Set what the worker announced; a new incarnation has no runs."""
@@ -147,9 +146,7 @@
     def set_orders(self, orders: Orders) -> None:
         """Replace the orders; forget what concerns runs no longer ordered."""
         self.orders = orders
-        wanted = {
-            (order.task, order.attempt): order for order in orders.orders
-        }
+        wanted = {order.key: order for order in orders.orders}
         for key in self._runs.keys() & wanted.keys():
             self._runs[key].needs = wanted[key].needs
         by_run: tuple[dict[RunKey, Any], ...] = (
@@ -195,7 +192,7 @@
         calls: list[StartCall | StopCall] = []
         wanted = set()
         for order in orders.orders:
-            key = (order.task, order.attempt)
+            key = order.key
             if key in self._ended:
                 continue
             wanted.add(key)
@@ -213,7 +210,7 @@
         self, order: Order, result: StartResult, now_s: float
     ) -> None:
         """Record the reply to a start."""
-        key = (order.task, order.attempt)
+        key = order.key
         run = self._runs.get(key)
         if run is None:
             return
@@ -270,10 +267,10 @@
         self._down_since_s = None
         listed = set()
         for listed_end in ends:
-            listed.add((listed_end.end.task, listed_end.end.attempt))
+            listed.add(listed_end.end.key)
             self._record_end(listed_end)
         for run in running:
-            key = (run.task, run.attempt)
+            key = run.key
             listed.add(key)
             self._record_running(key, run, sent_s)
         if ends_complete:
@@ -311,7 +308,7 @@
         self, order: Order, orders: Orders, now_s: float
     ) -> StartCall | StopCall | None:
         assert self.worker is not None
-        key = (order.task, order.attempt)
+        key = order.key
         run = self._runs.get(key)
         if order.incarnation != self.worker.incarnation:
             self._end_run(key, EndCause.LOST, "other incarnation")
@@ -337,7 +334,7 @@
         refuse a start that it may still carry out.
         """
         assert self.worker is not None
-        key = (order.task, order.attempt)
+        key = order.key
         if run.answer_due_s:
             run.start_unanswered = True
             run.tries += 1
@@ -355,7 +352,7 @@
         self, order: Order, orders: Orders, now_s: float
     ) -> StartCall | None:
         assert self.worker is not None
-        key = (order.task, order.attempt)
+        key = order.key
         if self.worker.draining:
             self._end_run(key, EndCause.REFUSED, "worker is draining")
             return None
@@ -391,7 +388,7 @@
         assert self.worker is not None
         room = self.worker.capacity
         for order in orders.orders:
-            if not order.stop and (order.task, order.attempt) in self._runs:
+            if not order.stop and order.key in self._runs:
                 room = minus(room, order.needs)
         return room
 
@@ -433,7 +430,7 @@
     def _record_end(self, listed: ListedEnd) -> None:
         self.last_end_number = max(self.last_end_number, listed.number)
         end = listed.end
-        key = (end.task, end.attempt)
+        key = end.key
         self._runs.pop(key, None)
         if key not in self._ended:
             self._ended[key] = end
@@ -466,7 +463,7 @@
 
     def _needs_of(self, key: RunKey) -> Amount | None:
         for order in self.orders.orders if self.orders else ():
-            if (order.task, order.attempt) == key:
+            if order.key == key:
                 return order.needs
         return None
 
@@ -510,7 +507,7 @@
             return
         self._runs.clear()
         for order in orders.orders:
-            key = (order.task, order.attempt)
+            key = order.key
             if key not in self._ended:
                 self._end_run(key, EndCause.LOST, "the worker has left")
 
@@ -530,7 +527,7 @@
         if self._listing_received:
             return
         for order in orders.orders:
-            key = (order.task, order.attempt)
+            key = order.key
             if key not in self._ended:
                 self._end_run(
                     key, EndCause.LOST, "no worker has listed its runs"
--- a/filbertlb/batch/workers.py
+++ b/filbertlb/batch/workers.py
@@ -131,7 +131,7 @@
         """
         previous_percents = self._percents
         self._percents = {
-            (run.task, run.attempt): run.percent
+            run.key: run.percent
             for run in running
             if 0 < run.percent < COMPLETE_PERCENT
         }
