--- a/tests/batch/test_decider.py
+++ b/tests/batch/test_decider.py
@@ -337,13 +337,23 @@
         wait_until(lambda: orders_on(table, "n0") == ["j.0.0.0"])
 
 
-def test_holder_that_cannot_read_leaves_the_lease_to_others(monkeypatch):
+class DefectiveTable(UnreadableTable):
+    """A process's view of a table whose progress makes it fail."""
+
+    def snapshot(self, prefix):
+        if prefix == PROGRESS_PREFIX:
+            raise KeyError(prefix)
+        return self._table.snapshot(prefix)
+
+
+@pytest.mark.parametrize("view", [UnreadableTable, DefectiveTable])
+def test_holder_that_cannot_read_leaves_the_lease_to_others(monkeypatch, view):
     monkeypatch.setattr(decider_module, "STALL_TIMEOUT_S", 0.2)
     table = LimitedTable()
     put_workers(table, ["n0"])
     put(table, JOB_PREFIX + "j", a_job("j"))
     with ExitStack() as stack:
-        stack.enter_context(deciding(UnreadableTable(table), "cut-off"))
+        stack.enter_context(deciding(view(table), "cut-off"))
         wait_until(lambda: table.get("lease/coast") is not None)
         stack.enter_context(deciding(table, "sound"))
         wait_until(lambda: orders_on(table, "n0") == ["j.0.0.0"])
@@ -369,15 +379,6 @@
     assert table.get(PROGRESS_PREFIX + "a").value == b"\x78damaged"
 
 
-class DefectiveTable(UnreadableTable):
-    """A process's view of a table whose progress makes it fail."""
-
-    def snapshot(self, prefix):
-        if prefix == PROGRESS_PREFIX:
-            raise KeyError(prefix)
-        return self._table.snapshot(prefix)
-
-
 def test_decider_goes_on_after_an_unexpected_error(monkeypatch):
     # The deciding task ended, and its entry went on renewing the lease.
     decide, errors = Planner.decide, [KeyError("unexpected")]
@@ -393,15 +394,3 @@
     put(table, JOB_PREFIX + "j", a_job("j"))
     with deciding(table):
         wait_until(lambda: orders_on(table, "n0") == ["j.0.0.0"])
-
-
-def test_holder_that_fails_unexpectedly_leaves_the_lease(monkeypatch):
-    monkeypatch.setattr(decider_module, "STALL_TIMEOUT_S", 0.2)
-    table = LimitedTable()
-    put_workers(table, ["n0"])
-    put(table, JOB_PREFIX + "j", a_job("j"))
-    with ExitStack() as stack:
-        stack.enter_context(deciding(DefectiveTable(table), "defective"))
-        wait_until(lambda: table.get("lease/coast") is not None)
-        stack.enter_context(deciding(table, "sound"))
-        wait_until(lambda: orders_on(table, "n0") == ["j.0.0.0"])
