--- a/filbertlb/batch/placing.py
+++ b/filbertlb/batch/placing.py
@@ -161,27 +161,34 @@
     def _find_placement(
         self, group: TaskGroup, count: int, tasks: list[str]
     ) -> Placement | None:
-        """Find nodes, preferably other than those where the tasks failed.
+        for nodes in self._node_choices(group, tasks):
+            placement = self._place_on(group, nodes, count)
+            if placement is not None:
+                return placement
+        return None
+
+    def _node_choices(
+        self, group: TaskGroup, tasks: list[str]
+    ) -> list[list[str]]:
+        """Return the nodes to place tasks on, the most preferred first.
 
-        Tasks that may have crashed a worker prefer idle ones, where the next
-        crash harms nobody else.
+        Nodes are preferred to those where the tasks failed. Tasks that may
+        have crashed a worker prefer idle nodes, where the next crash harms
+        nobody else.
         """
         nodes = self._candidates(group)
         if not self._may_claim_guarantee(group):
             nodes = self.separation.filter(nodes, tasks)
         avoided = {self.state.record(task).avoid for task in tasks}
         preferred = [node for node in nodes if node not in avoided]
-        choices = (
-            [preferred, nodes] if len(preferred) < len(nodes) else [nodes]
-        )
+        choices = [nodes]
+        if len(preferred) < len(nodes):
+            choices.insert(0, preferred)
         if not self.state.suspects.isdisjoint(tasks):
-            idle = [n for n in preferred if not self.state.tasks_on(n)]
+            occupied = set(self.state.occupied_nodes())
+            idle = [node for node in preferred if node not in occupied]
             choices.insert(0, idle)
-        for choice in choices:
-            placement = self._place_on(group, choice, count)
-            if placement is not None:
-                return placement
-        return None
+        return choices
 
     def _candidates(self, group: TaskGroup) -> list[str]:
         label = group.step.required_label
