--- a/filbertlb/batch/reconciler.py
+++ b/filbertlb/batch/reconciler.py
@@ -488,8 +488,8 @@
     def _crashed_after_ms(self, run: LocalRun) -> int | None:
         """Return the age of a run when the worker crashed under it.
 
-        None if the worker runs, was to leave anyway, or was down before the
-        run was started, or if it had refused the run.
+        None if the worker is not down, was to leave anyway, was down before
+        the run was started, or had refused the run.
         """
         down_s, started_s = self._down_since_s, run.started_s
         if down_s is None or started_s is None or started_s > down_s:
@@ -506,10 +506,7 @@
         if now_s < departed_s + SHUTDOWN_GRACE_S:
             return
         self._runs.clear()
-        for order in orders.orders:
-            key = order.key
-            if key not in self._ended:
-                self._end_run(key, EndCause.LOST, "the worker has left")
+        self._end_orders(orders, "the worker has left")
 
     def _end_expired(self, orders: Orders, now_s: float) -> None:
         """End runs as lost once their lease must have expired.
@@ -524,14 +521,14 @@
             del self._runs[key]
             run_ms = self._crashed_after_ms(run)
             self._end_run(key, EndCause.LOST, "lease ran out", run_ms)
-        if self._listing_received:
-            return
+        if not self._listing_received:
+            self._end_orders(orders, "no worker has listed its runs")
+
+    def _end_orders(self, orders: Orders, reason: str) -> None:
+        """End all orders as lost that have not ended yet."""
         for order in orders.orders:
-            key = order.key
-            if key not in self._ended:
-                self._end_run(
-                    key, EndCause.LOST, "no worker has listed its runs"
-                )
+            if order.key not in self._ended:
+                self._end_run(order.key, EndCause.LOST, reason)
 
     def _end_run(
         self,
