Show that a late transaction is followed by an older decision

Cause: a decision whose answer is lost may be applied seconds later. The planner is then built anew from rows that lack it. If it lands after they were read, the renewal of the lease conflicts, finds its own holder in the row and goes on from the new version. The next decision is then accepted, though its planner is older than the rows.

--- a/tests/batch/test_decider.py
+++ b/tests/batch/test_decider.py
@@ -39,6 +39,7 @@
 from filbertlb.table.base import TableRejectedError
 from filbertlb.table.base import TableUnavailableError
 from filbertlb.table.base import Write
+from filbertlb.table.base import WriteOutcomeUnknownError
 from filbertlb.table.memory import MemoryTable
 from filbertlb.table.mirror import Follower
 from filbertlb.table.mirror import Mirror
@@ -394,3 +395,51 @@
     put(table, JOB_PREFIX + "j", a_job("j"))
     with deciding(table):
         wait_until(lambda: orders_on(table, "n0") == ["j.0.0.0"])
+
+
+@attrs.define
+class LateTable(LimitedTable):
+    """Applies one transaction after the next read of the progress.
+
+    Parameters
+    ----------
+    late_key : str
+        Transactions of several rows with this one get no answer.
+    """
+
+    late_key: str = ""
+    late_writes: tuple = ()
+    landed: bool = False
+
+    def commit(self, writes):
+        keys = {write.key for write in writes}
+        if self.late_key in keys and not self.landed:
+            self.late_writes = tuple(writes)
+            raise WriteOutcomeUnknownError("no answer")
+        return LimitedTable.commit(self, writes)
+
+    def snapshot(self, prefix):
+        snapshot = LimitedTable.snapshot(self, prefix)
+        if prefix == PROGRESS_PREFIX and self.late_writes and not self.landed:
+            self.landed = True
+            LimitedTable.commit(self, self.late_writes)
+            # The agent has forgotten the end, as it is no longer ordered.
+            put(self, WORKER_PREFIX + "n0", a_report("n0"))
+            version = self.get("lease/coast").version
+            wait_until(lambda: self.get("lease/coast").version > version)
+        return snapshot
+
+
+def test_late_transaction_is_not_overwritten_with_older_progress():
+    # The renewal of the lease went on from it, the decision did not know it.
+    table = LateTable()
+    end = RunEnd("job-n0.0.0.0", 1, EndCause.DONE)
+    put(table, WORKER_PREFIX + "n0", a_report("n0", ended=(end,)))
+    put_running_jobs(table, ["n0"])
+    table.late_key = PROGRESS_PREFIX + "job-n0"
+    with deciding(table):
+        wait_until(lambda: table.landed)
+        put(table, JOB_PREFIX + "j", a_job("j"))
+        wait_until(lambda: "j.0.0.0" in (orders_on(table, "n0") or ()))
+    assert progress_of(table, "job-n0").state is JobState.COMPLETE
+    assert orders_on(table, "n0") == ["j.0.0.0"]
