Run tasks of a process again after an unexpected error

What callers saw: nothing yet. Here the tasks of an entry (followers apart, which guard themselves) ran unguarded: an error that their handlers do not name, such as the RecursionError of a deeply nested row, ended the task that polls the configuration, renews the lease or announces the entry, while the process went on with what it knew.

Cause: `roles._running` spawned each task bare, and gevent only prints the error. The agent had a guard of its own for two loops.

Change: one guard in filbertlb/tasks.py for both. It logs the error and runs the task again after a pause. It is the second line of defence; rows that cannot be decoded are to be handled where they are decoded.

Evidence: with bare tasks test_task_runs_again_after_unexpected_error fails for RecursionError and KeyError (the second run never comes); with the guard tests/test_tasks.py, tests/batch and test_whole_path.py pass.

--- a/filbertlb/batch/agent.py
+++ b/filbertlb/batch/agent.py
@@ -38,10 +38,9 @@
 from filbertlb.table.rows import decode_row
 from filbertlb.table.rows import encode_value
 from filbertlb.table.rows import UnreadableRowError
+from filbertlb.tasks import run_again_after_errors
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from filbertlb.batch.model import Worker
     from filbertlb.batch.worker_link import RunListing
     from filbertlb.batch.worker_link import WorkerLink
@@ -154,8 +153,8 @@
         self._register()
         tasks = [
             spawn(self._follower.run),
-            spawn(self._run_until_fenced, self._listing_loop),
-            spawn(self._run_until_fenced, self._call_loop),
+            spawn(run_again_after_errors, self._listing_loop),
+            spawn(run_again_after_errors, self._call_loop),
         ]
         try:
             self._report_loop()
@@ -163,18 +162,6 @@
             for task in tasks:
                 task.kill()
 
-    def _run_until_fenced(self, loop: Callable[[], None]) -> None:
-        """Run a loop again after an unexpected error.
-
-        Without it the agent would report on, but no longer carry out orders.
-        """
-        while not self._reconciler.fenced:
-            try:
-                loop()
-            except Exception:
-                logger.exception("a task of the agent failed, starts again")
-                sleep(RETRY_S)
-
     def _register(self) -> None:
         """Write the report row; its version becomes the fencing token."""
         while True:
--- a/filbertlb/platform/roles.py
+++ b/filbertlb/platform/roles.py
@@ -4,13 +4,11 @@
 
 import signal
 from collections import Counter
-from contextlib import contextmanager
 from contextlib import ExitStack
 from typing import TYPE_CHECKING
 
 from gevent import signal_handler
 from gevent import sleep
-from gevent import spawn
 from gevent.event import Event
 from loguru import logger
 
@@ -43,11 +41,10 @@
 from filbertlb.table.base import TransactionLimits
 from filbertlb.table.mirror import Follower
 from filbertlb.table.mirror import Mirror
+from filbertlb.tasks import running_all
 from filbertlb.typedserver import Service
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-    from collections.abc import Iterator
     from collections.abc import Mapping
     from typing import Any
 
@@ -139,7 +136,7 @@
         page.load_soon,
     )
     with ExitStack() as stack:
-        stack.enter_context(_running(tasks))
+        stack.enter_context(running_all(tasks))
         for address, application in (
             (settings.client_address, json_application(ingress.handle)),
             (settings.readiness_address, json_application(handle_readiness)),
@@ -181,7 +178,7 @@
 
     page = MetricsPage("agent", settings.node, agent.sample)
     with (
-        _running((run_until_superseded,)),
+        running_all((run_until_superseded,)),
         serving_http(application, host, port, LIMITS),
         serving_http(
             page.application,
@@ -216,17 +213,6 @@
     return f"{settings.ip}:{settings.first_port + offset}"
 
 
-@contextmanager
-def _running(tasks: tuple[Callable[[], None], ...]) -> Iterator[None]:
-    """Run tasks as greenlets; kill them on exit."""
-    greenlets = [spawn(task) for task in tasks]
-    try:
-        yield
-    finally:
-        for greenlet in greenlets:
-            greenlet.kill()
-
-
 def _check_settings(settings: Settings) -> None:
     """Read the settings file again and log whether it has changed.
 
--- a/filbertlb/tasks.py
+++ b/filbertlb/tasks.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 from typing import TYPE_CHECKING
 
+from gevent import sleep
 from gevent import spawn
 from gevent.queue import Empty
 from gevent.queue import Full
@@ -14,6 +15,8 @@
 from loguru import logger
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
     from collections.abc import Iterator
 
     from filbertlb.core.clock import Clock
@@ -21,6 +24,8 @@
 MAILBOX_ITEMS = 10_000
 LONGEST_NAP_S = 1.0
 SHORTEST_NAP_S = 0.001
+RESTART_DELAY_S = 0.25
+"""Pause before a task runs again after an unexpected error."""
 
 
 class Behaviour(Protocol):
@@ -114,3 +119,26 @@
         yield
     finally:
         task.kill()
+
+
+def run_again_after_errors(task: Callable[[], None]) -> None:
+    """Run a task until it returns; after an unexpected error run it again."""
+    while True:
+        try:
+            task()
+        except Exception:
+            logger.exception("a task failed and starts again")
+            sleep(RESTART_DELAY_S)
+        else:
+            return
+
+
+@contextmanager
+def running_all(tasks: Iterable[Callable[[], None]]) -> Iterator[None]:
+    """Run tasks that start again after errors; kill them at the end."""
+    greenlets = [spawn(run_again_after_errors, task) for task in tasks]
+    try:
+        yield
+    finally:
+        for greenlet in greenlets:
+            greenlet.kill()
--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -11,6 +11,7 @@
 from filbertlb.messages import EntryHello
 from filbertlb.messages import Role
 from filbertlb.tasks import Mailbox
+from filbertlb.tasks import running_all
 from filbertlb.tasks import running_task
 from filbertlb.transport.codec import Envelope
 
@@ -101,3 +102,20 @@
     directory.tick(10.0)
     directory.receive(envelope(announce(REVISION)), 10.1)
     assert directory.next_due_s(10.1) == 10.0 + TICK_PERIOD_S
+
+
+@pytest.mark.parametrize("error", [RecursionError("nested"), KeyError("row")])
+def test_task_runs_again_after_unexpected_error(error):
+    # An entry whose polling task had ended kept its old configuration.
+    runs = []
+    ran_again = Event()
+
+    def task():
+        runs.append(None)
+        if len(runs) == 1:
+            raise error
+        ran_again.set()
+
+    with running_all((task,)):
+        assert ran_again.wait(30)
+    assert len(runs) == 2
