Log a silent worker that tasks wait for

Nothing told that tasks stay with a worker whose reports have stopped until its leases were counted as run out, which may never come under frequent take-overs: the log could not tell this cause of a lost job from others. One line now names the worker, the age and number of its last report, the agent process and the number of tasks, once for each silence and term.

The test failed before: no such line ("not enough values to unpack").

--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -68,6 +68,7 @@
         else:
             view.report = report
             view.seen_s = now_s
+            view.silence_logged = False
         self._unprocessed_nodes.add(report.node)
 
     def decide(self, now_s: float, now_ms: int) -> None:
@@ -199,7 +200,10 @@
     def _end_runs_of_dead_workers(self, now_s: float, now_ms: int) -> None:
         for node in self.state.occupied_nodes():
             view = self.workers.get(node)
-            if view is None or not view.dead(now_s):
+            if view is None:
+                continue
+            if not view.dead(now_s):
+                self._log_silence(view, now_s)
                 continue
             logger.warning(
                 "worker {} is silent for {:.1f} s: its leases have run out",
@@ -213,6 +217,20 @@
                     RunEnd(task, attempt, EndCause.LOST, saved), now_ms
                 )
 
+    def _log_silence(self, view: WorkerView, now_s: float) -> None:
+        """Log once that tasks wait for a worker that may be gone."""
+        if view.silence_logged or not view.silent(now_s):
+            return
+        view.silence_logged = True
+        report = view.report
+        logger.warning(
+            "worker {} is silent for {:.1f} s since report {} of agent {}: "
+            "{} tasks wait for it or for the end of its leases",
+            *(report.node, now_s - view.seen_s),
+            *(report.sequence, report.registration),
+            len(self.state.tasks_on(report.node)),
+        )
+
     def _stop_cancelled_jobs(self, now_ms: int) -> None:
         for job_id in self.state.cancelled & self.state.jobs.keys():
             progress = self.state.progress[job_id]
--- a/filbertlb/batch/workers.py
+++ b/filbertlb/batch/workers.py
@@ -66,12 +66,15 @@
     stalled : bool
         None of its runs has made progress lately, so it gets no new
         work.
+    silence_logged : bool
+        The log tells that no report has come for some time.
     """
 
     report: WorkerReport
     seen_s: float
     quarantined_until_s: float = 0.0
     stalled: bool = False
+    silence_logged: bool = False
     _ends: deque[_RecordedEnd] = attrs.Factory(deque)
     _percents: dict[tuple[str, int], int] = attrs.Factory(dict)
     _last_progress_s: float | None = None
@@ -83,11 +86,15 @@
             worker is not None
             and self.report.answers
             and not worker.draining
-            and now_s - self.seen_s <= MAX_REPORT_AGE_S
+            and not self.silent(now_s)
             and now_s >= self.quarantined_until_s
             and not self.stalled
         )
 
+    def silent(self, now_s: float) -> bool:
+        """Return whether its reports are too old for new work."""
+        return now_s - self.seen_s > MAX_REPORT_AGE_S
+
     def dead(self, now_s: float) -> bool:
         """Return whether every run ordered there must have ended."""
         return now_s - self.seen_s > DEAD_AFTER_S
--- a/tests/batch/test_planner.py
+++ b/tests/batch/test_planner.py
@@ -2,6 +2,7 @@
 
 import attrs
 import pytest
+from loguru import logger
 
 from filbertlb.batch.model import EndCause
 from filbertlb.batch.model import JobState
@@ -16,6 +17,7 @@
 from filbertlb.batch.testing import a_step
 from filbertlb.batch.testing import a_worker
 from filbertlb.batch.workers import DEAD_AFTER_S
+from filbertlb.batch.workers import MAX_REPORT_AGE_S
 from filbertlb.batch.workers import QUARANTINE_S
 from filbertlb.batch.workers import WorkerView
 
@@ -205,6 +207,21 @@
     assert phases(planner, "a") == {"a.0.0.0": TaskPhase.WAITING}
 
 
+def test_tasks_that_wait_for_a_silent_worker_are_logged_once():
+    planner = planner_with(a_job("a"), nodes=1)
+    planner.decide(0.0, 0)
+    lines: list[str] = []
+    handler = logger.add(lines.append, format="{message}")
+    try:
+        for now_s in (MAX_REPORT_AGE_S, 3.0, 4.0):
+            planner.decide(now_s, int(now_s * 1000))
+    finally:
+        logger.remove(handler)
+    (line,) = [line for line in lines if "is silent" in line]
+    assert "worker n0 is silent for 3.0 s since report 0 of agent" in line
+    assert "1 tasks wait" in line
+
+
 def full_planner_with_urgent_gang(guaranteed):
     """Return a planner with full workers and a waiting urgent gang."""
     low = a_job("low", a_step(2, needs=ALL_ACCELERATORS, estimate_ms=9000))
