Count the age of a report across changes of the decider

What callers saw: a task whose worker is gone for good never ran again while the decider changed every 14 s or more often; a gang with one such member waited for ever with it. After each change the gone worker was also offered new work for 2.6 s, and kept it in the same way.

Cause: each term reads the reports anew and counted them as just seen, so with a take-over within DEAD_AFTER_S (14.62 s) no worker was ever dead.

Evidence, tests/batch/test_takeover.py in virtual time, on the code before:

FAILED ...runs_again_despite_frequent_take_overs[1-5.0] FAILED ...runs_again_despite_frequent_take_overs[2-5.0] FAILED ...runs_again_despite_frequent_take_overs[3-1.0] AssertionError: assert ('n0', 1) == ('n1', 2) FAILED ...test_gone_worker_gets_no_orders_after_a_take_over assert 1 == 0, TaskRecord(phase=ORDERED, attempt=1, node='n0', ...)

The tests that leases are waited out passed before; with ages counted 3 s too high on purpose all five cases fail.

Why the fix works: the store numbers all writes by one counter, and each answer to the feed of the state table, which every entry follows, names the newest number. An entry keeps when it knew which number, at most twice a second, and a report counts as seen when its number was first known to be reached. No call and no row is added. An agent extends leases up to 8 s from when it sent a report that was stored, which lies before that answer, so the wait for the last lease is as long as before.

--- a/filbertlb/batch/decider.py
+++ b/filbertlb/batch/decider.py
@@ -300,7 +300,7 @@
                 planner.state.cancelled.add(key.removeprefix(CANCEL_PREFIX))
         reports, term.changed_reports = term.changed_reports, set()
         for key in sorted(reports):
-            apply_report(planner, term.workers, key)
+            apply_report(planner, term.workers, self._mirror, key)
 
     def _write(self, planner: Planner, epoch: int, now_ms: int) -> None:
         """Write the changed rows, in as many transactions as they need."""
--- a/filbertlb/batch/takeover.py
+++ b/filbertlb/batch/takeover.py
@@ -57,7 +57,7 @@
         planner.state.add_job(job)
     planner.state.cancelled.update(index.cancelled)
     for number, key in enumerate(list(worker_mirror.row_by_key)):
-        apply_report(planner, worker_mirror, key)
+        apply_report(planner, worker_mirror, state_mirror, key)
         _yield_sometimes(number)
     # An earlier decider may have stored progress without its orders.
     planner.state.changed_nodes.update(planner.workers)
@@ -65,8 +65,14 @@
     return planner
 
 
-def apply_report(planner: Planner, worker_mirror: Mirror, key: str) -> None:
-    """Pass a worker's report to the planner; an unreadable one is logged."""
+def apply_report(
+    planner: Planner, worker_mirror: Mirror, state_mirror: Mirror, key: str
+) -> None:
+    """Pass a worker's report to the planner; an unreadable one is logged.
+
+    A report that this decider has just read may be old. Its age is counted
+    from when this entry's copy of the state table had reached its version.
+    """
     row = worker_mirror.row_by_key.get(key)
     if row is None:
         return
@@ -75,7 +81,11 @@
     except UnreadableRowError as error:
         logger.error("row {} ignored: {}", key, error)
         return
-    planner.record_report(report, worker_mirror.seen_s_by_key[key])
+    seen_s = worker_mirror.seen_s_by_key[key]
+    reached_s = state_mirror.reached_s(row.version)
+    if reached_s is not None:
+        seen_s = min(seen_s, reached_s)
+    planner.record_report(report, seen_s)
 
 
 def _catch_up(
--- a/filbertlb/table/base.py
+++ b/filbertlb/table/base.py
@@ -196,7 +196,9 @@
 class WatchedTable(TableService, Protocol):
     """Table service that also serves snapshots and change feeds.
 
-    A table holds the keys that share the part before the first slash.
+    A table holds the keys that share the part before the first slash. The
+    versions of rows, snapshots and changes of all tables come from one
+    counter, which increases with each transaction.
     """
 
     def snapshot(self, prefix: str) -> Snapshot:
--- a/filbertlb/table/mirror.py
+++ b/filbertlb/table/mirror.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import TYPE_CHECKING
 
 import attrs
@@ -29,6 +30,18 @@
 RETRY_DELAY_S = 0.25
 BATCH_DELAY_S = 0.02
 """Pause before the next call, so that it returns a batch of changes."""
+REACHED_PERIOD_S = 0.5
+"""Time between two recorded versions of the table service."""
+MAX_REACHED = 100
+"""Number of recorded versions; older ones are forgotten."""
+
+
+@attrs.frozen
+class ReachedVersion:
+    """Version that the table service had reached by a monotonic time."""
+
+    version: int
+    at_s: float
 
 
 @attrs.define
@@ -59,6 +72,9 @@
     changed: Event = attrs.Factory(Event)
     _deletion_version_by_key: dict[str, int] = attrs.Factory(dict)
     _listeners: list[Callable[[str, Row | None], None]] = attrs.Factory(list)
+    _reached: deque[ReachedVersion] = attrs.Factory(
+        lambda: deque(maxlen=MAX_REACHED)
+    )
 
     def add_listener(
         self, listener: Callable[[str, Row | None], None]
@@ -77,7 +93,7 @@
                 self.delete(key, snapshot.version)
         for row in snapshot.rows:
             self.put(row, now_s)
-        self.version = max(self.version, snapshot.version)
+        self._advance(snapshot.version, now_s)
         self.loaded = True
         self.changed.set()
 
@@ -87,7 +103,19 @@
             self.put(row, now_s)
         for key, version in changes.deleted.items():
             self.delete(key, version)
-        self.version = max(self.version, changes.version)
+        self._advance(changes.version, now_s)
+
+    def reached_s(self, version: int) -> float | None:
+        """Return a monotonic time at which a version had been written.
+
+        It may be long after the write, but never before it. Versions number
+        the writes of all tables, so it tells the age of their rows too.
+        None if the version is newer than this copy.
+        """
+        for reached in self._reached:
+            if reached.version >= version:
+                return reached.at_s
+        return None
 
     def put(self, row: Row, now_s: float) -> None:
         """Apply one row unless a newer write or deletion is known."""
@@ -111,6 +139,14 @@
             self._deletion_version_by_key[key] = version
             self._notify_listeners(key, None)
 
+    def _advance(self, version: int, now_s: float) -> None:
+        self.version = max(self.version, version)
+        if (
+            not self._reached
+            or now_s - self._reached[-1].at_s >= REACHED_PERIOD_S
+        ):
+            self._reached.append(ReachedVersion(self.version, now_s))
+
     def _notify_listeners(self, key: str, row: Row | None) -> None:
         for listener in self._listeners:
             listener(key, row)
--- /dev/null
+++ b/tests/batch/test_takeover.py
@@ -0,0 +1,191 @@
+"""Deciders that take over one after the other, in virtual time."""
+
+from __future__ import annotations
+
+import attrs
+import pytest
+
+from filbertlb.batch.index import JobIndex
+from filbertlb.batch.model import JOB_PREFIX
+from filbertlb.batch.model import Progress
+from filbertlb.batch.model import PROGRESS_PREFIX
+from filbertlb.batch.model import STATE_TABLE
+from filbertlb.batch.model import TaskRecord
+from filbertlb.batch.model import WORKER_PREFIX
+from filbertlb.batch.model import WORKER_TABLE
+from filbertlb.batch.planner import Planner
+from filbertlb.batch.takeover import apply_report
+from filbertlb.batch.takeover import build_planner
+from filbertlb.batch.testing import a_job
+from filbertlb.batch.testing import a_report
+from filbertlb.batch.testing import a_step
+from filbertlb.batch.testing import CAPACITY
+from filbertlb.batch.workers import DEAD_AFTER_S
+from filbertlb.batch.write_plan import changed_units
+from filbertlb.core.clock import VirtualClock
+from filbertlb.table.base import Write
+from filbertlb.table.memory import MemoryTable
+from filbertlb.table.mirror import Mirror
+from filbertlb.table.rows import decode_row
+from filbertlb.table.rows import encode_value
+
+TICK_S = 0.5
+
+
+def follow(table, name, mirror, now_s):
+    """Bring a copy of a table up to date."""
+    if mirror.loaded:
+        mirror.apply(table.changes(name, mirror.version, 0.0), now_s)
+    else:
+        mirror.replace(table.snapshot(f"{name}/"), now_s)
+
+
+@attrs.define
+class Entry:
+    """An entry that follows the jobs, and the reports while it decides."""
+
+    table: MemoryTable
+    clock: VirtualClock
+    mirror: Mirror = attrs.Factory(Mirror)
+    index: JobIndex = attrs.Factory(JobIndex)
+    workers: Mirror = attrs.Factory(Mirror)
+    planner: Planner | None = None
+
+    def __attrs_post_init__(self):
+        self.mirror.add_listener(self.index.apply_row)
+
+    def follow_jobs(self):
+        follow(self.table, STATE_TABLE, self.mirror, self.clock.monotonic())
+
+    def take_over(self):
+        self.workers = Mirror()
+        self.follow_reports()
+        self.planner = build_planner(
+            self.table, self.mirror, self.index, self.workers, self.clock
+        )
+
+    def follow_reports(self):
+        now_s = self.clock.monotonic()
+        follow(self.table, WORKER_TABLE, self.workers, now_s)
+
+    def decide(self):
+        changed = set()
+        self.workers.add_listener(lambda key, _: changed.add(key))
+        self.follow_reports()
+        for key in sorted(changed):
+            apply_report(self.planner, self.workers, self.mirror, key)
+        now_s = self.clock.monotonic()
+        self.planner.decide(now_s, int(now_s * 1000))
+        state = self.planner.state
+        for unit in list(changed_units(state, 1)):
+            self.table.commit(unit.writes)
+            state.mark_written(unit.jobs, unit.nodes)
+
+
+@attrs.define
+class Site:
+    """Entries that take turns as the decider, and agents that report."""
+
+    entry_count: int
+    term_s: float
+    table: MemoryTable = attrs.Factory(MemoryTable)
+    reporting: list = attrs.Factory(list)
+    entries: list = attrs.Factory(list)
+    now_s: float = 0.0
+    sequence: int = 0
+
+    def __attrs_post_init__(self):
+        for _ in range(self.entry_count):
+            self.add_entry()
+
+    def add_entry(self):
+        """Start an entry whose clock has another origin."""
+        clock = VirtualClock(self.now_s + 1000.0 * len(self.entries))
+        self.entries.append(Entry(self.table, clock))
+        return self.entries[-1]
+
+    def put(self, key, value):
+        self.table.commit([Write(key, encode_value(value))])
+
+    def run(self, seconds):
+        """Let the entries decide in turn, each for the time of a term."""
+        for _ in range(round(seconds / TICK_S)):
+            self.sequence += 1
+            for node in self.reporting:
+                report = a_report(node, sequence=self.sequence)
+                self.put(WORKER_PREFIX + node, report)
+            for entry in self.entries:
+                entry.clock.advance(TICK_S)
+                entry.follow_jobs()
+            term, elapsed_s = divmod(self.now_s, self.term_s)
+            decider = self.entries[int(term) % len(self.entries)]
+            if elapsed_s < TICK_S:
+                decider.take_over()
+            decider.decide()
+            self.now_s += TICK_S
+
+    def record(self, task):
+        """Return the record of a task as the table holds it."""
+        job_id = task.partition(".")[0]
+        row = self.table.get(PROGRESS_PREFIX + job_id)
+        if row is None:
+            return TaskRecord()
+        return decode_row(row, Progress).tasks.get(task, TaskRecord())
+
+
+def site_with_a_run_on_a_worker_that_goes(entry_count, term_s):
+    site = Site(entry_count, term_s)
+    site.reporting = ["n0"]
+    site.put(JOB_PREFIX + "j", a_job("j", a_step(needs=CAPACITY)))
+    site.run(term_s)
+    assert site.record("j.0.0.0").node == "n0"
+    site.reporting = ["n1"]
+    return site
+
+
+@pytest.mark.parametrize(
+    ("entry_count", "term_s"), [(1, 100.0), (1, 5.0), (2, 5.0), (3, 1.0)]
+)
+def test_task_of_a_gone_worker_runs_again_despite_frequent_take_overs(
+    entry_count, term_s
+):
+    # Each take-over counted the last report of a gone worker as just seen.
+    site = site_with_a_run_on_a_worker_that_goes(entry_count, term_s)
+    site.run(DEAD_AFTER_S + 3.0)
+    record = site.record("j.0.0.0")
+    assert (record.node, record.attempt) == ("n1", 2)
+
+
+@pytest.mark.parametrize(
+    ("entry_count", "term_s"), [(1, 100.0), (1, 5.0), (2, 5.0), (3, 1.0)]
+)
+def test_silent_worker_keeps_its_task_while_its_leases_may_last(
+    entry_count, term_s
+):
+    site = site_with_a_run_on_a_worker_that_goes(entry_count, term_s)
+    site.run(DEAD_AFTER_S)
+    assert site.record("j.0.0.0").node == "n0"
+
+
+def test_new_entry_waits_for_the_leases_from_its_own_start():
+    site = site_with_a_run_on_a_worker_that_goes(1, 100.0)
+    site.run(DEAD_AFTER_S - 2.0)
+    site.entries.clear()
+    site.add_entry().follow_jobs()
+    site.entries[0].take_over()
+    site.run(DEAD_AFTER_S - 1.0)
+    assert site.record("j.0.0.0").node == "n0"
+    site.run(2.0)
+    assert site.record("j.0.0.0").node == "n1"
+
+
+def test_gone_worker_gets_no_orders_after_a_take_over():
+    # After each take-over a gone worker was offered work for some seconds.
+    site = Site(2, 5.0)
+    site.reporting = ["n0"]
+    site.run(4.0)
+    site.reporting = []
+    site.run(6.0)
+    site.put(JOB_PREFIX + "j", a_job("j"))
+    site.run(10.0)
+    assert site.record("j.0.0.0").attempt == 0
