Take no worker for dead while its reports cannot be read

Cause: a worker's silence was measured by the decider's clock alone, not by what it had read.

Evidence on the code before (DEAD_AFTER_S 0.3 s in the second test):

FAILED test_planner.py::test_worker_is_not_silent_while_its_reports_cannot_be_read {'a.0.0.0': 'waiting'} != {'a.0.0.0': 'ordered'} FAILED test_decider.py::test_runs_go_on_while_the_reports_cannot_be_read assert 9 == 1 (attempts of a task that its worker ran all the time)

Why the fix works: the follower of the reports keeps the time at which the call was sent whose answer is applied; up to it no report is missing. A worker is dead once its last report is older than the leases at that time.

--- a/filbertlb/batch/decider.py
+++ b/filbertlb/batch/decider.py
@@ -73,8 +73,8 @@
 
     Attributes
     ----------
-    workers : Mirror
-        Reports of the workers.
+    workers : Follower
+        Keeps a copy of the reports of the workers.
     planner : Planner, optional
         None until it is built, and after a write that was not just refused.
     changed_reports : set of str
@@ -82,7 +82,7 @@
     """
 
     epoch: int
-    workers: Mirror
+    workers: Follower
     planner: Planner | None = None
     changed_reports: set[str] = attrs.Factory(set)
 
@@ -185,12 +185,13 @@
     @contextmanager
     def _term_of(self, lease: Lease) -> Generator[Term]:
         """Follow the reports of the workers while the lease is held."""
-        term = Term(lease.epoch, Mirror(changed=self._wake))
-        term.workers.add_listener(lambda key, _: term.changed_reports.add(key))
-        follower = Follower(
-            self._table, WORKER_TABLE, term.workers, self._clock
+        mirror = Mirror(changed=self._wake)
+        term = Term(
+            lease.epoch,
+            Follower(self._table, WORKER_TABLE, mirror, self._clock),
         )
-        following = spawn(follower.run)
+        mirror.add_listener(lambda key, _: term.changed_reports.add(key))
+        following = spawn(term.workers.run)
         self._term = term
         self._last_success_s = self._clock.monotonic()
         try:
@@ -203,7 +204,7 @@
         """Make and write a decision, or wait after a failure."""
         self._wake.wait(MAX_PAUSE_S)
         self._wake.clear()
-        if term.planner is None and not term.workers.loaded:
+        if term.planner is None and not term.workers.mirror.loaded:
             self._leave_if_stalled()
             return
         try:
@@ -266,6 +267,7 @@
             term.planner = self._take_over(term)
         planner = term.planner
         planner.guaranteed = self._guarantees()
+        planner.reports_complete_s = term.workers.complete_s
         self._apply_changes(planner, term)
         now_ms = int(self._clock.wall() * 1000)
         planner.decide(self._clock.monotonic(), now_ms)
@@ -278,7 +280,11 @@
         self._changed_keys.clear()
         started_s = self._clock.monotonic()
         planner = build_planner(
-            self._table, self._mirror, self._index, term.workers, self._clock
+            self._table,
+            self._mirror,
+            self._index,
+            term.workers.mirror,
+            self._clock,
         )
         logger.info(
             "deciding with epoch {} from version {} after {:.2f} s: {} jobs, "
@@ -300,7 +306,7 @@
                 planner.state.cancelled.add(key.removeprefix(CANCEL_PREFIX))
         reports, term.changed_reports = term.changed_reports, set()
         for key in sorted(reports):
-            apply_report(planner, term.workers, self._mirror, key)
+            apply_report(planner, term.workers.mirror, self._mirror, key)
 
     def _write(self, planner: Planner, epoch: int, now_ms: int) -> None:
         """Write the changed rows, in as many transactions as they need."""
--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -53,11 +53,15 @@
     ----------
     guaranteed : dict of str to int
         Guaranteed number of accelerators by organisation.
+    reports_complete_s : float
+        Monotonic time up to which all reports are known. A worker is not
+        silent while its reports cannot be read.
     """
 
     state: PlannerState = attrs.Factory(PlannerState)
     workers: dict[str, WorkerView] = attrs.Factory(dict)
     guaranteed: dict[str, int] = attrs.Factory(dict)
+    reports_complete_s: float = float("inf")
     _unprocessed_nodes: set[str] = attrs.Factory(set)
 
     def record_report(self, report: WorkerReport, now_s: float) -> None:
@@ -76,7 +80,8 @@
         for node in sorted(self._unprocessed_nodes):
             self._process_report(self.workers[node], now_s, now_ms)
         self._unprocessed_nodes.clear()
-        self._end_runs_of_dead_workers(now_s, now_ms)
+        known_s = min(now_s, self.reports_complete_s)
+        self._end_runs_of_dead_workers(known_s, now_ms)
         self._stop_cancelled_jobs(now_ms)
         self._vacate_draining_workers(now_ms)
         self._finish_jobs(now_ms)
@@ -197,17 +202,18 @@
             if saved and not done:
                 self.state.record(other).saved = saved
 
-    def _end_runs_of_dead_workers(self, now_s: float, now_ms: int) -> None:
+    def _end_runs_of_dead_workers(self, known_s: float, now_ms: int) -> None:
+        """End the runs whose leases ran out before a monotonic time."""
         for node in self.state.occupied_nodes():
             view = self.workers.get(node)
             if view is None:
                 continue
-            if not view.dead(now_s):
-                self._log_silence(view, now_s)
+            if not view.dead(known_s):
+                self._log_silence(view, known_s)
                 continue
             logger.warning(
                 "worker {} is silent for {:.1f} s: its leases have run out",
-                *(node, now_s - view.seen_s),
+                *(node, known_s - view.seen_s),
             )
             for task in self.state.tasks_on(node)[:MAX_LOST_TASKS]:
                 attempt = self.state.record(task).attempt
--- a/filbertlb/table/mirror.py
+++ b/filbertlb/table/mirror.py
@@ -173,6 +173,8 @@
         Pause after each call in seconds.
     contact_s : float
         Monotonic time at which the last answered call was sent.
+    complete_s : float
+        Monotonic time up to which the mirror has all changes.
     failure : FilbertlbError, optional
         Failure of the latest call; None if it succeeded.
     """
@@ -184,6 +186,7 @@
     prefix: str = ""
     batch_delay_s: float = BATCH_DELAY_S
     contact_s: float = float("-inf")
+    complete_s: float = float("-inf")
     failure: FilbertlbError | None = None
 
     def run(self) -> None:
@@ -205,10 +208,12 @@
         if not self.mirror.loaded:
             snapshot = self.table.snapshot(self.prefix or f"{self.name}/")
             self.mirror.replace(snapshot, self.clock.monotonic())
+            self.complete_s = sent_s
         else:
             changes = self._read_changes()
             if changes is not None:
                 self.mirror.apply(changes, self.clock.monotonic())
+                self.complete_s = sent_s
         if self.failure is not None:
             logger.info("table {} answers again", self.name)
             self.failure = None
--- a/tests/batch/test_decider.py
+++ b/tests/batch/test_decider.py
@@ -14,6 +14,7 @@
 from gevent import Timeout
 
 from filbertlb.batch import decider as decider_module
+from filbertlb.batch import workers as workers_module
 from filbertlb.batch.decider import Decider
 from filbertlb.batch.index import JobIndex
 from filbertlb.batch.model import EndCause
@@ -59,9 +60,9 @@
     rejected_commits : int
         Coming transactions of several rows that are rejected.
     unreadable : set of str
-        Prefixes whose snapshots get no answer.
+        Prefixes whose snapshots and changes get no answer.
     unanswered : int
-        Number of such snapshots so far.
+        Number of such calls so far.
     """
 
     max_entries: int = 100
@@ -102,6 +103,12 @@
         self.progress_reads += prefix == PROGRESS_PREFIX
         return MemoryTable.snapshot(self, prefix)
 
+    def changes(self, table, after, wait_s):
+        if f"{table}/" in self.unreadable:
+            self.unanswered += 1
+            raise TableUnavailableError("no answer")
+        return MemoryTable.changes(self, table, after, wait_s)
+
 
 class UnreadableTable:
     """A process's view of a table whose snapshots it cannot read."""
@@ -337,6 +344,22 @@
         wait_until(lambda: orders_on(table, "n0") == ["j.0.0.0"])
 
 
+def test_runs_go_on_while_the_reports_cannot_be_read(monkeypatch):
+    # All workers counted as silent, and their runs were given up.
+    monkeypatch.setattr(workers_module, "DEAD_AFTER_S", 0.3)
+    table = LimitedTable()
+    with machines(table, ["n0"], "w@1", finishing=False):
+        put(table, JOB_PREFIX + "j", a_job("j"))
+        wait_until(lambda: progress_of(table, "j").started)
+        table.unreadable.add(WORKER_PREFIX)
+        wait_until(lambda: table.unanswered >= 6)
+        put(table, JOB_PREFIX + "waiting", a_job("waiting"))
+        wait_until(lambda: table.unanswered >= 8)
+        table.unreadable.clear()
+        wait_until(lambda: progress_of(table, "waiting").started)
+    assert progress_of(table, "j").tasks["j.0.0.0"].attempt == 1
+
+
 class DefectiveTable(UnreadableTable):
     """A process's view of a table whose progress makes it fail."""
 
--- a/tests/batch/test_planner.py
+++ b/tests/batch/test_planner.py
@@ -207,6 +207,17 @@
     assert phases(planner, "a") == {"a.0.0.0": TaskPhase.WAITING}
 
 
+def test_worker_is_not_silent_while_its_reports_cannot_be_read():
+    planner = planner_with(a_job("a"), nodes=1)
+    planner.decide(0.0, 0)
+    planner.reports_complete_s = DEAD_AFTER_S - 0.1
+    planner.decide(DEAD_AFTER_S + 5.0, 20_000)
+    assert phases(planner, "a") == {"a.0.0.0": TaskPhase.ORDERED}
+    planner.reports_complete_s = DEAD_AFTER_S + 0.1
+    planner.decide(DEAD_AFTER_S + 5.0, 20_000)
+    assert phases(planner, "a") == {"a.0.0.0": TaskPhase.WAITING}
+
+
 def test_tasks_that_wait_for_a_silent_worker_are_logged_once():
     planner = planner_with(a_job("a"), nodes=1)
     planner.decide(0.0, 0)
