Hear a worker again after a later incarnation has been silent

Cause: heartbeats are ordered by the incarnation's start time, and the newest seen so far outranked all others for ever. One heartbeat of another writer with a start time in the future, or a worker that starts again after its clock was set back, silenced the real one.

Change: an incarnation that has missed three heartbeats outranks no other one. A delayed heartbeat of the same incarnation is still ignored, and one of an earlier incarnation as long as the later one is heard.

Evidence: test_worker_is_heard_after_one_heartbeat_from_the_future fails without the limit for start times 1 ms and 2**53 ms later ('i-1@7001' == 'i-1@7000').

--- a/filbertlb/platform/heartbeats.py
+++ b/filbertlb/platform/heartbeats.py
@@ -11,34 +11,50 @@
 from filbertlb.platform.http import JsonResponse
 from filbertlb.platform.wire import decode_heartbeat
 from filbertlb.platform.wire import Heartbeat
+from filbertlb.platform.wire import instance_id_of
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Mapping
 
+    from filbertlb.core.clock import Clock
+
 PREFIX = "/filbertlb/instances/"
+MAX_SILENT_PERIODS = 3
+"""Heartbeats that an incarnation may miss before an earlier one is heard."""
 
 
 class HeartbeatReceiver:
-    """Passes on each heartbeat that is newer than all before it.
+    """Passes on each heartbeat that is newer than those before it.
+
+    A delayed heartbeat of an earlier incarnation is ignored while the later
+    one is heard. Once that has been silent, the start times decide nothing:
+    a worker's clock may have been set back, or the later heartbeat came from
+    another writer.
 
     Parameters
     ----------
     on_heartbeat : callable
-        Called with each heartbeat that is newer than all before it.
+        Called with each heartbeat that is passed on.
     on_leave : callable
-        Called when the worker of the newest heartbeat deregisters.
+        Called when the worker of the current heartbeat deregisters.
+    period_s : float
+        Time between two heartbeats of a worker.
     """
 
     def __init__(
         self,
         on_heartbeat: Callable[[Heartbeat], None],
         on_leave: Callable[[], None],
+        clock: Clock,
+        period_s: float,
     ) -> None:
         self._on_heartbeat = on_heartbeat
         self._on_leave = on_leave
-        self._newest = (-1, -1)
-        self._instance_id = ""
+        self._clock = clock
+        self._max_silence_s = MAX_SILENT_PERIODS * period_s
+        self._current: Heartbeat | None = None
+        self._current_s = float("-inf")
 
     def handle(self, environ: Mapping[str, Any]) -> JsonResponse:
         """Handle one request.
@@ -50,24 +66,40 @@
             raise NotFoundError(f"no resource at {path!r}")
         instance_id = path.removeprefix(PREFIX)
         if environ["REQUEST_METHOD"] == "DELETE":
-            if instance_id == self._instance_id:
-                self._on_leave()
-            else:
-                logger.info(
-                    "worker {} deregistered, but it is not the current one",
-                    instance_id,
-                )
+            self._handle_leave(instance_id)
             return JsonResponse(200)
         body = environ["wsgi.input"].read()
         heartbeat = decode_heartbeat(instance_id, body)
-        order = (heartbeat.born_ms, heartbeat.sequence)
-        if order > self._newest:
-            self._newest = order
-            self._instance_id = instance_id
+        current = self._current
+        if current is None or self._supersedes(heartbeat, current):
+            self._current = heartbeat
+            self._current_s = self._clock.monotonic()
             self._on_heartbeat(heartbeat)
         else:
             logger.info(
-                "heartbeat {} of {} ignored, already have {}",
-                *(order, instance_id, self._newest),
+                "heartbeat {} of {} ignored, already have {} of {}",
+                *(heartbeat.sequence, heartbeat.worker.incarnation),
+                *(current.sequence, current.worker.incarnation),
             )
         return JsonResponse(200, {})
+
+    def _handle_leave(self, instance_id: str) -> None:
+        current = self._current
+        if (
+            current is not None
+            and instance_id_of(current.worker.incarnation) == instance_id
+        ):
+            self._on_leave()
+            return
+        logger.info(
+            "worker {} deregistered, but it is not the current one",
+            instance_id,
+        )
+
+    def _supersedes(self, heartbeat: Heartbeat, current: Heartbeat) -> bool:
+        if heartbeat.order > current.order:
+            return True
+        if heartbeat.worker.incarnation == current.worker.incarnation:
+            return False
+        silence_s = self._clock.monotonic() - self._current_s
+        return silence_s > self._max_silence_s
--- a/filbertlb/platform/roles.py
+++ b/filbertlb/platform/roles.py
@@ -169,7 +169,12 @@
     stopping = _stop_event(settings)
     host, port = split_address(settings.heartbeat_address)
     application = json_application(
-        HeartbeatReceiver(on_heartbeat, agent.worker_left).handle
+        HeartbeatReceiver(
+            on_heartbeat,
+            agent.worker_left,
+            clock,
+            settings.heartbeat_period_s,
+        ).handle
     )
 
     def run_until_superseded() -> None:
--- a/filbertlb/platform/wire.py
+++ b/filbertlb/platform/wire.py
@@ -119,6 +119,11 @@
     born_ms: int
     clock_ms: int
 
+    @property
+    def order(self) -> tuple[int, int]:
+        """Position among the heartbeats of all incarnations."""
+        return (self.born_ms, self.sequence)
+
 
 def decode_heartbeat(instance_id: str, body: bytes) -> Heartbeat:
     """Decode the body of a heartbeat."""
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -5,10 +5,12 @@
 
 import pytest
 
+from filbertlb.core.clock import VirtualClock
 from filbertlb.errors import NotFoundError
 from filbertlb.platform.heartbeats import HeartbeatReceiver
 from filbertlb.platform.wire import UnreadableMessageError
 
+PERIOD_S = 1.5
 HEARTBEAT = {
     "service": "render",
     "addr": "10.0.0.9:8080",
@@ -31,7 +33,10 @@
     def __init__(self):
         self.received = []
         self.leave_count = 0
-        self.receiver = HeartbeatReceiver(self.received.append, self.on_leave)
+        self.clock = VirtualClock(1000.0)
+        self.receiver = HeartbeatReceiver(
+            self.received.append, self.on_leave, self.clock, PERIOD_S
+        )
 
     def on_leave(self):
         self.leave_count += 1
@@ -68,10 +73,33 @@
 def test_outdated_heartbeat_is_ignored(late):
     harness = Harness()
     harness.send_heartbeat()
+    harness.clock.advance(PERIOD_S)
     assert harness.send_heartbeat(**late).status == 200
     assert len(harness.received) == 1
 
 
+@pytest.mark.parametrize("late", [{"seq": 3}, {"seq": 4}])
+def test_late_heartbeat_of_silent_worker_is_ignored(late):
+    harness = Harness()
+    harness.send_heartbeat()
+    harness.clock.advance(100.0)
+    harness.send_heartbeat(**late)
+    assert len(harness.received) == 1
+
+
+@pytest.mark.parametrize("odd_born", [7001, 2**53])
+def test_worker_is_heard_after_one_heartbeat_from_the_future(odd_born):
+    # One odd heartbeat made an agent deaf to its worker for ever.
+    harness = Harness()
+    harness.send_heartbeat(seq=1)
+    harness.send_heartbeat(born=odd_born, seq=1)
+    for number in range(2, 8):
+        harness.clock.advance(PERIOD_S)
+        harness.send_heartbeat(seq=number)
+    assert harness.received[-1].worker.incarnation == "i-1@7000"
+    assert harness.received[-1].sequence == 7
+
+
 def test_new_incarnation_restarts_sequence():
     harness = Harness()
     harness.send_heartbeat()
