Refuse compressed values that are cut off

zlib returns what it has of a stream that is cut off, without an error. A row without its last bytes was thus read as if it were whole where its JSON ended before the cut, with the checksum never compared; bytes after the end of the stream were dropped in silence. A value over the limit of 16 MiB was cut off at it, and was refused only since the cut JSON is malformed. All three are now an unreadable row.

Evidence, on the code before: FAILED test_damaged_compressed_value_is_unreadable[without checksum] FAILED test_damaged_compressed_value_is_unreadable[without a byte] FAILED test_damaged_compressed_value_is_unreadable[more after the end] each: DID NOT RAISE UnreadableRowError The four other cases passed before and pass now.

--- a/filbertlb/table/rows.py
+++ b/filbertlb/table/rows.py
@@ -61,4 +61,12 @@
 def _decompressed(value: bytes) -> bytes:
     if not value.startswith(COMPRESSED_PREFIX):
         return value
-    return decompressobj().decompress(value, MAX_VALUE_BYTES)
+    stream = decompressobj()
+    text = stream.decompress(value, MAX_VALUE_BYTES)
+    if not stream.eof or stream.unused_data:
+        # Neither is an error of zlib, and the checksum is not compared.
+        raise MalformedDataError(
+            f"compressed value of {len(value)} bytes is cut off, has bytes "
+            f"after its end or is over {MAX_VALUE_BYTES} bytes decompressed"
+        )
+    return text
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from re import search
 from re import sub
+from zlib import compress
 
 import attrs
 import pytest
@@ -26,6 +27,7 @@
 from filbertlb.batch.model import JobStatus
 from filbertlb.batch.model import Orders
 from filbertlb.batch.model import Progress
+from filbertlb.batch.model import Run
 from filbertlb.batch.model import WorkerReport
 from filbertlb.batch.testing import an_order
 from filbertlb.client import Answer
@@ -50,6 +52,9 @@
 from filbertlb.settings.process import ProcessSettings
 from filbertlb.table.base import Row
 from filbertlb.table.rows import decode_row
+from filbertlb.table.rows import encode_value
+from filbertlb.table.rows import MAX_VALUE_BYTES
+from filbertlb.table.rows import UnreadableRowError
 from filbertlb.table.wire import GetReply
 from filbertlb.transport.codec import KeyRing
 from filbertlb.transport.codec import MessageCodec
@@ -244,6 +249,30 @@
     assert_decoded_or_coded(PACKED_DECODERS[name], body)
 
 
+LONG_REPORT = WorkerReport(
+    "n", "r", running=tuple(Run(f"j.0.0.{n}", 1) for n in range(50))
+)
+COMPRESSED = encode_value(LONG_REPORT)
+DAMAGED_VALUES = {
+    "without checksum": COMPRESSED[:-4],
+    "without a byte": COMPRESSED[:-1],
+    "half": COMPRESSED[: len(COMPRESSED) // 2],
+    "first byte": COMPRESSED[:1],
+    "wrong checksum": COMPRESSED[:-1] + bytes((COMPRESSED[-1] ^ 1,)),
+    "more after the end": COMPRESSED + b"{}",
+    "too long": compress(b"{}" + b" " * MAX_VALUE_BYTES),
+}
+
+
+@pytest.mark.parametrize("damage", DAMAGED_VALUES)
+def test_damaged_compressed_value_is_unreadable(damage):
+    # A value without its last bytes was read as if it were whole.
+    assert decode_row(Row("k", COMPRESSED, 1), WorkerReport) == LONG_REPORT
+    row = Row("k", DAMAGED_VALUES[damage], 1)
+    with pytest.raises(UnreadableRowError):
+        decode_row(row, WorkerReport)
+
+
 READERS_OF_OWN_FILES = {
     "filbertlb/core/charts.py",
     "filbertlb/settings/load.py",
