Leave the lease to others when the reports cannot be read

What callers would see: accepted jobs wait with most of the room free, for as long as the entry that decides gets no answers to its feed of reports (its feed connections are cut, or the link is too thin for all reports), while it can write: its empty decisions and its lease succeed, and no worker is fresh enough for new work. The log told nothing.

Cause: only failed decisions counted as a stall.

Evidence: test_holder_without_reports_leaves_the_lease_to_others on the code before: gevent.timeout.Timeout: 30.0 seconds.

Why the fix works: after 5 s without an applied answer the holder releases the lease and stands aside, as after 2.5 s without a decision. By then no worker has been usable for 2.4 s, and none can count as dead.

--- a/filbertlb/batch/decider.py
+++ b/filbertlb/batch/decider.py
@@ -58,6 +58,11 @@
 """Time for which slow machines leave a free lease to faster ones."""
 STALL_TIMEOUT_S = 2.5
 """Time without a successful decision after which the lease is given up."""
+REPORTS_TIMEOUT_S = 5.0
+"""Time without the workers' reports after which the lease is given up.
+
+No worker gets new work by then, and none counts as dead.
+"""
 STAND_ASIDE_S = 2.0
 """Time for which a decider that gave the lease up lets others take it."""
 CLEANUP_PERIOD_S = 10.0
@@ -220,6 +225,7 @@
             return
         self._last_success_s = self._clock.monotonic()
         self._backoff_s = MIN_BACKOFF_S
+        self._leave_if_blind(term)
         sleep(BATCH_DELAY_S)
 
     def _handle_failure(self, term: Term, error: Exception) -> None:
@@ -240,14 +246,21 @@
 
     def _leave_if_stalled(self) -> None:
         """Leave the lease to others if no decision succeeds here."""
-        now_s = self._clock.monotonic()
-        if now_s - self._last_success_s > STALL_TIMEOUT_S:
-            logger.warning(
-                "no decision for {:.1f} s: leaving the lease to others",
-                now_s - self._last_success_s,
-            )
-            self._aside_until_s = now_s + STAND_ASIDE_S
-            self._release_lease()
+        idle_s = self._clock.monotonic() - self._last_success_s
+        if idle_s > STALL_TIMEOUT_S:
+            self._leave_lease(f"no decision for {idle_s:.1f} s")
+
+    def _leave_if_blind(self, term: Term) -> None:
+        """Leave the lease to others if the reports cannot be read here."""
+        age_s = self._clock.monotonic() - term.workers.complete_s
+        if age_s > REPORTS_TIMEOUT_S:
+            self._leave_lease(f"no reports for {age_s:.1f} s")
+
+    def _leave_lease(self, reason: str) -> None:
+        """Release the lease and let others take it."""
+        logger.warning("{}: leaving the lease to others", reason)
+        self._aside_until_s = self._clock.monotonic() + STAND_ASIDE_S
+        self._release_lease()
 
     def _release_lease(self) -> None:
         lease = self._keeper.held()
--- a/tests/batch/test_decider.py
+++ b/tests/batch/test_decider.py
@@ -30,6 +30,7 @@
 from filbertlb.batch.model import TaskPhase
 from filbertlb.batch.model import TaskRecord
 from filbertlb.batch.model import WORKER_PREFIX
+from filbertlb.batch.model import WORKER_TABLE
 from filbertlb.batch.planner import Planner
 from filbertlb.batch.testing import a_job
 from filbertlb.batch.testing import a_report
@@ -382,6 +383,31 @@
         wait_until(lambda: orders_on(table, "n0") == ["j.0.0.0"])
 
 
+class ReportlessTable(UnreadableTable):
+    """A process's view of a table whose feed of reports gets no answer."""
+
+    def snapshot(self, prefix):
+        return self._table.snapshot(prefix)
+
+    def changes(self, table, after, wait_s):
+        if table == WORKER_TABLE:
+            raise TableUnavailableError("no answer")
+        return self._table.changes(table, after, wait_s)
+
+
+def test_holder_without_reports_leaves_the_lease_to_others(monkeypatch):
+    # It renewed its lease, and no worker was fresh enough for new work.
+    monkeypatch.setattr(decider_module, "REPORTS_TIMEOUT_S", 0.3)
+    table = LimitedTable()
+    put_workers(table, ["n0"])
+    with ExitStack() as stack:
+        view = ReportlessTable(table)
+        cut_off = stack.enter_context(deciding(view, "cut-off"))
+        wait_until(lambda: cut_off.deciding)
+        sound = stack.enter_context(deciding(table, "sound"))
+        wait_until(lambda: sound.deciding)
+
+
 def test_free_lease_is_left_to_a_faster_machine(monkeypatch):
     monkeypatch.setattr(decider_module, "SLOW_MACHINE_DELAY_S", DEADLINE_S)
     table = LimitedTable()
