End the runs of a gone worker without a readable report

What callers would see: a task that was ordered on a worker whose report row is damaged or missing, and whose agent is gone, never runs again.

Cause: an unreadable report was dropped altogether, with what it proves: that the row has just been written, or for how long it has not.

Evidence, tests/batch/test_takeover.py on the code before:

FAILED ..._without_a_readable_report_runs_again[put_unreadable], [remove] AssertionError: assert 'n0' == 'n1' FAILED test_run_goes_on_while_its_agent_writes_unreadable_reports assert ('n1', 2) == ('n0', 1)

Why the fix works: an unreadable row counts by its age, like any other, but with the last readable contents and as not answering, so that the worker gets no new work. A node with tasks and no row counts from the take-over.

--- a/filbertlb/batch/takeover.py
+++ b/filbertlb/batch/takeover.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+import attrs
 from gevent import sleep
 from loguru import logger
 
@@ -11,6 +12,7 @@
 from filbertlb.batch.model import PROGRESS_PREFIX
 from filbertlb.batch.model import PROGRESS_TABLE
 from filbertlb.batch.model import STATE_TABLE
+from filbertlb.batch.model import WORKER_PREFIX
 from filbertlb.batch.model import WorkerReport
 from filbertlb.batch.planner import Planner
 from filbertlb.table.base import HistoryLostError
@@ -59,6 +61,9 @@
     for number, key in enumerate(list(worker_mirror.row_by_key)):
         apply_report(planner, worker_mirror, state_mirror, key)
         _yield_sometimes(number)
+    for node in set(planner.state.occupied_nodes()) - set(planner.workers):
+        logger.error("worker {} has tasks and no report row", node)
+        planner.record_report(WorkerReport(node, ""), clock.monotonic())
     # An earlier decider may have stored progress without its orders.
     planner.state.changed_nodes.update(planner.workers)
     planner.state.changed_nodes.update(planner.state.occupied_nodes())
@@ -68,7 +73,10 @@
 def apply_report(
     planner: Planner, worker_mirror: Mirror, state_mirror: Mirror, key: str
 ) -> None:
-    """Pass a worker's report to the planner; an unreadable one is logged.
+    """Pass a worker's report to the planner.
+
+    An unreadable one is logged. It tells only that the agent was alive: the
+    worker gets no new work, and its runs end once the row is too old.
 
     A report that this decider has just read may be old. Its age is counted
     from when this entry's copy of the state table had reached its version.
@@ -76,15 +84,18 @@
     row = worker_mirror.row_by_key.get(key)
     if row is None:
         return
-    try:
-        report = decode_row(row, WorkerReport)
-    except UnreadableRowError as error:
-        logger.error("row {} ignored: {}", key, error)
-        return
     seen_s = worker_mirror.seen_s_by_key[key]
     reached_s = state_mirror.reached_s(row.version)
     if reached_s is not None:
         seen_s = min(seen_s, reached_s)
+    try:
+        report = decode_row(row, WorkerReport)
+    except UnreadableRowError as error:
+        logger.error("row {} ignored: {}", key, error)
+        node = key.removeprefix(WORKER_PREFIX)
+        view = planner.workers.get(node)
+        known = WorkerReport(node, "") if view is None else view.report
+        report = attrs.evolve(known, answers=False)
     planner.record_report(report, seen_s)
 
 
--- a/tests/batch/test_takeover.py
+++ b/tests/batch/test_takeover.py
@@ -167,6 +167,38 @@
     assert site.record("j.0.0.0").node == "n0"
 
 
+def put_unreadable(site):
+    row = Write(WORKER_PREFIX + "n0", b"\x78damaged")
+    site.table.commit([row])
+
+
+def remove(site):
+    site.table.commit([Write(WORKER_PREFIX + "n0", None)])
+
+
+@pytest.mark.parametrize("damage", [put_unreadable, remove])
+def test_task_of_a_gone_worker_without_a_readable_report_runs_again(damage):
+    # Runs on a worker without a readable report were never ended.
+    site = site_with_a_run_on_a_worker_that_goes(1, 30.0)
+    damage(site)
+    site.entries.clear()
+    site.add_entry()
+    site.now_s = 0.0
+    site.run(DEAD_AFTER_S + 3.0)
+    assert site.record("j.0.0.0").node == "n1"
+
+
+def test_run_goes_on_while_its_agent_writes_unreadable_reports():
+    # Its worker counted as silent, and the run was given up.
+    site = site_with_a_run_on_a_worker_that_goes(1, 100.0)
+    site.run(1.0)
+    for _ in range(40):
+        put_unreadable(site)
+        site.run(1.0)
+    record = site.record("j.0.0.0")
+    assert (record.node, record.attempt) == ("n0", 1)
+
+
 def test_new_entry_waits_for_the_leases_from_its_own_start():
     site = site_with_a_run_on_a_worker_that_goes(1, 100.0)
     site.run(DEAD_AFTER_S - 2.0)
