Test: keep the worker alive while odd rows are read

test_odd_rows_of_another_writer_stop_no_decider stored its worker's report once. Since the age of a report lasts over take-overs, the worker counted as silent where the machine was busy (load average 19) and a take-over came later than 2.6 s: "worker n0 is silent for 12.5 s since report 0", then the test's deadline. The test now lets the worker report while it waits; what it claims is unchanged.

--- a/tests/batch/test_decider.py
+++ b/tests/batch/test_decider.py
@@ -463,7 +463,12 @@
         wait_until(lambda: orders_on(table, "n0") == ["job-n0.0.0.0"])
         put_odd_rows(table, ODD_VALUES[odd], "later")
         put(table, JOB_PREFIX + "j", a_job("j"))
-        wait_until(lambda: "j.0.0.0" in orders_on(table, "n0"))
+
+        def ordered_on_live_worker():
+            put_workers(table, ["n0"])
+            return "j.0.0.0" in orders_on(table, "n0")
+
+        wait_until(ordered_on_live_worker)
 
 
 def test_decider_goes_on_after_an_unexpected_error(monkeypatch):
