Give no work on reports from before an entry's start

What callers saw: jobs that waited 14.6 s for a worker that had gone long before; with take-overs in that time, LOST.

The age that lasts over take-overs did not cover that.

Change: a report whose version is not newer than the first one that the entry read is of unknown age. The worker gets no new work until it reports again, which a live agent does every second; its leases are waited out from the entry's start, as before.

Evidence: test_gone_worker_gets_no_orders_from_a_new_entry fails on (the task has attempt 1 on the gone worker). The tests of the decider stored reports once, before it started; ten of them failed with the change. Their agents now store them again and again, as agents do.

--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -64,14 +64,24 @@
     reports_complete_s: float = float("inf")
     _unprocessed_nodes: set[str] = attrs.Factory(set)
 
-    def record_report(self, report: WorkerReport, now_s: float) -> None:
-        """Store a worker's report for the next decision."""
+    def record_report(
+        self, report: WorkerReport, now_s: float, recent: bool = True
+    ) -> None:
+        """Store a worker's report for the next decision.
+
+        Parameters
+        ----------
+        recent : bool
+            The report is known to be no older than ``now_s`` says.
+        """
         view = self.workers.get(report.node)
         if view is None:
-            self.workers[report.node] = WorkerView(report, now_s)
+            view = WorkerView(report, now_s, recent)
+            self.workers[report.node] = view
         else:
             view.report = report
             view.seen_s = now_s
+            view.recent = recent
             view.silence_logged = False
         self._unprocessed_nodes.add(report.node)
 
--- a/filbertlb/batch/takeover.py
+++ b/filbertlb/batch/takeover.py
@@ -63,7 +63,9 @@
         _yield_sometimes(number)
     for node in set(planner.state.occupied_nodes()) - set(planner.workers):
         logger.error("worker {} has tasks and no report row", node)
-        planner.record_report(WorkerReport(node, ""), clock.monotonic())
+        planner.record_report(
+            WorkerReport(node, ""), clock.monotonic(), recent=False
+        )
     # An earlier decider may have stored progress without its orders.
     planner.state.changed_nodes.update(planner.workers)
     planner.state.changed_nodes.update(planner.state.occupied_nodes())
@@ -80,6 +82,8 @@
 
     A report that this decider has just read may be old. Its age is counted
     from when this entry's copy of the state table had reached its version.
+    One from before this entry's start may be of any age: it proves no worker
+    alive, and its leases are waited out from the start.
     """
     row = worker_mirror.row_by_key.get(key)
     if row is None:
@@ -96,7 +100,8 @@
         view = planner.workers.get(node)
         known = WorkerReport(node, "") if view is None else view.report
         report = attrs.evolve(known, answers=False)
-    planner.record_report(report, seen_s)
+    recent = state_mirror.written_while_following(row.version)
+    planner.record_report(report, seen_s, recent)
 
 
 def _catch_up(
--- a/filbertlb/batch/workers.py
+++ b/filbertlb/batch/workers.py
@@ -60,6 +60,9 @@
     ----------
     seen_s : float
         Monotonic time at which the newest report was read.
+    recent : bool
+        Whether the newest report is known to be no older than ``seen_s``
+        says. Otherwise it may be of any age.
     quarantined_until_s : float
         Monotonic time until which the worker gets no new work because
         runs of several task groups failed there.
@@ -72,6 +75,7 @@
 
     report: WorkerReport
     seen_s: float
+    recent: bool = True
     quarantined_until_s: float = 0.0
     stalled: bool = False
     silence_logged: bool = False
@@ -85,6 +89,7 @@
         return (
             worker is not None
             and self.report.answers
+            and self.recent
             and not worker.draining
             and not self.silent(now_s)
             and now_s >= self.quarantined_until_s
--- a/filbertlb/table/mirror.py
+++ b/filbertlb/table/mirror.py
@@ -117,6 +117,13 @@
                 return reached.at_s
         return None
 
+    def written_while_following(self, version: int) -> bool:
+        """Return whether a version is newer than the first that was read.
+
+        The age of older versions is not known.
+        """
+        return bool(self._reached) and version > self._reached[0].version
+
     def put(self, row: Row, now_s: float) -> None:
         """Apply one row unless a newer write or deletion is known."""
         known = self.row_by_key.get(row.key)
--- a/tests/batch/test_decider.py
+++ b/tests/batch/test_decider.py
@@ -53,6 +53,7 @@
 from filbertlb.table.rows import encode_value
 
 DEADLINE_S = 30.0
+REPORT_PERIOD_S = 0.1
 
 
 @attrs.define
@@ -131,9 +132,17 @@
         return self._table.snapshot(prefix)
 
 
+def report_again(table):
+    """Store each worker's report again and again, as its agent does."""
+    while True:
+        for row in MemoryTable.scan(table, WORKER_PREFIX):
+            MemoryTable.commit(table, [Write(row.key, row.value)])
+        sleep(REPORT_PERIOD_S)
+
+
 @contextmanager
 def deciding(table, name="entry", slow=False):
-    """Run the tasks of one entry's decider."""
+    """Run the tasks of one entry's decider while the agents report."""
     index, mirror, clock = JobIndex(), Mirror(), SystemClock()
     mirror.add_listener(index.apply_row)
     decider = Decider(
@@ -143,6 +152,7 @@
     tasks = [
         spawn(task) for task in (follower.run, decider.keep_lease, decider.run)
     ]
+    tasks.append(spawn(report_again, getattr(table, "_table", table)))
     try:
         yield decider
     finally:
@@ -242,7 +252,7 @@
         while True:
             for node in nodes:
                 put_report_of_runs(table, node, incarnation, finishing)
-            sleep(0.1)
+            sleep(REPORT_PERIOD_S)
 
     agents = spawn(report_runs)
     try:
@@ -463,12 +473,7 @@
         wait_until(lambda: orders_on(table, "n0") == ["job-n0.0.0.0"])
         put_odd_rows(table, ODD_VALUES[odd], "later")
         put(table, JOB_PREFIX + "j", a_job("j"))
-
-        def ordered_on_live_worker():
-            put_workers(table, ["n0"])
-            return "j.0.0.0" in orders_on(table, "n0")
-
-        wait_until(ordered_on_live_worker)
+        wait_until(lambda: "j.0.0.0" in orders_on(table, "n0"))
 
 
 def test_decider_goes_on_after_an_unexpected_error(monkeypatch):
--- a/tests/batch/test_takeover.py
+++ b/tests/batch/test_takeover.py
@@ -235,3 +235,20 @@
     site.put(JOB_PREFIX + "j", a_job("j"))
     site.run(3.0)
     assert site.record("j.0.0.0").node == "n1"
+
+
+def test_gone_worker_gets_no_orders_from_a_new_entry():
+    # After a loss of all machines old reports counted as new.
+    site = Site(1, 60.0)
+    site.reporting = ["n0"]
+    site.run(4.0)
+    site.entries.clear()
+    site.add_entry()
+    site.reporting = []
+    site.now_s = 0.0
+    site.put(JOB_PREFIX + "j", a_job("j"))
+    site.run(10.0)
+    assert site.record("j.0.0.0").attempt == 0
+    site.reporting = ["n0"]
+    site.run(1.0)
+    assert site.record("j.0.0.0").node == "n0"
