Lose all power and change the decider often in the world machine

Now two entries decide in turn, on demand every 0.25 to 12.5 s, and know ages only from their copies of the table, through the code of the take-over. Entries, agents and workers may lose power in the same moment, and up to three nodes never come back; others replace them. Agents may be cut off from the table while they extend their leases for 8 s more, and some jobs run for 12 s, as long as a lease that is given up too soon would need to show.

No check is relaxed.

--- a/tests/batch/test_world_machine.py
+++ b/tests/batch/test_world_machine.py
@@ -1,7 +1,11 @@
 """Planner, reconcilers and workers under random faults, in virtual time.
 
 Each unit of a write plan is a transaction of its own, and a decider may die
-between any two of them. Agents may be silent until their runs are given up.
+between any two of them. The entries decide in turn, perhaps for a moment
+each, and know the age of a report only as their copies of the table tell it.
+Agents may be silent until their runs are given up, or cut off from the table
+while they extend their leases. All machines may lose power at once, and some
+never come back: others take their place.
 Workers shrink and grow while they run. Some tasks crash each worker that
 starts them; it returns after some seconds.
 
@@ -36,9 +40,11 @@
 from filbertlb.batch.model import PROGRESS_PREFIX
 from filbertlb.batch.model import Run
 from filbertlb.batch.model import RunEnd
+from filbertlb.batch.model import WORKER_PREFIX
 from filbertlb.batch.model import WorkerReport
 from filbertlb.batch.planner import Planner
 from filbertlb.batch.reconciler import WorkerReconciler
+from filbertlb.batch.takeover import apply_report
 from filbertlb.batch.testing import a_job
 from filbertlb.batch.testing import a_step
 from filbertlb.batch.testing import a_worker
@@ -47,16 +53,24 @@
 from filbertlb.batch.worker_link import ListedEnd
 from filbertlb.batch.worker_link import StartCall
 from filbertlb.batch.worker_link import StartResult
+from filbertlb.batch.workers import CONTACT_LOST_S
 from filbertlb.batch.write_plan import changed_units
 from filbertlb.core.amounts import covers
 from filbertlb.core.amounts import plus
 from filbertlb.core.amounts import ZERO_AMOUNT
+from filbertlb.table.base import Changes
 from filbertlb.table.base import Row
+from filbertlb.table.base import Snapshot
+from filbertlb.table.mirror import Mirror
 from filbertlb.table.rows import decode_row
+from filbertlb.table.rows import encode_value
 
 NODES = ("n0", "n1", "n2")
+ENTRIES = 2
 TICK_S = 0.25
 RUN_DURATION_S = 2.0
+LONG_RUN_DURATION_S = 12.0
+MAX_LONG_JOBS = 3
 STOP_DURATION_S = 0.9
 DOWN_DURATION_S = 2.0
 WITHDRAWAL_TICKS = 3
@@ -117,11 +131,12 @@
 class SimAgent:
     reconciler: WorkerReconciler
     fence: int
+    contact_s: float
     acked_number: int = 0
 
 
 class World(RuleBasedStateMachine):
-    """One decider and three agents with workers, connected by rows."""
+    """Two entries and three agents with workers, connected by rows."""
 
     def __init__(self):
         super().__init__()
@@ -131,9 +146,18 @@
         self.jobs = {}
         self.progress = {}
         self.cancelled = set()
+        self.long_jobs = set()
         self.orders = {}
         self.reports = {}
-        self.report_seen_s = {}
+        self.report_rows = {}
+        self.version = 0
+        self.state_copies = [Mirror() for _ in range(ENTRIES)]
+        self.report_copy = Mirror()
+        self.entry = 0
+        self.ticks = 0
+        self.term_ticks = 0
+        self.nodes = list(NODES)
+        self.gone = set()
         self.workers = {}
         self.agents = {}
         self.delayed_starts = []
@@ -142,6 +166,7 @@
         self.decider_paused_until_s = 0.0
         self.written_before_death = None
         self.silent_until_s = dict.fromkeys(NODES, 0.0)
+        self.cut_off_until_s = dict.fromkeys(NODES, 0.0)
         self.planner = None
         self.stored_done = set()
         self.announced = {
@@ -183,7 +208,8 @@
         previous = self.reports.get(node)
         if previous is not None:
             reconciler.restore(previous.ended)
-        self.agents[node] = SimAgent(reconciler, self.fence)
+            self.store_row(attrs.evolve(previous, answers=False, running=()))
+        self.agents[node] = SimAgent(reconciler, self.fence, self.now_s)
         if node not in self.tasks_crashed_by_node:
             self.announce(node)
         if node in self.orders:
@@ -196,9 +222,16 @@
         for row in self.progress.values():
             self.planner.state.add_progress(decode_row(row, Progress))
         self.planner.state.cancelled.update(self.cancelled)
-        for node, report in self.reports.items():
-            self.planner.record_report(report, self.report_seen_s[node])
-        self.planner.state.changed_nodes.update(NODES)
+        self.report_copy = Mirror()
+        rows = tuple(self.report_rows.values())
+        self.report_copy.replace(Snapshot(rows, self.version), self.now_s)
+        for key in self.report_rows:
+            self.apply_report(key)
+        self.planner.state.changed_nodes.update(self.nodes)
+
+    def apply_report(self, key):
+        state_copy = self.state_copies[self.entry]
+        apply_report(self.planner, self.report_copy, state_copy, key)
 
     @rule(
         count=st.integers(1, 4),
@@ -219,11 +252,18 @@
             checkpointable=checkpointable,
         )
         steps = (step, a_step(after=(0,))) if two_steps else (step,)
+        self.accept(job_id, *steps, priority=priority)
+
+    @rule(accelerators=st.sampled_from([1, 8]))
+    def submit_long_job(self, accelerators):
+        if len(self.long_jobs) < MAX_LONG_JOBS:
+            job_id = f"j{len(self.jobs)}"
+            self.long_jobs.add(job_id)
+            self.accept(job_id, a_step(needs=(accelerators, 100, 100)))
+
+    def accept(self, job_id, *steps, **changes):
         self.jobs[job_id] = a_job(
-            job_id,
-            *steps,
-            priority=priority,
-            accepted_ms=int(self.now_s * 1000),
+            job_id, *steps, accepted_ms=int(self.now_s * 1000), **changes
         )
         self.planner.state.add_job(self.jobs[job_id])
 
@@ -240,7 +280,13 @@
 
     @rule(node=st.sampled_from(NODES))
     def restart_agent(self, node):
-        self.new_agent(node)
+        if self.reaches_table(node):
+            self.new_agent(node)
+
+    def reaches_table(self, node):
+        return (
+            node not in self.gone and self.now_s >= self.cut_off_until_s[node]
+        )
 
     @rule(node=st.sampled_from(NODES))
     def crash_worker(self, node):
@@ -252,10 +298,46 @@
     def resize_worker(self, node, accelerators):
         self.workers[node].capacity = (accelerators, *CAPACITY[1:])
 
-    @rule()
-    def replace_decider(self):
+    @rule(entry=st.integers(0, ENTRIES - 1))
+    def replace_decider(self, entry):
+        self.entry = entry
         self.new_decider()
 
+    @rule(ticks=st.sampled_from([0, 1, 4, 20, 50]))
+    def change_decider_every(self, ticks):
+        self.term_ticks = ticks
+
+    @rule(node=st.sampled_from(NODES), seconds=st.integers(5, 30))
+    def cut_agent_off(self, node, seconds):
+        self.cut_off_until_s[node] = self.now_s + seconds
+
+    @rule(gone=st.sets(st.sampled_from(NODES), max_size=2))
+    def lose_all_power(self, gone):
+        self.delayed_starts.clear()
+        self.state_copies = [Mirror() for _ in range(ENTRIES)]
+        for node in gone - self.gone:
+            self.gone.add(node)
+            self.add_node(f"r{len(self.nodes)}")
+        for node in self.nodes:
+            self.lose_power(node)
+        self.new_decider()
+
+    def lose_power(self, node):
+        self.crashes.update(self.tasks_crashed_by_node.pop(node, ()))
+        self.workers[node].runs.clear()
+        self.silent_until_s[node] = self.cut_off_until_s[node] = self.now_s
+        if node not in self.gone:
+            self.new_worker(node)
+            self.new_agent(node)
+
+    def add_node(self, node):
+        self.nodes.append(node)
+        self.silent_until_s[node] = self.cut_off_until_s[node] = 0.0
+        self.down_until_s[node] = 0.0
+        self.announced[node] = deque([CAPACITY], WITHDRAWAL_TICKS)
+        self.new_worker(node)
+        self.new_agent(node)
+
     @rule(result=st.sampled_from([StartResult.UNKNOWN, StartResult.UNHEALTHY]))
     def fail_next_start(self, result):
         self.next_start_result = result
@@ -288,6 +370,8 @@
 
     @rule(node=st.sampled_from(NODES))
     def store_ends_then_restart_agent(self, node):
+        if not self.reaches_table(node):
+            return
         self.end_due_runs(self.workers[node])
         self.run_agent(node)
         self.run_agent(node)
@@ -302,7 +386,11 @@
 
     def tick(self):
         self.now_s += TICK_S
-        for node in NODES:
+        self.ticks += 1
+        if self.term_ticks and self.ticks % self.term_ticks == 0:
+            self.entry = (self.entry + 1) % ENTRIES
+            self.new_decider()
+        for node in self.nodes:
             self.end_due_runs(self.workers[node])
             if (
                 node in self.tasks_crashed_by_node
@@ -315,9 +403,12 @@
                 capacity = self.workers[node].capacity
                 allowed = max(capacity, *self.announced[node])
                 self.send_start(node, order, fence, allowed)
-        for node in NODES:
-            if self.now_s >= self.silent_until_s[node]:
+        for node in self.nodes:
+            silent = self.now_s < self.silent_until_s[node]
+            if not silent and node not in self.gone:
                 self.run_agent(node)
+        for copy in self.state_copies:
+            copy.apply(Changes((), {}, self.version), self.now_s)
         if self.now_s >= self.decider_paused_until_s:
             self.planner.decide(self.now_s, int(self.now_s * 1000))
             self.write_rows()
@@ -328,9 +419,13 @@
                 worker.end(key, EndCause.LAPSED)
             elif worker.stopping.get(key, self.now_s + 1) <= self.now_s:
                 worker.end(key, EndCause.STOPPED)
-            elif since_s + RUN_DURATION_S <= self.now_s:
+            elif since_s + self.duration_s(key[0]) <= self.now_s:
                 worker.end(key, EndCause.DONE)
 
+    def duration_s(self, task):
+        is_long = job_id_of(task) in self.long_jobs
+        return LONG_RUN_DURATION_S if is_long else RUN_DURATION_S
+
     def send_start(self, node, order, fence, allowed):
         worker = self.workers[node]
         if node in self.tasks_crashed_by_node:
@@ -382,11 +477,11 @@
             return
         self.announce(node)
         self.announced[node].append(worker.capacity)
-        if node in self.orders:
-            reconciler.set_orders(self.orders[node])
+        self.follow_orders(node, agent)
         sent_s = self.now_s
-        reconciler.record_extension(sent_s)
-        worker.lease_end_s = sent_s + LEASE_S
+        if self.may_extend_leases(agent):
+            reconciler.record_extension(sent_s)
+            worker.lease_end_s = sent_s + LEASE_S
         worker.fence = max(worker.fence, agent.fence)
         worker.ends = [
             end for end in worker.ends if end.number > agent.acked_number
@@ -407,8 +502,7 @@
     def run_agent_beside_crashed_worker(self, node, agent):
         if agent.reconciler.worker is not None:
             agent.reconciler.record_down(self.now_s)
-        if node in self.orders:
-            agent.reconciler.set_orders(self.orders[node])
+        self.follow_orders(node, agent)
         for call in agent.reconciler.due_calls(self.now_s):
             if isinstance(call, StartCall):
                 agent.reconciler.record_start(
@@ -418,7 +512,16 @@
                 agent.reconciler.record_stop(call, False, self.now_s)
         self.store_report(node, agent, answers=False)
 
+    def follow_orders(self, node, agent):
+        if self.reaches_table(node) and node in self.orders:
+            agent.reconciler.set_orders(self.orders[node])
+
+    def may_extend_leases(self, agent):
+        return self.now_s - agent.contact_s < CONTACT_LOST_S
+
     def make_start(self, node, order, fence):
+        if not self.may_extend_leases(self.agents[node]):
+            return StartResult.TOO_LATE
         result, self.next_start_result = self.next_start_result, None
         if result is None:
             allowed = self.workers[node].capacity
@@ -430,6 +533,8 @@
         return result
 
     def store_report(self, node, agent, answers=True):
+        if not self.reaches_table(node):
+            return
         reconciler = agent.reconciler
         report = WorkerReport(
             node,
@@ -440,13 +545,21 @@
             reconciler.running(),
             reconciler.ended(),
         )
-        self.reports[node] = report
-        self.report_seen_s[node] = self.now_s
+        agent.contact_s = self.now_s
         agent.acked_number = reconciler.last_end_number
         for end in report.ended:
             if end.cause is EndCause.DONE:
                 self.stored_done.add(end.task)
-        self.planner.record_report(report, self.now_s)
+        self.store_row(report)
+
+    def store_row(self, report):
+        self.version += 1
+        self.reports[report.node] = report
+        key = WORKER_PREFIX + report.node
+        row = Row(key, encode_value(report), self.version)
+        self.report_rows[key] = row
+        self.report_copy.put(row, self.now_s)
+        self.apply_report(key)
 
     def write_rows(self):
         """Write transaction by transaction, perhaps dying in between."""
@@ -466,7 +579,7 @@
             if write.key.startswith(PROGRESS_PREFIX):
                 job_id = write.key.removeprefix(PROGRESS_PREFIX)
                 self.progress[job_id] = row
-            for node in NODES:
+            for node in self.nodes:
                 if write.key == orders_key(node):
                     self.orders[node] = decode_row(row, Orders)
 
@@ -475,7 +588,7 @@
             return
         for worker in self.workers.values():
             worker.capacity = CAPACITY
-        for _ in range(400):
+        for _ in range(600):
             self.tick()
         for job_id, job in self.jobs.items():
             progress = self.planner.state.progress[job_id]
