Go on renewing the lease after an unexpected error

What callers would see: an entry that met one unexpected error while it read or renewed the lease never decided again, and said nothing. If that happens at every entry, as from one odd lease row or answer, no job runs any more.

Cause: the only task of the decider without a handler of unexpected errors.

Why the fix works: the error is logged, and the lease is tried again when it is due; a lease that cannot be renewed still expires by its own time.

--- a/filbertlb/batch/decider.py
+++ b/filbertlb/batch/decider.py
@@ -156,10 +156,17 @@
         while not self._stepped_down:
             now_s = self._clock.monotonic()
             if self._mirror.loaded and now_s >= self._aside_until_s:
-                self._keeper.step(self._lease_delay_s)
+                self._step_lease()
             due_s = self._keeper.next_due_s(self._lease_delay_s)
             sleep(max(0.05, due_s - self._clock.monotonic()))
 
+    def _step_lease(self) -> None:
+        try:
+            self._keeper.step(self._lease_delay_s)
+        except Exception:
+            # Without this task the entry would never decide again.
+            logger.exception("renewal of the lease failed unexpectedly")
+
     def run(self) -> None:
         """Make and write decisions until killed."""
         while True:
--- a/tests/batch/test_decider.py
+++ b/tests/batch/test_decider.py
@@ -383,6 +383,33 @@
         wait_until(lambda: orders_on(table, "n0") == ["j.0.0.0"])
 
 
+class OnceDefectiveTable(UnreadableTable):
+    """A process's view of a table whose first read of a row fails."""
+
+    def __init__(self, table):
+        super().__init__(table)
+        self.failures = 0
+
+    def get(self, key):
+        if not self.failures:
+            self.failures += 1
+            raise KeyError(key)
+        return self._table.get(key)
+
+    def snapshot(self, prefix):
+        return self._table.snapshot(prefix)
+
+
+def test_entry_decides_after_an_unexpected_error_of_its_lease():
+    # The task that renews the lease ended, and its entry never decided.
+    table = LimitedTable()
+    put_workers(table, ["n0"])
+    view = OnceDefectiveTable(table)
+    with deciding(view) as decider:
+        wait_until(lambda: decider.deciding)
+    assert view.failures == 1
+
+
 class ReportlessTable(UnreadableTable):
     """A process's view of a table whose feed of reports gets no answer."""
 
