Count a registration as contact from when it was written

What callers could see: two runs of one task. A new agent process whose registration was stored, but whose answer was lost, counted the time of a later read as its contact with the table. It then extended leases for up to 8 s from that read, while the decider counts them from the row. If its reports were refused meanwhile, the leases outlived the decider's wait.

Evidence: test_registration_counts_as_contact_from_when_it_was_written on the code before: leases extended in [False, True, True, True, True] 8 s after the only stored report.

Why the fix works: the contact is the time before the write. A write that is carried out after a read that did not show it is younger than that read, so a repeated write may count from its own time.

--- a/filbertlb/batch/agent.py
+++ b/filbertlb/batch/agent.py
@@ -210,9 +210,11 @@
                 )
             version = ABSENT if row is None else row.version
             write = Write(self._report_key, encode_value(report), version)
+            # The next try may find this one's row, but not when it was
+            # written.
+            self._last_contact_s = sent_s
             self._report_version = self._table.commit((write,))[0]
         self._fence = self._report_version
-        self._last_contact_s = sent_s
         logger.info("registered with fencing token {}", self._fence)
 
     def _previous_report(self, row: Row | None) -> WorkerReport | None:
--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -26,9 +26,12 @@
 from filbertlb.batch.worker_link import RunListing
 from filbertlb.batch.worker_link import StartResult
 from filbertlb.batch.worker_link import WorkerDownError
+from filbertlb.batch.workers import CONTACT_LOST_S
 from filbertlb.core.clock import SystemClock
 from filbertlb.core.clock import VirtualClock
+from filbertlb.table.base import TableUnavailableError
 from filbertlb.table.base import Write
+from filbertlb.table.base import WriteOutcomeUnknownError
 from filbertlb.table.memory import MemoryTable
 from filbertlb.table.rows import decode_row
 from filbertlb.table.rows import encode_value
@@ -264,3 +267,43 @@
         table.errors = registered
         agent.update_worker(a_worker())
         await_report(table, lambda report: report.answers)
+
+
+@attrs.define
+class ForgottenTable(MemoryTable):
+    """Table that answers the first write late, and refuses the others."""
+
+    clock: VirtualClock = attrs.Factory(VirtualClock)
+    written: bool = False
+
+    def commit(self, writes):
+        if self.written:
+            raise TableUnavailableError("429")
+        self.written = True
+        MemoryTable.commit(self, writes)
+        self.clock.advance(CONTACT_LOST_S)
+        raise WriteOutcomeUnknownError("no answer")
+
+
+@attrs.define
+class RecordingLink(FailingLink):
+    """Worker link that records which listings extend the lease."""
+
+    extensions: list = attrs.Factory(list)
+
+    def list_runs(self, fence, acked_number, extend_lease, wait_s):
+        self.extensions.append(extend_lease)
+        return FailingLink.list_runs(
+            self, fence, acked_number, extend_lease, wait_s
+        )
+
+
+def test_registration_counts_as_contact_from_when_it_was_written():
+    # Leases were extended long after the last report that was stored.
+    table, link = ForgottenTable(), RecordingLink("")
+    agent = Agent(table, link, table.clock, "n")
+    agent.update_worker(a_worker())
+    with running(agent):
+        while len(link.extensions) < 5:
+            sleep(0.01)
+    assert not any(link.extensions)
