Place tasks only where the orders row holds their payloads

What callers would see: a task waits on a worker with room while others could run it, for as long as older runs there go on; for ever beside long-running ones. In a gang the other members end alone.

Cause: an orders row takes 36,000 bytes of payloads and leaves the newest runs out. Placing did not know, so such a task counted as ordered and was never handed to its worker. It takes ten jobs with payloads of 4000 bytes on one worker.

Evidence: test_task_is_ordered_only_where_the_orders_row_holds_its_payload on the code before: both tasks of the tenth job ORDERED on the full node.

Why the fix works: a node whose row would grow too large is no candidate, so the task stays waiting and goes elsewhere. Nodes with fewer than nine tasks are not looked at, so the usual decision costs as much as before. The test of the row's limit made its state by placing; it now stores the records, and fails without the limit (20 == 9).

--- a/filbertlb/batch/placing.py
+++ b/filbertlb/batch/placing.py
@@ -197,6 +197,7 @@
             for node, worker in self.available.workers.items()
             if node not in self.available.reserved
             and is_eligible(worker, group.job.service, label)
+            and self.state.can_order(group.job, node)
         ]
 
     def _place_on(
--- a/filbertlb/batch/planner_state.py
+++ b/filbertlb/batch/planner_state.py
@@ -31,6 +31,8 @@
 
 MAX_PAYLOAD_BYTES = 36_000
 """Payloads of one orders row; the table stores 48 KiB of values."""
+MAX_JOB_PAYLOAD_BYTES = 4000
+"""Payload of one job."""
 
 
 @attrs.frozen
@@ -253,6 +255,17 @@
                 total = plus(total, self.step_of(task).needs)
         return total
 
+    def can_order(self, job: Job, node: str) -> bool:
+        """Return whether a node's orders row holds one more run of a job."""
+        tasks = self._tasks_by_node.get(node, ())
+        if (len(tasks) + 1) * MAX_JOB_PAYLOAD_BYTES <= MAX_PAYLOAD_BYTES:
+            return True
+        job_ids = {job.job_id, *map(job_id_of, tasks)}
+        total_bytes = sum(
+            len(self.jobs[job_id].payload.encode()) for job_id in job_ids
+        )
+        return total_bytes <= MAX_PAYLOAD_BYTES
+
     def members(self, group: str) -> dict[str, TaskRecord]:
         """Return the existing records of the tasks of a group."""
         tasks = self.progress[job_id_of(group)].tasks
--- a/tests/batch/test_planner.py
+++ b/tests/batch/test_planner.py
@@ -218,6 +218,27 @@
     assert phases(planner, "a") == {"a.0.0.0": TaskPhase.WAITING}
 
 
+def test_task_is_ordered_only_where_the_orders_row_holds_its_payload():
+    # It was ordered, but not handed to the worker until older runs had ended.
+    jobs = [a_job(f"j{number:02d}", payload="x" * 4000) for number in range(9)]
+    planner = planner_with(*jobs, nodes=1)
+    wide = a_worker(capacity=(20, 20_000, 20_000))
+    report(planner, "n0", worker=wide)
+    planner.decide(0.0, 0)
+    planner.state.add_job(a_job("late", a_step(2)))
+    planner.decide(0.1, 100)
+    assert phases(planner, "late") == {}
+    report(planner, "n1", now_s=0.2)
+    planner.decide(0.2, 200)
+    for task in ("late.0.0.0", "late.0.0.1"):
+        record = planner.state.record(task)
+        assert record.node == "n1"
+        keys = [
+            order.task for order in planner.state.orders_of("n1", 1).orders
+        ]
+        assert task in keys
+
+
 def test_tasks_that_wait_for_a_silent_worker_are_logged_once():
     planner = planner_with(a_job("a"), nodes=1)
     planner.decide(0.0, 0)
--- a/tests/batch/test_write_plan.py
+++ b/tests/batch/test_write_plan.py
@@ -7,12 +7,13 @@
 from filbertlb.batch.model import orders_key
 from filbertlb.batch.model import PROGRESS_PREFIX
 from filbertlb.batch.model import STATUS_PREFIX
+from filbertlb.batch.model import TaskPhase
+from filbertlb.batch.model import TaskRecord
 from filbertlb.batch.planner import Planner
 from filbertlb.batch.planner_state import MAX_PAYLOAD_BYTES
 from filbertlb.batch.testing import a_job
 from filbertlb.batch.testing import a_report
 from filbertlb.batch.testing import a_step
-from filbertlb.batch.testing import a_worker
 from filbertlb.batch.workers import DEAD_AFTER_S
 from filbertlb.batch.write_plan import changed_units
 from filbertlb.batch.write_plan import divide
@@ -159,13 +160,17 @@
 
 def test_orders_row_leaves_the_newest_payloads_for_later():
     planner = Planner()
-    cores = 20
-    wide = a_worker(capacity=(cores, 1000 * cores, 1000 * cores))
-    planner.record_report(a_report("n1", worker=wide), 0.0)
-    for number in range(cores):
-        payload = "x" * 4000
-        planner.state.add_job(a_job(f"j{number:02d}", payload=payload))
-    planner.decide(0.0, 0)
+    for number in range(20):
+        job_id = f"j{number:02d}"
+        planner.state.add_job(a_job(job_id, payload="x" * 4000))
+        record = TaskRecord(
+            TaskPhase.ORDERED,
+            attempt=1,
+            node="n1",
+            incarnation="w@1",
+            since_ms=100 - number,
+        )
+        planner.state.set_record(f"{job_id}.0.0.0", record)
     row = planner.state.orders_of("n1", 1)
     assert len(row.orders) == MAX_PAYLOAD_BYTES // 4000
     oldest = planner.state.tasks_on("n1")[: len(row.orders)]
