Skip odd entries of a listing or configuration, keep the others

The worker's reply to a hold call that could not be decoded was read as the default reply: no runs, no ends, complete. Only the start of the worker, which such a reply lacks, kept the agent from ending every run there as lost, and one whose start is 0 was not protected. It now counts as no answer (WorkerSilentError), like a reply with another status.

Entries of the listing were lists of anything whose members went through str() and int(): a task that was a list became the text of that list, and one nested 900 deep raised RecursionError out of the listing task, each time it was listed. A null entry made the whole listing unreadable. They are decoded one by one now, as arrays of typed members of which the worker may send more; odd ones are skipped with a log line, as before.

An end after an unreadable one was acknowledged and the unreadable one with it. The worker then forgot it, the next listing was complete, and its run, which may be done, ended as lost and ran again. Ends are now acknowledged up to before the first one that has a number but cannot be read; the agent then pauses before it lists again.

One odd route or tenant made the whole configuration unreadable, so that an entry that had none yet served nobody. They are skipped with a log line, the others hold.

--- a/filbertlb/batch/agent.py
+++ b/filbertlb/batch/agent.py
@@ -325,6 +325,9 @@
             # then, so store the report first.
             self._report_wake.set()
             sleep(REPORT_BATCH_S)
+        elif listing.ends and not listing.ends_complete:
+            # They are listed again at once, as one before is unreadable.
+            sleep(RETRY_S)
 
     def _call_loop(self) -> None:
         while not self._reconciler.fenced:
--- a/filbertlb/batch/worker_link.py
+++ b/filbertlb/batch/worker_link.py
@@ -76,7 +76,8 @@
     Parameters
     ----------
     number : int
-        Increases with each end; the agent acknowledges up to a number.
+        The agent acknowledges the end up to this number, which never
+        decreases in a listing.
     """
 
     number: int
--- a/filbertlb/decoding.py
+++ b/filbertlb/decoding.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from collections.abc import Iterator
 from contextlib import contextmanager
 from re import compile as compile_pattern
@@ -15,10 +16,12 @@
 from typing import overload
 from typing import TypeVar
 
+from loguru import logger
 from msgspec import convert
 from msgspec import json
 from msgspec import msgpack
 from msgspec import MsgspecError
+from msgspec import Raw
 
 from filbertlb.errors import InvalidInputError
 
@@ -26,6 +29,8 @@
 
 MAX_DEPTH = 32
 """Levels kept of JSON that is nested too deeply; no message needs more."""
+MAX_SHOWN_BYTES = 80
+"""Bytes of a malformed value that a message shows."""
 
 _JSON_TOKEN = compile_pattern(
     rb'"[^"\\]*(?:\\.[^"\\]*)*"|[\[\]{}"]|[^\[\]{}"]+', DOTALL
@@ -39,10 +44,10 @@
 
 
 @overload
-def decode_json(text: bytes | str) -> Any: ...
+def decode_json(text: bytes | str | Raw) -> Any: ...
 @overload
-def decode_json(text: bytes | str, cls: type[_T]) -> _T: ...
-def decode_json(text: bytes | str, cls: Any = Any) -> Any:
+def decode_json(text: bytes | str | Raw, cls: type[_T]) -> _T: ...
+def decode_json(text: bytes | str | Raw, cls: Any = Any) -> Any:
     """Decode JSON as a type.
 
     Values that are nested too deeply are cut off, so that one of them in a
@@ -63,6 +68,20 @@
             return json.decode(_without_deep_values(text), type=cls)
 
 
+def decode_entries(entries: Iterable[Raw], cls: type[_T]) -> list[_T]:
+    """Decode the entries of a list; log and skip malformed ones."""
+    decoded = []
+    for entry in entries:
+        try:
+            decoded.append(decode_json(entry, cls))
+        except MalformedDataError as error:
+            logger.warning(
+                "entry {!r} skipped: {}",
+                *(bytes(entry)[:MAX_SHOWN_BYTES], error),
+            )
+    return decoded
+
+
 def decode_msgpack(packed: bytes) -> Any:
     """Decode MessagePack.
 
@@ -96,9 +115,9 @@
         raise MalformedDataError(f"not a valid {name}: {error}") from error
 
 
-def _without_deep_values(text: bytes | str) -> bytes:
+def _without_deep_values(text: bytes | str | Raw) -> bytes:
     """Return JSON without what is nested more than ``MAX_DEPTH`` levels."""
-    encoded = text.encode() if isinstance(text, str) else text
+    encoded = text.encode() if isinstance(text, str) else bytes(text)
     depth = 0
     kept = []
     for token in _JSON_TOKEN.findall(encoded):
--- a/filbertlb/platform/runner.py
+++ b/filbertlb/platform/runner.py
@@ -18,6 +18,7 @@
 from filbertlb.batch.worker_link import StartResult
 from filbertlb.batch.worker_link import WorkerDownError
 from filbertlb.batch.worker_link import WorkerSilentError
+from filbertlb.decoding import decode_entries
 from filbertlb.decoding import decode_json
 from filbertlb.decoding import MalformedDataError
 from filbertlb.httpcall import CallNotSentError
@@ -28,15 +29,14 @@
 from filbertlb.platform.wire import instance_id_of
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Iterable
+    from collections.abc import Iterator
 
     from filbertlb.batch.model import Order
     from filbertlb.core.clock import Clock
     from filbertlb.httpcall import Reply
     from filbertlb.platform.wire import Heartbeat
 
-_T = TypeVar("_T")
-
 CALL_TIMEOUT_S = 0.8
 HOLD_TIMEOUT_MARGIN_S = 0.8
 """Added to the long-poll wait of a hold call to get its timeout."""
@@ -60,16 +60,37 @@
 }
 
 
+_T = TypeVar("_T", bound="_CallReply")
+
+
 class _CallReply(msgspec.Struct, rename="camel"):
     clock_ms: int = 0
     reason: str = ""
 
 
-class _HoldReply(msgspec.Struct, rename="camel"):
-    clock_ms: int = 0
+class _HoldReply(_CallReply, rename="camel"):
     born: int = 0
-    running: list[list[Any]] = []
-    finished: list[list[Any]] = []
+    running: list[msgspec.Raw] = []
+    finished: list[msgspec.Raw] = []
+
+
+class _ListedRun(msgspec.Struct, array_like=True):
+    task: str
+    attempt: int
+    saved: str
+    percent: float
+
+
+class _NumberedEnd(msgspec.Struct, array_like=True):
+    number: int
+
+
+class _ListedEnd(msgspec.Struct, array_like=True):
+    number: int
+    task: str
+    attempt: int
+    cause: EndCause
+    saved: str
 
 
 class PlatformWorkerClient:
@@ -113,8 +134,7 @@
             logger.info("start of {} unanswered: {}", order.task, error)
             return StartResult.UNKNOWN
         if reply.status == HTTP_CONFLICT:
-            reason = self._decode(reply, _CallReply()).reason
-            return _RESULT_BY_REASON.get(reason, StartResult.INVALID)
+            return self._refusal(reply)
         return _RESULT_BY_STATUS.get(reply.status, StartResult.UNKNOWN)
 
     def stop(self, task: str, attempt: int, fence: int) -> bool:
@@ -155,20 +175,33 @@
             raise WorkerSilentError(
                 f"status {reply.status!r}: {reply.body[:120]!r}"
             )
-        holding = self._decode(reply, _HoldReply())
-        runs = _decode_all(_decode_run, holding.running)
-        ends = _decode_all(_decode_end, holding.finished)
+        try:
+            holding = self._decode(reply, _HoldReply)
+        except MalformedDataError as error:
+            # What it would have listed has not ended.
+            raise WorkerSilentError(f"unreadable reply: {error}") from error
+        runs = decode_entries(holding.running, _ListedRun)
+        ends = decode_entries(holding.finished, _ListedEnd)
         # A run that is listed in an unreadable entry has not ended.
         readable = len(runs) + len(ends) == (
             len(holding.running) + len(holding.finished)
         )
         return RunListing(
-            runs,
-            ends,
+            tuple(_run(listed) for listed in runs),
+            tuple(_numbered_ends(ends, holding.finished)),
             readable and len(holding.finished) < MAX_ENDS_PER_REPLY,
             incarnation_name(self._instance_id, holding.born),
         )
 
+    def _refusal(self, reply: Reply) -> StartResult:
+        """Return why the worker refused a start."""
+        try:
+            reason = self._decode(reply, _CallReply).reason
+        except MalformedDataError as error:
+            logger.warning("refusal of a start without reason: {}", error)
+            return StartResult.INVALID
+        return _RESULT_BY_REASON.get(reason, StartResult.INVALID)
+
     def _post(self, call: str, body: Any, timeout_s: float) -> Reply:
         headers = {
             "Content-Type": "application/json",
@@ -182,13 +215,9 @@
             headers,
         )
 
-    def _decode(self, reply: Reply, default: Any) -> Any:
-        """Decode a reply as the default's type; return that if unreadable."""
-        try:
-            message = decode_json(reply.body, type(default))
-        except MalformedDataError as error:
-            logger.warning("cannot decode reply of the worker: {}", error)
-            return default
+    def _decode(self, reply: Reply, cls: type[_T]) -> _T:
+        """Decode a reply and update the offset of the worker's clock."""
+        message = decode_json(reply.body, cls)
         self._set_clock(message.clock_ms)
         return message
 
@@ -203,27 +232,26 @@
         return int(now_ms + self._clock_offset_ms + LEASE_S * 1000)
 
 
-def _decode_all(
-    decode: Callable[[list[Any]], _T], entries: list[list[Any]]
-) -> tuple[_T, ...]:
-    """Decode the entries of a list; log and skip unreadable ones."""
-    decoded = []
-    for entry in entries:
-        try:
-            decoded.append(decode(entry))
-        except (TypeError, ValueError) as error:
-            logger.warning(
-                "entry {!r} of the worker skipped: {}", entry, error
-            )
-    return tuple(decoded)
+def _run(listed: _ListedRun) -> Run:
+    return Run(listed.task, listed.attempt, listed.saved, int(listed.percent))
 
 
-def _decode_run(entry: list[Any]) -> Run:
-    task, attempt, saved, percent = entry[:4]
-    return Run(str(task), int(attempt), str(saved), int(percent))
+def _numbered_ends(
+    ends: Iterable[_ListedEnd], entries: Iterable[msgspec.Raw]
+) -> Iterator[ListedEnd]:
+    """Yield the ends with the numbers up to which they are acknowledged.
 
-
-def _decode_end(entry: list[Any]) -> ListedEnd:
-    number, task, attempt, cause, saved = entry[:5]
-    end = RunEnd(str(task), int(attempt), EndCause(cause), str(saved))
-    return ListedEnd(int(number), end)
+    That is never past an unreadable end: the worker would forget it, and
+    the run would seem lost although it may be done.
+    """
+    readable = {listed.number for listed in ends}
+    unreadable = {
+        entry.number for entry in decode_entries(entries, _NumberedEnd)
+    } - readable
+    last_number = min((number - 1 for number in unreadable), default=None)
+    for listed in ends:
+        end = RunEnd(listed.task, listed.attempt, listed.cause, listed.saved)
+        number = listed.number
+        if last_number is not None:
+            number = min(number, last_number)
+        yield ListedEnd(number, end)
--- a/filbertlb/platform/wire.py
+++ b/filbertlb/platform/wire.py
@@ -13,6 +13,7 @@
 from filbertlb.batch.model import Step
 from filbertlb.batch.model import Worker
 from filbertlb.core.amounts import Amount
+from filbertlb.decoding import decode_entries
 from filbertlb.decoding import decode_json
 from filbertlb.decoding import MalformedDataError
 from filbertlb.errors import InvalidInputError
@@ -52,8 +53,8 @@
 
 class _Configuration(msgspec.Struct, rename="camel"):
     version: int
-    routes: list[_Route] = []
-    tenants: list[_Tenant] = []
+    routes: list[msgspec.Raw] = []
+    tenants: list[msgspec.Raw] = []
 
 
 class _Step(msgspec.Struct, rename="camel"):
@@ -191,10 +192,13 @@
 
 
 def decode_configuration(body: bytes) -> SiteConfiguration:
-    """Decode the value of the configuration row."""
+    """Decode the value of the configuration row.
+
+    Malformed routes and tenants are skipped, the others hold.
+    """
     configuration = _decode(body, _Configuration)
     queues_by_host: dict[str, tuple[Queue, ...]] = {}
-    for route in configuration.routes:
+    for route in decode_entries(configuration.routes, _Route):
         queue = Queue(
             route.name,
             route.host,
@@ -213,7 +217,7 @@
         )
     organisation_by_key: dict[str, str] = {}
     guaranteed: dict[str, int] = {}
-    for tenant in configuration.tenants:
+    for tenant in decode_entries(configuration.tenants, _Tenant):
         organisation_by_key.update(dict.fromkeys(tenant.api_keys, tenant.name))
         guaranteed[tenant.name] = (tenant.guaranteed or {}).get("gpu", 0)
     return SiteConfiguration(
--- a/tests/platform/test_runner.py
+++ b/tests/platform/test_runner.py
@@ -1,7 +1,5 @@
 from __future__ import annotations
 
-from json import dumps
-
 import pytest
 
 from filbertlb.batch.model import Run
@@ -34,29 +32,95 @@
         query_runs("127.0.0.1:1")
 
 
-GOOD_RUN = ["j.0.0.0", 1, "", 10, 0]
-GOOD_END = [1, "k.0.0.0", 1, "done", ""]
+GOOD_RUN = b'["j.0.0.0",1,"",10,0]'
+GOOD_END = b'[1,"k.0.0.0",1,"done",""]'
+DEEP = b"[" * 100_000 + b"]" * 100_000
+FAIRLY_DEEP = b"[" * 900 + b"]" * 900
+
+
+def list_runs(body):
+    """Return the listing that is read from a reply of the worker."""
+
+    def reply(environ, start_response):
+        start_response("200 -", [("Content-Length", str(len(body)))])
+        return [body]
+
+    with serving(reply) as url:
+        return query_runs(url.removeprefix("http://"))
+
+
+def a_listing(runs=(), ends=()):
+    return b'{"running":[%s],"finished":[%s]}' % (
+        b",".join(runs),
+        b",".join(ends),
+    )
 
 
 @pytest.mark.parametrize(
     ("runs", "ends"),
     [
-        ([GOOD_RUN, ["short"]], []),
-        ([GOOD_RUN, ["j.0.0.1", "x", "", 10]], []),
-        ([GOOD_RUN], [[2, "k.0.0.1", 1, "vanished", ""]]),
-        ([GOOD_RUN], [["k.0.0.1"]]),
-        ([GOOD_RUN], [[None, "k.0.0.1", 1, "done", ""]]),
+        ([b'["short"]'], []),
+        ([b'["j.0.0.1","x","",10]'], []),
+        ([b'[["j.0.0.1"],1,"",10]'], []),
+        ([DEEP], []),
+        ([b'[%s,1,"",10]' % DEEP], []),
+        ([b'[%s,1,"",10]' % FAIRLY_DEEP], []),
+        ([b'{"odd":%s}' % DEEP], []),
+        ([b"null"], []),
+        ([], [b'[2,"k.0.0.1",1,"vanished",""]']),
+        ([], [b'["k.0.0.1"]']),
+        ([], [b'[null,"k.0.0.1",1,"done",""]']),
+        ([], [b'[2,%s,1,"done",""]' % FAIRLY_DEEP]),
+        ([], [DEEP]),
     ],
+    ids=lambda entries: b",".join(entries)[:30].decode(),
 )
 def test_unreadable_entry_is_skipped_and_ends_no_run(runs, ends):
-    body = dumps({"running": runs, "finished": [GOOD_END, *ends]}).encode()
-
-    def listing(environ, start_response):
-        start_response("200 -", [("Content-Length", str(len(body)))])
-        return [body]
-
-    with serving(listing) as url:
-        found = query_runs(url.removeprefix("http://"))
+    found = list_runs(a_listing([GOOD_RUN, *runs], [GOOD_END, *ends]))
     assert found.running == (Run("j.0.0.0", 1, "", 10),)
     assert [listed.end.task for listed in found.ends] == ["k.0.0.0"]
     assert not found.ends_complete
+
+
+def test_entry_may_have_more_members_than_are_read():
+    body = a_listing(
+        [b'["j.0.0.0",1,"",10,0,%s]' % DEEP],
+        [b'[1,"k.0.0.0",1,"done","",{"more":1}]'],
+    )
+    found = list_runs(body)
+    assert found.running == (Run("j.0.0.0", 1, "", 10),)
+    assert [listed.number for listed in found.ends] == [1]
+    assert found.ends_complete
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"null",
+        b"[]",
+        b'{"running":3}',
+        b'{"finished":{"1":2}}',
+        b'{"running":[],"clockMs":"x"}',
+        DEEP,
+    ],
+    ids=lambda body: body[:20].decode(),
+)
+def test_unreadable_listing_was_taken_for_one_without_runs(body):
+    # Such a listing counted as complete and ended each run as lost.
+    with pytest.raises(WorkerSilentError):
+        list_runs(body)
+
+
+def test_unreadable_end_is_not_acknowledged():
+    # Once acknowledged and no longer listed, its run counted as lost.
+    ends = [
+        GOOD_END,
+        b'[2,"k.0.0.1",1,"vanished",""]',
+        b'[3,"k.0.0.2",1,"done",""]',
+    ]
+    found = list_runs(a_listing(ends=ends))
+    assert [(listed.end.task, listed.number) for listed in found.ends] == [
+        ("k.0.0.0", 1),
+        ("k.0.0.2", 1),
+    ]
