Give every decoded number a range

Integers of any length were kept as they were. One of more than 308 digits fails where it meets a float: a job with such an estimate, also one that a caller submitted, made each decision of each decider fail, so that nothing was placed any more; `clockMs` of the worker's reply made the listing task of its agent fail each time. Shorter ones, negative capacities and percents over 100 went into the planner's state and, by the agent's report, into rows. Settings could hold infinite numbers.

The wire types and the values of rows now use the types of filbertlb.ranges: 64 bits, and never negative, 0 to 100, or a port where that is the field's meaning. A value out of its range is malformed data and treated like any other. Numbers of settings and bodies that are decoded without a type are checked in settings/decode.py.

A percent may still have a fraction, and negative requirements of a job still get the error `invalid_job`, which lists all that is wrong.

--- a/filbertlb/batch/model.py
+++ b/filbertlb/batch/model.py
@@ -10,7 +10,10 @@
 
 import attrs
 
-from filbertlb.core.amounts import Amount
+from filbertlb.ranges import Count
+from filbertlb.ranges import Factor
+from filbertlb.ranges import Int64
+from filbertlb.ranges import Percent
 
 STATE_TABLE = "state"
 """What every entry follows: jobs, their states and cancellations."""
@@ -33,6 +36,9 @@
 """
 
 
+Quantities = tuple[Count, Count, Count]
+"""Accelerators, millicores and MiB of memory; never negative."""
+
 RunKey = tuple[str, int]
 """Task and attempt of a run."""
 
@@ -84,7 +90,7 @@
     ----------
     count : int
         Number of tasks.
-    needs : Amount
+    needs : Quantities
         Accelerators, millicores and MiB that one task requires.
     estimate_ms : int
         Estimated duration of one task.
@@ -104,16 +110,16 @@
         The tasks run until the job is cancelled.
     """
 
-    count: int
-    needs: Amount
-    estimate_ms: int = 0
-    after: tuple[int, ...] = ()
+    count: Count
+    needs: Quantities
+    estimate_ms: Count = 0
+    after: tuple[Count, ...] = ()
     checkpointable: bool = False
     gang: bool = False
     same_rack: bool = False
     required_label: str = ""
     data_rack: str = ""
-    max_per_worker: int = 0
+    max_per_worker: Count = 0
     long_running: bool = False
 
     def __str__(self) -> str:
@@ -160,14 +166,14 @@
     organisation: str
     payload: str
     steps: tuple[Step, ...]
-    priority: int
-    attempts: int
-    slack_factor: float
-    target_ms: int
-    accepted_ms: int
-    times: int = 0
-    first_due_ms: int = 0
-    interval_ms: int = 0
+    priority: Int64
+    attempts: Count
+    slack_factor: Factor
+    target_ms: Int64
+    accepted_ms: Int64
+    times: Count = 0
+    first_due_ms: Int64 = 0
+    interval_ms: Count = 0
     advised: bool = False
 
 
@@ -182,7 +188,7 @@
     """
 
     node: str
-    run_ms: int
+    run_ms: Int64
 
 
 @attrs.define
@@ -209,12 +215,12 @@
     """
 
     phase: TaskPhase = TaskPhase.WAITING
-    attempt: int = 0
-    failures: int = 0
+    attempt: Count = 0
+    failures: Count = 0
     node: str = ""
     incarnation: str = ""
     saved: str = ""
-    since_ms: int = 0
+    since_ms: Int64 = 0
     avoid: str = ""
     crashes: tuple[Crash, ...] = ()
 
@@ -227,7 +233,7 @@
     state: JobState = JobState.QUEUED
     started: bool = False
     tasks: dict[str, TaskRecord] = attrs.Factory(dict)
-    ended_ms: int = 0
+    ended_ms: Int64 = 0
 
 
 @attrs.frozen
@@ -243,9 +249,9 @@
     """One run that a worker must start, keep running or stop."""
 
     task: str
-    attempt: int
+    attempt: Count
     job_id: str
-    needs: Amount
+    needs: Quantities
     incarnation: str
     saved: str = ""
     stop: bool = False
@@ -268,7 +274,7 @@
         Payloads of the jobs that the orders refer to.
     """
 
-    epoch: int
+    epoch: Count
     orders: tuple[Order, ...] = ()
     payload_by_job_id: dict[str, str] = attrs.Factory(dict)
 
@@ -284,9 +290,9 @@
     """
 
     task: str
-    attempt: int
+    attempt: Count
     saved: str = ""
-    percent: int = 0
+    percent: Percent = 0
 
     @property
     def key(self) -> RunKey:
@@ -306,10 +312,10 @@
     """
 
     task: str
-    attempt: int
+    attempt: Count
     cause: EndCause
     saved: str = ""
-    crashed_after_ms: int | None = None
+    crashed_after_ms: Int64 | None = None
 
     @property
     def key(self) -> RunKey:
@@ -334,11 +340,11 @@
     incarnation: str
     service: str
     zone: str
-    capacity: Amount
+    capacity: Quantities
     labels: tuple[str, ...] = ()
     rack: str = ""
     draining: bool = False
-    remaining_ms: int = 0
+    remaining_ms: Int64 = 0
 
 
 @attrs.frozen
@@ -357,7 +363,7 @@
 
     node: str
     registration: str
-    sequence: int = 0
+    sequence: Count = 0
     worker: Worker | None = None
     answers: bool = False
     running: tuple[Run, ...] = ()
--- a/filbertlb/core/attempt_rows.py
+++ b/filbertlb/core/attempt_rows.py
@@ -15,6 +15,7 @@
 from filbertlb.errors import Ran
 from filbertlb.errors import UnavailableError
 from filbertlb.messages import Token
+from filbertlb.ranges import Count
 
 ATTEMPT_PREFIX = "attempts/"
 
@@ -92,7 +93,7 @@
 class Answer:
     """A runner's complete answer as stored."""
 
-    status: int
+    status: Count
     body: bytes
     content_type: str
 
@@ -136,8 +137,8 @@
     owner: str
     start_by_s: float
     state: AttemptState = AttemptState.NEW
-    generation: int = 1
-    dispatches: int = 0
+    generation: Count = 1
+    dispatches: Count = 0
     token: Token | None = None
     endpoint_id: str = ""
     address: str = ""
--- a/filbertlb/core/audit.py
+++ b/filbertlb/core/audit.py
@@ -17,6 +17,8 @@
 from msgspec.json import encode
 
 from filbertlb.errors import FilbertlbError
+from filbertlb.ranges import Count
+from filbertlb.ranges import Int64
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -77,8 +79,8 @@
     action: str
     subject: str
     outcome: AuditOutcome
-    from_revision: int = 0
-    to_revision: int = 0
+    from_revision: Int64 = 0
+    to_revision: Int64 = 0
     detail: str = ""
 
 
@@ -96,7 +98,7 @@
         Hexadecimal SHA-256 hash of the other fields of this entry.
     """
 
-    number: int
+    number: Count
     event: AuditEvent
     previous_hash: str
     hash: str
@@ -106,7 +108,7 @@
 class AuditHead:
     """Number and hash of the last entry of the trail."""
 
-    number: int = 0
+    number: Count = 0
     hash: str = FIRST_HASH
 
 
--- a/filbertlb/core/job_record.py
+++ b/filbertlb/core/job_record.py
@@ -32,6 +32,7 @@
 from filbertlb.errors import ConflictError
 from filbertlb.errors import InvalidInputError
 from filbertlb.errors import Ran
+from filbertlb.ranges import Count
 
 _TRIGGER_BY_STATE = {
     JobState.QUEUED: "requeue",
@@ -77,10 +78,10 @@
     """
 
     attempt_id: str
-    number: int
+    number: Count
     scope: str
     members: tuple[GangMember, ...]
-    unresolved: tuple[int, ...] = ()
+    unresolved: tuple[Count, ...] = ()
 
 
 @attrs.frozen
@@ -110,11 +111,11 @@
 
     spec: JobSpec
     state: JobState = JobState.QUEUED
-    epoch: int = 0
-    attempts: int = 0
+    epoch: Count = 0
+    attempts: Count = 0
     attempt: Attempt | None = None
     checkpoints: tuple[str, ...] = ()
-    failures: int = 0
+    failures: Count = 0
     ran: Ran = Ran.NO
     code: str = ""
     detail: str = ""
--- a/filbertlb/core/lease.py
+++ b/filbertlb/core/lease.py
@@ -22,6 +22,7 @@
 
 from filbertlb.errors import ConflictError
 from filbertlb.errors import InvalidInputError
+from filbertlb.ranges import Count
 from filbertlb.table.base import ABSENT
 
 LEASE_TTL_S = 3.0
@@ -63,7 +64,7 @@
 
     scope: str
     holder_id: str
-    epoch: int
+    epoch: Count
     ttl_s: float
     token: str
 
@@ -81,7 +82,7 @@
     """
 
     scope: str
-    epoch: int
+    epoch: Count
     expires_at_s: float
 
 
--- a/filbertlb/core/model.py
+++ b/filbertlb/core/model.py
@@ -7,6 +7,8 @@
 import attrs
 from attrs.validators import ge
 
+from filbertlb.ranges import Count
+
 
 class Adjacency(StrEnum):
     """Topology level that all members of a shape must share."""
@@ -57,7 +59,7 @@
         Memory in GiB.
     """
 
-    accelerators: int = attrs.field(default=0, validator=ge(0))
+    accelerators: Count = attrs.field(default=0, validator=ge(0))
     cores: float = attrs.field(default=0.0, validator=ge(0))
     memory_gib: float = attrs.field(default=0.0, validator=ge(0))
 
@@ -110,7 +112,7 @@
         any.
     """
 
-    members: int = attrs.field(default=1, validator=ge(1))
+    members: Count = attrs.field(default=1, validator=ge(1))
     each: Resources = Resources(accelerators=1)
     adjacency: Adjacency = Adjacency.RACK
     failure_domain: str | None = None
--- a/filbertlb/core/revisions.py
+++ b/filbertlb/core/revisions.py
@@ -11,6 +11,7 @@
 from filbertlb.core.site import SiteConfig
 from filbertlb.errors import ConflictError
 from filbertlb.errors import InvalidInputError
+from filbertlb.ranges import Int64
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -79,13 +80,13 @@
         Revision whose configuration it restores, or NO_REVISION.
     """
 
-    number: int
+    number: Int64
     config: SiteConfig
     author: str
     at_s: float
     token: str
     note: str = ""
-    rolled_back_to: int = NO_REVISION
+    rolled_back_to: Int64 = NO_REVISION
 
 
 @attrs.frozen
@@ -104,7 +105,7 @@
     author: str
     token: str
     note: str = ""
-    rolled_back_to: int = NO_REVISION
+    rolled_back_to: Int64 = NO_REVISION
 
 
 @attrs.frozen
--- a/filbertlb/core/site.py
+++ b/filbertlb/core/site.py
@@ -25,6 +25,7 @@
 from filbertlb.core.model import Worker
 from filbertlb.core.site_check import find_inconsistencies
 from filbertlb.core.site_names import NAME_PATTERN
+from filbertlb.ranges import Int64
 from filbertlb.scheduling.config import SchedulerConfig
 from filbertlb.settings.decode import InvalidValueError
 from filbertlb.settings.load import load_settings
@@ -46,7 +47,7 @@
         Capacity of each worker.
     """
 
-    workers: int = attrs.field(validator=ge(1))
+    workers: Int64 = attrs.field(validator=ge(1))
     each: Resources
 
 
@@ -93,7 +94,7 @@
     """
 
     shape: Shape
-    count: int = attrs.field(default=1, validator=ge(1))
+    count: Int64 = attrs.field(default=1, validator=ge(1))
     scope: str | None = None
 
 
@@ -114,7 +115,7 @@
     """
 
     guarantees: dict[str, GuaranteeConfig] = attrs.Factory(dict)
-    quota_accelerators: int | None = attrs.field(
+    quota_accelerators: Int64 | None = attrs.field(
         default=None, validator=optional(ge(0))
     )
     weight: float = attrs.field(default=1.0, validator=gt(0))
@@ -172,8 +173,8 @@
         second.
     """
 
-    gang_members: int = attrs.field(default=64, validator=ge(1))
-    queued_jobs_per_organisation: int = attrs.field(
+    gang_members: Int64 = attrs.field(default=64, validator=ge(1))
+    queued_jobs_per_organisation: Int64 = attrs.field(
         default=1000, validator=ge(1)
     )
     retry_share: float = attrs.field(default=0.1, validator=ge(0))
--- a/filbertlb/entry/registry.py
+++ b/filbertlb/entry/registry.py
@@ -12,6 +12,7 @@
 from loguru import logger
 
 from filbertlb.errors import FilbertlbError
+from filbertlb.ranges import Count
 from filbertlb.table.base import Write
 from filbertlb.table.rows import decode_row
 from filbertlb.table.rows import UnreadableRowError
@@ -42,7 +43,7 @@
     entry_id: str
     address: str
     url: str
-    beat: int = 0
+    beat: Count = 0
 
 
 def look_up_entries(table: TableService) -> list[EntryRow]:
--- a/filbertlb/messages.py
+++ b/filbertlb/messages.py
@@ -12,6 +12,7 @@
 
 from filbertlb.core.model import Resources
 from filbertlb.errors import Ran
+from filbertlb.ranges import Count
 
 MESSAGE_VERSION = 1
 
@@ -63,10 +64,10 @@
     """
 
     attempt_id: str
-    member: int
+    member: Count
     incarnation: str
     scope: str = ""
-    epoch: int = 0
+    epoch: Count = 0
 
 
 @attrs.frozen
--- a/filbertlb/platform/runner.py
+++ b/filbertlb/platform/runner.py
@@ -27,6 +27,8 @@
 from filbertlb.httpcall import HttpCaller
 from filbertlb.platform.wire import incarnation_name
 from filbertlb.platform.wire import instance_id_of
+from filbertlb.ranges import Count
+from filbertlb.ranges import FractionalPercent
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -64,31 +66,31 @@
 
 
 class _CallReply(msgspec.Struct, rename="camel"):
-    clock_ms: int = 0
+    clock_ms: Count = 0
     reason: str = ""
 
 
 class _HoldReply(_CallReply, rename="camel"):
-    born: int = 0
+    born: Count = 0
     running: list[msgspec.Raw] = []
     finished: list[msgspec.Raw] = []
 
 
 class _ListedRun(msgspec.Struct, array_like=True):
     task: str
-    attempt: int
+    attempt: Count
     saved: str
-    percent: float
+    percent: FractionalPercent
 
 
 class _NumberedEnd(msgspec.Struct, array_like=True):
-    number: int
+    number: Count
 
 
 class _ListedEnd(msgspec.Struct, array_like=True):
-    number: int
+    number: Count
     task: str
-    attempt: int
+    attempt: Count
     cause: EndCause
     saved: str
 
--- a/filbertlb/platform/settings.py
+++ b/filbertlb/platform/settings.py
@@ -10,6 +10,8 @@
 from filbertlb.decoding import decode_json
 from filbertlb.decoding import MalformedDataError
 from filbertlb.errors import InvalidInputError
+from filbertlb.ranges import Count
+from filbertlb.ranges import Port
 
 SETTINGS_VARIABLE = "FILBERTLB_SETTINGS"
 
@@ -29,7 +31,7 @@
 class _Store(msgspec.Struct, rename="camel"):
     addr: str
     # Largest value of a row, in characters of base64.
-    row_bytes: int = 65_536
+    row_bytes: Count = 65_536
 
 
 class _Machine(msgspec.Struct, rename="camel"):
@@ -47,8 +49,8 @@
     listen: _Listen
     platform: _Store
     limits: _Machine = msgspec.field(default_factory=_Machine)
-    heartbeat_ms: int = 1500
-    port_range: tuple[int, int] = (0, 0)
+    heartbeat_ms: Count = 1500
+    port_range: tuple[Port, Port] = (0, 0)
     # Address of the worker on an agent's machine.
     app: str = ""
     seeds: list[str] = []
--- a/filbertlb/platform/store.py
+++ b/filbertlb/platform/store.py
@@ -20,6 +20,7 @@
 from filbertlb.httpcall import CallNotSentError
 from filbertlb.httpcall import CallOutcomeUnknownError
 from filbertlb.httpcall import HttpCaller
+from filbertlb.ranges import Count
 from filbertlb.table.base import ABSENT
 from filbertlb.table.base import Changes
 from filbertlb.table.base import HistoryLostError
@@ -69,7 +70,7 @@
     table: str
     key: str
     # Number of the transaction that wrote the row, despite its name.
-    schema_version: int = 0
+    schema_version: Count = 0
     value: str = ""
     part: str = ""
     deleted: bool = False
@@ -79,7 +80,7 @@
     rows: list[_StoredRow] = []
     has_more: bool = False
     # Number of the newest transaction in the store.
-    schema_version: int = 0
+    schema_version: Count = 0
 
 
 class PlatformTable:
--- a/filbertlb/platform/wire.py
+++ b/filbertlb/platform/wire.py
@@ -17,6 +17,9 @@
 from filbertlb.decoding import decode_json
 from filbertlb.decoding import MalformedDataError
 from filbertlb.errors import InvalidInputError
+from filbertlb.ranges import Count
+from filbertlb.ranges import Factor
+from filbertlb.ranges import Int64
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -36,11 +39,11 @@
     host: str = ""
     prefix: str = "/"
     service: str = ""
-    priority: int = 0
-    attempts: int = 1
-    slack_factor: float = 1.0
+    priority: Int64 = 0
+    attempts: Count = 1
+    slack_factor: Factor = 1.0
     # Time allowed on top of the work itself, not a bound on response times.
-    target_latency_ms: int = 0
+    target_latency_ms: Int64 = 0
     public: bool = False
     advisor: dict[str, Any] | None = None
 
@@ -48,29 +51,29 @@
 class _Tenant(msgspec.Struct, rename="camel"):
     name: str
     api_keys: list[str] = []
-    guaranteed: dict[str, int] | None = None
+    guaranteed: dict[str, Count] | None = None
 
 
 class _Configuration(msgspec.Struct, rename="camel"):
-    version: int
+    version: Count
     routes: list[msgspec.Raw] = []
     tenants: list[msgspec.Raw] = []
 
 
 class _Step(msgspec.Struct, rename="camel"):
-    count: int
+    count: Count
     # Thousandths of a core.
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimate_ms: int = 0
-    after: tuple[int, ...] = ()
+    cpu: Int64 = 0
+    mem_mb: Int64 = 0
+    gpu: Int64 = 0
+    estimate_ms: Int64 = 0
+    after: tuple[Count, ...] = ()
     checkpointable: bool = False
     gang: bool = False
     same_rack: bool = False
     required_label: str = ""
     data_rack: str = ""
-    max_per_server: int = 0
+    max_per_server: Count = 0
     long_running: bool = False
     fill_count: bool = False
 
@@ -78,15 +81,15 @@
 class _Job(msgspec.Struct, rename="camel"):
     steps: tuple[_Step, ...]
     spec: str = ""
-    times: int = 0
-    start_at_ms: int = 0
-    interval_ms: int = 0
+    times: Int64 = 0
+    start_at_ms: Int64 = 0
+    interval_ms: Int64 = 0
 
 
 class _Capacity(msgspec.Struct, rename="camel"):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Count = 0
+    mem_mb: Count = 0
+    gpu: Count = 0
 
 
 class _Heartbeat(msgspec.Struct, rename="camel"):
@@ -94,14 +97,14 @@
     addr: str
     zone: str
     state: str
-    seq: int
+    seq: Count
     capacity: _Capacity
     labels: list[str]
     # Start of this incarnation of the worker, Unix milliseconds.
-    born: int = 0
+    born: Count = 0
     # The worker's monotonic clock.
-    clock_ms: int = 0
-    remaining_ms: int = 0
+    clock_ms: Count = 0
+    remaining_ms: Int64 = 0
 
 
 class Heartbeat(msgspec.Struct):
@@ -120,7 +123,7 @@
     worker: Worker
     sequence: int
     born_ms: int
-    clock_ms: int
+    clock_ms: Count
 
 
 def decode_heartbeat(instance_id: str, body: bytes) -> Heartbeat:
--- a/filbertlb/scheduling/config.py
+++ b/filbertlb/scheduling/config.py
@@ -8,6 +8,8 @@
 from attrs.validators import ge
 from attrs.validators import gt
 
+from filbertlb.ranges import Int64
+
 
 class WeightProfile(StrEnum):
     """Optimisation goal of a site: completion time or fragmentation."""
@@ -73,16 +75,16 @@
     urgent_stop_within_s: float = attrs.field(default=0.5, validator=gt(0))
     reserve_after_s: float = attrs.field(default=600.0, validator=ge(0))
     starvation_s: float = attrs.field(default=14400.0, validator=gt(0))
-    max_reservations: int = attrs.field(default=4, validator=ge(1))
-    large_accelerators: int = attrs.field(default=8, validator=ge(1))
+    max_reservations: Int64 = attrs.field(default=4, validator=ge(1))
+    large_accelerators: Int64 = attrs.field(default=8, validator=ge(1))
     compact_interval_s: float = attrs.field(default=60.0, validator=gt(0))
     ageing_s: float = attrs.field(default=3600.0, validator=gt(0))
     default_run_s: float = attrs.field(default=600.0, validator=gt(0))
-    max_decisions: int = attrs.field(default=32, validator=ge(1))
+    max_decisions: Int64 = attrs.field(default=32, validator=ge(1))
     retry_base_s: float = attrs.field(default=5.0, validator=gt(0))
     retry_max_s: float = attrs.field(default=300.0, validator=gt(0))
-    job_failure_workers: int = attrs.field(default=3, validator=ge(1))
-    worker_failure_jobs: int = attrs.field(default=3, validator=ge(1))
+    job_failure_workers: Int64 = attrs.field(default=3, validator=ge(1))
+    worker_failure_jobs: Int64 = attrs.field(default=3, validator=ge(1))
     max_aside_share: float = attrs.field(default=0.34, validator=gt(0))
     probe_base_s: float = attrs.field(default=60.0, validator=gt(0))
     probe_max_s: float = attrs.field(default=3600.0, validator=gt(0))
--- a/filbertlb/settings/decode.py
+++ b/filbertlb/settings/decode.py
@@ -9,6 +9,7 @@
 from collections.abc import Mapping
 from difflib import get_close_matches
 from enum import Enum
+from math import isfinite
 from typing import Any
 from typing import get_args
 from typing import get_origin
@@ -21,6 +22,7 @@
 from msgspec import ValidationError
 
 from filbertlb.errors import InvalidInputError
+from filbertlb.ranges import MAX_INT64
 
 MASK = "***"
 
@@ -173,6 +175,10 @@
 
 
 def _leaf(value: Any, hint: Any, path: str, masked: bool) -> Any:
+    if _is_out_of_range(value):
+        raise InvalidValueError(
+            path, f"{_shown(value, masked)} is out of range; {_mend(hint)}"
+        )
     try:
         return convert_leaf(value, hint)
     except ValidationError as error:
@@ -181,6 +187,12 @@
         ) from error
 
 
+def _is_out_of_range(value: Any) -> bool:
+    if isinstance(value, int):
+        return abs(value) > MAX_INT64
+    return isinstance(value, float) and not isfinite(value)
+
+
 def _mend(hint: Any) -> str:
     if isinstance(hint, type) and issubclass(hint, Enum):
         return f"write one of {[member.value for member in hint]!r}"
--- a/filbertlb/table/base.py
+++ b/filbertlb/table/base.py
@@ -11,6 +11,7 @@
 from filbertlb.errors import FilbertlbError
 from filbertlb.errors import OutcomeUnknownError
 from filbertlb.errors import UnavailableError
+from filbertlb.ranges import Count
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -68,7 +69,7 @@
 
     key: str
     value: bytes
-    version: int
+    version: Count
 
 
 @attrs.frozen
@@ -88,7 +89,7 @@
 
     key: str
     value: bytes | None
-    expected_version: int | None = None
+    expected_version: Count | None = None
 
 
 @attrs.frozen
@@ -171,7 +172,7 @@
     """
 
     rows: tuple[Row, ...]
-    version: int
+    version: Count
 
 
 @attrs.frozen
@@ -190,7 +191,7 @@
 
     rows: tuple[Row, ...]
     deleted: dict[str, int]
-    version: int
+    version: Count
 
 
 class WatchedTable(TableService, Protocol):
--- a/filbertlb/table/configuration.py
+++ b/filbertlb/table/configuration.py
@@ -20,6 +20,7 @@
 from filbertlb.errors import NotFoundError
 from filbertlb.errors import OutcomeUnknownError
 from filbertlb.errors import UnavailableError
+from filbertlb.ranges import Count
 from filbertlb.table.audit import AuditLog
 from filbertlb.table.base import ABSENT
 from filbertlb.table.base import RowConflictError
@@ -57,7 +58,7 @@
 class ConfigHead:
     """Value of the row that holds the number of the latest revision."""
 
-    number: int
+    number: Count
 
 
 @attrs.frozen
--- a/filbertlb/table/wire.py
+++ b/filbertlb/table/wire.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from filbertlb.ranges import Count
 from filbertlb.table.base import Row
 from filbertlb.table.base import Write
 
@@ -31,7 +32,7 @@
 
     prefix: str
     after: str = ""
-    limit: int = 1000
+    limit: Count = 1000
 
 
 @attrs.frozen
@@ -52,4 +53,4 @@
 class CommitReply:
     """Response body of ``POST /table/commit``."""
 
-    versions: tuple[int, ...]
+    versions: tuple[Count, ...]
--- a/tests/batch/test_decider.py
+++ b/tests/batch/test_decider.py
@@ -388,6 +388,45 @@
     "deep member": b'{"state":' + DEEP + b"}",
     "not UTF-8": b"\xff\xfe",
 }
+HUGE = 10**309
+HUGE_VALUES = {
+    "job": (JOB_PREFIX, a_job("odd", a_step(estimate_ms=HUGE))),
+    "job in time": (JOB_PREFIX, a_job("odd", first_due_ms=HUGE, times=1)),
+    "progress": (
+        PROGRESS_PREFIX,
+        Progress(
+            "job-n0",
+            JobState.ACTIVE,
+            True,
+            {"job-n0.0.0.0": TaskRecord(since_ms=HUGE)},
+        ),
+    ),
+    "capacity": (
+        WORKER_PREFIX,
+        a_report("odd", worker=a_worker(capacity=(HUGE, HUGE, HUGE))),
+    ),
+    "percent": (
+        WORKER_PREFIX,
+        a_report("odd", running=(Run("j.0.0.0", 1, "", HUGE),)),
+    ),
+}
+
+
+@pytest.mark.parametrize("odd", HUGE_VALUES)
+def test_huge_number_of_another_writer_stops_no_decider(odd):
+    # Each decision failed on such an estimate, too large for a float.
+    prefix, value = HUGE_VALUES[odd]
+    table = LimitedTable()
+    put(table, prefix + "odd", value)
+    put_workers(table, ["n0"])
+    put_running_jobs(table, ["n0"])
+    put(table, JOB_PREFIX + "j", a_job("j"))
+    with deciding(table):
+        wait_until(
+            lambda: (
+                orders_on(table, "n0") and "j.0.0.0" in orders_on(table, "n0")
+            )
+        )
 
 
 def put_odd_rows(table, value, name="odd"):
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -80,7 +80,19 @@
 
 
 @pytest.mark.parametrize(
-    "changes", [{"state": "odd"}, {"capacity": 3}, {"seq": "x"}]
+    "changes",
+    [
+        {"state": "odd"},
+        {"capacity": 3},
+        {"seq": "x"},
+        {"seq": 10**300},
+        {"born": 10**300},
+        {"born": -1},
+        {"clockMs": 10**300},
+        {"remainingMs": 10**300},
+        {"capacity": {"gpu": 10**300}},
+        {"capacity": {"cpu": -1}},
+    ],
 )
 def test_unreadable_heartbeat_is_rejected(changes):
     harness = Harness()
