--- a/filbertlb/platform/wire.py
+++ b/filbertlb/platform/wire.py
@@ -13,9 +13,13 @@
 from filbertlb.batch.model import Step
 from filbertlb.batch.model import Worker
 from filbertlb.core.amounts import Amount
+from filbertlb.decoding import decode_entries
 from filbertlb.decoding import decode_json
 from filbertlb.decoding import MalformedDataError
 from filbertlb.errors import InvalidInputError
+from filbertlb.ranges import Count
+from filbertlb.ranges import Factor
+from filbertlb.ranges import Int64
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -35,11 +39,11 @@
     host: str = ""
     prefix: str = "/"
     service: str = ""
-    priority: int = 0
-    attempts: int = 1
-    slack_factor: float = 1.0
+    priority: Int64 = 0
+    attempts: Count = 1
+    slack_factor: Factor = 1.0
     # Time allowed on top of the work itself, not a bound on response times.
-    target_latency_ms: int = 0
+    target_latency_ms: Int64 = 0
     public: bool = False
     advisor: dict[str, Any] | None = None
 
@@ -47,29 +51,29 @@
 class _Tenant(msgspec.Struct, rename="camel"):
     name: str
     api_keys: list[str] = []
-    guaranteed: dict[str, int] | None = None
+    guaranteed: dict[str, Count] | None = None
 
 
 class _Configuration(msgspec.Struct, rename="camel"):
-    version: int
-    routes: list[_Route] = []
-    tenants: list[_Tenant] = []
+    version: Count
+    routes: list[msgspec.Raw] = []
+    tenants: list[msgspec.Raw] = []
 
 
 class _Step(msgspec.Struct, rename="camel"):
-    count: int
+    count: Count
     # Thousandths of a core.
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimate_ms: int = 0
-    after: tuple[int, ...] = ()
+    cpu: Int64 = 0
+    mem_mb: Int64 = 0
+    gpu: Int64 = 0
+    estimate_ms: Int64 = 0
+    after: tuple[Count, ...] = ()
     checkpointable: bool = False
     gang: bool = False
     same_rack: bool = False
     required_label: str = ""
     data_rack: str = ""
-    max_per_server: int = 0
+    max_per_server: Count = 0
     long_running: bool = False
     fill_count: bool = False
 
@@ -77,15 +81,15 @@
 class _Job(msgspec.Struct, rename="camel"):
     steps: tuple[_Step, ...]
     spec: str = ""
-    times: int = 0
-    start_at_ms: int = 0
-    interval_ms: int = 0
+    times: Int64 = 0
+    start_at_ms: Int64 = 0
+    interval_ms: Int64 = 0
 
 
 class _Capacity(msgspec.Struct, rename="camel"):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Count = 0
+    mem_mb: Count = 0
+    gpu: Count = 0
 
 
 class _Heartbeat(msgspec.Struct, rename="camel"):
@@ -93,14 +97,14 @@
     addr: str
     zone: str
     state: str
-    seq: int
+    seq: Count
     capacity: _Capacity
     labels: list[str]
     # Start of this incarnation of the worker, Unix milliseconds.
-    born: int = 0
+    born: Count = 0
     # The worker's monotonic clock.
-    clock_ms: int = 0
-    remaining_ms: int = 0
+    clock_ms: Count = 0
+    remaining_ms: Int64 = 0
 
 
 class Heartbeat(msgspec.Struct):
@@ -119,7 +123,7 @@
     worker: Worker
     sequence: int
     born_ms: int
-    clock_ms: int
+    clock_ms: Count
 
     @property
     def order(self) -> tuple[int, int]:
@@ -196,10 +200,13 @@
 
 
 def decode_configuration(body: bytes) -> SiteConfiguration:
-    """Decode the value of the configuration row."""
+    """Decode the value of the configuration row.
+
+    Malformed routes and tenants are skipped, the others hold.
+    """
     configuration = _decode(body, _Configuration)
     queues_by_host: dict[str, tuple[Queue, ...]] = {}
-    for route in configuration.routes:
+    for route in decode_entries(configuration.routes, _Route):
         queue = Queue(
             route.name,
             route.host,
@@ -218,7 +225,7 @@
         )
     organisation_by_key: dict[str, str] = {}
     guaranteed: dict[str, int] = {}
-    for tenant in configuration.tenants:
+    for tenant in decode_entries(configuration.tenants, _Tenant):
         organisation_by_key.update(dict.fromkeys(tenant.api_keys, tenant.name))
         guaranteed[tenant.name] = (tenant.guaranteed or {}).get("gpu", 0)
     return SiteConfiguration(
