Show that a gone worker keeps its task while all entries restart

Cause: the age of a report is remembered by each entry process. One that has just started counts the last report of a gone worker as new; if no entry lives for as long as a worker takes to be given up, it never is, and for 2.6 s after each start it looks idle and gets new tasks.

--- a/tests/batch/test_takeover.py
+++ b/tests/batch/test_takeover.py
@@ -235,3 +235,33 @@
     site.put(JOB_PREFIX + "j", a_job("j"))
     site.run(3.0)
     assert site.record("j.0.0.0").node == "n1"
+
+
+@pytest.mark.parametrize("life_s", [60.0, 14.0, 10.0, 5.0])
+def test_task_of_a_gone_worker_runs_again_though_all_entries_restart(life_s):
+    # Entries that had just started all counted its last report as new.
+    site = site_with_a_run_on_a_worker_that_goes(1, 100.0)
+    end_s = site.now_s + 5 * DEAD_AFTER_S
+    while site.now_s < end_s:
+        site.entries.clear()
+        entry = site.add_entry()
+        entry.follow_jobs()
+        entry.take_over()
+        site.run(life_s)
+    assert site.record("j.0.0.0").node == "n1"
+
+
+def test_gone_worker_gets_no_orders_from_an_entry_that_has_just_started():
+    # Its last report counted as new, and it looked idle.
+    site = Site(1, 100.0)
+    site.reporting = ["n0", "n1"]
+    site.run(1.0)
+    site.reporting = ["n1"]
+    site.run(60.0)
+    site.entries.clear()
+    site.put(JOB_PREFIX + "j", a_job("j"))
+    entry = site.add_entry()
+    entry.follow_jobs()
+    entry.take_over()
+    site.run(2.0)
+    assert site.record("j.0.0.0").node == "n1"
