Hand on the ages of reports to entries that start later

Cause: the age of a report was remembered by each entry process. When all entries are killed or lose power every 14 s or less, each decider is a new process that counts from its own start, and no worker is ever dead.

Change: the decider stores every 2 s which versions had been reached at which times of the store's own steady clock, which each answer about rows tells. A take-over translates these marks to its own clock. A mark pairs a version with the clock of the next answer, so its time is never before the version, however the store reads its clock; the translation errs to the later side too.

--- a/filbertlb/batch/decider.py
+++ b/filbertlb/batch/decider.py
@@ -19,6 +19,8 @@
 from filbertlb.batch.model import WORKER_TABLE
 from filbertlb.batch.takeover import apply_report
 from filbertlb.batch.takeover import build_planner
+from filbertlb.batch.version_marks import marks_write
+from filbertlb.batch.version_marks import WRITE_PERIOD_S
 from filbertlb.batch.write_plan import changed_units
 from filbertlb.batch.write_plan import divide
 from filbertlb.errors import FilbertlbError
@@ -140,6 +142,7 @@
         self._wake = mirror.changed
         self._changed_keys: set[str] = set()
         self._next_cleanup_s = 0.0
+        self._next_marks_s = 0.0
         self._backoff_s = MIN_BACKOFF_S
         self._last_success_s = clock.monotonic()
         self._aside_until_s = float("-inf")
@@ -292,6 +295,7 @@
         now_ms = int(self._clock.wall() * 1000)
         planner.decide(self._clock.monotonic(), now_ms)
         self._write(planner, term.epoch, now_ms)
+        self._hand_on_marks()
         self._delete_ended_jobs(planner, now_ms)
 
     def _take_over(self, term: Term) -> Planner:
@@ -350,6 +354,16 @@
             self._commit(unit)
             planner.state.mark_written(unit.jobs, unit.nodes)
 
+    def _hand_on_marks(self) -> None:
+        """Store the times of versions for processes that start later."""
+        now_s = self._clock.monotonic()
+        if now_s < self._next_marks_s:
+            return
+        write = marks_write(self._mirror)
+        if write is not None:
+            self._keeper.commit((write,))
+        self._next_marks_s = now_s + WRITE_PERIOD_S
+
     def _plan_writes(self, planner: Planner, epoch: int) -> WritePlan:
         units = changed_units(planner.state, epoch)
         return divide(units, self._limits, self._batch_entries)
--- a/filbertlb/batch/takeover.py
+++ b/filbertlb/batch/takeover.py
@@ -15,6 +15,7 @@
 from filbertlb.batch.model import WORKER_PREFIX
 from filbertlb.batch.model import WorkerReport
 from filbertlb.batch.planner import Planner
+from filbertlb.batch.version_marks import restore_marks
 from filbertlb.table.base import HistoryLostError
 from filbertlb.table.base import TableUnavailableError
 from filbertlb.table.rows import decode_row
@@ -52,6 +53,7 @@
     planner = Planner()
     snapshot = table.snapshot(f"{PROGRESS_TABLE}/")
     _catch_up(table, state_mirror, clock, snapshot.version)
+    restore_marks(state_mirror)
     for number, row in enumerate(snapshot.rows):
         _add_progress(planner, index, row)
         _yield_sometimes(number)
@@ -82,14 +84,14 @@
 
     A report that this decider has just read may be old. Its age is counted
     from when this entry's copy of the state table had reached its version.
-    One from before this entry's start may be of any age: it proves no worker
-    alive, and its leases are waited out from the start.
+    One from before the first version whose time is known may be of any age:
+    it proves no worker alive, and its leases are waited out from that time.
     """
     row = worker_mirror.row_by_key.get(key)
     if row is None:
         return
     seen_s = worker_mirror.seen_s_by_key[key]
-    reached_s = state_mirror.reached_s(row.version)
+    reached_s = state_mirror.versions.reached_s(row.version)
     if reached_s is not None:
         seen_s = min(seen_s, reached_s)
     try:
@@ -100,7 +102,7 @@
         view = planner.workers.get(node)
         known = WorkerReport(node, "") if view is None else view.report
         report = attrs.evolve(known, answers=False)
-    recent = state_mirror.written_while_following(row.version)
+    recent = state_mirror.versions.written_since_first(row.version)
     planner.record_report(report, seen_s, recent)
 
 
--- a/filbertlb/platform/store.py
+++ b/filbertlb/platform/store.py
@@ -81,6 +81,8 @@
     has_more: bool = False
     # Number of the newest transaction in the store.
     schema_version: Count = 0
+    # The store's steady clock.
+    now_ms: Count = 0
 
 
 class PlatformTable:
@@ -153,7 +155,11 @@
         )
         snapshots = list(reads)
         rows = tuple(row for snapshot in snapshots for row in snapshot.rows)
-        return Snapshot(rows, min(found.version for found in snapshots))
+        return Snapshot(
+            rows,
+            min(found.version for found in snapshots),
+            max(found.clock_ms for found in snapshots),
+        )
 
     def _partition_snapshot(
         self, table: str, partition: str, start: str
@@ -167,10 +173,10 @@
                 version = page.schema_version
             for row in page.rows:
                 if not row.key.startswith(start):
-                    return Snapshot(tuple(rows), version)
+                    return Snapshot(tuple(rows), version, page.now_ms)
                 rows.append(_decode_row(row))
             if not page.has_more or not page.rows:
-                return Snapshot(tuple(rows), version)
+                return Snapshot(tuple(rows), version, page.now_ms)
             name = page.rows[-1].key + "\0"
 
     def _read_page_with_retries(
@@ -227,7 +233,9 @@
                 deleted[f"{row.table}/{row.key}"] = row.schema_version
             else:
                 rows.append(_decode_row(row))
-        return Changes(tuple(rows), deleted, changed.schema_version)
+        return Changes(
+            tuple(rows), deleted, changed.schema_version, changed.now_ms
+        )
 
     def commit(self, writes: Sequence[Write]) -> tuple[int, ...]:
         """Apply all writes or none and return their new versions."""
--- a/filbertlb/standin/row_store.py
+++ b/filbertlb/standin/row_store.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from errno import ECONNRESET
 from json import loads
+from time import monotonic
 from typing import Any
 from typing import TYPE_CHECKING
 from urllib.parse import parse_qs
@@ -151,7 +152,9 @@
         for row in changed:
             stored = _Stored(row.get("value"), self.version)
             self._history.setdefault(_place(row), []).append(stored)
-        return JsonResponse(200, {"schemaVersion": self.version, "nowMs": 0})
+        return JsonResponse(
+            200, {"schemaVersion": self.version, "nowMs": _now_ms()}
+        )
 
     def _read(self, query: Mapping[str, str]) -> JsonResponse:
         version = max(0, self.version - self.faults.stale_by)
@@ -175,6 +178,7 @@
                 "rows": rows,
                 "hasMore": len(found) > limit,
                 "schemaVersion": version,
+                "nowMs": _now_ms(),
             },
         )
 
@@ -188,7 +192,14 @@
             if place[0] == query["table"] and newest.version > after:
                 rows.append(_row(place, newest))
         rows.sort(key=lambda row: row["schemaVersion"])
-        return JsonResponse(200, {"rows": rows, "schemaVersion": self.version})
+        return JsonResponse(
+            200,
+            {
+                "rows": rows,
+                "schemaVersion": self.version,
+                "nowMs": _now_ms(),
+            },
+        )
 
     def _at(self, place: Place, version: int) -> _Stored | None:
         for stored in reversed(self._history.get(place, ())):
@@ -211,6 +222,10 @@
     return (row["table"], row["part"], row["key"])
 
 
+def _now_ms() -> int:
+    return int(monotonic() * 1000)
+
+
 def _row(place: Place, stored: _Stored) -> dict[str, Any]:
     table, part, key = place
     row: dict[str, Any] = {
--- a/filbertlb/table/base.py
+++ b/filbertlb/table/base.py
@@ -169,10 +169,13 @@
     version : int
         Every change up to this version is included; later changes may
         be missing.
+    clock_ms : int
+        Time of the service's steady clock; 0 if it tells none.
     """
 
     rows: tuple[Row, ...]
     version: Count
+    clock_ms: Count = 0
 
 
 @attrs.frozen
@@ -187,11 +190,14 @@
         Version of the deletion by key of the deleted row.
     version : int
         Version after which the next request continues.
+    clock_ms : int
+        Time of the service's steady clock; 0 if it tells none.
     """
 
     rows: tuple[Row, ...]
     deleted: dict[str, int]
     version: Count
+    clock_ms: Count = 0
 
 
 class WatchedTable(TableService, Protocol):
--- a/filbertlb/table/memory.py
+++ b/filbertlb/table/memory.py
@@ -54,11 +54,14 @@
         Number of reads so far.
     writes : int
         Number of rows written so far.
+    clock_ms : int
+        Time of the service's clock in its answers; 0 for none.
     """
 
     faults: Faults = attrs.Factory(Faults)
     reads: int = 0
     writes: int = 0
+    clock_ms: int = 0
     _row_by_key: dict[str, Row] = attrs.Factory(dict)
     _last_version: int = ABSENT
     _deletion_version_by_key: dict[str, int] = attrs.Factory(dict)
@@ -98,7 +101,7 @@
     def snapshot(self, prefix: str) -> Snapshot:
         """Return all rows under a prefix."""
         rows = self.scan(prefix, limit=len(self._row_by_key))
-        return Snapshot(tuple(rows), self._last_version)
+        return Snapshot(tuple(rows), self._last_version, self.clock_ms)
 
     def changes(self, table: str, after: int, wait_s: float) -> Changes:
         """Return the changes after a version, without waiting."""
@@ -118,7 +121,7 @@
             for key, version in self._deletion_version_by_key.items()
             if key.startswith(f"{table}/") and version > after
         }
-        return Changes(tuple(rows), deleted, self._last_version)
+        return Changes(tuple(rows), deleted, self._last_version, self.clock_ms)
 
     def discard_history(self) -> None:
         """Discard the history of all changes so far."""
--- a/filbertlb/table/mirror.py
+++ b/filbertlb/table/mirror.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from typing import TYPE_CHECKING
 
 import attrs
@@ -12,6 +11,7 @@
 
 from filbertlb.errors import FilbertlbError
 from filbertlb.table.base import HistoryLostError
+from filbertlb.table.version_times import VersionTimes
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -30,18 +30,6 @@
 RETRY_DELAY_S = 0.25
 BATCH_DELAY_S = 0.02
 """Pause before the next call, so that it returns a batch of changes."""
-REACHED_PERIOD_S = 0.5
-"""Time between two recorded versions of the table service."""
-MAX_REACHED = 100
-"""Number of recorded versions; older ones are forgotten."""
-
-
-@attrs.frozen
-class ReachedVersion:
-    """Version that the table service had reached by a monotonic time."""
-
-    version: int
-    at_s: float
 
 
 @attrs.define
@@ -63,6 +51,8 @@
         lost.
     changed : Event
         Set on each change; the waiting task clears it.
+    versions : VersionTimes
+        Times by which versions of the table service had been reached.
     """
 
     row_by_key: dict[str, Row] = attrs.Factory(dict)
@@ -70,11 +60,9 @@
     version: int = 0
     loaded: bool = False
     changed: Event = attrs.Factory(Event)
+    versions: VersionTimes = attrs.Factory(VersionTimes)
     _deletion_version_by_key: dict[str, int] = attrs.Factory(dict)
     _listeners: list[Callable[[str, Row | None], None]] = attrs.Factory(list)
-    _reached: deque[ReachedVersion] = attrs.Factory(
-        lambda: deque(maxlen=MAX_REACHED)
-    )
 
     def add_listener(
         self, listener: Callable[[str, Row | None], None]
@@ -93,7 +81,7 @@
                 self.delete(key, snapshot.version)
         for row in snapshot.rows:
             self.put(row, now_s)
-        self._advance(snapshot.version, now_s)
+        self._advance(snapshot.version, now_s, snapshot.clock_ms)
         self.loaded = True
         self.changed.set()
 
@@ -103,26 +91,7 @@
             self.put(row, now_s)
         for key, version in changes.deleted.items():
             self.delete(key, version)
-        self._advance(changes.version, now_s)
-
-    def reached_s(self, version: int) -> float | None:
-        """Return a monotonic time at which a version had been written.
-
-        It may be long after the write, but never before it. Versions number
-        the writes of all tables, so it tells the age of their rows too.
-        None if the version is newer than this copy.
-        """
-        for reached in self._reached:
-            if reached.version >= version:
-                return reached.at_s
-        return None
-
-    def written_while_following(self, version: int) -> bool:
-        """Return whether a version is newer than the first that was read.
-
-        The age of older versions is not known.
-        """
-        return bool(self._reached) and version > self._reached[0].version
+        self._advance(changes.version, now_s, changes.clock_ms)
 
     def put(self, row: Row, now_s: float) -> None:
         """Apply one row unless a newer write or deletion is known."""
@@ -146,13 +115,9 @@
             self._deletion_version_by_key[key] = version
             self._notify_listeners(key, None)
 
-    def _advance(self, version: int, now_s: float) -> None:
+    def _advance(self, version: int, now_s: float, clock_ms: int) -> None:
         self.version = max(self.version, version)
-        if (
-            not self._reached
-            or now_s - self._reached[-1].at_s >= REACHED_PERIOD_S
-        ):
-            self._reached.append(ReachedVersion(self.version, now_s))
+        self.versions.observe(self.version, now_s, clock_ms)
 
     def _notify_listeners(self, key: str, row: Row | None) -> None:
         for listener in self._listeners:
--- a/tests/batch/test_decider.py
+++ b/tests/batch/test_decider.py
@@ -40,6 +40,8 @@
 from filbertlb.batch.testing import a_step
 from filbertlb.batch.testing import a_worker
 from filbertlb.batch.testing import CAPACITY
+from filbertlb.batch.version_marks import VersionMarks
+from filbertlb.batch.version_marks import VERSIONS_KEY
 from filbertlb.core.clock import SystemClock
 from filbertlb.table.base import RowConflictError
 from filbertlb.table.base import TableRejectedError
@@ -542,6 +544,24 @@
         wait_until(lambda: "j.0.0.0" in orders_on(table, "n0"))
 
 
+def test_times_of_versions_are_handed_on():
+    table = LimitedTable(clock_ms=5000)
+    put_workers(table, ["n0"])
+    with deciding(table):
+        wait_until(lambda: table.get(VERSIONS_KEY) is not None)
+    (mark,) = decode_row(table.get(VERSIONS_KEY), VersionMarks).marks
+    assert mark.clock_ms == 5000
+
+
+def test_unreadable_times_of_versions_stop_no_decider():
+    table = LimitedTable(clock_ms=5000)
+    MemoryTable.commit(table, [Write(VERSIONS_KEY, b"odd")])
+    put_workers(table, ["n0"])
+    put(table, JOB_PREFIX + "j", a_job("j"))
+    with deciding(table):
+        wait_until(lambda: orders_on(table, "n0") == ["j.0.0.0"])
+
+
 def test_decider_goes_on_after_an_unexpected_error(monkeypatch):
     # The deciding task ended, and its entry went on renewing the lease.
     decide, errors = Planner.decide, [KeyError("unexpected")]
--- a/tests/batch/test_takeover.py
+++ b/tests/batch/test_takeover.py
@@ -20,6 +20,7 @@
 from filbertlb.batch.testing import a_report
 from filbertlb.batch.testing import a_step
 from filbertlb.batch.testing import CAPACITY
+from filbertlb.batch.version_marks import marks_write
 from filbertlb.batch.workers import DEAD_AFTER_S
 from filbertlb.batch.write_plan import changed_units
 from filbertlb.core.clock import VirtualClock
@@ -80,6 +81,9 @@
         for unit in list(changed_units(state, 1)):
             self.table.commit(unit.writes)
             state.mark_written(unit.jobs, unit.nodes)
+        write = marks_write(self.mirror)
+        if write is not None:
+            self.table.commit([write])
 
 
 @attrs.define
@@ -93,6 +97,7 @@
     entries: list = attrs.Factory(list)
     now_s: float = 0.0
     sequence: int = 0
+    tells_time: bool = True
 
     def __attrs_post_init__(self):
         for _ in range(self.entry_count):
@@ -111,6 +116,8 @@
         """Let the entries decide in turn, each for the time of a term."""
         for _ in range(round(seconds / TICK_S)):
             self.sequence += 1
+            if self.tells_time:
+                self.table.clock_ms += round(1000 * TICK_S)
             for node in self.reporting:
                 report = a_report(node, sequence=self.sequence)
                 self.put(WORKER_PREFIX + node, report)
@@ -133,8 +140,10 @@
         return decode_row(row, Progress).tasks.get(task, TaskRecord())
 
 
-def site_with_a_run_on_a_worker_that_goes(entry_count, term_s):
-    site = Site(entry_count, term_s)
+def site_with_a_run_on_a_worker_that_goes(
+    entry_count, term_s, tells_time=True
+):
+    site = Site(entry_count, term_s, tells_time=tells_time)
     site.reporting = ["n0"]
     site.put(JOB_PREFIX + "j", a_job("j", a_step(needs=CAPACITY)))
     site.run(term_s)
@@ -200,18 +209,34 @@
     assert (record.node, record.attempt) == ("n0", 1)
 
 
-def test_new_entry_waits_for_the_leases_from_its_own_start():
-    site = site_with_a_run_on_a_worker_that_goes(1, 100.0)
-    site.run(DEAD_AFTER_S - 2.0)
+def replace_entries(site):
+    """Replace all entries by one that has just started and decides."""
     site.entries.clear()
     site.add_entry().follow_jobs()
     site.entries[0].take_over()
+
+
+def test_new_entry_waits_for_the_leases_from_its_own_start():
+    # Nothing else tells it the age of a report, as the table has no clock.
+    site = site_with_a_run_on_a_worker_that_goes(1, 100.0, tells_time=False)
+    site.run(DEAD_AFTER_S - 2.0)
+    replace_entries(site)
     site.run(DEAD_AFTER_S - 1.0)
     assert site.record("j.0.0.0").node == "n0"
     site.run(2.0)
     assert site.record("j.0.0.0").node == "n1"
 
 
+def test_new_entry_waits_for_the_leases_from_the_last_report():
+    site = site_with_a_run_on_a_worker_that_goes(1, 100.0)
+    site.run(DEAD_AFTER_S - 2.0)
+    replace_entries(site)
+    site.run(1.5)
+    assert site.record("j.0.0.0").node == "n0"
+    site.run(4.0)
+    assert site.record("j.0.0.0").node == "n1"
+
+
 @pytest.mark.parametrize("gone_s", [6.0, 60.0])
 def test_gone_worker_gets_no_orders_after_a_take_over(gone_s):
     # After each take-over a gone worker was offered work for some seconds.
@@ -237,14 +262,16 @@
     assert site.record("j.0.0.0").node == "n1"
 
 
-def test_gone_worker_gets_no_orders_from_a_new_entry():
+@pytest.mark.parametrize("tells_time", [True, False])
+def test_gone_worker_gets_no_orders_from_a_new_entry(tells_time):
     # After a loss of all machines old reports counted as new.
-    site = Site(1, 60.0)
+    site = Site(1, 60.0, tells_time=tells_time)
     site.reporting = ["n0"]
     site.run(4.0)
+    site.reporting = []
+    site.run(6.0)
     site.entries.clear()
     site.add_entry()
-    site.reporting = []
     site.now_s = 0.0
     site.put(JOB_PREFIX + "j", a_job("j"))
     site.run(10.0)
--- a/tests/table/test_mirror.py
+++ b/tests/table/test_mirror.py
@@ -1,6 +1,5 @@
 from __future__ import annotations
 
-import pytest
 from gevent import sleep
 from gevent import spawn
 from gevent import Timeout
@@ -12,7 +11,6 @@
 from filbertlb.table.base import Write
 from filbertlb.table.memory import MemoryTable
 from filbertlb.table.mirror import Follower
-from filbertlb.table.mirror import MAX_REACHED
 from filbertlb.table.mirror import Mirror
 
 
@@ -34,27 +32,6 @@
     assert mirror.version == 10
 
 
-@pytest.mark.parametrize(
-    ("version", "reached_s"),
-    [(1, 0.0), (10, 0.0), (11, 1.0), (12, 1.0), (13, 2.0), (20, 2.0)],
-)
-def test_version_counts_as_reached_once_an_answer_proves_it(
-    version, reached_s
-):
-    mirror = loaded_mirror(version=10)
-    for answered_s, newest in ((0.2, 11), (1.0, 12), (2.0, 20), (2.3, 25)):
-        mirror.apply(Changes((), {}, newest), answered_s)
-    assert mirror.reached_s(version) == reached_s
-    assert mirror.reached_s(25) is None
-
-
-def test_oldest_recorded_version_is_forgotten():
-    mirror = loaded_mirror(version=1)
-    for number in range(2 * MAX_REACHED):
-        mirror.apply(Changes((), {}, 2 + number), 1.0 + number)
-    assert mirror.reached_s(1) == MAX_REACHED + 1.0
-
-
 def test_snapshot_removes_deleted_rows():
     mirror = loaded_mirror(Row("t/a", b"1", 3), Row("t/b", b"2", 4))
     mirror.replace(Snapshot((Row("t/b", b"2", 4),), 12), 1.0)
