Check addresses that other processes have stored or announced

The address of an entry was taken from its row as it stood. One that is not UTF-8 raised UnicodeDecodeError in the handler of a failed read of the configuration, which ended the task that polls it, and in each forwarded call. A port out of range, or that is no number, and a host that cannot be looked up raised ValueError out of the call to it: a caller's request that was forwarded failed without a code, and the entries after it were not tried. A heartbeat with such an address replaced what the worker had announced.

filbertlb.addresses splits HOST:PORT with a port from 0 to 65535, or raises `invalid_address`. Rows with odd addresses are skipped with a log line, such a heartbeat is refused as unreadable, and HttpCaller and calls between entries raise coded errors for what cannot be called.

--- a/filbertlb/batch/peers.py
+++ b/filbertlb/batch/peers.py
@@ -16,6 +16,9 @@
 from gevent import spawn
 from loguru import logger
 
+from filbertlb.addresses import decode_address
+from filbertlb.addresses import InvalidAddressError
+from filbertlb.addresses import split_address
 from filbertlb.errors import FilbertlbError
 from filbertlb.errors import OutcomeUnknownError
 from filbertlb.errors import UnavailableError
@@ -27,6 +30,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from collections.abc import Iterator
 
     from filbertlb.table.base import Row
     from filbertlb.table.base import TableService
@@ -86,19 +90,26 @@
 
     def addresses(self) -> list[str]:
         """Return the other entries' addresses, latest failures last."""
-        known_addresses = [
-            row.value.decode()
-            for key, row in sorted(self.mirror.row_by_key.items())
-            if key.startswith(ENTRY_PREFIX) and key != ENTRY_PREFIX + self.node
-        ]
         failure_rank = {
             address: rank
             for rank, address in enumerate(self._failed_addresses)
         }
         return sorted(
-            known_addresses, key=lambda address: failure_rank.get(address, -1)
+            self._known_addresses(),
+            key=lambda address: failure_rank.get(address, -1),
         )
 
+    def _known_addresses(self) -> Iterator[str]:
+        for key, row in sorted(self.mirror.row_by_key.items()):
+            if not key.startswith(ENTRY_PREFIX):
+                continue
+            if key == ENTRY_PREFIX + self.node:
+                continue
+            try:
+                yield decode_address(row.value)
+            except InvalidAddressError as error:
+                logger.warning("row {} names no entry: {}", key, error)
+
     def mark_failed(self, address: str) -> None:
         """Record a failed call; other addresses are then tried first."""
         self._failed_addresses.pop(address, None)
@@ -130,6 +141,7 @@
         errors: Iterable[type[FilbertlbError]] = (),
     ) -> _T:
         """Call another entry once."""
+        split_address(address)
         caller = HttpCaller(f"http://{address}", connections=1)
         typed_caller = TypedCaller(
             caller,
--- a/filbertlb/httpcall.py
+++ b/filbertlb/httpcall.py
@@ -14,6 +14,7 @@
 from geventhttpclient.response import HTTPParseError
 from geventhttpclient.url import URL
 
+from filbertlb.addresses import InvalidAddressError
 from filbertlb.errors import InvalidInputError
 from filbertlb.errors import OutcomeUnknownError
 from filbertlb.errors import UnavailableError
@@ -90,7 +91,8 @@
             return found
         except ConnectionRefusedError as error:
             raise _NoListenerError(str(error)) from error
-        except (OSError, RuntimeError) as error:
+        except (OSError, RuntimeError, UnicodeError) as error:
+            # A host that is no name cannot even be looked up.
             raise _NoConnectionError(str(error)) from error
 
 
@@ -124,17 +126,28 @@
         Such as ``http://10.0.0.1:8080``.
     connections : int
         Most connections at once; further calls wait.
+
+    Raises
+    ------
+    InvalidAddressError
+        If no server can be called at the URL.
     """
 
     def __init__(
         self, base_url: str, connections: int = DEFAULT_CONNECTIONS
     ) -> None:
-        url = URL(base_url)
+        try:
+            url = URL(base_url)
+            client = _Client(url, connections)
+        except ValueError as error:
+            raise InvalidAddressError(
+                f"{base_url[:80]!r} is no URL that can be called: {error}"
+            ) from error
         self._base_url = base_url
         self._base_path = url.path.rstrip("/")
         self._url = url
         self._connections = connections
-        self._client = _Client(url, connections)
+        self._client = client
 
     def post(
         self,
--- a/filbertlb/platform/http.py
+++ b/filbertlb/platform/http.py
@@ -63,11 +63,5 @@
     return JsonResponse(int(error.status), body, error.retry_after_s)
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Split ``host:port`` into host and port."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
 def _encode(body: Any) -> bytes:
     return msgspec.json.encode(body)
--- a/filbertlb/platform/roles.py
+++ b/filbertlb/platform/roles.py
@@ -14,6 +14,7 @@
 from gevent.event import Event
 from loguru import logger
 
+from filbertlb.addresses import split_address
 from filbertlb.batch.agent import Agent
 from filbertlb.batch.configuration import CurrentConfiguration
 from filbertlb.batch.decider import Decider
@@ -34,7 +35,6 @@
 from filbertlb.platform.heartbeats import HeartbeatReceiver
 from filbertlb.platform.http import json_application
 from filbertlb.platform.http import JsonResponse
-from filbertlb.platform.http import split_address
 from filbertlb.platform.ingress import Ingress
 from filbertlb.platform.runner import PlatformWorkerClient
 from filbertlb.platform.settings import load_settings_file
--- a/filbertlb/platform/wire.py
+++ b/filbertlb/platform/wire.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from filbertlb.addresses import InvalidAddressError
+from filbertlb.addresses import split_address
 from filbertlb.batch.configuration import Queue
 from filbertlb.batch.configuration import SiteConfiguration
 from filbertlb.batch.model import Job
@@ -133,6 +135,10 @@
         raise UnreadableMessageError(
             f"unknown worker state {heartbeat.state!r}"
         )
+    try:
+        split_address(heartbeat.addr)
+    except InvalidAddressError as error:
+        raise UnreadableMessageError(error.message) from error
     rack = next((label for label in heartbeat.labels if _is_rack(label)), "")
     worker = Worker(
         incarnation_name(instance_id, heartbeat.born),
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -92,6 +92,11 @@
         {"remainingMs": 10**300},
         {"capacity": {"gpu": 10**300}},
         {"capacity": {"cpu": -1}},
+        {"addr": "10.0.0.9:70000"},
+        {"addr": "10.0.0.9:-1"},
+        {"addr": "10.0.0.9:x"},
+        {"addr": "10.0.0.9"},
+        {"addr": ""},
     ],
 )
 def test_unreadable_heartbeat_is_rejected(changes):
--- a/tests/platform/test_peers.py
+++ b/tests/platform/test_peers.py
@@ -9,13 +9,17 @@
 from gevent import Timeout
 
 from filbertlb.batch.configuration import CurrentConfiguration
+from filbertlb.batch.peers import NewestRowCall
 from filbertlb.batch.peers import Peers
+from filbertlb.errors import FilbertlbError
 from filbertlb.platform import configuration as configuration_module
 from filbertlb.platform.configuration import ConfigurationReader
 from filbertlb.standin.wsgi import serving
 from filbertlb.table.base import Row
 from filbertlb.table.base import Snapshot
+from filbertlb.table.base import TableUnavailableError
 from filbertlb.table.mirror import Mirror
+from filbertlb.table.wire import GetReply
 from filbertlb.typedserver import Service
 
 DEEP = b"[" * 100_000 + b"]" * 100_000
@@ -111,3 +115,60 @@
         table.row = row(4, 4)
         while reader.in_force.version < 4:
             sleep(0.01)
+
+
+ODD_ADDRESSES = {
+    "port too large": b"127.0.0.1:70000",
+    "port below 0": b"127.0.0.1:-1",
+    "port is no number": b"127.0.0.1:x",
+    "port is an odd digit": "127.0.0.1:8\u0660".encode(),
+    "no port": b"127.0.0.1",
+    "no host": b":80",
+    "host is no name": b"a..b:80",
+    "label too long": b"a" * 70 + b":80",
+    "more lines": b"a\r\nX: y:80",
+    "path": b"127.0.0.1:80/jobs",
+    "not UTF-8": b"\xff\xfe:80",
+    "deep": DEEP,
+    "empty": b"",
+}
+
+
+def add_odd_peers(reader):
+    for number, address in enumerate(ODD_ADDRESSES.values()):
+        key = f"state/entry/0-{number}"
+        reader.peers.mirror.put(Row(key, address, 2), 0.0)
+
+
+def test_odd_addresses_of_entries_are_skipped():
+    reader = make_reader("a", [("b", "127.0.0.1:1"), ("c", "host-c.x:80")])
+    add_odd_peers(reader)
+    assert reader.peers.addresses() == ["127.0.0.1:1", "host-c.x:80"]
+
+
+def test_configuration_is_polled_on_beside_odd_addresses(monkeypatch):
+    # The polling task ended when it asked the other entries.
+    monkeypatch.setattr(configuration_module, "POLL_S", 0.01)
+    other = make_reader("b")
+    other.on_row("op/config", row(20, 20))
+    with serving_peers(other) as url:
+        reader = make_reader("a", [("b", url.removeprefix("http://"))])
+        add_odd_peers(reader)
+        table = OperatorTable(None)
+        table.failure = TableUnavailableError("no answer")
+        with polling(reader, table):
+            while reader.in_force.version < 20:
+                sleep(0.01)
+
+
+@pytest.mark.parametrize("address", ODD_ADDRESSES.values(), ids=ODD_ADDRESSES)
+def test_call_to_an_odd_address_is_a_coded_error(address):
+    reader = make_reader("a")
+    with pytest.raises(FilbertlbError):
+        reader.peers.call(
+            address.decode(errors="replace"),
+            "/configuration",
+            NewestRowCall(),
+            GetReply,
+            1.0,
+        )
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -19,10 +19,10 @@
 from gevent import spawn
 from geventhttpclient import HTTPClient
 
+from filbertlb.addresses import split_address
 from filbertlb.core.clock import SystemClock
 from filbertlb.httpcall import CallNotSentError
 from filbertlb.httpcall import HttpCaller
-from filbertlb.platform.http import split_address
 from filbertlb.platform.settings import SETTINGS_VARIABLE
 from filbertlb.standin.leased_worker import LeasedWorker
 from filbertlb.standin.row_store import RowStore
