Take odd rows of a page of the store for unreadable, keep the others

One odd row in a reply of the store - a value that is not Base64 or no text, a version out of range, a key missing - made the whole reply unreadable, so that the table could not be followed or read for as long as the row stood. A value with wrong padding raised binascii.Error, which has no code.

Rows are decoded one by one. Only a row without a readable key is left out, with a log line. A page without any readable key that is not the last is no answer, rather than the end of the table.

--- a/filbertlb/platform/store.py
+++ b/filbertlb/platform/store.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from base64 import b64decode
 from base64 import b64encode
 from time import monotonic
 from typing import Any
@@ -15,6 +14,7 @@
 from gevent.pool import Pool
 from loguru import logger
 
+from filbertlb.decoding import decode_entries
 from filbertlb.decoding import decode_json
 from filbertlb.decoding import MalformedDataError
 from filbertlb.httpcall import CallNotSentError
@@ -71,13 +71,18 @@
     key: str
     # Number of the transaction that wrote the row, despite its name.
     schema_version: Count = 0
-    value: str = ""
-    part: str = ""
+    # Base64 in the reply.
+    value: bytes = b""
     deleted: bool = False
 
 
+class _RowKey(msgspec.Struct, rename="camel"):
+    table: str
+    key: str
+
+
 class _Rows(msgspec.Struct, rename="camel"):
-    rows: list[_StoredRow] = []
+    rows: list[msgspec.Raw] = []
     has_more: bool = False
     # Number of the newest transaction in the store.
     schema_version: Count = 0
@@ -122,9 +127,9 @@
         table, _, name = key.partition("/")
         partition = self._partition_of(table, name)
         page = self._read_page(table, partition, name, limit=1)
-        for row in page.rows:
+        for row in _decode_rows(page):
             if row.key == name:
-                return _decode_row(row)
+                return _as_row(row)
         return None
 
     def scan(
@@ -165,13 +170,19 @@
             page = self._read_page_with_retries(table, partition, name)
             if version < 0:
                 version = page.schema_version
-            for row in page.rows:
+            page_rows = _decode_rows(page)
+            for row in page_rows:
                 if not row.key.startswith(start):
                     return Snapshot(tuple(rows), version)
-                rows.append(_decode_row(row))
+                rows.append(_as_row(row))
             if not page.has_more or not page.rows:
                 return Snapshot(tuple(rows), version)
-            name = page.rows[-1].key + "\0"
+            if not page_rows:
+                # Rows that are left out would count as deleted.
+                raise TableUnavailableError(
+                    f"page of {table!r} from {name!r} has no readable key"
+                )
+            name = page_rows[-1].key + "\0"
 
     def _read_page_with_retries(
         self, table: str, partition: str, name: str
@@ -222,11 +233,11 @@
         changed = self._decode_reply(reply)
         rows = []
         deleted = {}
-        for row in changed.rows:
+        for row in _decode_rows(changed):
             if row.deleted:
                 deleted[f"{row.table}/{row.key}"] = row.schema_version
             else:
-                rows.append(_decode_row(row))
+                rows.append(_as_row(row))
         return Changes(tuple(rows), deleted, changed.schema_version)
 
     def commit(self, writes: Sequence[Write]) -> tuple[int, ...]:
@@ -342,9 +353,26 @@
     return f"p{number:02d}"
 
 
-def _decode_row(stored: _StoredRow) -> Row:
+def _decode_rows(page: _Rows) -> list[_StoredRow]:
+    """Decode the rows of a reply; odd ones have an empty value.
+
+    A row that were left out would look deleted, while its empty value is
+    unreadable to whoever needs it. Only one without a key is left out.
+    """
+    rows = []
+    for entry in page.rows:
+        try:
+            rows.append(decode_json(entry, _StoredRow))
+        except MalformedDataError as error:
+            logger.warning("odd row in the store's reply: {}", error)
+            rows += (
+                _StoredRow(found.table, found.key, page.schema_version)
+                for found in decode_entries((entry,), _RowKey)
+            )
+    return rows
+
+
+def _as_row(stored: _StoredRow) -> Row:
     return Row(
-        f"{stored.table}/{stored.key}",
-        b64decode(stored.value),
-        stored.schema_version,
+        f"{stored.table}/{stored.key}", stored.value, stored.schema_version
     )
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+from contextlib import contextmanager
+
 import pytest
 
 from filbertlb.platform.store import PlatformTable
@@ -159,3 +161,67 @@
 def test_write_to_operator_table_is_rejected(table):
     with pytest.raises(TableRejectedError):
         table.commit([Write("op/config", b"{}")])
+
+
+DEEP = "[" * 100_000 + "]" * 100_000
+ODD_ROWS = {
+    "value not Base64": '{"table":"state","key":"b","value":"!!!",VERSION}',
+    "value cut off": '{"table":"state","key":"b","value":"YQ",VERSION}',
+    "value no text": '{"table":"state","key":"b","value":3,VERSION}',
+    "deep value": f'{{"table":"state","key":"b","value":{DEEP},VERSION}}',
+    "version too large": '{"table":"state","key":"b","value":"YQ==",'
+    f'"schemaVersion":{"9" * 300}}}',
+    "version no number": '{"table":"state","key":"b","schemaVersion":"x"}',
+}
+ROWS_WITHOUT_KEY = {
+    "no key": '{"table":"state","value":"YQ==",VERSION}',
+    "key no text": '{"table":"state","key":3,VERSION}',
+    "null": "null",
+    "deep": DEEP,
+}
+
+
+@contextmanager
+def replying(row):
+    """Yield a table whose replies have a row between two sound ones."""
+    version = '"schemaVersion":7'
+    sound = '{"table":"state","key":"%s","value":"YQ==",' + version + "}"
+    rows = [sound % "a", row.replace("VERSION", version), sound % "c"]
+    body = f'{{"rows":[{",".join(rows)}],{version}}}'.encode()
+
+    def reply(environ, start_response):
+        start_response("200 -", [("Content-Length", str(len(body)))])
+        return [body]
+
+    with serving(reply) as url:
+        yield PlatformTable(url.removeprefix("http://"))
+
+
+@pytest.mark.parametrize("read", ["snapshot", "changes"])
+@pytest.mark.parametrize("odd", ODD_ROWS | ROWS_WITHOUT_KEY)
+def test_odd_row_is_unreadable_and_the_others_hold(odd, read):
+    # The whole reply was unreadable, each time it was read.
+    with replying((ODD_ROWS | ROWS_WITHOUT_KEY)[odd]) as table:
+        found = (
+            table.snapshot("state/")
+            if read == "snapshot"
+            else table.changes("state", 0, 0.0)
+        )
+    values = {row.key: row.value for row in found.rows}
+    sound = {"state/a": b"a", "state/c": b"a"}
+    # A row that is left out would count as deleted.
+    assert values == (sound | {"state/b": b""} if odd in ODD_ROWS else sound)
+    assert {row.version for row in found.rows} == {7}
+
+
+def test_page_without_a_readable_key_is_no_end_of_the_table():
+    body = b'{"rows":[null],"hasMore":true,"schemaVersion":7}'
+
+    def reply(environ, start_response):
+        start_response("200 -", [("Content-Length", str(len(body)))])
+        return [body]
+
+    with serving(reply) as url:
+        table = PlatformTable(url.removeprefix("http://"))
+        with pytest.raises(TableUnavailableError):
+            table.snapshot("state/")
