Leave rows aside whose parts do not fit each other

A row that is well formed can name what it does not have: a job without steps or whose step depends on one that it lacks, progress or a running task of a step that its job lacks, a report of another node or progress of another job under a foreign key. One such row made each decision of each decider fail, so that nothing was placed any more; the report under a foreign key hid the sound one of its node, and the progress hid the job.

filbertlb.batch.stored decodes the rows of jobs, progress and reports and takes one that does not fit its key or its job for unreadable: the job is left alone, the report is ignored. Of a sound report only running tasks that name no step of their job are dropped; ends are compared with the stored attempt and node as before. Submissions are checked for the same faults of structure, in job_check.py.

Evidence, on the code before, 9 tests of tests/batch/test_decider.py fail, each with gevent.timeout.Timeout: 30.0 seconds: 8 cases of test_row_that_does_not_fit_stops_no_decider and test_progress_of_unknown_tasks_leaves_its_job_alone. The cases "job of another key" and "step without tasks" passed before. tests/batch, tests/platform and tests/test_reference_pages.py pass.

--- a/filbertlb/batch/index.py
+++ b/filbertlb/batch/index.py
@@ -14,6 +14,7 @@
 from filbertlb.batch.model import JobState
 from filbertlb.batch.model import JobStatus
 from filbertlb.batch.model import STATUS_PREFIX
+from filbertlb.batch.stored import decode_job_row
 from filbertlb.table.rows import decode_row
 from filbertlb.table.rows import UnreadableRowError
 
@@ -73,7 +74,7 @@
             if row is None:
                 self.jobs.pop(job_id, None)
             else:
-                self.jobs[job_id] = decode_row(row, Job)
+                self.jobs[job_id] = decode_job_row(row)
         elif key.startswith(STATUS_PREFIX):
             job_id = key.removeprefix(STATUS_PREFIX)
             if row is None:
--- a/filbertlb/batch/job_check.py
+++ b/filbertlb/batch/job_check.py
@@ -56,12 +56,22 @@
             f"its payload of {payload_bytes} bytes is longer than "
             f"{MAX_JOB_PAYLOAD_BYTES}"
         )
-    if not job.steps:
-        yield "it has no steps"
+    yield from structural_faults(job)
     if any(min(*step.needs, step.estimate_ms) < 0 for step in job.steps):
         yield "a step has a negative requirement or estimate"
     if job.times < 0 or job.interval_ms < 0:
         yield "its number of occurrences or their interval is negative"
+
+
+def structural_faults(job: Job) -> Iterator[str]:
+    """Yield what would make decisions fail, also for a job that is stored."""
+    if not job.steps:
+        yield "it has no steps"
+    for step in job.steps:
+        if step.count < 1:
+            yield "a step has no tasks"
+        if any(not 0 <= index < len(job.steps) for index in step.after):
+            yield f"a step depends on {step.after!r}, which it does not have"
     tasks = _early_occurrences(job) * sum(step.count for step in job.steps)
     if tasks > MAX_JOB_TASKS:
         yield f"{tasks} tasks are due in its first minute; split it"
--- a/filbertlb/batch/model.py
+++ b/filbertlb/batch/model.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from enum import StrEnum
+from re import compile as compile_pattern
 
 import attrs
 
@@ -15,6 +16,10 @@
 from filbertlb.ranges import Int64
 from filbertlb.ranges import Percent
 
+_TASK_NAME = compile_pattern(
+    r"(?P<job_id>[^.]+)\.[0-9]{1,18}\.(?P<step>[0-9]{1,18})\.[0-9]{1,18}"
+)
+
 STATE_TABLE = "state"
 """What every entry follows: jobs, their states and cancellations."""
 JOB_PREFIX = "state/job/"
@@ -388,6 +393,16 @@
     return task.partition(".")[0]
 
 
+def has_step(job: Job, task: str) -> bool:
+    """Return whether a task's name is that of a step of a job."""
+    match = _TASK_NAME.fullmatch(task)
+    return (
+        match is not None
+        and match["job_id"] == job.job_id
+        and int(match["step"]) < len(job.steps)
+    )
+
+
 def orders_table(node: str) -> str:
     """Return the name of the table that holds a node's orders row."""
     return f"orders-{sum(node.encode()) % ORDER_TABLES:02d}"
--- a/filbertlb/batch/planner_state.py
+++ b/filbertlb/batch/planner_state.py
@@ -7,6 +7,7 @@
 import attrs
 
 from filbertlb.batch.model import FINAL_STATES
+from filbertlb.batch.model import has_step
 from filbertlb.batch.model import job_id_of
 from filbertlb.batch.model import JobState
 from filbertlb.batch.model import Order
@@ -146,6 +147,11 @@
         """Return the record of a task, or a new one if it has none."""
         return self.progress[job_id_of(task)].tasks.get(task) or TaskRecord()
 
+    def may_be_task(self, task: str) -> bool:
+        """Return False if a task's name has no step of its known job."""
+        job = self.jobs.get(job_id_of(task))
+        return job is None or has_step(job, task)
+
     def job_of(self, task: str) -> Job:
         """Return the job that a task belongs to."""
         return self.jobs[job_id_of(task)]
--- a/filbertlb/batch/takeover.py
+++ b/filbertlb/batch/takeover.py
@@ -4,18 +4,18 @@
 
 from typing import TYPE_CHECKING
 
+from attrs import evolve
 from gevent import sleep
 from loguru import logger
 
-from filbertlb.batch.model import Progress
 from filbertlb.batch.model import PROGRESS_PREFIX
 from filbertlb.batch.model import PROGRESS_TABLE
 from filbertlb.batch.model import STATE_TABLE
-from filbertlb.batch.model import WorkerReport
 from filbertlb.batch.planner import Planner
+from filbertlb.batch.stored import decode_progress_row
+from filbertlb.batch.stored import decode_report_row
 from filbertlb.table.base import HistoryLostError
 from filbertlb.table.base import TableUnavailableError
-from filbertlb.table.rows import decode_row
 from filbertlb.table.rows import UnreadableRowError
 
 if TYPE_CHECKING:
@@ -71,10 +71,14 @@
     if row is None:
         return
     try:
-        report = decode_row(row, WorkerReport)
+        report = decode_report_row(row)
     except UnreadableRowError as error:
         logger.error("row {} ignored: {}", key, error)
         return
+    running = tuple(
+        run for run in report.running if planner.state.may_be_task(run.task)
+    )
+    report = evolve(report, running=running)
     planner.record_report(report, worker_mirror.seen_s_by_key[key])
 
 
@@ -103,7 +107,8 @@
     A job that seemed to have no progress would run again.
     """
     try:
-        progress = decode_row(row, Progress)
+        job_id = row.key.removeprefix(PROGRESS_PREFIX)
+        progress = decode_progress_row(row, index.jobs.get(job_id))
     except UnreadableRowError as error:
         logger.error("job left alone: {}", error)
         planner.state.ignored_jobs.add(row.key.removeprefix(PROGRESS_PREFIX))
--- a/tests/batch/test_decider.py
+++ b/tests/batch/test_decider.py
@@ -412,10 +412,63 @@
 }
 
 
+MISFITS = {
+    "job of another key": (JOB_PREFIX, a_job("another")),
+    "job without steps": (
+        JOB_PREFIX,
+        attrs.evolve(a_job("odd", priority=0), steps=()),
+    ),
+    "step after none": (JOB_PREFIX, a_job("odd", a_step(after=(7,)))),
+    "too many tasks": (JOB_PREFIX, a_job("odd", a_step(10**12))),
+    "step without tasks": (JOB_PREFIX, a_job("odd", a_step(0))),
+    "progress of another job": (
+        PROGRESS_PREFIX,
+        Progress("j", JobState.COMPLETE, True),
+    ),
+    "task without step": (
+        PROGRESS_PREFIX,
+        Progress("job-n0", tasks={"job-n0": TaskRecord(failures=1)}),
+    ),
+    "run without step": (
+        WORKER_PREFIX,
+        a_report("odd", running=(Run("job-n0", 1, "", 40),)),
+    ),
+    "run of no such step": (
+        WORKER_PREFIX,
+        a_report("odd", running=(Run("job-n0.0.7.0", 1, "", 40),)),
+    ),
+    "report of another node": (
+        WORKER_PREFIX,
+        a_report("n0", answers=False),
+    ),
+}
+
+
+@pytest.mark.parametrize("odd", MISFITS)
+def test_row_that_does_not_fit_stops_no_decider(odd):
+    # Each decision failed on a step that the job does not have.
+    check_decisions_beside(*MISFITS[odd])
+
+
+def test_progress_of_unknown_tasks_leaves_its_job_alone():
+    table = LimitedTable()
+    put_workers(table, ["n0"])
+    put(table, JOB_PREFIX + "a", a_job("a"))
+    tasks = {"a.0.7.0": TaskRecord(TaskPhase.ORDERED, 1, node="n0")}
+    put(table, PROGRESS_PREFIX + "a", Progress("a", tasks=tasks))
+    put(table, JOB_PREFIX + "b", a_job("b"))
+    with deciding(table):
+        wait_until(lambda: orders_on(table, "n0") == ["b.0.0.0"])
+
+
 @pytest.mark.parametrize("odd", HUGE_VALUES)
 def test_huge_number_of_another_writer_stops_no_decider(odd):
     # Each decision failed on such an estimate, too large for a float.
-    prefix, value = HUGE_VALUES[odd]
+    check_decisions_beside(*HUGE_VALUES[odd])
+
+
+def check_decisions_beside(prefix, value):
+    """Place a job beside a row of another writer."""
     table = LimitedTable()
     put(table, prefix + "odd", value)
     put_workers(table, ["n0"])
