--- a/filbertlb/batch/takeover.py
+++ b/filbertlb/batch/takeover.py
@@ -8,17 +8,17 @@
 from gevent import sleep
 from loguru import logger
 
-from filbertlb.batch.model import Progress
 from filbertlb.batch.model import PROGRESS_PREFIX
 from filbertlb.batch.model import PROGRESS_TABLE
 from filbertlb.batch.model import STATE_TABLE
 from filbertlb.batch.model import WORKER_PREFIX
 from filbertlb.batch.model import WorkerReport
 from filbertlb.batch.planner import Planner
+from filbertlb.batch.stored import decode_progress_row
+from filbertlb.batch.stored import decode_report_row
 from filbertlb.batch.version_marks import restore_marks
 from filbertlb.table.base import HistoryLostError
 from filbertlb.table.base import TableUnavailableError
-from filbertlb.table.rows import decode_row
 from filbertlb.table.rows import UnreadableRowError
 
 if TYPE_CHECKING:
@@ -95,13 +95,17 @@
     if reached_s is not None:
         seen_s = min(seen_s, reached_s)
     try:
-        report = decode_row(row, WorkerReport)
+        report = decode_report_row(row)
     except UnreadableRowError as error:
         logger.error("row {} ignored: {}", key, error)
         node = key.removeprefix(WORKER_PREFIX)
         view = planner.workers.get(node)
         known = WorkerReport(node, "") if view is None else view.report
         report = attrs.evolve(known, answers=False)
+    running = tuple(
+        run for run in report.running if planner.state.may_be_task(run.task)
+    )
+    report = attrs.evolve(report, running=running)
     recent = state_mirror.versions.written_since_first(row.version)
     planner.record_report(report, seen_s, recent)
 
@@ -131,7 +135,8 @@
     A job that seemed to have no progress would run again.
     """
     try:
-        progress = decode_row(row, Progress)
+        job_id = row.key.removeprefix(PROGRESS_PREFIX)
+        progress = decode_progress_row(row, index.jobs.get(job_id))
     except UnreadableRowError as error:
         logger.error("job left alone: {}", error)
         planner.state.ignored_jobs.add(row.key.removeprefix(PROGRESS_PREFIX))
