Drop no part of a value without a type, and leave JSON after a cut

One route with a deep object refused the whole configuration, and a caller's body nested more than 32 levels lost its inner values without a word.

Cause: what is too deep was left out of the text, brackets included. After a colon or a comma that is no JSON; in a bare list it is a shorter value.

Change: a value that is too deep is null where a type tells that nobody reads it, and a coded error where there is no type.

Evidence, on the code before: test_deep_value_in_one_route_leaves_the_others fails for objects and for lists with a first member, test_no_part_of_a_value_without_a_type_is_dropped for lists of 33 and 200 levels.

--- a/filbertlb/decoding.py
+++ b/filbertlb/decoding.py
@@ -50,22 +50,26 @@
 def decode_json(text: bytes | str | Raw, cls: Any = Any) -> Any:
     """Decode JSON as a type.
 
-    Values that are nested too deeply are cut off, so that one of them in a
-    field or list entry that nobody reads does not spoil the rest. What has
-    no type of its own is never deeper than ``MAX_DEPTH`` levels, so that it
-    can be shown in messages.
+    A value that is nested too deeply counts as null, so that one in a field
+    that nobody reads does not spoil the rest. Without a type nothing tells
+    what is read, and such a value is an error.
 
     Raises
     ------
     MalformedDataError
-        If the text is not JSON of this type.
+        If the text is not JSON of this type, or has no type and is nested
+        more than ``MAX_DEPTH`` levels.
     """
     with _coded_errors(cls):
         try:
-            kept = _without_deep_values(text) if cls is Any else text
-            return json.decode(kept, type=cls)
+            value = json.decode(text, type=cls)
         except RecursionError:
+            if cls is Any:
+                raise
             return json.decode(_without_deep_values(text), type=cls)
+        if cls is Any and _is_deep(value):
+            raise ValueError(f"nested more than {MAX_DEPTH} levels")
+        return value
 
 
 def decode_entries(entries: Iterable[Raw], cls: type[_T]) -> list[_T]:
@@ -116,14 +120,31 @@
 
 
 def _without_deep_values(text: bytes | str | Raw) -> bytes:
-    """Return JSON without what is nested more than ``MAX_DEPTH`` levels."""
+    """Return JSON with null for what is deeper than ``MAX_DEPTH`` levels."""
     encoded = text.encode() if isinstance(text, str) else bytes(text)
     depth = 0
     kept = []
     for token in _JSON_TOKEN.findall(encoded):
         closes = token in (b"]", b"}")
-        depth += token in (b"[", b"{")
+        opens = token in (b"[", b"{")
+        depth += opens
         if depth <= MAX_DEPTH:
             kept.append(token)
+        elif opens and depth == MAX_DEPTH + 1:
+            kept.append(b"null")
         depth -= closes
     return b"".join(kept)
+
+
+def _is_deep(value: Any) -> bool:
+    """Return whether a value is nested more than ``MAX_DEPTH`` levels."""
+    level = [value]
+    for _ in range(MAX_DEPTH + 1):
+        level = [part for whole in level for part in _parts(whole)]
+    return bool(level)
+
+
+def _parts(value: Any) -> Iterable[Any]:
+    if isinstance(value, dict):
+        return value.values()
+    return value if isinstance(value, list) else ()
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -14,6 +14,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from msgspec import msgpack
+from msgspec.json import encode
 
 from filbertlb.agent.labels import decode_label
 from filbertlb.api.auth import TokenRecord
@@ -36,6 +37,9 @@
 from filbertlb.core.clock import VirtualClock
 from filbertlb.core.lease import LeaseRecord
 from filbertlb.core.model import Resources
+from filbertlb.decoding import decode_json
+from filbertlb.decoding import MalformedDataError
+from filbertlb.decoding import MAX_DEPTH
 from filbertlb.entry.registry import EntryRow
 from filbertlb.errors import FilbertlbError
 from filbertlb.errors import OutcomeUnknownError
@@ -196,6 +200,30 @@
     assert_decoded_or_coded(JSON_DECODERS[name], ODD_TEXTS[odd])
 
 
+@pytest.mark.parametrize(
+    ("start", "end"), [("[", "]"), ('{"a":', "}"), ("[1,", "]")]
+)
+def test_deep_value_in_one_route_leaves_the_others(start, end):
+    # Cutting off deep objects left text that is no JSON.
+    deep = start * 5000 + "1" + end * 5000
+    route = '{"name":"r","host":"h","service":"s"}'
+    body = f'{{"version":1,"routes":[{route},{{"junk":{deep}}}]}}'
+    configuration = decode_configuration(body.encode())
+    assert [queue.name for queue in configuration.queues_by_host["h"]] == ["r"]
+
+
+@pytest.mark.parametrize("depth", [MAX_DEPTH, MAX_DEPTH + 1, 200])
+@pytest.mark.parametrize(("start", "end"), [("[", "]"), ('{"a":', "}")])
+def test_no_part_of_a_value_without_a_type_is_dropped(depth, start, end):
+    # The values of a caller's body were cut off without a word.
+    text = start * depth + "1" + end * depth
+    if depth <= MAX_DEPTH:
+        assert encode(decode_json(text)).decode() == text
+    else:
+        with pytest.raises(MalformedDataError):
+            decode_json(text)
+
+
 DEEP_PACKED = b"\x91" * 100_000 + b"\x01"
 ODD_PACKED = {
     "deep": DEEP_PACKED,
