Count the longest accepted payload for an orders row

What callers would see: a task that waits on a worker with room, as older runs there go on. Found by a review; clients of the platform send at most 4,000 bytes and don't reach it.

Cause: placing skipped the sum while the tasks on a node could not exceed the row with 4,000 bytes each, but 8,000 are accepted: two constants of one name.

Evidence: test_orders_row_holds_all_tasks_with_the_longest_payloads before: 4 of 8 tasks on the node are in its row. Now there is one constant.

--- a/filbertlb/batch/planner_state.py
+++ b/filbertlb/batch/planner_state.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from filbertlb.batch.job_check import MAX_JOB_PAYLOAD_BYTES
 from filbertlb.batch.model import FINAL_STATES
 from filbertlb.batch.model import has_step
 from filbertlb.batch.model import job_id_of
@@ -32,8 +33,6 @@
 
 MAX_PAYLOAD_BYTES = 36_000
 """Payloads of one orders row; the table stores 48 KiB of values."""
-MAX_JOB_PAYLOAD_BYTES = 4000
-"""Payload of one job."""
 
 
 @attrs.frozen
--- a/tests/batch/test_planner.py
+++ b/tests/batch/test_planner.py
@@ -4,6 +4,7 @@
 import pytest
 from loguru import logger
 
+from filbertlb.batch.job_check import MAX_JOB_PAYLOAD_BYTES
 from filbertlb.batch.model import EndCause
 from filbertlb.batch.model import JobState
 from filbertlb.batch.model import Run
@@ -239,6 +240,17 @@
         assert task in keys
 
 
+def test_orders_row_holds_all_tasks_with_the_longest_payloads():
+    # Half of them were ordered, but never handed to the worker.
+    payload = "x" * MAX_JOB_PAYLOAD_BYTES
+    jobs = [a_job(f"j{number}", payload=payload) for number in range(8)]
+    planner = planner_with(*jobs, nodes=1)
+    planner.decide(0.0, 0)
+    ordered = [order.task for order in planner.state.orders_of("n0", 1).orders]
+    assert ordered
+    assert sorted(ordered) == sorted(planner.state.tasks_on("n0"))
+
+
 def test_tasks_that_wait_for_a_silent_worker_are_logged_once():
     planner = planner_with(a_job("a"), nodes=1)
     planner.decide(0.0, 0)
