Collect changed rows only while deciding

An entry that never decides kept the key of each row that ever changed, for ever. A take-over begins with an empty set and reads all rows anyway. The test found 10 keys of 10 changes before.

--- a/filbertlb/batch/decider.py
+++ b/filbertlb/batch/decider.py
@@ -283,7 +283,8 @@
             logger.warning("lease not released, it will expire: {}", error)
 
     def _on_row_change(self, key: str, _: Row | None) -> None:
-        self._changed_keys.add(key)
+        if self._term is not None:
+            self._changed_keys.add(key)
 
     def _step(self, term: Term) -> None:
         if term.planner is None:
--- a/tests/batch/test_decider.py
+++ b/tests/batch/test_decider.py
@@ -43,6 +43,7 @@
 from filbertlb.batch.version_marks import VersionMarks
 from filbertlb.batch.version_marks import VERSIONS_KEY
 from filbertlb.core.clock import SystemClock
+from filbertlb.table.base import Row
 from filbertlb.table.base import RowConflictError
 from filbertlb.table.base import TableRejectedError
 from filbertlb.table.base import TableUnavailableError
@@ -597,6 +598,17 @@
         wait_until(lambda: "j.0.0.0" in orders_on(table, "n0"))
 
 
+def test_entry_that_does_not_decide_keeps_no_keys_of_changed_rows():
+    # It kept the key of each change for ever.
+    table, mirror = MemoryTable(), Mirror()
+    decider = Decider(
+        table, mirror, JobIndex(), SystemClock(), "entry", "coast", dict
+    )
+    for number in range(10):
+        mirror.put(Row(f"{JOB_PREFIX}{number}", b"{}", 1 + number), 0.0)
+    assert not decider._changed_keys
+
+
 def test_times_of_versions_are_handed_on():
     table = LimitedTable(clock_ms=5000)
     put_workers(table, ["n0"])
