Keep the runs of an incarnation that seemed to be replaced

What callers would see: two runs of one task.

Change: the runs are set aside and taken back if their incarnation returns.

--- a/filbertlb/batch/reconciler.py
+++ b/filbertlb/batch/reconciler.py
@@ -100,6 +100,8 @@
     _listing_received: bool = False
     _departed_s: float | None = None
     _down_since_s: float | None = None
+    _former: str = ""
+    _former_runs: dict[RunKey, LocalRun] = attrs.Factory(dict)
 
     def restore(
         self, ended: Iterable[RunEnd], running: Iterable[Run] = ()
@@ -118,7 +120,7 @@
         previous = self.worker
         if previous is not None and previous.incarnation != worker.incarnation:
             self._end_crashed_runs()
-            self._runs.clear()
+            self._replace_runs(previous.incarnation, worker.incarnation)
             self._down_since_s = None
             self.last_end_number = 0
             self._listing_received = False
@@ -127,6 +129,19 @@
             self.report_changed = True
         self.worker = worker
 
+    def _replace_runs(self, before: str, after: str) -> None:
+        """Set the runs aside; take those back of an incarnation that returns.
+
+        One that seemed to be replaced may still carry out a start.
+        """
+        former_runs = self._former_runs if after == self._former else {}
+        self._former, self._former_runs = before, self._runs
+        self._runs = {
+            key: run
+            for key, run in former_runs.items()
+            if key not in self._ended
+        }
+
     def record_announcement(self, now_s: float) -> None:
         """Record that the worker announced itself, changed or not."""
         self._announced_s = now_s
--- a/tests/batch/test_reconciler.py
+++ b/tests/batch/test_reconciler.py
@@ -574,3 +574,29 @@
     starts = [call for call in calls if not isinstance(call, StopCall)]
     assert len(starts) == MAX_START_TRIES
     assert calls[-1] == StopCall("j.0.0.0", 1)
+
+
+def test_unanswered_start_is_stopped_after_an_earlier_incarnation_was_heard():
+    # The start was forgotten, and an end reported that nothing proved.
+    reconciler = WorkerReconciler()
+    order = an_order("j.0.0.0", incarnation="w@2")
+    later, earlier = (a_worker(incarnation=name) for name in ("w@2", "w@1"))
+    reconciler.set_worker(later)
+    reconciler.record_announcement(0.0)
+    reconciler.record_extension(0.0)
+    reconciler.record_listing(0.0, (), (), ends_complete=True)
+    reconciler.set_orders(some_orders(order))
+    (start,) = reconciler.due_calls(0.0)
+    assert isinstance(start, StartCall)
+    now_s = MAX_CALL_S
+    reconciler.record_start(order, StartResult.UNKNOWN, now_s)
+    reconciler.set_worker(earlier)
+    now_s += 0.1
+    reconciler.set_worker(later)
+    reconciler.record_announcement(now_s)
+    reconciler.record_listing(now_s, (), (), ends_complete=True)
+    stopped = an_order("j.0.0.0", incarnation="w@2", stop=True)
+    reconciler.set_orders(some_orders(stopped))
+    calls = reconciler.due_calls(now_s + 0.1)
+    assert calls == [StopCall("j.0.0.0", 1)]
+    assert not reconciler.ended()
