--- a/tests/batch/test_planner.py
+++ b/tests/batch/test_planner.py
@@ -555,3 +555,17 @@
     end(planner, "a.0.0.0", EndCause.REFUSED)
     planner.decide(0.1, 100)
     assert nodes_by_job(planner)["a"] != [refusing]
+
+
+def test_long_running_jobs_with_long_payloads_use_the_whole_worker():
+    # Nine payloads fill the orders row of a worker for ever.
+    worker = a_worker(capacity=(0, 64_000, 131_072))
+    step = a_step(needs=(0, 1000, 100), long_running=True)
+    jobs = [
+        a_job(f"j{number}", step, payload=f"{number}" * 4000)
+        for number in range(10)
+    ]
+    planner = planner_with(*jobs, nodes=1)
+    report(planner, "n0", worker=worker)
+    planner.decide(0.0, 0)
+    assert len(planner.state.orders_of("n0", 1).orders) == 10
--- a/tests/batch/test_takeover.py
+++ b/tests/batch/test_takeover.py
@@ -22,8 +22,11 @@
 from filbertlb.batch.testing import CAPACITY
 from filbertlb.batch.version_marks import marks_write
 from filbertlb.batch.workers import DEAD_AFTER_S
+from filbertlb.batch.workers import MAX_REPORT_AGE_S
 from filbertlb.batch.write_plan import changed_units
 from filbertlb.core.clock import VirtualClock
+from filbertlb.table.base import Changes
+from filbertlb.table.base import Row
 from filbertlb.table.base import Write
 from filbertlb.table.memory import MemoryTable
 from filbertlb.table.mirror import Mirror
@@ -309,3 +312,28 @@
     entry.take_over()
     site.run(2.0)
     assert site.record("j.0.0.0").node == "n1"
+
+
+@pytest.mark.parametrize(
+    ("gap_s", "usable"), [(MAX_REPORT_AGE_S / 2, True), (20.0, False)]
+)
+def test_report_from_a_gap_of_the_state_copy_proves_no_worker_alive(
+    gap_s, usable
+):
+    # A report written at any time in the gap counted as new at its end.
+    state, workers = Mirror(), Mirror()
+    state.apply(Changes((), {}, 5), 0.0)
+    state.apply(Changes((), {}, 20), gap_s)
+    key = WORKER_PREFIX + "n0"
+    workers.put(Row(key, encode_value(a_report("n0")), 6), gap_s)
+    planner = Planner()
+    apply_report(planner, workers, state, key)
+    assert planner.workers["n0"].usable(gap_s) is usable
+
+
+def test_task_on_a_node_without_a_report_row_ends_despite_take_overs():
+    # Each take-over counted the leases of such a node anew.
+    site = site_with_a_run_on_a_worker_that_goes(1, DEAD_AFTER_S - 1)
+    remove(site)
+    site.run(10 * DEAD_AFTER_S)
+    assert site.record("j.0.0.0").node == "n1"
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -14,7 +14,9 @@
 from filbertlb.core.announcing import Announcer
 from filbertlb.core.announcing import MEMBERSHIP_SHARE
 from filbertlb.core.members import ChangeKind
+from filbertlb.core.members import MemberMessage
 from filbertlb.core.members import MemberState
+from filbertlb.core.members import MemberTable
 from filbertlb.core.membership import BEATS_PER_ANSWER
 from filbertlb.core.membership import EndpointTable
 from filbertlb.core.membership_times import MembershipTimes
@@ -372,3 +374,15 @@
 def test_contradictory_times_are_rejected(change):
     with pytest.raises(MembershipTimesError, match=repr(min(change.values()))):
         MembershipTimes(**change)
+
+
+@pytest.mark.parametrize("tick_s", [0.25, 0.9, 1.1, 2.0])
+def test_member_is_found_dead_by_an_entry_whose_ticks_are_late(tick_s):
+    # Each late tick counted as a pause, so no member was ever silent.
+    table = MemberTable(MembershipTimes())
+    table.record_message(MemberMessage("e0", "i0", 1), 1.0, 0.0)
+    now_s, kinds = 0.0, set()
+    while now_s < 120.0:
+        now_s += tick_s
+        kinds |= {change.kind for change in table.tick(now_s)}
+    assert ChangeKind.DEAD in kinds
