--- a/review/5/case.py
+++ b/review/5/case.py
@@ -15,7 +15,7 @@
 from standins.deployment import run_case  # noqa: E402
 from standins.runner import Runner  # noqa: E402
 
-DOWN_S = 0.4
+DOWN_S = 0.3
 FIRST_BEAT_S = HEARTBEAT_MS / 1000 / 2
 """Mean time from any moment until the next of its periodic reports."""
 WORK_S = 10.0
