--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -14,6 +14,7 @@
 
 from filbertlb.batch.crashes import crashes_workers
 from filbertlb.batch.crashes import with_crash
+from filbertlb.batch.durations import DeclaredDurations
 from filbertlb.batch.model import Crash
 from filbertlb.batch.model import EndCause
 from filbertlb.batch.model import job_id_of
@@ -21,8 +22,9 @@
 from filbertlb.batch.model import RunEnd
 from filbertlb.batch.model import task_group_of
 from filbertlb.batch.model import TaskPhase
-from filbertlb.batch.placing import available_capacity
 from filbertlb.batch.placing import Placer
+from filbertlb.batch.placing_context import available_capacity
+from filbertlb.batch.placing_context import PlacingContext
 from filbertlb.batch.planner_state import PlannerState
 from filbertlb.batch.planner_state import TaskGroup
 from filbertlb.batch.workers import WorkerView
@@ -30,6 +32,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from filbertlb.batch.durations import DurationModel
     from filbertlb.batch.model import Job
     from filbertlb.batch.model import TaskRecord
     from filbertlb.batch.model import WorkerReport
@@ -56,12 +59,15 @@
     reports_complete_s : float
         Monotonic time up to which all reports are known. A worker is not
         silent while its reports cannot be read.
+    durations : DurationModel
+        Predicts the run times of tasks.
     """
 
     state: PlannerState = attrs.Factory(PlannerState)
     workers: dict[str, WorkerView] = attrs.Factory(dict)
     guaranteed: dict[str, int] = attrs.Factory(dict)
     reports_complete_s: float = float("inf")
+    durations: DurationModel = attrs.Factory(DeclaredDurations)
     _unprocessed_nodes: set[str] = attrs.Factory(set)
 
     def record_report(
@@ -96,10 +102,14 @@
         self._vacate_draining_workers(now_ms)
         self._finish_jobs(now_ms)
         available = available_capacity(self.state, self.workers, now_s)
-        placer = Placer(
-            self.state, available, self._jobs_within_guarantee(), now_ms
+        context = PlacingContext(
+            self.state,
+            available,
+            self._jobs_within_guarantee(),
+            self.durations,
+            now_ms,
         )
-        placer.place(self._ready_groups(now_ms))
+        Placer(context).place(self._ready_groups(now_ms))
 
     def fail_oversized_job(self, job_id: str, now_ms: int) -> None:
         """Fail a job whose progress is too large to be stored.
--- a/tests/batch/test_crashes.py
+++ b/tests/batch/test_crashes.py
@@ -15,8 +15,8 @@
 from filbertlb.batch.model import PROGRESS_PREFIX
 from filbertlb.batch.model import RunEnd
 from filbertlb.batch.model import TaskPhase
-from filbertlb.batch.placing import GUARANTEE_PREEMPTION_DELAY_MS
 from filbertlb.batch.planner import Planner
+from filbertlb.batch.preemption import GUARANTEE_PREEMPTION_DELAY_MS
 from filbertlb.batch.testing import a_job
 from filbertlb.batch.testing import a_report
 from filbertlb.batch.testing import a_step
--- a/tests/batch/test_planner.py
+++ b/tests/batch/test_planner.py
@@ -11,8 +11,8 @@
 from filbertlb.batch.model import RunEnd
 from filbertlb.batch.model import TaskPhase
 from filbertlb.batch.model import TaskRecord
-from filbertlb.batch.placing import GUARANTEE_PREEMPTION_DELAY_MS
 from filbertlb.batch.planner import Planner
+from filbertlb.batch.preemption import GUARANTEE_PREEMPTION_DELAY_MS
 from filbertlb.batch.testing import a_job
 from filbertlb.batch.testing import a_report
 from filbertlb.batch.testing import a_step
