Bound the wait for a rack by its expected cost

A step with data on a rack, or a gang that shares one, waited 4 s for such a rack, and without limit if the job was urgent, whatever the runs there were expected to take.

It now waits only if a start on the rack, expected from the remaining times of the runs there, ends its run before a run three times as long elsewhere. In total it waits no longer than that run takes more, counted from when it first fitted elsewhere; 4 s if its run time is not known; and 2.5 s while under half of the service is in use and it fits twice, as a job with nothing running for 3 s counts as lost then. Priority makes no difference. A reservation is made where the group is done soonest by the same rule.

--- a/filbertlb/batch/placing.py
+++ b/filbertlb/batch/placing.py
@@ -50,8 +50,8 @@
         context = self.context
         self.order = PlacingOrder(context)
         self.preemption = Preemption(context, self.order)
-        self.locality = Locality(context)
         self.reservations = Reservations(context)
+        self.locality = Locality(context, self.reservations)
         self.separation = Separation(context.state, context.now_ms)
 
     @property
@@ -127,10 +127,17 @@
     def _place_on(
         self, group: TaskGroup, nodes: Sequence[str], count: int
     ) -> Placement | None:
-        node_groups = self.locality.node_groups(group, nodes)
-        placement = self._best_placement(group, node_groups, count, ())
+        racks = self.locality.local_groups(group, nodes)
+        placement = self._best_placement(group, racks or [nodes], count, ())
         if placement is not None:
             return placement
+        node_groups = [*racks, nodes]
+        if racks:
+            placement = self._best_placement(group, [nodes], count, ())
+        if placement is not None:
+            if not self._waits_for_rack(group, racks):
+                return placement
+            node_groups = racks
         preemptible = self._preemptible_runs(group)
         if not preemptible:
             return None
@@ -139,6 +146,17 @@
         )
         return self.preemption.if_loss_acceptable(placement, group, count)
 
+    def _waits_for_rack(
+        self, group: TaskGroup, racks: Sequence[Sequence[str]]
+    ) -> bool:
+        """Return whether a group that fits elsewhere waits for a rack.
+
+        A claim of a guarantee has a time limit and does not wait.
+        """
+        if self.preemption.may_claim_guarantee(group):
+            return False
+        return self.locality.waits(group, racks)
+
     def _room_for(self, group: TaskGroup) -> Mapping[str, Amount]:
         """Return the resources that a group may use by node.
 
@@ -191,8 +209,8 @@
     def _reserve(self, group: TaskGroup) -> None:
         """Hold resources where a group can start soonest."""
         nodes = self.context.candidates(group)
-        node_groups = self.locality.node_groups(group, nodes)
-        self.reservations.reserve(group, node_groups)
+        sets = self.locality.sets_to_reserve(group, nodes)
+        self.reservations.reserve(group, sets)
 
     def _order(
         self, group: TaskGroup, tasks: list[str], placement: Placement
@@ -216,6 +234,7 @@
             self.reservations.record_order(task, group, node)
             room = self.available.room[node]
             self.available.room[node] = minus(room, group.step.needs)
+        self.state.rack_wait_since_ms.pop(group.name, None)
         logger.info(
             "order {} attempt {} on {} (waited {} ms, stops {})",
             *(group.name if group.step.gang else tasks[0], attempt),
--- a/filbertlb/batch/planner_state.py
+++ b/filbertlb/batch/planner_state.py
@@ -85,6 +85,9 @@
         Jobs whose progress is unreadable; nothing is decided about them.
     suspects : set of str
         Unfinished tasks that may have crashed a worker.
+    rack_wait_since_ms : dict of str to int
+        Time since which a task group that fits elsewhere waits for a rack.
+        It is not stored: under the next decider the wait begins again.
     """
 
     jobs: dict[str, Job] = attrs.Factory(dict)
@@ -96,6 +99,7 @@
     jobs_lost_by_node: dict[str, set[str]] = attrs.Factory(dict)
     ignored_jobs: set[str] = attrs.Factory(set)
     suspects: set[str] = attrs.Factory(set)
+    rack_wait_since_ms: dict[str, int] = attrs.Factory(dict)
     _tasks_by_node: dict[str, set[str]] = attrs.Factory(dict)
 
     def add_job(self, job: Job) -> None:
@@ -119,6 +123,11 @@
         self.jobs.pop(job_id, None)
         self.progress.pop(job_id, None)
         self.cancelled.discard(job_id)
+        self.rack_wait_since_ms = {
+            group: since_ms
+            for group, since_ms in self.rack_wait_since_ms.items()
+            if job_id_of(group) != job_id
+        }
 
     def mark_lost(self, task: str, node: str) -> None:
         """Record that a task leaves a silent node."""
--- a/filbertlb/batch/reservations.py
+++ b/filbertlb/batch/reservations.py
@@ -152,26 +152,29 @@
                 run for run in self._run_endings if run.task != task
             ]
 
-    def reserve(
+    def expected_start_ms(
         self, group: TaskGroup, node_groups: Sequence[Sequence[str]]
     ) -> int | None:
-        """Hold resources where a group can start soonest.
-
-        Parameters
-        ----------
-        node_groups : sequence of sequences of str
-            Sets of nodes that the group may be placed on.
-
-        Returns
-        -------
-        int or None
-            Expected start in Unix milliseconds; None if the group can't
-            start on any set of nodes even after all runs that end.
+        """Return when a group can start on one of some sets of nodes.
+
+        None if it can't even after all runs that end by themselves.
         """
-        sites = [self._site(group, nodes) for nodes in node_groups]
+        sites = [self._site(nodes) for nodes in node_groups]
+        found = self._soonest(group, sites)
+        return None if found is None else found[1]
+
+    def reserve(
+        self, group: TaskGroup, node_groups: Sequence[Sequence[str]]
+    ) -> None:
+        """Hold resources on the set of nodes where a group can start soonest.
+
+        Nothing is held if it can't start on any even after all runs that
+        end by themselves.
+        """
+        sites = [self._site(nodes) for nodes in node_groups]
         found = self._soonest(group, sites)
         if found is None:
-            return None
+            return
         site, start_ms = found
         remaining = self._task_count(group)
         # Best fit, as for placement.
@@ -185,7 +188,6 @@
             hold = Hold(start_ms, amount, ending)
             self._holds.setdefault(node, []).append(hold)
         self.count += 1
-        return start_ms
 
     def _soonest(
         self, group: TaskGroup, sites: Sequence[_Site]
@@ -210,7 +212,7 @@
                     return site, run.end_ms
         return None
 
-    def _site(self, group: TaskGroup, nodes: Sequence[str]) -> _Site:
+    def _site(self, nodes: Sequence[str]) -> _Site:
         """Return nodes with the resources that nothing else holds."""
         available = self.context.available.room
         room = {}
--- a/tests/batch/test_placing.py
+++ b/tests/batch/test_placing.py
@@ -217,3 +217,105 @@
         for index in range(gang_tasks)
     ]
     assert max(started_ms) - start_ms <= small_ms + 500
+
+
+def rack_replay(busy_ms, estimate_ms=None):
+    """Return a replay with rack r1 occupied and r2 and r3 idle."""
+    replay = replay_on(6, racks=["r1", "r1", "r2", "r2", "r3", "r3"])
+    step = a_step(
+        2,
+        needs=ALL_ACCELERATORS,
+        data_rack="r1",
+        estimate_ms=busy_ms if estimate_ms is None else estimate_ms,
+    )
+    replay.submit("busy", step, busy_ms)
+    replay.play(100)
+    assert replay.ordered("busy") == ["n0", "n1"]
+    return replay
+
+
+def occupy(replay, nodes):
+    """Occupy nodes of other racks, so that the service is not idle."""
+    for node in nodes:
+        rack = replay.racks[node]
+        step = a_step(
+            needs=ALL_ACCELERATORS, data_rack=rack, estimate_ms=60_000
+        )
+        replay.submit(f"on-{node}", step)
+    replay.play(replay.now_ms)
+
+
+@pytest.mark.parametrize("priority", [0, 1, 2])
+@pytest.mark.parametrize(
+    ("busy_ms", "run_ms", "local"),
+    [
+        # The run elsewhere would end at 18 s; the wait makes it 9 s.
+        (3000, 6000, True),
+        # The run elsewhere ends at 3 s, the rack is free after 8 s.
+        (8000, 1000, False),
+    ],
+)
+def test_step_waits_for_the_rack_of_its_data_if_it_is_done_sooner_there(
+    busy_ms, run_ms, local, priority
+):
+    # Urgent steps waited without limit, others always up to 4 s.
+    replay = rack_replay(busy_ms)
+    occupy(replay, ["n2", "n3"])
+    step = a_step(needs=ALL_ACCELERATORS, data_rack="r1", estimate_ms=run_ms)
+    replay.submit("near", step, run_ms, priority=priority, target_ms=60_000)
+    replay.play(replay.now_ms + 300)
+    assert bool(replay.ordered("near")) is not local
+    replay.play(busy_ms + 500)
+    if local:
+        assert replay.ordered("near")[0] in ("n0", "n1")
+
+
+@pytest.mark.parametrize("priority", [0, 1])
+def test_step_does_not_wait_without_limit_for_a_rack(priority):
+    # The runs there last much longer than declared.
+    replay = rack_replay(60_000, estimate_ms=1000)
+    occupy(replay, ["n2", "n3"])
+    step = a_step(needs=ALL_ACCELERATORS, data_rack="r1", estimate_ms=3000)
+    replay.submit("near", step, 9000, priority=priority, target_ms=60_000)
+    replay.play(replay.now_ms + 5000)
+    assert replay.ordered("near") == []
+    replay.play(replay.now_ms + 1500)
+    assert replay.ordered("near")[0] in ("n4", "n5")
+
+
+def test_gang_that_shares_a_rack_waits_for_one_that_has_room_soon():
+    replay = rack_replay(3000)
+    occupy(replay, ["n2", "n4", "n5"])
+    gang = a_step(
+        2,
+        needs=(4, 1, 1),
+        gang=True,
+        same_rack=True,
+        estimate_ms=6000,
+        max_per_worker=1,
+    )
+    replay.submit("gang", gang, 6000, priority=0, target_ms=60_000)
+    replay.play(4000)
+    assert replay.ordered("gang") == ["n0", "n1"]
+
+
+def test_step_does_not_wait_for_a_rack_where_runs_last():
+    replay = replay_on(4, racks=["r1", "r1", "r2", "r2"])
+    lasting = a_step(
+        2, needs=ALL_ACCELERATORS, data_rack="r1", long_running=True
+    )
+    replay.submit("lasting", lasting)
+    replay.play(100)
+    step = a_step(needs=ALL_ACCELERATORS, data_rack="r1", estimate_ms=9000)
+    replay.submit("near", step, priority=0, target_ms=60_000)
+    replay.play(200)
+    assert replay.ordered("near")[0] in ("n2", "n3")
+
+
+def test_step_waits_3_s_at_most_for_a_rack_of_an_idle_service():
+    # A job with nothing running for 3 s counts as lost then.
+    replay = rack_replay(9000)
+    step = a_step(needs=(1, 1, 1), data_rack="r1", estimate_ms=20_000)
+    replay.submit("near", step, priority=0, target_ms=60_000)
+    replay.play(replay.now_ms + 3000)
+    assert replay.ordered("near") != []
