Never give up tasks that last until cancelled for crashes

A task that runs until cancelled has no limit on restarts, but two prompt crashes of its workers failed its job for good. Such a task now restarts after a delay that doubles from 250 ms to 2 s and apart from other starts, also within a guarantee, whose time limit is for the first start. If it crashes worker after worker, no run beside it is blamed; otherwise it would get the tasks that share its workers given up. Records keep 8 crashes.

--- a/filbertlb/batch/crashes.py
+++ b/filbertlb/batch/crashes.py
@@ -5,6 +5,10 @@
 blamed task is a suspect: it runs on, but apart from runs that start at the
 same time, so that the next crash blames it alone. A task with enough blame
 is given up, as each further run would cost another worker and its runs.
+
+Tasks that run until cancelled have no limit on restarts and are never given
+up. They restart after a back-off that grows with each crash, which limits
+the workers that they can take down in a given time.
 """
 
 from __future__ import annotations
@@ -20,6 +24,7 @@
 
     from filbertlb.batch.model import Crash
     from filbertlb.batch.planner_state import PlannerState
+    from filbertlb.batch.planner_state import TaskGroup
 
 PROMPT_CRASH_MS = 1000
 """Time after a start within which a crash is most likely due to the run."""
@@ -38,11 +43,30 @@
 """
 MAX_SEPARATION_MS = 5000
 """Time that a suspect waits, at most, for a node of its own."""
+MIN_BACKOFF_MS = 250
+"""Delay of a restart after the first crash, which a worker often causes."""
+MAX_BACKOFF_MS = 2000
+"""Largest delay of a restart.
+
+A group with nothing running for 3 s beside free capacity counts as lost;
+the rest of that time is left for the decision and the start.
+"""
+MAX_RECORDED_CRASHES = 8
+"""Crashes kept for a task, so that its progress row stays bounded."""
 
 
 def with_crash(crashes: tuple[Crash, ...], crash: Crash) -> tuple[Crash, ...]:
     """Return the crashes that a task is blamed for after another one."""
-    return () if crash.run_ms > MAX_BLAME_MS else (*crashes, crash)
+    if crash.run_ms > MAX_BLAME_MS:
+        return ()
+    return (*crashes, crash)[-MAX_RECORDED_CRASHES:]
+
+
+def backoff_ms(crashes: tuple[Crash, ...]) -> int:
+    """Return the delay of a restart; it doubles with each crash."""
+    if not crashes:
+        return 0
+    return min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2 ** (len(crashes) - 1))
 
 
 def crashes_workers(crashes: tuple[Crash, ...]) -> bool:
@@ -106,6 +130,31 @@
         waits_ms = self.now_ms - self.state.record(task).since_ms
         return 0 <= waits_ms < MAX_SEPARATION_MS
 
+    def is_backing_off(self, task: str) -> bool:
+        """Return whether a waiting task that runs until cancelled is delayed.
+
+        The delay of a task whose phase began in the future, by the clock of
+        a former decider, is over.
+        """
+        if task not in self.state.suspects:
+            return False
+        if not self.state.step_of(task).long_running:
+            return False
+        record = self.state.record(task)
+        waits_ms = self.now_ms - record.since_ms
+        return 0 <= waits_ms < backoff_ms(record.crashes)
+
+    def startable(self, group: TaskGroup) -> list[str]:
+        """Return the waiting tasks of a group that are not delayed.
+
+        A gang starts as a whole, so one delayed member delays all.
+        """
+        waiting = self.state.waiting(group)
+        startable = [task for task in waiting if not self.is_backing_off(task)]
+        if group.step.gang and len(startable) < len(waiting):
+            return []
+        return startable
+
     def filter(self, nodes: list[str], tasks: Iterable[str]) -> list[str]:
         """Return the nodes where tasks may start now.
 
--- a/filbertlb/batch/placing.py
+++ b/filbertlb/batch/placing.py
@@ -78,7 +78,9 @@
                 self.available.reserved |= self._nodes_to_reserve(group)
 
     def _place_group(self, group: TaskGroup) -> None:
-        waiting = self.state.waiting(group)
+        waiting = self.separation.startable(group)
+        if not waiting:
+            return
         if group.step.gang:
             placement = self._find_placement(group, group.step.count, waiting)
             if placement is not None:
@@ -106,10 +108,15 @@
 
         Nodes are preferred to those where the tasks failed. Tasks that may
         have crashed a worker prefer idle nodes, where the next crash harms
-        nobody else.
+        nobody else. Claims of guarantees are not kept apart from others,
+        as their time limit is shorter; restarts of tasks that run until
+        cancelled have begun before and are.
         """
         nodes = self.context.candidates(group)
-        if not self.preemption.may_claim_guarantee(group):
+        restarts = group.step.long_running and any(
+            self.separation.is_held(task) for task in tasks
+        )
+        if restarts or not self.preemption.may_claim_guarantee(group):
             nodes = self.separation.filter(nodes, tasks)
         avoided = {self.state.record(task).avoid for task in tasks}
         preferred = [node for node in nodes if node not in avoided]
--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -12,7 +12,9 @@
 import attrs
 from loguru import logger
 
+from filbertlb.batch.crashes import backoff_ms
 from filbertlb.batch.crashes import crashes_workers
+from filbertlb.batch.crashes import MAX_BLAME_MS
 from filbertlb.batch.crashes import with_crash
 from filbertlb.batch.durations import DeclaredDurations
 from filbertlb.batch.model import Crash
@@ -34,6 +36,7 @@
 
     from filbertlb.batch.durations import DurationModel
     from filbertlb.batch.model import Job
+    from filbertlb.batch.model import Step
     from filbertlb.batch.model import TaskRecord
     from filbertlb.batch.model import WorkerReport
 
@@ -130,6 +133,7 @@
     ) -> None:
         report = view.report
         self._check_progress(view)
+        culprits = self._known_culprits(report)
         for end in report.ended:
             job_id = job_id_of(end.task)
             if job_id not in self.state.jobs:
@@ -139,6 +143,8 @@
                 continue
             if record.phase in (TaskPhase.ORDERED, TaskPhase.STOPPING):
                 self._count_outcome(view, end, now_s)
+                if culprits and end.task not in culprits:
+                    end = attrs.evolve(end, crashed_after_ms=None)
                 self._apply_end(end, now_ms)
         for run in report.running:
             progress = self.state.progress.get(job_id_of(run.task))
@@ -149,6 +155,23 @@
                         progress.job_id, JobState.ACTIVE, now_ms
                     )
 
+    def _known_culprits(self, report: WorkerReport) -> set[str]:
+        """Return ended tasks that crash workers but are never given up.
+
+        Nothing else is blamed for the crash of a worker that had a run of
+        such a task. Otherwise one of them would, over time, get all tasks
+        given up that run beside it.
+        """
+        return {
+            end.task
+            for end in report.ended
+            if end.task in self.state.suspects
+            and end.crashed_after_ms is not None
+            and end.crashed_after_ms <= MAX_BLAME_MS
+            and self.state.step_of(end.task).long_running
+            and crashes_workers(self.state.record(end.task).crashes)
+        }
+
     def _check_progress(self, view: WorkerView) -> None:
         """Update from a report whether the runs of a worker progress.
 
@@ -201,7 +224,7 @@
                 saved=end.saved or record.saved,
                 since_ms=now_ms,
                 avoid=record.node if avoids else record.avoid,
-                crashes=_crashes_after(record, end),
+                crashes=_crashes_after(record, end, step),
             ),
         )
         if step.gang:
@@ -307,11 +330,15 @@
                 self.state.set_job_state(job.job_id, JobState.COMPLETE, now_ms)
 
     def _must_fail(self, job: Job) -> bool:
-        """Return whether a task has failed, or crashed workers, too often."""
-        records = self.state.progress[job.job_id].tasks.values()
+        """Return whether a task has failed, or crashed workers, too often.
+
+        Tasks that run until cancelled have no such limit.
+        """
+        tasks = self.state.progress[job.job_id].tasks
         return self._attempts_exhausted(job) or any(
             crashes_workers(record.crashes)
-            for record in records
+            and not self.state.step_of(task).long_running
+            for task, record in tasks.items()
             if record.crashes
         )
 
@@ -373,17 +400,24 @@
         return within_guarantee
 
 
-def _crashes_after(record: TaskRecord, end: RunEnd) -> tuple[Crash, ...]:
+def _crashes_after(
+    record: TaskRecord, end: RunEnd, step: Step
+) -> tuple[Crash, ...]:
     """Return the crashes that a task is blamed for after the end of a run."""
     if end.crashed_after_ms is None:
         return record.crashes
     crash = Crash(record.node, end.crashed_after_ms)
     crashes = with_crash(record.crashes, crash)
+    outcome = ""
+    if step.long_running:
+        outcome = f" and restarts after {backoff_ms(crashes)} ms"
+    elif crashes_workers(crashes):
+        outcome = " and given up"
     logger.warning(
         "worker on {} crashed {} ms after the start of {} attempt {}; the "
         "task is blamed for {} crashes{}",
         *(crash.node, crash.run_ms, end.task, end.attempt, len(crashes)),
-        " and given up" if crashes_workers(crashes) else "",
+        outcome,
     )
     return crashes
 
