Hold resources for a gang until its last members are stopped

A gang whose member was refused or failed starts again once all members are stopped. Meanwhile less urgent tasks started on its nodes and were stopped for it as soon as it came back.

It now keeps a reservation for up to 2 s after the stops were sent. The case of 16 small tasks fails without the change: the gang had no node after its stop. Not needed for the case of one task, which guards against a reservation that holds more than the gang needs.

--- a/filbertlb/batch/placing.py
+++ b/filbertlb/batch/placing.py
@@ -32,6 +32,8 @@
 
 MAX_CHANGED_ROWS = 80
 """Rows changed before placing stops, so that a decision stays short."""
+RESTART_HOLD_MS = 2000
+"""Time for which resources are held for a gang that is being stopped."""
 
 
 @attrs.define
@@ -70,6 +72,9 @@
             changed = len(self.state.changed_jobs)
             if changed + len(self.state.changed_nodes) > MAX_CHANGED_ROWS:
                 return
+            if self.state.restarts(group):
+                self._reserve_for_restart(group)
+                continue
             self._place_group(group)
             waiting = [
                 task
@@ -219,6 +224,26 @@
         sets = self.locality.sets_to_reserve(group, nodes)
         self.reservations.reserve(group, sets)
 
+    def _reserve_for_restart(self, group: TaskGroup) -> None:
+        """Hold resources for a gang whose last members are being stopped.
+
+        Less urgent tasks that started there meanwhile would be stopped for
+        it at once. Members that take long to stop may be on silent workers,
+        so nothing is held for them any more.
+        """
+        records = self.state.members(group.name).values()
+        since_ms = max(record.since_ms for record in records)
+        if self.context.now_ms - since_ms > RESTART_HOLD_MS:
+            return
+        avoided = {record.avoid for record in records}
+        nodes = [
+            node
+            for node in self.context.candidates(group)
+            if node not in avoided
+        ]
+        sets = self.locality.sets_to_reserve(group, nodes)
+        self.reservations.reserve(group, sets)
+
     def _order(
         self, group: TaskGroup, tasks: list[str], placement: Placement
     ) -> None:
--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -375,8 +375,8 @@
             for index in range(len(job.steps))
         ]
         for group in groups:
-            waiting = self.state.waiting(group)
-            if waiting and all(
+            unplaced = self.state.waiting(group) or self.state.restarts(group)
+            if unplaced and all(
                 self.state.done(groups[index]) for index in group.step.after
             ):
                 yield group
--- a/filbertlb/batch/planner_state.py
+++ b/filbertlb/batch/planner_state.py
@@ -222,6 +222,15 @@
             return []
         return waiting
 
+    def restarts(self, group: TaskGroup) -> bool:
+        """Return whether a gang starts again once all members are stopped."""
+        if not group.step.gang:
+            return False
+        phases = {self.record(task).phase for task in group.tasks()}
+        return TaskPhase.STOPPING in phases and phases.isdisjoint(
+            (TaskPhase.ORDERED, TaskPhase.DONE)
+        )
+
     def set_job_state(self, job_id: str, state: JobState, now_ms: int) -> None:
         """Set the state of a job that is reported to callers."""
         progress = self.progress[job_id]
--- a/tests/batch/test_placing.py
+++ b/tests/batch/test_placing.py
@@ -68,6 +68,11 @@
         tasks = self.planner.state.progress[job_id].tasks.values()
         return sorted(t.node for t in tasks if t.phase is TaskPhase.ORDERED)
 
+    def end_now(self, task, cause):
+        """Report the end of a task's run with the next reports."""
+        attempt = self.planner.state.record(task).attempt
+        heapq.heappush(self._ends, (self.now_ms, task, attempt, cause))
+
     def _follow(self):
         state = self.planner.state
         for progress in state.progress.values():
@@ -319,3 +324,21 @@
     replay.submit("near", step, priority=0, target_ms=60_000)
     replay.play(replay.now_ms + 3000)
     assert replay.ordered("near") != []
+
+
+@pytest.mark.parametrize("small_tasks", [1, 16])
+def test_gang_that_restarts_finds_its_nodes_free(small_tasks):
+    # One member was refused. While the others were being stopped, small
+    # tasks started on their nodes and were stopped again for the gang.
+    replay = replay_on(4)
+    gang = a_step(3, needs=ALL_ACCELERATORS, gang=True, estimate_ms=5000)
+    replay.submit("gang", gang, 5000, priority=0)
+    replay.play(100)
+    step = a_step(small_tasks, needs=(1, 1, 1), estimate_ms=20_000)
+    replay.submit("small", step, 20_000, priority=2)
+    replay.end_now("gang.0.0.0", EndCause.REFUSED)
+    replay.play(replay.now_ms + STOP_MS + ROUND_MS)
+    nodes = set(replay.ordered("gang"))
+    assert len(nodes) == 3
+    assert nodes.isdisjoint(replay.ordered("small"))
+    assert replay.ordered("small")
