Learn run times from finished runs and hand them on

Callers' estimates are off by a factor of two and more, so deadlines, order and remaining times were wrong by as much.

Agents measure RunEnd.run_ms. The decider keeps, in log space, weighted statistics of each queue, of each kind of task (organisation, queue, image, shape) and of the errors of each organisation's estimates, and combines the observed distribution with the corrected estimate by the inverse of their variances. Stopped and failed runs are lower bounds; the listed percent gives the remaining time of a run.

Enabled by FILBERTLB_RUN_TIMES=learned; declared, the default, predicts as before. image of a step is read from submissions.

--- a/filbertlb/batch/agent.py
+++ b/filbertlb/batch/agent.py
@@ -336,7 +336,8 @@
             return
         self._record_answer(worker)
         self._reconciler.record_listing(
-            sent_s, listing.running, listing.ends, listing.ends_complete
+            *(sent_s, listing.running, listing.ends, listing.ends_complete),
+            received_s=self._clock.monotonic(),
         )
         self._wake_loops()
         if self._reconciler.last_end_number > self._acked_number:
--- a/filbertlb/batch/decider.py
+++ b/filbertlb/batch/decider.py
@@ -12,6 +12,12 @@
 from gevent import spawn
 from loguru import logger
 
+from filbertlb.batch.durations import DeclaredDurations
+from filbertlb.batch.durations import RunTimes
+from filbertlb.batch.learned_durations import LearnedDurations
+from filbertlb.batch.learned_row import LEARNED_PERIOD_S
+from filbertlb.batch.learned_row import learned_write
+from filbertlb.batch.learned_row import read_learned
 from filbertlb.batch.model import CANCEL_PREFIX
 from filbertlb.batch.model import JOB_PREFIX
 from filbertlb.batch.model import PROGRESS_PREFIX
@@ -35,6 +41,7 @@
 if TYPE_CHECKING:
     from collections.abc import Generator
 
+    from filbertlb.batch.durations import DurationModel
     from filbertlb.batch.index import JobIndex
     from filbertlb.batch.planner import Planner
     from filbertlb.batch.write_plan import WritePlan
@@ -107,6 +114,8 @@
         Largest transaction that the table accepts.
     slow : bool
         This machine's processor is slow, so that others are preferred.
+    run_times : RunTimes
+        Source of the expected run times of tasks.
     """
 
     def __init__(
@@ -120,6 +129,7 @@
         guarantees: Callable[[], dict[str, int]],
         limits: TransactionLimits | None = None,
         slow: bool = False,
+        run_times: RunTimes = RunTimes.DECLARED,
     ) -> None:
         self._table = table
         self._mirror = mirror
@@ -128,6 +138,7 @@
         self._guarantees = guarantees
         self._limits = _without_lease(limits or TransactionLimits())
         self._batch_entries = self._limits.entries
+        self._run_times = run_times
         self._lease_delay_s = SLOW_MACHINE_DELAY_S if slow else 0.0
         self._holder_id = f"{node}-{token_hex(4)}"
         self._keeper = LeaseManager(
@@ -143,6 +154,7 @@
         self._changed_keys: set[str] = set()
         self._next_cleanup_s = 0.0
         self._next_marks_s = 0.0
+        self._next_learned_s = 0.0
         self._backoff_s = MIN_BACKOFF_S
         self._last_success_s = clock.monotonic()
         self._aside_until_s = float("-inf")
@@ -297,6 +309,7 @@
         planner.decide(self._clock.monotonic(), now_ms)
         self._write(planner, term.epoch, now_ms)
         self._hand_on_marks(term.epoch)
+        self._hand_on_run_times(planner, term.epoch)
         self._delete_ended_jobs(planner, term.epoch, now_ms)
 
     def _take_over(self, term: Term) -> Planner:
@@ -316,6 +329,7 @@
             self._index,
             term.workers.mirror,
             self._clock,
+            self._durations(),
         )
         logger.info(
             "deciding with epoch {} from version {} after {:.2f} s: {} jobs, "
@@ -365,6 +379,37 @@
             self._keeper.commit((write,), epoch=epoch)
         self._next_marks_s = now_s + WRITE_PERIOD_S
 
+    def _durations(self) -> DurationModel:
+        """Return the model that a new planner predicts run times with.
+
+        What the planner before learned without storing it is learned again:
+        its last decision may not be written.
+        """
+        if self._run_times is RunTimes.DECLARED:
+            return DeclaredDurations()
+        return read_learned(self._table)
+
+    def _hand_on_run_times(self, planner: Planner, epoch: int) -> None:
+        """Store what was learned, for the next decider.
+
+        A failure costs only the row, so decisions go on.
+        """
+        durations = planner.durations
+        now_s = self._clock.monotonic()
+        if (
+            not isinstance(durations, LearnedDurations)
+            or not durations.changed
+            or now_s < self._next_learned_s
+        ):
+            return
+        self._next_learned_s = now_s + LEARNED_PERIOD_S
+        try:
+            self._keeper.commit((learned_write(durations),), epoch=epoch)
+        except FilbertlbError as error:
+            logger.warning("learned run times not stored: {}", error)
+            return
+        durations.changed = False
+
     def _plan_writes(self, planner: Planner, epoch: int) -> WritePlan:
         units = changed_units(planner.state, epoch)
         return divide(units, self._limits, self._batch_entries)
--- a/filbertlb/batch/durations.py
+++ b/filbertlb/batch/durations.py
@@ -1,15 +1,21 @@
-"""Expected run times of tasks."""
+"""Expected run times of tasks: the interface and the declared figures."""
 
 from __future__ import annotations
 
+from enum import StrEnum
 from typing import Protocol
 from typing import TYPE_CHECKING
 
 import attrs
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from filbertlb.batch.model import Job
+    from filbertlb.batch.model import Run
+    from filbertlb.batch.model import RunEnd
     from filbertlb.batch.model import Step
+    from filbertlb.batch.model import Worker
 
 MAX_DURATION_FACTOR = 2.0
 """Assumed maximum duration of a task, as a multiple of its estimate."""
@@ -17,6 +23,38 @@
 """Assumed remaining time of runs that exceed their estimate."""
 
 
+class RunTimes(StrEnum):
+    """Source of the expected run times."""
+
+    DECLARED = "declared"
+    LEARNED = "learned"
+
+
+@attrs.frozen
+class ObservedRun:
+    """Circumstances of a run whose time is observed.
+
+    Parameters
+    ----------
+    node : str
+        Node of its worker.
+    worker : Worker, optional
+        The worker; None if it is not known.
+    slowdown : float
+        Known ratio of its run time to that near its data and within one
+        rack.
+    resumed : bool
+        It began from a checkpoint, so it does only a part of the work.
+    """
+
+    job: Job
+    step: Step
+    node: str
+    worker: Worker | None = None
+    slowdown: float = 1.0
+    resumed: bool = False
+
+
 class DurationModel(Protocol):
     """Predicts how long tasks run, in milliseconds."""
 
@@ -37,6 +75,36 @@
             Time since the run was ordered.
         """
 
+    def chain_ms(self, job: Job) -> int:
+        """Return the expected time of a job's steps, for its objective."""
+
+    def speed_band(self, node: str) -> int:
+        """Return the class of speed of a worker; higher is faster."""
+
+    def explain(self, job: Job, step: Step) -> str:
+        """Return the expected run time and its origin, for log lines."""
+
+    def record_worker(self, node: str, worker: Worker) -> None:
+        """Record what a worker announces about itself."""
+
+    def record_progress(
+        self, run: Run, run_ms: int, observe: Callable[[], ObservedRun]
+    ) -> None:
+        """Record the share of work that a run has done.
+
+        Parameters
+        ----------
+        run_ms : int
+            Time from the order of the run until the report.
+        observe : callable
+            Returns the circumstances; called once for each run.
+        """
+
+    def record_end(
+        self, end: RunEnd, observe: Callable[[], ObservedRun], now_ms: int
+    ) -> None:
+        """Record the end of a run."""
+
 
 @attrs.frozen
 class DeclaredDurations:
@@ -55,3 +123,53 @@
     ) -> int:
         """Return the rest of the declared run time."""
         return max(MIN_REMAINING_MS, step.estimate_ms - run_ms)
+
+    def chain_ms(self, job: Job) -> int:
+        """Return the sum of the declared run times of all steps."""
+        return sum(step.estimate_ms for step in job.steps)
+
+    def speed_band(self, node: str) -> int:
+        """Return the same class for all workers."""
+        return 0
+
+    def explain(self, job: Job, step: Step) -> str:
+        """Return the declared run time."""
+        return f"{step.estimate_ms} ms as declared"
+
+    def record_worker(self, node: str, worker: Worker) -> None:
+        """Ignore the worker."""
+
+    def record_progress(
+        self, run: Run, run_ms: int, observe: Callable[[], ObservedRun]
+    ) -> None:
+        """Ignore the progress of a run."""
+
+    def record_end(
+        self, end: RunEnd, observe: Callable[[], ObservedRun], now_ms: int
+    ) -> None:
+        """Ignore the end of a run."""
+
+
+def longest_chain_ms(job: Job, expected_ms: Callable[[Step], int]) -> int:
+    """Return the time of the longest chain of steps that need each other.
+
+    Steps that need each other in a circle never run and are left out.
+    """
+    later: dict[int, list[int]] = {}
+    missing = [len(step.after) for step in job.steps]
+    for index, step in enumerate(job.steps):
+        for before in step.after:
+            later.setdefault(before, []).append(index)
+    start_ms = [0] * len(job.steps)
+    ready = [index for index, count in enumerate(missing) if not count]
+    chain_ms = 0
+    while ready:
+        index = ready.pop()
+        end_ms = start_ms[index] + expected_ms(job.steps[index])
+        chain_ms = max(chain_ms, end_ms)
+        for following in later.get(index, ()):
+            start_ms[following] = max(start_ms[following], end_ms)
+            missing[following] -= 1
+            if not missing[following]:
+                ready.append(following)
+    return chain_ms
--- /dev/null
+++ b/filbertlb/batch/learned_durations.py
@@ -0,0 +1,498 @@
+"""Expected run times learned from finished runs.
+
+Answers callers whose estimates are wrong by factors: work is ordered by
+deadlines that don't hold, and resources are kept free for runs that last
+longer. The figures of a queue, refined by those of the organisation, image
+and shape, are combined with the corrected estimate of the caller, each by
+its reliability.
+"""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+from math import exp
+from math import log
+from typing import TYPE_CHECKING
+
+import attrs
+
+from filbertlb.batch.durations import DeclaredDurations
+from filbertlb.batch.durations import longest_chain_ms
+from filbertlb.batch.durations import MIN_REMAINING_MS
+from filbertlb.batch.log_normal import log_ms
+from filbertlb.batch.log_normal import LogNormal
+from filbertlb.batch.log_normal import LogStatistics
+from filbertlb.batch.model import EndCause
+from filbertlb.batch.worker_speeds import WorkerSpeed
+from filbertlb.batch.worker_speeds import WorkerSpeeds
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from typing import Any
+
+    from filbertlb.batch.durations import ObservedRun
+    from filbertlb.batch.model import Job
+    from filbertlb.batch.model import Run
+    from filbertlb.batch.model import RunEnd
+    from filbertlb.batch.model import Step
+    from filbertlb.batch.model import Worker
+
+UPPER_QUANTILE = 0.95
+"""Share of the tasks that end within the upper run time."""
+ESTIMATE_VARIANCE = 0.7**2
+"""Variance of the logarithmic error of estimates, until it is learned.
+
+Callers' estimates were found to have a deviation of 0.5 to 0.9.
+"""
+QUEUE_VARIANCE = 0.5**2
+"""Variance of the logarithm of run times of a queue, until it is learned.
+
+It is less than that of estimates, as the tasks of one queue are alike.
+"""
+TASK_CORRELATION = 0.5
+"""Correlation of the run times of tasks of one step.
+
+Any number of them counts for at most two independent runs.
+"""
+MIN_WEIGHT = 0.05
+"""Weight below which a lower bound tells nothing, so it is left out."""
+MAX_KEYS = 64
+"""Statistics that are kept: of queues, kinds of task and organisations."""
+MAX_NAME_CHARS = 48
+"""Longer names are shortened by a digest, which bounds the row."""
+MAX_TRACKED_RUNS = 20_000
+"""Runs whose progress is known; more than a site has at a time."""
+MAX_PREDICTIONS = 4096
+COMPLETE_PERCENT = 100
+ANCHOR_ERROR_MS = 500
+"""Deviation of the time at which a share of work was seen.
+
+Reports come every second.
+"""
+SPEED_PERCENT = 50
+"""Work seen after which a run in progress tells its worker's speed."""
+ALL_CALLERS = ""
+LOWER_BOUND_CAUSES = frozenset(
+    (EndCause.STOPPED, EndCause.FAILED, EndCause.LOST)
+)
+
+
+@attrs.frozen
+class Prediction:
+    """Expected run time of a kind of task, and where it comes from.
+
+    Parameters
+    ----------
+    distribution : LogNormal, optional
+        None if neither runs nor an estimate are known.
+    runs, queue_runs : int
+        Observed runs of the kind, and of its queue.
+    correction : float
+        Factor by which the estimate is multiplied.
+    estimate_share : float
+        Share of the corrected estimate in the result.
+    """
+
+    distribution: LogNormal | None
+    runs: int = 0
+    queue_runs: int = 0
+    correction: float = 1.0
+    estimate_share: float = 0.0
+
+
+@attrs.define
+class LearnedRunTimes:
+    """What was learned; value of the row that the decider hands on.
+
+    Parameters
+    ----------
+    queues, kinds, errors : dict of str to LogStatistics
+        Run times by queue and by kind of task, and ratios of run times to
+        estimates by organisation, all on a worker of usual speed.
+    speeds : dict of str to WorkerSpeed
+        Speeds of workers by node.
+    """
+
+    queues: dict[str, LogStatistics] = attrs.Factory(dict)
+    kinds: dict[str, LogStatistics] = attrs.Factory(dict)
+    errors: dict[str, LogStatistics] = attrs.Factory(dict)
+    speeds: dict[str, WorkerSpeed] = attrs.Factory(dict)
+
+
+@attrs.define
+class _Track:
+    """Progress of one run; times are counted from its order.
+
+    Attributes
+    ----------
+    first_percent, first_ms : int
+        Progress from which the pace is measured.
+    speed_counted : bool
+        The run has told its worker's speed.
+    """
+
+    attempt: int
+    observed: ObservedRun
+    first_percent: int
+    first_ms: int
+    percent: int
+    at_ms: int
+    speed_counted: bool = False
+
+    def update(self, percent: int, run_ms: int) -> None:
+        if run_ms < self.at_ms or percent < self.percent:
+            return
+        if not self.percent and not percent:
+            self.first_ms = run_ms
+        self.percent = percent
+        self.at_ms = run_ms
+
+    def total(self) -> LogNormal | None:
+        """Return the time of the whole work at the observed pace."""
+        done = self.percent - self.first_percent
+        elapsed_ms = self.at_ms - self.first_ms
+        if done <= 0 or elapsed_ms <= 0:
+            return None
+        variance = (1 / done) ** 2 + (ANCHOR_ERROR_MS / elapsed_ms) ** 2
+        return LogNormal(
+            log_ms(COMPLETE_PERCENT * elapsed_ms / done), variance
+        )
+
+
+@attrs.define
+class LearnedDurations:
+    """Predicts run times from observed runs and corrected estimates.
+
+    Attributes
+    ----------
+    changed : bool
+        Something was learned since this was last set to False.
+    """
+
+    learned: LearnedRunTimes = attrs.Factory(LearnedRunTimes)
+    changed: bool = False
+    _declared: DeclaredDurations = attrs.Factory(DeclaredDurations)
+    _speeds: WorkerSpeeds = attrs.field(init=False)
+    _tracks: dict[str, _Track] = attrs.Factory(dict)
+    _latest_ms: int = attrs.field(init=False)
+    _predictions: dict[Any, Prediction] = attrs.Factory(dict)
+    _remaining: dict[str, tuple[int, int]] = attrs.Factory(dict)
+    _chain_ms: dict[str, int] = attrs.Factory(dict)
+
+    def __attrs_post_init__(self) -> None:
+        """Use the stored speeds and the time of the latest observation."""
+        self._speeds = WorkerSpeeds(self.learned.speeds)
+        self._latest_ms = max(
+            (known.at_ms for known in self._all_statistics()), default=0
+        )
+
+    @property
+    def speeds(self) -> WorkerSpeeds:
+        """Speeds of the workers."""
+        return self._speeds
+
+    def expected_ms(self, job: Job, step: Step) -> int:
+        """Return the median run time on a worker of usual speed."""
+        distribution = self.prediction(job, step).distribution
+        if distribution is None:
+            return self._declared.expected_ms(job, step)
+        return distribution.median_ms()
+
+    def upper_ms(self, job: Job, step: Step) -> int:
+        """Return the run time that few tasks of a step exceed."""
+        distribution = self.prediction(job, step).distribution
+        if distribution is None:
+            return self._declared.upper_ms(job, step)
+        return distribution.quantile_ms(UPPER_QUANTILE)
+
+    def remaining_ms(
+        self, job: Job, step: Step, task: str, run_ms: int
+    ) -> int:
+        """Return the median remaining time of a run.
+
+        It follows from the share of work that is left and the pace so far,
+        which counts the more, the more of the work was seen. Without it,
+        from the run times of those that lasted as long.
+        """
+        known = self._remaining.get(task)
+        if known is not None and known[0] == run_ms:
+            return known[1]
+        remaining_ms = self._remaining_ms(job, step, task, run_ms)
+        self._remaining[task] = (run_ms, remaining_ms)
+        return remaining_ms
+
+    def chain_ms(self, job: Job) -> int:
+        """Return the expected time of the longest chain of steps."""
+        chain_ms = self._chain_ms.get(job.job_id)
+        if chain_ms is None:
+            if len(self._chain_ms) >= MAX_PREDICTIONS:
+                self._chain_ms.clear()
+            chain_ms = longest_chain_ms(
+                job, lambda step: self.expected_ms(job, step)
+            )
+            self._chain_ms[job.job_id] = chain_ms
+        return chain_ms
+
+    def speed_band(self, node: str) -> int:
+        """Return the class of speed of a worker; higher is faster."""
+        return self._speeds.band(node)
+
+    def explain(self, job: Job, step: Step) -> str:
+        """Return the expected run time and its origin, for log lines."""
+        found = self.prediction(job, step)
+        if found.distribution is None:
+            return self._declared.explain(job, step)
+        return (
+            f"{found.distribution.median_ms()} ms, at most "
+            f"{found.distribution.quantile_ms(UPPER_QUANTILE)} ms, by "
+            f"{found.runs} runs of its kind and {found.queue_runs} of its "
+            f"queue, estimate {step.estimate_ms} ms times "
+            f"{found.correction:.2f} counts {found.estimate_share:.2f}"
+        )
+
+    def prediction(self, job: Job, step: Step) -> Prediction:
+        """Return what is expected of the tasks of a step."""
+        if step.long_running:
+            return Prediction(None)
+        key = (
+            *(job.organisation, job.queue, step.image),
+            *(step.needs[:2], step.estimate_ms),
+        )
+        found = self._predictions.get(key)
+        if found is None:
+            if len(self._predictions) >= MAX_PREDICTIONS:
+                self._predictions.clear()
+            found = self._predictions[key] = self._predict(job, step)
+        return found
+
+    def record_worker(self, node: str, worker: Worker) -> None:
+        """Forget the speed of a node whose machine was replaced."""
+        self._speeds.record_worker(node, worker)
+
+    def record_progress(
+        self, run: Run, run_ms: int, observe: Callable[[], ObservedRun]
+    ) -> None:
+        """Record the share of work that a run has done."""
+        track = self._tracks.get(run.task)
+        if track is None or track.attempt != run.attempt:
+            if len(self._tracks) >= MAX_TRACKED_RUNS:
+                self._tracks.clear()
+            observed = observe()
+            track = _Track(
+                *(run.attempt, observed, run.percent, run_ms),
+                *(run.percent, run_ms),
+            )
+            if run.percent and not observed.resumed:
+                # It began about when it was ordered.
+                track.first_percent = track.first_ms = 0
+            self._tracks[run.task] = track
+        else:
+            track.update(run.percent, run_ms)
+        self._remaining.pop(run.task, None)
+        seen = track.percent - track.first_percent
+        if seen >= SPEED_PERCENT and not track.speed_counted:
+            self._learn_speed(track.observed, track.total())
+            track.speed_counted = True
+
+    def record_end(
+        self, end: RunEnd, observe: Callable[[], ObservedRun], now_ms: int
+    ) -> None:
+        """Learn from the end of a run.
+
+        One that was stopped, failed or was resumed from a checkpoint shows
+        that the whole work takes at least as long.
+        """
+        track = self._tracks.pop(end.task, None)
+        self._remaining.pop(end.task, None)
+        done = end.cause is EndCause.DONE
+        if end.run_ms is None or not (done or end.cause in LOWER_BOUND_CAUSES):
+            return
+        observed = observe()
+        if observed.step.long_running:
+            return
+        self._latest_ms = max(self._latest_ms, now_ms)
+        value = (
+            log_ms(end.run_ms)
+            + self._speeds.log_speed(observed.node)
+            - log(observed.slowdown)
+        )
+        weight = _weight(observed.step)
+        if not done or observed.resumed:
+            self._learn_bound(observed, value, weight, now_ms)
+            return
+        if track is None or not track.speed_counted:
+            self._learn_speed(observed, LogNormal(log_ms(end.run_ms), 0.0))
+        self._learn(observed, value, weight, now_ms)
+
+    def snapshot(self) -> LearnedRunTimes:
+        """Return what is worth storing."""
+        return attrs.evolve(self.learned, speeds=self._speeds.best_known())
+
+    def _all_statistics(self) -> list[LogStatistics]:
+        learned = self.learned
+        return [
+            statistics
+            for by_key in (learned.queues, learned.kinds, learned.errors)
+            for statistics in by_key.values()
+        ]
+
+    def _predict(self, job: Job, step: Step) -> Prediction:
+        learned, now_ms = self.learned, self._latest_ms
+        queue = learned.queues.get(_short(job.queue), LogStatistics())
+        kind = learned.kinds.get(_kind(job, step), LogStatistics())
+        observed = queue.alone(QUEUE_VARIANCE, now_ms)
+        if observed is not None:
+            observed = kind.refined(observed, now_ms)
+        declared, correction = None, 1.0
+        if step.estimate_ms > 0:
+            error = self._estimate_error(job)
+            correction = exp(error.mean)
+            declared = LogNormal(
+                log_ms(step.estimate_ms) + error.mean, error.variance
+            )
+        if observed is None or declared is None:
+            return Prediction(
+                *(observed or declared, kind.runs, queue.runs, correction),
+                float(observed is None and declared is not None),
+            )
+        return Prediction(
+            observed.combined(declared),
+            *(kind.runs, queue.runs, correction),
+            observed.variance / (observed.variance + declared.variance),
+        )
+
+    def _estimate_error(self, job: Job) -> LogNormal:
+        """Return the ratio of run times to the estimates of a caller."""
+        errors, now_ms = self.learned.errors, self._latest_ms
+        error = LogNormal(0.0, ESTIMATE_VARIANCE)
+        for key in (ALL_CALLERS, _short(job.organisation)):
+            error = errors.get(key, LogStatistics()).refined(error, now_ms)
+        return error
+
+    def _remaining_ms(
+        self, job: Job, step: Step, task: str, run_ms: int
+    ) -> int:
+        expected = self.prediction(job, step).distribution
+        if expected is None:
+            return self._declared.remaining_ms(job, step, task, run_ms)
+        track = self._tracks.get(task)
+        if track is not None:
+            slower = log(track.observed.slowdown) - self._speeds.log_speed(
+                track.observed.node
+            )
+            expected = attrs.evolve(expected, mean=expected.mean + slower)
+            pace = track.total()
+            if pace is not None:
+                total = expected.combined(pace)
+                left = (COMPLETE_PERCENT - track.percent) / COMPLETE_PERCENT
+                since_ms = run_ms - track.at_ms
+                left_ms = round(left * total.median_ms()) - since_ms
+                return max(MIN_REMAINING_MS, left_ms)
+        ended = expected.share_within(log_ms(run_ms))
+        if ended > 1 - 1e-6:
+            return max(MIN_REMAINING_MS, run_ms)
+        total_ms = expected.quantile_ms((1 + ended) / 2)
+        return max(MIN_REMAINING_MS, total_ms - run_ms)
+
+    def _learn_speed(
+        self, observed: ObservedRun, total: LogNormal | None
+    ) -> None:
+        """Learn a worker's speed from the time of one run's whole work."""
+        expected = self.prediction(observed.job, observed.step).distribution
+        if (
+            observed.worker is None
+            or total is None
+            or expected is None
+            or observed.slowdown != 1.0
+        ):
+            return
+        self._speeds.record(
+            *(observed.node, observed.worker),
+            expected.mean - total.mean,
+            (expected.variance + total.variance) / _weight(observed.step),
+        )
+        self.changed = True
+
+    def _learn_bound(
+        self, observed: ObservedRun, bound: float, weight: float, now_ms: int
+    ) -> None:
+        """Learn that a run would have lasted longer than it did.
+
+        It counts as the mean of longer runs, by the share of shorter ones: a
+        run that was stopped early tells nothing.
+        """
+        expected = self.prediction(observed.job, observed.step).distribution
+        if expected is None:
+            return
+        weight *= expected.share_within(bound)
+        if weight >= MIN_WEIGHT:
+            value = expected.mean_above(bound)
+            self._learn(observed, value, weight, now_ms)
+
+    def _learn(
+        self, observed: ObservedRun, value: float, weight: float, now_ms: int
+    ) -> None:
+        job, step, learned = observed.job, observed.step, self.learned
+        self._add(learned.queues, _short(job.queue), value, weight, now_ms)
+        self._add(learned.kinds, _kind(job, step), value, weight, now_ms)
+        if step.estimate_ms > 0:
+            error = value - log_ms(step.estimate_ms)
+            for key in (ALL_CALLERS, _short(job.organisation)):
+                self._add(learned.errors, key, error, weight, now_ms)
+        self._predictions.clear()
+        self._remaining.clear()
+        self._chain_ms.clear()
+        self.changed = True
+
+    def _add(
+        self,
+        by_key: dict[str, LogStatistics],
+        key: str,
+        value: float,
+        weight: float,
+        now_ms: int,
+    ) -> None:
+        statistics = by_key.get(key)
+        if statistics is None:
+            if len(self._all_statistics()) >= MAX_KEYS:
+                self._evict(now_ms)
+            statistics = by_key[key] = LogStatistics()
+        statistics.add(value, weight, now_ms)
+
+    def _evict(self, now_ms: int) -> None:
+        """Drop the statistics with the least weight.
+
+        Those that the present observation has updated stay: the new key
+        refines them.
+        """
+        learned = self.learned
+        by_key, key = min(
+            (
+                (by_key, key)
+                for by_key in (learned.kinds, learned.queues, learned.errors)
+                for key in by_key
+            ),
+            key=lambda entry: (
+                entry[0][entry[1]].at_ms >= now_ms,
+                entry[0][entry[1]].weight_at(now_ms),
+            ),
+        )
+        del by_key[key]
+
+
+def _weight(step: Step) -> float:
+    """Return the weight of one run; members of a gang end as one."""
+    others = 0 if step.gang else step.count - 1
+    return 1 / (1 + TASK_CORRELATION * others)
+
+
+def _kind(job: Job, step: Step) -> str:
+    names = map(_short, (job.organisation, job.queue, step.image))
+    return "/".join((*names, f"{step.needs[0]}x{step.needs[1]}"))
+
+
+def _short(name: str) -> str:
+    if len(name) <= MAX_NAME_CHARS:
+        return name
+    digest = blake2b(name.encode(), digest_size=8).hexdigest()
+    return name[: MAX_NAME_CHARS - len(digest)] + digest
--- a/filbertlb/batch/local_run.py
+++ b/filbertlb/batch/local_run.py
@@ -53,6 +53,9 @@
         Last checkpoint that the worker listed.
     percent : int
         Share of the work that is done, as the worker listed it.
+    running_since_s : float, optional
+        Monotonic time from which this agent process knows the run to be in
+        progress; None if it began under an earlier process.
     """
 
     needs: Amount | None
@@ -65,6 +68,13 @@
     start_unanswered: bool = False
     saved: str = ""
     percent: int = 0
+    running_since_s: float | None = None
+
+    def run_ms(self, until_s: float) -> int | None:
+        """Return the age of the run at a time; None if that is unknown."""
+        if self.running_since_s is None or until_s < self.running_since_s:
+            return None
+        return round(1000 * (until_s - self.running_since_s))
 
     def call_sent(self, now_s: float) -> None:
         """Record that a call for the run is sent."""
--- a/filbertlb/batch/model.py
+++ b/filbertlb/batch/model.py
@@ -113,6 +113,8 @@
         Maximum number of tasks on one worker; 0 for no limit.
     long_running : bool
         The tasks run until the job is cancelled.
+    image : str
+        Program that the tasks run; empty if the caller does not name it.
     """
 
     count: Count
@@ -126,6 +128,7 @@
     data_rack: str = ""
     max_per_worker: Count = 0
     long_running: bool = False
+    image: str = ""
 
     def __str__(self) -> str:
         """Return a short description for logs."""
@@ -314,6 +317,9 @@
     crashed_after_ms : int, optional
         Time from the start of the run until its worker crashed; None if the
         worker did not crash, or if that is not known.
+    run_ms : int, optional
+        Time for which the run is known to have lasted; None if its start or
+        its end was not observed by the reporting agent.
     """
 
     task: str
@@ -321,6 +327,7 @@
     cause: EndCause
     saved: str = ""
     crashed_after_ms: Int64 | None = None
+    run_ms: Count | None = None
 
     @property
     def key(self) -> RunKey:
--- a/filbertlb/batch/ordering.py
+++ b/filbertlb/batch/ordering.py
@@ -49,9 +49,7 @@
     def deadline_ms(self, group: TaskGroup) -> int:
         """Return the deadline of the job, or of the occurrence."""
         job = group.job
-        chain_ms = sum(
-            self.context.durations.expected_ms(job, step) for step in job.steps
-        )
+        chain_ms = self.context.durations.chain_ms(job)
         return (
             group.earliest_start_ms
             + job.target_ms
--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 import attrs
@@ -27,12 +28,15 @@
 from filbertlb.batch.placing_context import PlacingContext
 from filbertlb.batch.planner_state import PlannerState
 from filbertlb.batch.planner_state import TaskGroup
+from filbertlb.batch.run_observation import observed_run
 from filbertlb.batch.workers import WorkerView
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
 
     from filbertlb.batch.durations import DurationModel
+    from filbertlb.batch.durations import ObservedRun
     from filbertlb.batch.model import Job
     from filbertlb.batch.model import TaskRecord
     from filbertlb.batch.model import WorkerReport
@@ -89,6 +93,8 @@
             view.seen_s = now_s
             view.recent = recent
             view.silence_logged = False
+        if report.worker is not None:
+            self.durations.record_worker(report.node, report.worker)
         self._unprocessed_nodes.add(report.node)
 
     def decide(self, now_s: float, now_ms: int) -> None:
@@ -130,6 +136,9 @@
     ) -> None:
         report = view.report
         self._check_progress(view)
+        self._observe_progress(
+            view, now_ms - round(1000 * (now_s - view.seen_s))
+        )
         for end in report.ended:
             job_id = job_id_of(end.task)
             if job_id not in self.state.jobs:
@@ -139,6 +148,9 @@
                 continue
             if record.phase in (TaskPhase.ORDERED, TaskPhase.STOPPING):
                 self._count_outcome(view, end, now_s)
+                self.durations.record_end(
+                    end, self._observing(end.task), now_ms
+                )
                 self._apply_end(end, now_ms)
         for run in report.running:
             progress = self.state.progress.get(job_id_of(run.task))
@@ -155,18 +167,41 @@
         A worker whose runs make no progress gets no new work.
         """
         running = view.report.running
-        estimates_ms = (
-            self.state.step_of(run.task).estimate_ms
+        state = self.state
+        expected_ms = (
+            self.durations.expected_ms(
+                state.job_of(run.task), state.step_of(run.task)
+            )
             for run in running
-            if job_id_of(run.task) in self.state.jobs
+            if job_id_of(run.task) in state.jobs
         )
-        shortest_ms = min(estimates_ms, default=0)
+        shortest_ms = min(expected_ms, default=0)
         if view.record_progress(running, shortest_ms, view.seen_s):
             logger.warning(
                 "worker {} gets no new work: none of its {} runs moves",
                 *(view.report.node, len(running)),
             )
 
+    def _observe_progress(self, view: WorkerView, seen_ms: int) -> None:
+        """Pass the progress of the ordered runs of a report on."""
+        for run in view.report.running:
+            if job_id_of(run.task) not in self.state.jobs:
+                continue
+            record = self.state.record(run.task)
+            if record.phase is TaskPhase.ORDERED and (
+                record.attempt,
+                record.node,
+            ) == (run.attempt, view.report.node):
+                self.durations.record_progress(
+                    run,
+                    max(0, seen_ms - record.since_ms),
+                    self._observing(run.task),
+                )
+
+    def _observing(self, task: str) -> Callable[[], ObservedRun]:
+        """Return a function that tells the circumstances of a run."""
+        return partial(observed_run, self.state, self.workers, task)
+
     def _count_outcome(
         self, view: WorkerView, end: RunEnd, now_s: float
     ) -> None:
@@ -239,9 +274,9 @@
                 attempt = self.state.record(task).attempt
                 self.state.mark_lost(task, node)
                 saved = _reported_checkpoint(view.report, task, attempt)
-                self._apply_end(
-                    RunEnd(task, attempt, EndCause.LOST, saved), now_ms
-                )
+                end = RunEnd(task, attempt, EndCause.LOST, saved)
+                self.durations.record_end(end, self._observing(task), now_ms)
+                self._apply_end(end, now_ms)
 
     def _log_silence(self, view: WorkerView, now_s: float) -> None:
         """Log once that tasks wait for a worker that may be gone."""
--- a/filbertlb/batch/reconciler.py
+++ b/filbertlb/batch/reconciler.py
@@ -264,6 +264,7 @@
             run.start_unanswered = False
             if run.phase is RunPhase.STARTING:
                 run.phase = RunPhase.RUNNING
+                run.running_since_s = now_s
             run.acked_s = now_s
             self.report_changed = True
             return
@@ -298,6 +299,7 @@
         running: Iterable[Run],
         ends: Iterable[ListedEnd],
         ends_complete: bool,
+        received_s: float | None = None,
     ) -> None:
         """Record the runs and ends that the worker listed.
 
@@ -307,6 +309,10 @@
             Monotonic time at which the listing was requested.
         ends_complete : bool
             All unacknowledged ends are listed.
+        received_s : float, optional
+            Monotonic time at which the listing was received. The worker
+            sends it as soon as a run ends, so it is the time of new ends.
+            Without it, no run times are recorded.
         """
         self._listing_received = True
         self._down_since_s = None
@@ -314,7 +320,7 @@
         listed = set()
         for listed_end in ends:
             listed.add(listed_end.end.key)
-            self._record_end(listed_end)
+            self._record_end(listed_end, received_s)
         for run in running:
             key = run.key
             listed.add(key)
@@ -491,17 +497,21 @@
             del self._runs[key]
             self._end_run(key, EndCause.REFUSED, result.value)
 
-    def _record_end(self, listed: ListedEnd) -> None:
+    def _record_end(self, listed: ListedEnd, received_s: float | None) -> None:
         self.last_end_number = max(self.last_end_number, listed.number)
         end = listed.end
         key = end.key
-        self._runs.pop(key, None)
+        run = self._runs.pop(key, None)
         if key not in self._ended:
-            self._ended[key] = end
+            run_ms = None
+            if run is not None and received_s is not None:
+                run_ms = run.run_ms(received_s)
+            self._ended[key] = attrs.evolve(end, run_ms=run_ms)
             self.report_changed = True
             logger.info(
-                "run {} attempt {} ended {}",
+                "run {} attempt {} ended {} after {} ms",
                 *(end.task, end.attempt, end.cause.value),
+                "unknown" if run_ms is None else run_ms,
             )
 
     def _record_running(self, key: RunKey, listed: Run, sent_s: float) -> None:
@@ -517,6 +527,7 @@
         elif run.phase is RunPhase.STARTING:
             run.phase = RunPhase.RUNNING
             run.start_unanswered = False
+            run.running_since_s = sent_s
             self.report_changed = True
         if run.phase is RunPhase.RUNNING:
             run.acked_s = max(run.acked_s, sent_s)
@@ -539,7 +550,9 @@
                 del self._runs[key]
                 stopping = run.phase is RunPhase.STOPPING
                 cause = EndCause.STOPPED if stopping else EndCause.LOST
-                self._end_run(key, cause, "not listed by the worker")
+                # It was in progress when the worker last acknowledged it.
+                run_ms = run.run_ms(run.acked_s)
+                self._end_run(key, cause, "not listed by the worker", run_ms)
 
     def _record_crash_ages(self) -> None:
         """Keep the ages of the runs that the worker had when it crashed."""
@@ -584,9 +597,10 @@
         if now_s < last_extension_s + lease_s:
             return
         self._record_crash_ages()
-        for key in list(self._runs):
+        for key, run in list(self._runs.items()):
             del self._runs[key]
-            self._end_run(key, EndCause.LOST, "lease ran out")
+            run_ms = run.run_ms(run.acked_s)
+            self._end_run(key, EndCause.LOST, "lease ran out", run_ms)
         if not self._listing_received:
             self._end_orders(orders, "no worker has listed its runs")
 
@@ -596,15 +610,25 @@
             if order.key not in self._ended and order.key not in self._runs:
                 self._end_run(order.key, EndCause.LOST, reason)
 
-    def _end_run(self, key: RunKey, cause: EndCause, reason: str) -> None:
+    def _end_run(
+        self,
+        key: RunKey,
+        cause: EndCause,
+        reason: str,
+        run_ms: int | None = None,
+    ) -> None:
         """Record an end that the worker has not listed."""
         self._waiting_since_s.pop(key, None)
         saved = self._checkpoint_by_run.get(key, "")
-        run_ms = self._crash_age_ms_by_run.get(key)
-        self._ended[key] = RunEnd(key[0], key[1], cause, saved, run_ms)
+        crash_ms = self._crash_age_ms_by_run.get(key)
+        self._ended[key] = RunEnd(
+            key[0], key[1], cause, saved, crash_ms, run_ms
+        )
         self.report_changed = True
         logger.info(
             "run {} attempt {} ended {}: {}{}",
             *(*key, cause.value, reason),
-            "" if run_ms is None else f", worker crashed after {run_ms} ms",
+            ""
+            if crash_ms is None
+            else f", worker crashed after {crash_ms} ms",
         )
--- a/filbertlb/batch/takeover.py
+++ b/filbertlb/batch/takeover.py
@@ -22,6 +22,7 @@
 from filbertlb.table.rows import UnreadableRowError
 
 if TYPE_CHECKING:
+    from filbertlb.batch.durations import DurationModel
     from filbertlb.batch.index import JobIndex
     from filbertlb.core.clock import Clock
     from filbertlb.table.base import Row
@@ -38,6 +39,7 @@
     index: JobIndex,
     worker_mirror: Mirror,
     clock: Clock,
+    durations: DurationModel | None = None,
 ) -> Planner:
     """Return a planner that knows all jobs, progress and reports.
 
@@ -51,6 +53,8 @@
         If the table does not answer.
     """
     planner = Planner()
+    if durations is not None:
+        planner.durations = durations
     snapshot = table.snapshot(f"{PROGRESS_TABLE}/")
     _catch_up(table, state_mirror, clock, snapshot.version)
     restore_marks(state_mirror)
--- a/filbertlb/platform/roles.py
+++ b/filbertlb/platform/roles.py
@@ -97,6 +97,7 @@
         in_force.guaranteed,
         table.limits,
         slow=settings.processor_cores < FAST_MACHINE_CORES,
+        run_times=settings.run_times,
     )
     stopping = _stop_event(settings)
 
--- a/filbertlb/platform/settings.py
+++ b/filbertlb/platform/settings.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from filbertlb.batch.durations import RunTimes
 from filbertlb.decoding import decode_json
 from filbertlb.decoding import MalformedDataError
 from filbertlb.errors import InvalidInputError
@@ -14,6 +15,7 @@
 from filbertlb.ranges import Port
 
 SETTINGS_VARIABLE = "FILBERTLB_SETTINGS"
+RUN_TIMES_VARIABLE = "FILBERTLB_RUN_TIMES"
 
 
 class SettingsFileError(InvalidInputError):
@@ -22,6 +24,12 @@
     code = "settings_file"
 
 
+class RunTimesSettingError(InvalidInputError):
+    """The source of the expected run times is unknown."""
+
+    code = "run_times_setting"
+
+
 class _Listen(msgspec.Struct, rename="camel"):
     client_addr: str = ""
     readiness: str = ""
@@ -77,6 +85,8 @@
         Processor time available to the process, in cores.
     first_port : int
         Start of the port range assigned to the process.
+    run_times : RunTimes
+        Source of the expected run times, from ``FILBERTLB_RUN_TIMES``.
     """
 
     node: str
@@ -93,6 +103,7 @@
     store_row_bytes: int
     processor_cores: float
     first_port: int
+    run_times: RunTimes = RunTimes.DECLARED
 
 
 def load_settings_file(path: str | None = None) -> Settings:
@@ -107,6 +118,8 @@
     ------
     SettingsFileError
         If the file is missing or invalid.
+    RunTimesSettingError
+        If ``FILBERTLB_RUN_TIMES`` has an unknown value.
     """
     file_path = path or os.environ.get(SETTINGS_VARIABLE, "")
     try:
@@ -132,4 +145,17 @@
         file.platform.row_bytes,
         file.limits.cpu_share * file.limits.cores,
         file.port_range[0],
+        _run_times(),
     )
+
+
+def _run_times() -> RunTimes:
+    value = os.environ.get(RUN_TIMES_VARIABLE, RunTimes.DECLARED)
+    try:
+        return RunTimes(value)
+    except ValueError as error:
+        raise RunTimesSettingError(
+            f"{RUN_TIMES_VARIABLE} is {value[:80]!r}; set it to one of "
+            f"{', '.join(RunTimes)}, or leave it unset for "
+            f"{RunTimes.DECLARED}"
+        ) from error
--- a/filbertlb/platform/wire.py
+++ b/filbertlb/platform/wire.py
@@ -78,6 +78,7 @@
     max_per_server: Count = 0
     long_running: bool = False
     fill_count: bool = False
+    image: str = ""
 
 
 class _Job(msgspec.Struct, rename="camel"):
@@ -253,6 +254,7 @@
         step.data_rack,
         step.max_per_server,
         step.long_running,
+        step.image,
     )
 
 
--- a/tests/batch/test_decider.py
+++ b/tests/batch/test_decider.py
@@ -16,7 +16,10 @@
 from filbertlb.batch import decider as decider_module
 from filbertlb.batch import workers as workers_module
 from filbertlb.batch.decider import Decider
+from filbertlb.batch.durations import RunTimes
 from filbertlb.batch.index import JobIndex
+from filbertlb.batch.learned_durations import LearnedRunTimes
+from filbertlb.batch.learned_row import LEARNED_KEY
 from filbertlb.batch.model import CANCEL_PREFIX
 from filbertlb.batch.model import EndCause
 from filbertlb.batch.model import JOB_PREFIX
@@ -54,6 +57,7 @@
 from filbertlb.table.mirror import Mirror
 from filbertlb.table.rows import decode_row
 from filbertlb.table.rows import encode_value
+from filbertlb.table.rows import UnreadableRowError
 
 DEADLINE_S = 30.0
 REPORT_PERIOD_S = 0.1
@@ -144,12 +148,14 @@
 
 
 @contextmanager
-def deciding(table, name="entry", slow=False):
+def deciding(table, name="entry", slow=False, run_times=RunTimes.DECLARED):
     """Run the tasks of one entry's decider while the agents report."""
     index, mirror, clock = JobIndex(), Mirror(), SystemClock()
     mirror.add_listener(index.apply_row)
     decider = Decider(
-        table, mirror, index, clock, name, "coast", dict, slow=slow
+        *(table, mirror, index, clock, name, "coast", dict),
+        slow=slow,
+        run_times=run_times,
     )
     follower = Follower(table, STATE_TABLE, mirror, clock)
     tasks = [
@@ -728,3 +734,79 @@
         wait_until(lambda: Planner.decide is decide)
         wait_until(lambda: progress_of(table, "j").state is JobState.COMPLETE)
     assert progress_of(table, "j").tasks == {"j.0.0.0": done}
+
+
+def put_end(table, job_id, run_ms):
+    """Report that the ordered task of a job is done."""
+    wait_until(lambda: f"{job_id}.0.0.0" in (orders_on(table, "n0") or ()))
+    done = RunEnd(f"{job_id}.0.0.0", 1, EndCause.DONE, run_ms=run_ms)
+    put(table, WORKER_PREFIX + "n0", a_report("n0", ended=(done,)))
+    wait_until(lambda: progress_of(table, job_id).state is JobState.COMPLETE)
+
+
+def learned_runs(table):
+    """Return the number of runs in the row of learned run times."""
+    row = table.get(LEARNED_KEY)
+    if row is None:
+        return 0
+    queues = decode_row(row, LearnedRunTimes).queues
+    return sum(statistics.runs for statistics in queues.values())
+
+
+def test_next_decider_goes_on_with_the_learned_run_times():
+    table = LimitedTable()
+    put_workers(table, ["n0"])
+    for number in (1, 2):
+        # Each decider writes once what it has learned.
+        with deciding(table, f"entry-{number}", run_times=RunTimes.LEARNED):
+            put(table, JOB_PREFIX + f"j{number}", a_job(f"j{number}"))
+            put_end(table, f"j{number}", 8_000)
+            wait_until(lambda count=number: learned_runs(table) == count)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [b"{", b"[]", b'{"queues":{"q":{"weight":-1}}}', b"\x78damaged"],
+)
+def test_unreadable_run_times_are_learned_again(value):
+    table = LimitedTable()
+    MemoryTable.commit(table, [Write(LEARNED_KEY, value)])
+    put_workers(table, ["n0"])
+    with deciding(table, run_times=RunTimes.LEARNED):
+        put(table, JOB_PREFIX + "j", a_job("j"))
+        put_end(table, "j", 8_000)
+        wait_until(lambda: readable_runs(table) == 1)
+
+
+def readable_runs(table):
+    try:
+        return learned_runs(table)
+    except UnreadableRowError:
+        return None
+
+
+def test_declared_run_times_write_no_row():
+    table = LimitedTable()
+    put_workers(table, ["n0"])
+    with deciding(table):
+        put(table, JOB_PREFIX + "j", a_job("j"))
+        put_end(table, "j", 8_000)
+    assert table.get(LEARNED_KEY) is None
+
+
+def test_decisions_go_on_if_the_learned_run_times_are_rejected(monkeypatch):
+    # The row is a help only: its loss must not stop the decider.
+    def reject(_):
+        raise TableRejectedError("too large")
+
+    table = LimitedTable()
+    put_workers(table, ["n0"])
+    with deciding(table, run_times=RunTimes.LEARNED) as decider:
+        wait_until(lambda: decider.deciding)
+        reads = table.progress_reads
+        monkeypatch.setattr(decider_module, "learned_write", reject)
+        for job_id in ("a", "b"):
+            put(table, JOB_PREFIX + job_id, a_job(job_id))
+            put_end(table, job_id, 8_000)
+        assert table.progress_reads == reads
+    assert table.get(LEARNED_KEY) is None
--- a/tests/batch/test_reconciler.py
+++ b/tests/batch/test_reconciler.py
@@ -19,6 +19,8 @@
 from filbertlb.batch.worker_link import StartCall
 from filbertlb.batch.worker_link import StartResult
 from filbertlb.batch.worker_link import StopCall
+from filbertlb.table.base import Row
+from filbertlb.table.rows import decode_row
 
 LEASE_EXPIRED_S = 6.0 * 1.02 + 0.4
 FULL_CAPACITY = (8, 1_000, 1_000)
@@ -717,3 +719,55 @@
     assert cause_by_task(reconciler) == {}
     reconciler.due_calls(LEASE_EXPIRED_S)
     assert cause_by_task(reconciler) == {"j.0.0.0": EndCause.LOST}
+
+
+def run_ms_by_task(reconciler):
+    return {end.task: end.run_ms for end in reconciler.ended()}
+
+
+def listed_end(task, cause=EndCause.DONE):
+    return ListedEnd(1, RunEnd(task, 1, cause))
+
+
+def test_run_time_counts_from_the_response_to_its_start():
+    # The long poll was sent 0.9 s before the run ended.
+    reconciler = reconciler_with(an_order("j.0.0.0"))
+    start_all(reconciler, 0.5)
+    reconciler.record_listing(
+        3.6, [], [listed_end("j.0.0.0")], True, received_s=4.5
+    )
+    assert run_ms_by_task(reconciler) == {"j.0.0.0": 4000}
+
+
+def test_run_time_counts_from_the_first_listing_without_such_a_response():
+    reconciler = reconciler_with(an_order("j.0.0.0"))
+    (call,) = reconciler.due_calls(0.0)
+    reconciler.record_start(call.order, StartResult.UNKNOWN, 0.5)
+    running = [Run("j.0.0.0", 1)]
+    for sent_s in (1.0, 2.0):
+        reconciler.record_listing(sent_s, running, [], True, sent_s)
+    reconciler.record_listing(
+        3.0, [], [listed_end("j.0.0.0")], True, received_s=3.5
+    )
+    assert run_ms_by_task(reconciler) == {"j.0.0.0": 2500}
+
+
+def test_run_time_is_unknown_if_another_process_started_the_run():
+    reconciler = reconciler_with(an_order("j.0.0.0"))
+    reconciler.record_listing(1.0, [Run("j.0.0.0", 1)], [], True, 1.0)
+    reconciler.record_listing(2.0, [], [listed_end("j.0.0.0")], True, 2.5)
+    assert run_ms_by_task(reconciler) == {"j.0.0.0": None}
+
+
+def test_run_that_is_lost_lasted_until_it_was_last_known_to_run():
+    reconciler = reconciler_with(an_order("j.0.0.0"))
+    start_all(reconciler, 0.5)
+    reconciler.record_listing(2.0, [Run("j.0.0.0", 1)], [], True, 2.1)
+    reconciler.record_listing(9.0, [], [], True, 9.1)
+    assert cause_by_task(reconciler) == {"j.0.0.0": EndCause.LOST}
+    assert run_ms_by_task(reconciler) == {"j.0.0.0": 1500}
+
+
+def test_end_in_a_row_of_an_earlier_agent_has_no_run_time():
+    value = b'{"task":"j.0.0.0","attempt":1,"cause":"done"}'
+    assert decode_row(Row("workers/n", value, 1), RunEnd).run_ms is None
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -7,7 +7,9 @@
 
 from filbertlb.cli.context import ExitCode
 from filbertlb.cli.main import main
+from filbertlb.errors import FilbertlbError
 from filbertlb.platform.settings import load_settings_file
+from filbertlb.platform.settings import RUN_TIMES_VARIABLE
 from filbertlb.platform.settings import SettingsFileError
 
 SETTINGS = {
@@ -58,6 +60,30 @@
     assert load_settings_file(path).heartbeat_period_s == period_s
 
 
+@pytest.mark.parametrize(
+    ("value", "run_times"),
+    [(None, "declared"), ("declared", "declared"), ("learned", "learned")],
+)
+def test_source_of_run_times_is_a_variable(
+    tmp_path, monkeypatch, value, run_times
+):
+    monkeypatch.delenv(RUN_TIMES_VARIABLE, raising=False)
+    if value is not None:
+        monkeypatch.setenv(RUN_TIMES_VARIABLE, value)
+    path = write_settings(tmp_path, SETTINGS)
+    assert load_settings_file(path).run_times == run_times
+
+
+@pytest.mark.parametrize("value", ["", "Learned", "x" * 999])
+def test_unknown_source_of_run_times_is_rejected(tmp_path, monkeypatch, value):
+    monkeypatch.setenv(RUN_TIMES_VARIABLE, value)
+    path = write_settings(tmp_path, SETTINGS)
+    with pytest.raises(FilbertlbError, match="declared, learned") as caught:
+        load_settings_file(path)
+    assert caught.value.code == "run_times_setting"
+    assert len(str(caught.value)) < 300
+
+
 @pytest.mark.parametrize(
     "body",
     ["", "{", {}, SETTINGS | {"platform": {}}, SETTINGS | {"portRange": "x"}],
