Learn the speed of workers and place work by it

Workers run at 0.6 to 1.6 of the usual speed, so the run times of a queue depended on where its runs happened to be, and gangs ran at the pace of their slowest member.

The speed of a worker is the ratio of expected to observed time of its runs, relative to the median worker, and counts only beyond three deviations. Among workers that fit equally well, urgent work and chains take fast ones, other work those of usual speed; gangs take workers of equal speed where these have room. With declared run times all workers are alike and placement is as before.

The line of an order says what run time is expected and why.

--- a/filbertlb/batch/durations.py
+++ b/filbertlb/batch/durations.py
@@ -79,7 +79,7 @@
         """Return the expected time of a job's steps, for its objective."""
 
     def speed_band(self, node: str) -> int:
-        """Return the class of speed of a worker; higher is faster."""
+        """Return 1 for a fast worker, -1 for a slow one, 0 for others."""
 
     def explain(self, job: Job, step: Step) -> str:
         """Return the expected run time and its origin, for log lines."""
--- a/filbertlb/batch/fitting.py
+++ b/filbertlb/batch/fitting.py
@@ -71,6 +71,8 @@
         Runs that may be stopped, by stop group.
     used : dict of str to int
         Tasks of the step by node.
+    preference : mapping of str to int
+        Order of nodes that fit equally well; lower is better.
     """
 
     room: dict[str, Amount]
@@ -79,6 +81,7 @@
     victims: set[str] = attrs.Factory(set)
     cost: float = 0.0
     used: dict[str, int] = attrs.Factory(dict)
+    preference: Mapping[str, int] = attrs.Factory(dict)
 
     def victims_on(self, node: str, needs: Amount) -> list[RunningTask] | None:
         """Return the cheapest runs to stop so that a task fits, or None."""
@@ -120,6 +123,7 @@
     max_per_worker: int = 0,
     preemptible: Iterable[RunningTask] = (),
     used: Mapping[str, int] | None = None,
+    preference: Mapping[str, int] | None = None,
 ) -> Placement | None:
     """Place identical tasks by best fit.
 
@@ -134,6 +138,8 @@
         Runs that may be stopped.
     used : mapping of str to int, optional
         Number of tasks of the same step on each node.
+    preference : mapping of str to int, optional
+        Order of nodes that fit equally well; lower is better.
 
     Returns
     -------
@@ -142,6 +148,7 @@
     """
     search = _PlacementSearch(dict(room_by_node), {}, {})
     search.used.update(used or {})
+    search.preference = preference or {}
     for run in preemptible:
         search.held.setdefault(run.node, []).append(run)
         search.members.setdefault(run.stop_group, []).append(run)
@@ -164,6 +171,7 @@
     max_per_worker: int,
     preemptible: Sequence[RunningTask] = (),
     used: Mapping[str, int] | None = None,
+    preference: Mapping[str, int] | None = None,
 ) -> Placement | None:
     """Place all tasks within one group of nodes, such as a rack.
 
@@ -174,7 +182,8 @@
     for node_group in node_groups:
         room = {node: room_by_node[node] for node in node_group}
         placement = place_tasks(
-            room, needs, count, max_per_worker, preemptible, used
+            *(room, needs, count, max_per_worker, preemptible, used),
+            preference,
         )
         if placement is None:
             continue
@@ -184,10 +193,30 @@
     return None if best is None else best[2]
 
 
+def may_hold(
+    room_by_node: Mapping[str, Amount],
+    nodes: Iterable[str],
+    needs: Amount,
+    count: int,
+) -> bool:
+    """Return whether nodes have room for a number of identical tasks."""
+    held = 0
+    for node in nodes:
+        shares = [
+            room // need
+            for room, need in zip(room_by_node[node], needs, strict=True)
+            if need
+        ]
+        held += min(shares, default=count)
+        if held >= count:
+            return True
+    return False
+
+
 def _best_node(
     search: _PlacementSearch, needs: Amount, max_per_worker: int
 ) -> tuple[str, list[RunningTask]] | None:
-    best: tuple[float, Amount, str] | None = None
+    best: tuple[float, Amount, int, str] | None = None
     chosen: list[RunningTask] = []
     for node, room in search.room.items():
         if max_per_worker and search.used.get(node, 0) >= max_per_worker:
@@ -198,11 +227,11 @@
         if stopped is None:
             continue
         cost = sum({run.stop_group: run.cost for run in stopped}.values())
-        rank = (cost, room, node)
+        rank = (cost, room, search.preference.get(node, 0), node)
         if best is None or rank < best:
             best = rank
             chosen = stopped
-    return None if best is None else (best[2], chosen)
+    return None if best is None else (best[3], chosen)
 
 
 def _cost(run: RunningTask) -> float:
--- a/filbertlb/batch/learned_durations.py
+++ b/filbertlb/batch/learned_durations.py
@@ -234,7 +234,7 @@
         return chain_ms
 
     def speed_band(self, node: str) -> int:
-        """Return the class of speed of a worker; higher is faster."""
+        """Return 1 for a fast worker, -1 for a slow one, 0 for others."""
         return self._speeds.band(node)
 
     def explain(self, job: Job, step: Step) -> str:
--- a/filbertlb/batch/placing.py
+++ b/filbertlb/batch/placing.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from filbertlb.batch.crashes import Separation
+from filbertlb.batch.fitting import may_hold
 from filbertlb.batch.fitting import place_in_best_group
 from filbertlb.batch.locality import Locality
 from filbertlb.batch.model import TaskPhase
@@ -15,6 +16,8 @@
 from filbertlb.batch.planner_state import ALLOCATED_PHASES
 from filbertlb.batch.preemption import Preemption
 from filbertlb.batch.reservations import Reservations
+from filbertlb.batch.worker_speeds import parts_of_equal_speed
+from filbertlb.batch.worker_speeds import preference_by_node
 from filbertlb.core.amounts import minus
 
 if TYPE_CHECKING:
@@ -42,6 +45,7 @@
     locality: Locality = attrs.field(init=False)
     reservations: Reservations = attrs.field(init=False)
     separation: Separation = attrs.field(init=False)
+    band_by_node: dict[str, int] = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Set up the decisions that the round consists of."""
@@ -51,6 +55,12 @@
         self.locality = Locality(context)
         self.reservations = Reservations(context)
         self.separation = Separation(context.state, context.now_ms)
+        self.band_by_node = {
+            node: context.durations.speed_band(node)
+            for node in context.available.workers
+        }
+        if len(set(self.band_by_node.values())) < 2:
+            self.band_by_node = {}
 
     @property
     def state(self) -> PlannerState:
@@ -126,7 +136,9 @@
         self, group: TaskGroup, nodes: Sequence[str], count: int
     ) -> Placement | None:
         node_groups = self.locality.node_groups(group, nodes)
-        placement = self._best_placement(group, node_groups, count, ())
+        placement = self._place_on_equal_speed(group, node_groups, count)
+        if placement is None:
+            placement = self._best_placement(group, node_groups, count, ())
         if placement is not None:
             return placement
         preemptible = self.preemption.preemptible_runs(group)
@@ -137,6 +149,35 @@
         )
         return self.preemption.if_loss_acceptable(placement, group, count)
 
+    def _place_on_equal_speed(
+        self,
+        group: TaskGroup,
+        node_groups: Sequence[Sequence[str]],
+        count: int,
+    ) -> Placement | None:
+        """Place a gang on workers of equal speed if they have room."""
+        if not (self.band_by_node and group.step.gang and count > 1):
+            return None
+        room, needs = self.available.room, group.step.needs
+        parts = [
+            part
+            for part in parts_of_equal_speed(node_groups, self.band_by_node)
+            if may_hold(room, part, needs, count)
+        ]
+        return self._best_placement(group, parts, count, ())
+
+    def _speed_preference(self, group: TaskGroup) -> dict[str, int] | None:
+        """Return the order of nodes by speed; None if all are alike.
+
+        Urgent work and chains of steps take fast workers, since their
+        objectives leave the least time for waiting.
+        """
+        if not self.band_by_node:
+            return None
+        job = group.job
+        prefers_fast = job.priority == 0 or len(job.steps) > 1
+        return preference_by_node(self.band_by_node, prefers_fast)
+
     def _best_placement(
         self,
         group: TaskGroup,
@@ -153,6 +194,7 @@
             step.max_per_worker,
             preemptible,
             self._tasks_by_node(group) if step.max_per_worker else None,
+            self._speed_preference(group),
         )
 
     def _tasks_by_node(self, group: TaskGroup) -> dict[str, int]:
@@ -194,13 +236,14 @@
             room = self.available.room[node]
             self.available.room[node] = minus(room, group.step.needs)
         logger.info(
-            "order {} attempt {} on {} (waited {} ms, stops {})",
+            "order {} attempt {} on {} (waited {} ms, stops {}, expects {})",
             *(group.name if group.step.gang else tasks[0], attempt),
             *(
                 ",".join(placement.nodes),
                 self.context.waited_ms(group),
             ),
             sorted(placement.victims),
+            self.context.durations.explain(group.job, group.step),
         )
 
     def _preempt(self, victim: str, group: TaskGroup) -> None:
--- a/filbertlb/batch/worker_speeds.py
+++ b/filbertlb/batch/worker_speeds.py
@@ -18,6 +18,7 @@
 from msgspec import Meta
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
     from collections.abc import Sequence
 
     from filbertlb.batch.model import Worker
@@ -27,16 +28,23 @@
 
 Workers of 0.6 to 1.6 of it deviate by a logarithm of 0.3 on average.
 """
-MAX_WEIGHT = 100.0
-"""Weight of the observations that are kept: a deviation of 0.1.
+MAX_WEIGHT = 1 / 0.05**2
+"""Weight of the observations that are kept.
 
-Speeds are never needed more exactly, and a changed one shows after a few
-runs.
+A deviation of 0.05 tells the speeds 1.0 and 1.3 apart. Speeds are not needed
+more exactly, and a changed one shows after some tens of runs.
 """
 MIN_VARIANCE = 0.1**2
 """Variance of one observation, at least, for delays of start and report."""
-BAND_WIDTH = 0.25
-"""Logarithm of the ratio of two speeds that count as different."""
+MIN_DIFFERENCE = 0.1
+"""Logarithm of a speed from which a worker counts as fast or slow.
+
+The known speeds of workers differ by 0.26 and more.
+"""
+MIN_DEVIATIONS = 3.0
+"""The same in standard deviations: 1 of 370 usual workers exceeds it."""
+SLOWEST_PREFERENCE = 100
+"""Higher than the class of any speed."""
 MAX_WORKERS = 400
 """Workers in the row, which holds 48 KiB; others are learned again."""
 
@@ -70,6 +78,11 @@
         """Logarithm of the speed, not yet relative to other workers."""
         return self.total / (PRIOR_WEIGHT + self.weight)
 
+    @property
+    def deviation(self) -> float:
+        """Standard deviation of ``log_speed``."""
+        return float((PRIOR_WEIGHT + self.weight) ** -0.5)
+
 
 @attrs.define
 class WorkerSpeeds:
@@ -135,8 +148,19 @@
         return exp(self.log_speed(node))
 
     def band(self, node: str) -> int:
-        """Return the class of speed; higher is faster, 0 is usual."""
-        return round(self.log_speed(node) / BAND_WIDTH)
+        """Return 1 for fast workers, -1 for slow ones and 0 for others.
+
+        A difference within the error of the figure does not count, as it
+        would scatter work without a gain.
+        """
+        known = self.by_node.get(node)
+        if known is None:
+            return 0
+        log_speed = self.log_speed(node)
+        certain = MIN_DEVIATIONS * known.deviation
+        if abs(log_speed) < max(MIN_DIFFERENCE, certain):
+            return 0
+        return 1 if log_speed > 0 else -1
 
     def best_known(self) -> dict[str, WorkerSpeed]:
         """Return the speeds that are worth keeping, at most MAX_WORKERS."""
@@ -152,10 +176,26 @@
     return blake2b(text.encode(), digest_size=6).hexdigest()
 
 
-def split_by_speed(
-    node_groups: Sequence[Sequence[str]], band_by_node: dict[str, int]
+def preference_by_node(
+    band_by_node: Mapping[str, int], prefers_fast: bool
+) -> dict[str, int]:
+    """Return the order of nodes that fit equally well; lower is better.
+
+    Work that is in no hurry takes workers of usual speed, so that fast ones
+    stay free, and slow ones last.
+    """
+    if prefers_fast:
+        return {node: -band for node, band in band_by_node.items()}
+    return {
+        node: band if band >= 0 else SLOWEST_PREFERENCE
+        for node, band in band_by_node.items()
+    }
+
+
+def parts_of_equal_speed(
+    node_groups: Sequence[Sequence[str]], band_by_node: Mapping[str, int]
 ) -> list[Sequence[str]]:
-    """Return parts of equal speed, the fastest first, then the groups.
+    """Return the parts of groups of nodes, the fastest first.
 
     A gang runs at the pace of its slowest member.
     """
@@ -163,6 +203,6 @@
     for band in sorted(set(band_by_node.values()), reverse=True):
         for nodes in node_groups:
             part = [node for node in nodes if band_by_node[node] == band]
-            if part and len(part) < len(nodes):
+            if part:
                 parts.append(part)
-    return [*parts, *node_groups]
+    return parts
