--- /dev/null
+++ b/filbertlb/batch/worker_speeds.py
@@ -0,0 +1,208 @@
+"""Speeds of workers, learned from the runs they had.
+
+Answers sites whose workers run the same task in different times. The speed
+of a worker is the ratio of the expected time of its runs to the observed
+one, relative to the median worker: a change that shows on all workers is one
+of the tasks.
+"""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+from math import exp
+from statistics import median
+from typing import Annotated
+from typing import TYPE_CHECKING
+
+import attrs
+from msgspec import Meta
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+
+    from filbertlb.batch.model import Worker
+
+PRIOR_WEIGHT = 1 / 0.3**2
+"""Weight of the assumption of usual speed.
+
+Workers of 0.6 to 1.6 of it deviate by a logarithm of 0.3 on average.
+"""
+MAX_WEIGHT = 1 / 0.05**2
+"""Weight of the observations that are kept.
+
+A deviation of 0.05 tells the speeds 1.0 and 1.3 apart. Speeds are not needed
+more exactly, and a changed one shows after some tens of runs.
+"""
+MIN_VARIANCE = 0.1**2
+"""Variance of one observation, at least, for delays of start and report."""
+MIN_DIFFERENCE = 0.1
+"""Logarithm of a speed from which a worker counts as fast or slow.
+
+The known speeds of workers differ by 0.26 and more.
+"""
+MIN_DEVIATIONS = 3.0
+"""The same in standard deviations: 1 of 370 usual workers exceeds it."""
+SLOWEST_PREFERENCE = 100
+"""Higher than the class of any speed."""
+MAX_WORKERS = 400
+"""Workers in the row, which holds 48 KiB; others are learned again."""
+
+SpeedSum = Annotated[float, Meta(ge=-1e4, le=1e4)]
+SpeedWeight = Annotated[float, Meta(ge=0, le=1e4)]
+
+
+@attrs.define
+class WorkerSpeed:
+    """Observed speed of one worker.
+
+    Parameters
+    ----------
+    incarnation : str
+        Latest known lifetime of the worker.
+    kind : str
+        Hardware and labels with which that lifetime began.
+    weight : float
+        Sum of the weights of the observations.
+    total : float
+        Weighted sum of the observed logarithms of its speed.
+    """
+
+    incarnation: str
+    kind: str
+    weight: SpeedWeight = 0.0
+    total: SpeedSum = 0.0
+
+    @property
+    def log_speed(self) -> float:
+        """Logarithm of the speed, not yet relative to other workers."""
+        return self.total / (PRIOR_WEIGHT + self.weight)
+
+    @property
+    def deviation(self) -> float:
+        """Standard deviation of ``log_speed``."""
+        return float((PRIOR_WEIGHT + self.weight) ** -0.5)
+
+
+@attrs.define
+class WorkerSpeeds:
+    """Speeds by node."""
+
+    by_node: dict[str, WorkerSpeed] = attrs.Factory(dict)
+    _median: float | None = None
+
+    def record_worker(self, node: str, worker: Worker) -> None:
+        """Forget the speed if another kind of machine has taken the node.
+
+        Capacity may change during a lifetime, which says nothing on speed.
+        """
+        known = self.by_node.get(node)
+        if known is None or known.incarnation == worker.incarnation:
+            return
+        kind = worker_kind(worker)
+        if known.kind == kind:
+            known.incarnation = worker.incarnation
+        else:
+            del self.by_node[node]
+            self._median = None
+
+    def record(
+        self, node: str, worker: Worker, log_speed: float, variance: float
+    ) -> None:
+        """Record that one run shows a speed.
+
+        Parameters
+        ----------
+        log_speed : float
+            Logarithm of the ratio of expected to observed time.
+        variance : float
+            Variance of that logarithm if the speed were known.
+        """
+        self.record_worker(node, worker)
+        known = self.by_node.get(node)
+        if known is None:
+            known = WorkerSpeed(worker.incarnation, worker_kind(worker))
+            self.by_node[node] = known
+        weight = 1 / max(MIN_VARIANCE, variance)
+        kept = max(0.0, MAX_WEIGHT - weight)
+        if known.weight > kept:
+            known.total *= kept / known.weight
+            known.weight = kept
+        known.weight += weight
+        known.total += weight * log_speed
+        self._median = None
+
+    def log_speed(self, node: str) -> float:
+        """Return the logarithm of a worker's speed; 0 if it is unknown."""
+        known = self.by_node.get(node)
+        if known is None:
+            return 0.0
+        if self._median is None:
+            self._median = median(
+                speed.log_speed for speed in self.by_node.values()
+            )
+        return known.log_speed - self._median
+
+    def speed(self, node: str) -> float:
+        """Return the speed relative to the median worker."""
+        return exp(self.log_speed(node))
+
+    def band(self, node: str) -> int:
+        """Return 1 for fast workers, -1 for slow ones and 0 for others.
+
+        A difference within the error of the figure does not count, as it
+        would scatter work without a gain.
+        """
+        known = self.by_node.get(node)
+        if known is None:
+            return 0
+        log_speed = self.log_speed(node)
+        certain = MIN_DEVIATIONS * known.deviation
+        if abs(log_speed) < max(MIN_DIFFERENCE, certain):
+            return 0
+        return 1 if log_speed > 0 else -1
+
+    def best_known(self) -> dict[str, WorkerSpeed]:
+        """Return the speeds that are worth keeping, at most MAX_WORKERS."""
+        nodes = sorted(
+            self.by_node, key=lambda node: -self.by_node[node].weight
+        )
+        return {node: self.by_node[node] for node in nodes[:MAX_WORKERS]}
+
+
+def worker_kind(worker: Worker) -> str:
+    """Return a digest of what tells a machine's hardware."""
+    text = repr((worker.service, worker.capacity, sorted(worker.labels)))
+    return blake2b(text.encode(), digest_size=6).hexdigest()
+
+
+def preference_by_node(
+    band_by_node: Mapping[str, int], prefers_fast: bool
+) -> dict[str, int]:
+    """Return the order of nodes that fit equally well; lower is better.
+
+    Work that is in no hurry takes workers of usual speed, so that fast ones
+    stay free, and slow ones last.
+    """
+    if prefers_fast:
+        return {node: -band for node, band in band_by_node.items()}
+    return {
+        node: band if band >= 0 else SLOWEST_PREFERENCE
+        for node, band in band_by_node.items()
+    }
+
+
+def parts_of_equal_speed(
+    node_groups: Sequence[Sequence[str]], band_by_node: Mapping[str, int]
+) -> list[Sequence[str]]:
+    """Return the parts of groups of nodes, the fastest first.
+
+    A gang runs at the pace of its slowest member.
+    """
+    parts: list[Sequence[str]] = []
+    for band in sorted(set(band_by_node.values()), reverse=True):
+        for nodes in node_groups:
+            part = [node for node in nodes if band_by_node[node] == band]
+            if part:
+                parts.append(part)
+    return parts
