Estimate, log and count the work that preemption loses

The loss of a checkpointable run was assumed to be 2 s of work, whatever the deployment's checkpoints cost and whether any was taken.

The interval of checkpoints and the time to restore one now come from `bounds` of the settings file (checkpointIntervalS, restoreMs; 2 s and 100 ms if absent). A run whose reports have shown no new checkpoint for more than two intervals and a report period loses all work since; one that has just listed a new one loses less than an interval. The loss of a gang is the sum over its members. Each preemption is logged with its cause, the run's age and the core-seconds lost, and counted by cause in filbertlb_lost_core_seconds_total (an accelerator counts as 8 cores).

The former rule amounts to 144 core-seconds in each of the 4 checkpointable cases of test_lost_work_of_a_preempted_run_is_what_its_stop_really_costs (computed; there was no counter to run the test against).

--- a/filbertlb/batch/decider.py
+++ b/filbertlb/batch/decider.py
@@ -17,6 +17,7 @@
 from filbertlb.batch.model import PROGRESS_PREFIX
 from filbertlb.batch.model import STATUS_PREFIX
 from filbertlb.batch.model import WORKER_TABLE
+from filbertlb.batch.placing_context import CheckpointCosts
 from filbertlb.batch.takeover import apply_report
 from filbertlb.batch.takeover import build_planner
 from filbertlb.batch.version_marks import marks_write
@@ -107,6 +108,13 @@
         Largest transaction that the table accepts.
     slow : bool
         This machine's processor is slow, so that others are preferred.
+    checkpoints : CheckpointCosts, optional
+        What a checkpointable run loses if it is stopped.
+
+    Attributes
+    ----------
+    lost_core_s : dict of str to float
+        Core-seconds lost by preemption that this process decided, by cause.
     """
 
     def __init__(
@@ -120,7 +128,10 @@
         guarantees: Callable[[], dict[str, int]],
         limits: TransactionLimits | None = None,
         slow: bool = False,
+        checkpoints: CheckpointCosts | None = None,
     ) -> None:
+        self.lost_core_s: dict[str, float] = {}
+        self._checkpoints = checkpoints or CheckpointCosts()
         self._table = table
         self._mirror = mirror
         self._index = index
@@ -317,6 +328,8 @@
             term.workers.mirror,
             self._clock,
         )
+        planner.checkpoints = self._checkpoints
+        planner.lost_core_s = self.lost_core_s
         logger.info(
             "deciding with epoch {} from version {} after {:.2f} s: {} jobs, "
             "{} workers",
--- a/filbertlb/batch/placing.py
+++ b/filbertlb/batch/placing.py
@@ -247,10 +247,16 @@
 
     def _preempt(self, victim: str, group: TaskGroup) -> None:
         """Stop a gang or a single task for a more urgent group."""
+        lost_core_s = self.preemption.lost_core_s(victim)
+        cause = self.preemption.cause(group)
+        losses = self.context.lost_core_s
+        losses[cause] = losses.get(cause, 0.0) + lost_core_s
+        run_ms = 0
         for task in list(self.state.members(victim)) or [victim]:
             record = self.state.record(task)
             if record.phase is not TaskPhase.ORDERED:
                 continue
+            run_ms = max(run_ms, self.context.now_ms - record.since_ms)
             self.state.set_phase(task, TaskPhase.STOPPING, self.context.now_ms)
             self.reservations.record_stop(task, record.node)
             worker = self.available.workers.get(record.node)
@@ -259,4 +265,7 @@
                 self.available.room[record.node] = minus(
                     worker.capacity, ordered
                 )
-        logger.info("stop {} for {}", victim, group.name)
+        logger.info(
+            "stop {} for {}: {} after {} ms, {:.1f} core-seconds lost",
+            *(victim, group.name, cause, run_ms, lost_core_s),
+        )
--- a/filbertlb/batch/placing_context.py
+++ b/filbertlb/batch/placing_context.py
@@ -23,6 +23,22 @@
 CORES_PER_ACCELERATOR = 8
 
 
+@attrs.frozen
+class CheckpointCosts:
+    """What a deployment's checkpoints cost a run that is stopped.
+
+    Parameters
+    ----------
+    interval_ms : int
+        Time between two checkpoints of a run.
+    restore_ms : int
+        Time until a run that resumes from a checkpoint does new work.
+    """
+
+    interval_ms: int = 2000
+    restore_ms: int = 100
+
+
 @attrs.define
 class AvailableCapacity:
     """Schedulable workers and their free resources during one decision.
@@ -66,6 +82,12 @@
         organisations.
     now_ms : int
         Current time in Unix milliseconds.
+    now_s : float
+        Current monotonic time.
+    views : mapping of str to WorkerView
+        The workers by node, with what their reports tell of checkpoints.
+    lost_core_s : dict of str to float
+        Core-seconds lost by preemption so far, by cause.
     """
 
     state: PlannerState
@@ -73,6 +95,10 @@
     within_guarantee: set[str]
     durations: DurationModel
     now_ms: int
+    now_s: float = 0.0
+    views: Mapping[str, WorkerView] = attrs.Factory(dict)
+    checkpoints: CheckpointCosts = attrs.Factory(CheckpointCosts)
+    lost_core_s: dict[str, float] = attrs.Factory(dict)
 
     def expected_ms(self, group: TaskGroup) -> int:
         """Return the expected run time of a task of a group."""
--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -24,6 +24,7 @@
 from filbertlb.batch.model import TaskPhase
 from filbertlb.batch.placing import Placer
 from filbertlb.batch.placing_context import available_capacity
+from filbertlb.batch.placing_context import CheckpointCosts
 from filbertlb.batch.placing_context import PlacingContext
 from filbertlb.batch.planner_state import PlannerState
 from filbertlb.batch.planner_state import TaskGroup
@@ -61,6 +62,10 @@
         silent while its reports cannot be read.
     durations : DurationModel
         Predicts the run times of tasks.
+    checkpoints : CheckpointCosts
+        What a checkpointable run loses if it is stopped.
+    lost_core_s : dict of str to float
+        Core-seconds lost by preemption so far, by cause.
     """
 
     state: PlannerState = attrs.Factory(PlannerState)
@@ -68,6 +73,8 @@
     guaranteed: dict[str, int] = attrs.Factory(dict)
     reports_complete_s: float = float("inf")
     durations: DurationModel = attrs.Factory(DeclaredDurations)
+    checkpoints: CheckpointCosts = attrs.Factory(CheckpointCosts)
+    lost_core_s: dict[str, float] = attrs.Factory(dict)
     _unprocessed_nodes: set[str] = attrs.Factory(set)
 
     def record_report(
@@ -108,6 +115,10 @@
             self._jobs_within_guarantee(),
             self.durations,
             now_ms,
+            now_s,
+            self.workers,
+            self.checkpoints,
+            self.lost_core_s,
         )
         Placer(context).place(self._ready_groups(now_ms))
 
@@ -155,6 +166,7 @@
         A worker whose runs make no progress gets no new work.
         """
         running = view.report.running
+        view.record_checkpoints(running, view.seen_s)
         estimates_ms = (
             self.state.step_of(run.task).estimate_ms
             for run in running
--- a/filbertlb/batch/preemption.py
+++ b/filbertlb/batch/preemption.py
@@ -21,8 +21,8 @@
     from filbertlb.batch.placing_context import PlacingContext
     from filbertlb.batch.planner_state import TaskGroup
 
-CHECKPOINT_INTERVAL_MS = 2000
-"""Maximum work of a checkpointable task since its last checkpoint."""
+REPORT_PERIOD_MS = 1000
+"""Time between two reports of an agent."""
 GUARANTEE_PREEMPTION_DELAY_MS = 1000
 """Time that a job within its guarantee waits before it preempts any run.
 
@@ -40,6 +40,7 @@
 
     context: PlacingContext
     order: PlacingOrder
+    _lost_core_s: dict[str, float] = attrs.Factory(dict)
 
     def may_claim_guarantee(self, group: TaskGroup) -> bool:
         """Return whether a group may preempt runs regardless of lost work."""
@@ -48,6 +49,10 @@
             and self.context.waited_ms(group) >= GUARANTEE_PREEMPTION_DELAY_MS
         )
 
+    def cause(self, group: TaskGroup) -> str:
+        """Return why a group preempts, for logs and metrics."""
+        return "guarantee" if self._guaranteed(group.job) else "deadline"
+
     def preemptible_runs(self, group: TaskGroup) -> list[RunningTask]:
         """Return the runs that may be stopped for a group.
 
@@ -102,14 +107,53 @@
 
     def _preemptible_run(self, task: str, node: str) -> RunningTask:
         """Return a run with the work lost by stopping it as its cost."""
-        state = self.context.state
-        step = state.step_of(task)
-        run_ms = self.context.now_ms - state.record(task).since_ms
-        if step.checkpointable:
-            run_ms = min(run_ms, CHECKPOINT_INTERVAL_MS)
-        if step.gang:
-            cost = core_seconds(step, step.count, run_ms)
-            return RunningTask(node, step.needs, task_group_of(task), cost)
+        step = self.context.state.step_of(task)
+        stop_group = task_group_of(task) if step.gang else task
         return RunningTask(
-            node, step.needs, task, core_seconds(step, 1, run_ms)
+            node, step.needs, stop_group, self.lost_core_s(stop_group)
         )
+
+    def lost_core_s(self, stop_group: str) -> float:
+        """Return the work lost by stopping a gang or a single task.
+
+        Parameters
+        ----------
+        stop_group : str
+            Name of the task, or of the task group of a gang.
+        """
+        if stop_group not in self._lost_core_s:
+            state = self.context.state
+            tasks = list(state.members(stop_group)) or [stop_group]
+            self._lost_core_s[stop_group] = sum(
+                core_seconds(state.step_of(task), 1, self._lost_ms(task))
+                for task in tasks
+                if state.record(task).phase is TaskPhase.ORDERED
+            )
+        return self._lost_core_s[stop_group]
+
+    def _lost_ms(self, task: str) -> int:
+        """Return the work that a run loses if it is stopped now.
+
+        A run whose reports show no new checkpoint for some time has lost
+        all work since; otherwise it loses an interval at most.
+        """
+        record = self.context.state.record(task)
+        run_ms = max(0, self.context.now_ms - record.since_ms)
+        if not self.context.state.step_of(task).checkpointable:
+            return run_ms
+        interval_ms = self.context.checkpoints.interval_ms
+        lost_ms = interval_ms
+        view = self.context.views.get(record.node)
+        seen = None
+        if view is not None:
+            seen = view.seen_checkpoint((task, record.attempt))
+        if seen is not None:
+            age_ms = round((self.context.now_s - seen.seen_s) * 1000)
+            if age_ms > 2 * interval_ms + REPORT_PERIOD_MS:
+                lost_ms = age_ms
+            elif seen.replaced:
+                # The listing comes half a period late in the mean, or half
+                # an interval if newer checkpoints replace each other.
+                delay_ms = min(REPORT_PERIOD_MS, interval_ms) // 2
+                lost_ms = min(interval_ms, age_ms + delay_ms)
+        return min(run_ms, lost_ms) + self.context.checkpoints.restore_ms
--- a/filbertlb/batch/workers.py
+++ b/filbertlb/batch/workers.py
@@ -14,6 +14,7 @@
     from collections.abc import Iterable
 
     from filbertlb.batch.model import Run
+    from filbertlb.batch.model import RunKey
     from filbertlb.batch.model import Worker
     from filbertlb.batch.model import WorkerReport
 
@@ -52,6 +53,24 @@
     failed: bool
 
 
+@attrs.frozen
+class SeenCheckpoint:
+    """Latest checkpoint of a run in the reports.
+
+    Parameters
+    ----------
+    seen_s : float
+        Monotonic time of the report that listed it first.
+    replaced : bool
+        It replaced another one, so that it was taken shortly before that
+        report. Otherwise it may be older.
+    """
+
+    saved: str
+    seen_s: float
+    replaced: bool
+
+
 @attrs.define
 class WorkerView:
     """One worker according to its agent's reports.
@@ -82,6 +101,7 @@
     _ends: deque[_RecordedEnd] = attrs.Factory(deque)
     _percents: dict[tuple[str, int], int] = attrs.Factory(dict)
     _last_progress_s: float | None = None
+    _checkpoint_by_run: dict[RunKey, SeenCheckpoint] = attrs.Factory(dict)
 
     def usable(self, now_s: float) -> bool:
         """Return whether the worker may get new work."""
@@ -163,6 +183,20 @@
         )
         return self.stalled and not was_stalled
 
+    def record_checkpoints(self, running: Iterable[Run], now_s: float) -> None:
+        """Record when the latest checkpoint of each run was first listed."""
+        previous = self._checkpoint_by_run
+        self._checkpoint_by_run = {}
+        for run in running:
+            seen = previous.get(run.key)
+            if seen is None or seen.saved != run.saved:
+                seen = SeenCheckpoint(run.saved, now_s, seen is not None)
+            self._checkpoint_by_run[run.key] = seen
+
+    def seen_checkpoint(self, key: RunKey) -> SeenCheckpoint | None:
+        """Return the latest checkpoint of a run, or None if not listed."""
+        return self._checkpoint_by_run.get(key)
+
     def quarantine(self, now_s: float) -> None:
         """Give the worker no new work for ``QUARANTINE_S``."""
         self.quarantined_until_s = now_s + QUARANTINE_S
--- a/filbertlb/metrics.py
+++ b/filbertlb/metrics.py
@@ -58,6 +58,9 @@
         Jobs of the scope, while this instance decides.
     guarantees_at_risk : Gauge
         Guaranteed shapes without a placement, by ``organisation``.
+    lost_core_seconds : Counter
+        Work lost by preemption that this instance decided, by ``cause``:
+        ``guarantee`` or ``deadline``. An accelerator counts as 8 cores.
     revision : Gauge
         Configuration revision in force.
     leader : Gauge
@@ -98,6 +101,7 @@
         self.queued_jobs = gauge("queued_jobs")
         self.running_jobs = gauge("running_jobs")
         self.guarantees_at_risk = gauge("guarantees_at_risk")
+        self.lost_core_seconds = counter("lost_core_seconds")
         self.revision = gauge("revision")
         self.leader = gauge("leader")
         self.runs = gauge("runs")
--- a/filbertlb/platform/roles.py
+++ b/filbertlb/platform/roles.py
@@ -23,6 +23,7 @@
 from filbertlb.batch.model import WORKER_PARTITIONS
 from filbertlb.batch.model import WORKER_TABLE
 from filbertlb.batch.peers import Peers
+from filbertlb.batch.placing_context import CheckpointCosts
 from filbertlb.batch.service import JobService
 from filbertlb.core.clock import SystemClock
 from filbertlb.errors import FilbertlbError
@@ -97,7 +98,12 @@
         in_force.guaranteed,
         table.limits,
         slow=settings.processor_cores < FAST_MACHINE_CORES,
+        checkpoints=CheckpointCosts(
+            interval_ms=int(settings.checkpoint_interval_s * 1000),
+            restore_ms=settings.restore_ms,
+        ),
     )
+    counted_core_s: dict[str, float] = {}
     stopping = _stop_event(settings)
 
     def available() -> bool:
@@ -113,6 +119,11 @@
         metrics.queued_jobs.set(counts[JobState.QUEUED])
         metrics.running_jobs.set(counts[JobState.ACTIVE])
         metrics.leader.set(int(decider.deciding), {"scope": settings.region})
+        for cause, core_s in decider.lost_core_s.items():
+            metrics.lost_core_seconds.add(
+                core_s - counted_core_s.get(cause, 0.0), {"cause": cause}
+            )
+            counted_core_s[cause] = core_s
         metrics.revision.set(in_force.version)
         metrics.contact_age_s.set(clock.monotonic() - state_follower.contact_s)
 
--- a/filbertlb/platform/settings.py
+++ b/filbertlb/platform/settings.py
@@ -11,6 +11,7 @@
 from filbertlb.decoding import MalformedDataError
 from filbertlb.errors import InvalidInputError
 from filbertlb.ranges import Count
+from filbertlb.ranges import Factor
 from filbertlb.ranges import Port
 
 SETTINGS_VARIABLE = "FILBERTLB_SETTINGS"
@@ -40,6 +41,13 @@
     cores: float = 1.0
 
 
+class _Bounds(msgspec.Struct, rename="camel"):
+    # Time between two checkpoints of a run.
+    checkpoint_interval_s: Factor = 2.0
+    # Time until a run that resumes from a checkpoint does new work.
+    restore_ms: Count = 100
+
+
 class _File(msgspec.Struct, rename="camel"):
     node: str
     role: str
@@ -49,6 +57,7 @@
     listen: _Listen
     platform: _Store
     limits: _Machine = msgspec.field(default_factory=_Machine)
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     heartbeat_ms: Count = 1500
     port_range: tuple[Port, Port] = (0, 0)
     # Address of the worker on an agent's machine.
@@ -77,6 +86,10 @@
         Processor time available to the process, in cores.
     first_port : int
         Start of the port range assigned to the process.
+    checkpoint_interval_s : float
+        Time between two checkpoints of a run.
+    restore_ms : int
+        Time until a run that resumes from a checkpoint does new work.
     """
 
     node: str
@@ -93,6 +106,8 @@
     store_row_bytes: int
     processor_cores: float
     first_port: int
+    checkpoint_interval_s: float
+    restore_ms: int
 
 
 def load_settings_file(path: str | None = None) -> Settings:
@@ -132,4 +147,6 @@
         file.platform.row_bytes,
         file.limits.cpu_share * file.limits.cores,
         file.port_range[0],
+        file.bounds.checkpoint_interval_s,
+        file.bounds.restore_ms,
     )
--- a/tests/batch/test_placing.py
+++ b/tests/batch/test_placing.py
@@ -6,12 +6,15 @@
 
 import attrs
 import pytest
+from loguru import logger
 
 from filbertlb.batch.model import EndCause
 from filbertlb.batch.model import Run
 from filbertlb.batch.model import RunEnd
 from filbertlb.batch.model import TaskPhase
+from filbertlb.batch.placing_context import CheckpointCosts
 from filbertlb.batch.planner import Planner
+from filbertlb.batch.preemption import GUARANTEE_PREEMPTION_DELAY_MS
 from filbertlb.batch.testing import a_job
 from filbertlb.batch.testing import a_report
 from filbertlb.batch.testing import a_step
@@ -319,3 +322,82 @@
     replay.submit("near", step, priority=0, target_ms=60_000)
     replay.play(replay.now_ms + 3000)
     assert replay.ordered("near") != []
+
+
+def claim_on_full_worker(low, reports=(), checkpoints=None, now_ms=6000):
+    """Let a guaranteed job claim a worker full of less urgent runs.
+
+    Parameters
+    ----------
+    reports : iterable of (int, str)
+        Time of a report in milliseconds and the checkpoint it lists.
+    """
+    fields = {} if checkpoints is None else {"checkpoints": checkpoints}
+    replay = replay_on(1, guaranteed={"divers": 8}, **fields)
+    planner = replay.planner
+    replay.submit("low", low)
+    planner.decide(0.0, 0)
+    claim = a_step(needs=ALL_ACCELERATORS, estimate_ms=1000)
+    for at_ms, saved in (
+        *reports,
+        (now_ms, reports[-1][1] if reports else ""),
+    ):
+        if at_ms == now_ms:
+            accepted_ms = now_ms - GUARANTEE_PREEMPTION_DELAY_MS
+            planner.state.add_job(
+                a_job("claim", claim, priority=0, accepted_ms=accepted_ms)
+            )
+        running = tuple(
+            Run(task, 1, saved) for task in planner.state.tasks_on("n0")
+        )
+        view = planner.workers["n0"]
+        listed = attrs.evolve(view.report, running=running)
+        planner.record_report(listed, at_ms / 1000)
+        planner.decide(at_ms / 1000, at_ms)
+    assert replay.ordered("claim") == ["n0"]
+    return planner
+
+
+@pytest.mark.parametrize(
+    ("step", "reports", "checkpoints", "lost_core_s"),
+    [
+        # 72 cores for 6 s; a gang loses the work of all members.
+        ({"needs": ALL_ACCELERATORS}, (), None, 432.0),
+        ({"count": 2, "needs": (4, 4000, 1), "gang": True}, (), None, 432.0),
+        # What is saved is not lost, but its restoration takes time.
+        ({"checkpointable": True}, (), None, 72 * 2.1),
+        (
+            {"checkpointable": True},
+            (),
+            CheckpointCosts(interval_ms=500, restore_ms=600),
+            72 * (0.5 + 0.6),
+        ),
+        # The report tells of a checkpoint shortly before.
+        ({"checkpointable": True}, [(4000, "a"), (5900, "b")], None, 72 * 0.7),
+        # No checkpoint has been taken for a long time.
+        ({"checkpointable": True}, [(0, "a"), (500, "a")], None, 72 * 6.1),
+    ],
+)
+def test_lost_work_of_a_preempted_run_is_what_its_stop_really_costs(
+    step, reports, checkpoints, lost_core_s
+):
+    # A gang, a restoration and a missing checkpoint cost nothing before.
+    fields = {"needs": ALL_ACCELERATORS, "estimate_ms": 20_000} | step
+    low = a_step(**fields)
+    planner = claim_on_full_worker(low, reports, checkpoints)
+    assert planner.lost_core_s == {"guarantee": pytest.approx(lost_core_s)}
+
+
+def test_preemption_is_logged_with_its_loss_and_cause():
+    lines: list[str] = []
+    handler = logger.add(lines.append, format="{message}")
+    try:
+        claim_on_full_worker(
+            a_step(needs=ALL_ACCELERATORS, estimate_ms=20_000)
+        )
+    finally:
+        logger.remove(handler)
+    assert [line.strip() for line in lines if line.startswith("stop ")] == [
+        "stop low.0.0.0 for claim.0.0: guarantee after 6000 ms, "
+        "432.0 core-seconds lost"
+    ]
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -58,9 +58,33 @@
     assert load_settings_file(path).heartbeat_period_s == period_s
 
 
+@pytest.mark.parametrize(
+    ("bounds", "costs"),
+    [
+        ({}, (2.0, 100)),
+        ({"bounds": {"unknown": 1}}, (2.0, 100)),
+        ({"bounds": {"checkpointIntervalS": 0.5}}, (0.5, 100)),
+        ({"bounds": {"checkpointIntervalS": 1, "restoreMs": 600}}, (1, 600)),
+    ],
+)
+def test_costs_of_checkpoints_are_those_of_the_deployment(
+    tmp_path, bounds, costs
+):
+    settings = load_settings_file(write_settings(tmp_path, SETTINGS | bounds))
+    assert (settings.checkpoint_interval_s, settings.restore_ms) == costs
+
+
 @pytest.mark.parametrize(
     "body",
-    ["", "{", {}, SETTINGS | {"platform": {}}, SETTINGS | {"portRange": "x"}],
+    [
+        "",
+        "{",
+        {},
+        SETTINGS | {"platform": {}},
+        SETTINGS | {"portRange": "x"},
+        SETTINGS | {"bounds": {"restoreMs": -1}},
+        SETTINGS | {"bounds": {"checkpointIntervalS": "2"}},
+    ],
 )
 def test_invalid_file_is_rejected(tmp_path, body):
     path = write_settings(tmp_path, body)
