Preempt only where the gain exceeds the loss

Every step of a job within its guarantee stopped runs whatever was lost, as its wait was counted from the acceptance of the job; only the first step has a time limit. A claim did not wait for runs about to end, a job over its guarantee stopped runs that then were late themselves, and the search for victims compared workers one by one.

The search also compares runs by their share of a gang's cost and spares victims that later ones make needless. A claim uses free workers away from its rack unless a stop there loses less than the gain. A task that was preempted before is spared while there is another choice.

Tests failing before: test_claim_stops_one_gang_if_that_loses_less_than_ single_runs, test_task_was_preempted_twice_in_a_row_beside_another, test_claim_spares_victims_that_later_ones_make_needless, a case each of test_claim_waits_for_runs_that_end_in_time and test_claim_uses_free_workers_ elsewhere_unless_a_stop_loses_little, test_later_step_of_a_guaranteed_job_ does_not_stop_costly_runs_at_once and test_job_over_its_guarantee_stops_no_ run_that_it_would_make_late.

--- a/filbertlb/batch/fitting.py
+++ b/filbertlb/batch/fitting.py
@@ -7,6 +7,7 @@
 import attrs
 
 from filbertlb.core.amounts import covers
+from filbertlb.core.amounts import is_negative
 from filbertlb.core.amounts import minus
 from filbertlb.core.amounts import plus
 
@@ -28,8 +29,7 @@
         Runs with the same stop group can only be stopped together: the
         members of a gang, or a single task.
     cost : float
-        Cost of stopping the whole stop group: lost work in core-seconds
-        for preemption, remaining time for reservations.
+        Cost of stopping the whole stop group, in core-seconds.
     """
 
     node: str
@@ -71,6 +71,10 @@
         Runs that may be stopped, by stop group.
     used : dict of str to int
         Tasks of the step by node.
+    share_cost : bool
+        Runs are compared by their part of the cost of a stop group and by
+        what they free, which finds the group that frees several nodes.
+        Otherwise by the whole cost.
     """
 
     room: dict[str, Amount]
@@ -79,12 +83,25 @@
     victims: set[str] = attrs.Factory(set)
     cost: float = 0.0
     used: dict[str, int] = attrs.Factory(dict)
+    share_cost: bool = False
+
+    def rank_cost(self, run: RunningTask) -> float:
+        """Return the cost by which nodes are compared."""
+        if self.share_cost:
+            return run.cost / len(self.members[run.stop_group])
+        return run.cost
+
+    def _rank(self, run: RunningTask) -> float:
+        """Return the cost by which the runs of a node are compared."""
+        if self.share_cost:
+            return self.rank_cost(run) / _size(run.needs)
+        return run.cost
 
     def victims_on(self, node: str, needs: Amount) -> list[RunningTask] | None:
         """Return the cheapest runs to stop so that a task fits, or None."""
         room = self.room[node]
         chosen: list[RunningTask] = []
-        for run in sorted(self.held.get(node, ()), key=_cost):
+        for run in sorted(self.held.get(node, ()), key=self._rank):
             if covers(room, needs):
                 break
             if run.stop_group not in self.victims:
@@ -112,6 +129,27 @@
         self.room[node] = minus(self.room[node], needs)
         self.used[node] = self.used.get(node, 0) + 1
 
+    def drop_needless(self, nodes: list[str]) -> None:
+        """Spare the costliest victims whose resources are not needed."""
+        placed = set(nodes)
+        for stop_group in sorted(self.victims, key=self._group_cost)[::-1]:
+            room = dict(self.room)
+            for run in self.members[stop_group]:
+                if run.node in room:
+                    room[run.node] = minus(room[run.node], run.needs)
+            if any(
+                is_negative(room[run.node])
+                for run in self.members[stop_group]
+                if run.node in placed
+            ):
+                continue
+            self.room = room
+            self.victims.discard(stop_group)
+            self.cost -= self._group_cost(stop_group)
+
+    def _group_cost(self, stop_group: str) -> float:
+        return self.members[stop_group][0].cost
+
 
 def place_tasks(
     room_by_node: Mapping[str, Amount],
@@ -140,11 +178,28 @@
     Placement or None
         None if not all tasks can be placed.
     """
-    search = _PlacementSearch(dict(room_by_node), {}, {})
-    search.used.update(used or {})
+    held: dict[str, list[RunningTask]] = {}
+    members: dict[str, list[RunningTask]] = {}
     for run in preemptible:
-        search.held.setdefault(run.node, []).append(run)
-        search.members.setdefault(run.stop_group, []).append(run)
+        held.setdefault(run.node, []).append(run)
+        members.setdefault(run.stop_group, []).append(run)
+    best: Placement | None = None
+    for share_cost in (False, True) if held else (False,):
+        search = _PlacementSearch(
+            dict(room_by_node), held, members, used=dict(used or {})
+        )
+        search.share_cost = share_cost
+        placement = _search(search, needs, count, max_per_worker)
+        if placement is None:
+            return best
+        if best is None or placement.cost < best.cost:
+            best = placement
+    return best
+
+
+def _search(
+    search: _PlacementSearch, needs: Amount, count: int, max_per_worker: int
+) -> Placement | None:
     nodes: list[str] = []
     for _ in range(count):
         found = _best_node(search, needs, max_per_worker)
@@ -153,6 +208,8 @@
         node, stopped = found
         search.assign(node, needs, stopped)
         nodes.append(node)
+    if len(search.victims) > 1:
+        search.drop_needless(nodes)
     return Placement(tuple(nodes), frozenset(search.victims), search.cost)
 
 
@@ -197,7 +254,10 @@
             stopped = search.victims_on(node, needs)
         if stopped is None:
             continue
-        cost = sum({run.stop_group: run.cost for run in stopped}.values())
+        cost = 0.0
+        if stopped:
+            costs = {run.stop_group: search.rank_cost(run) for run in stopped}
+            cost = sum(costs.values())
         rank = (cost, room, node)
         if best is None or rank < best:
             best = rank
@@ -205,5 +265,6 @@
     return None if best is None else (best[2], chosen)
 
 
-def _cost(run: RunningTask) -> float:
-    return run.cost
+def _size(needs: Amount) -> int:
+    """Return the size of a run, in accelerators and at least 1."""
+    return max(1, needs[0])
--- a/filbertlb/batch/locality.py
+++ b/filbertlb/batch/locality.py
@@ -96,11 +96,11 @@
         if start_ms is None:
             return [nodes]
         other_ms = self.reservations.expected_start_ms(group, [nodes])
-        if other_ms is None or start_ms - other_ms <= self._slower_ms(group):
+        if other_ms is None or start_ms - other_ms <= self.slower_ms(group):
             return local_groups
         return [nodes]
 
-    def _slower_ms(self, group: TaskGroup) -> int:
+    def slower_ms(self, group: TaskGroup) -> int:
         """Return how much longer a task runs elsewhere."""
         run_ms = self.context.expected_ms(group)
         if group.step.long_running or run_ms <= 0:
@@ -108,7 +108,7 @@
         return int((CROSS_RACK_FACTOR - 1) * run_ms)
 
     def _max_wait_ms(self, group: TaskGroup) -> int:
-        slower_ms = self._slower_ms(group)
+        slower_ms = self.slower_ms(group)
         if self._is_service_idle(group):
             return min(slower_ms, IDLE_WAIT_MS)
         return slower_ms
--- a/filbertlb/batch/placing.py
+++ b/filbertlb/batch/placing.py
@@ -13,6 +13,7 @@
 from filbertlb.batch.model import TaskPhase
 from filbertlb.batch.ordering import PlacingOrder
 from filbertlb.batch.planner_state import ALLOCATED_PHASES
+from filbertlb.batch.preemption import GUARANTEE_PREEMPTION_DELAY_MS
 from filbertlb.batch.preemption import Preemption
 from filbertlb.batch.reservations import Reservations
 from filbertlb.core.amounts import minus
@@ -131,31 +132,78 @@
         placement = self._best_placement(group, racks or [nodes], count, ())
         if placement is not None:
             return placement
-        node_groups = [*racks, nodes]
+        elsewhere = None
         if racks:
-            placement = self._best_placement(group, [nodes], count, ())
-        if placement is not None:
-            if not self._waits_for_rack(group, racks):
-                return placement
-            node_groups = racks
-        preemptible = self._preemptible_runs(group)
-        if not preemptible:
-            return None
-        placement = self._best_placement(
-            group, node_groups, count, preemptible
-        )
-        return self.preemption.if_loss_acceptable(placement, group, count)
+            elsewhere = self._best_placement(group, [nodes], count, ())
+        if self.preemption.may_claim_guarantee(group):
+            return self._claim(group, nodes, racks, elsewhere, count)
+        if elsewhere is not None and not self._waits_for_rack(group, racks):
+            return elsewhere
+        node_groups = racks if elsewhere is not None else [*racks, nodes]
+        placement = self._preempting(group, node_groups, count)
+        return self.preemption.if_loss_acceptable(placement, group)
 
     def _waits_for_rack(
         self, group: TaskGroup, racks: Sequence[Sequence[str]]
     ) -> bool:
         """Return whether a group that fits elsewhere waits for a rack.
 
-        A claim of a guarantee has a time limit and does not wait.
+        One that may claim a place there soon waits until then.
         """
-        if self.preemption.may_claim_guarantee(group):
-            return False
-        return self.locality.waits(group, racks)
+        claims_soon = self.preemption.has_time_limit(group) and (
+            self.locality.slower_ms(group) > GUARANTEE_PREEMPTION_DELAY_MS
+        )
+        return claims_soon or self.locality.waits(group, racks)
+
+    def _claim(
+        self,
+        group: TaskGroup,
+        nodes: Sequence[str],
+        racks: Sequence[Sequence[str]],
+        elsewhere: Placement | None,
+        count: int,
+    ) -> Placement | None:
+        """Place tasks that may preempt whatever is lost.
+
+        They wait for runs that end in time. Free resources away from their
+        racks are used unless a preemption there costs little.
+        """
+        latest_ms = self.preemption.latest_wait_ms(group)
+        if latest_ms is not None and self.reservations.starts_in_time(
+            group, racks or [nodes], latest_ms
+        ):
+            return None
+        local = self._preempting(group, racks, count) if racks else None
+        if elsewhere is None:
+            elsewhere = self._preempting(group, [nodes], count)
+        if local is None or elsewhere is None:
+            return local or elsewhere
+        gain = self.preemption.gain(group)
+        return local if local.cost <= elsewhere.cost + gain else elsewhere
+
+    def _preempting(
+        self,
+        group: TaskGroup,
+        node_groups: Sequence[Sequence[str]],
+        count: int,
+    ) -> Placement | None:
+        """Return the placement that stops the least, if any is allowed.
+
+        What was preempted before is spared if there is another choice; for
+        a group that need not preempt, waiting is one.
+        """
+        preemptible = self._preemptible_runs(group)
+        if not preemptible:
+            return None
+        others = [
+            run
+            for run in preemptible
+            if run.stop_group not in self.state.preempted
+        ]
+        placement = self._best_placement(group, node_groups, count, others)
+        if placement is None and self.preemption.may_claim_guarantee(group):
+            return self._best_placement(group, node_groups, count, preemptible)
+        return placement
 
     def _room_for(self, group: TaskGroup) -> Mapping[str, Amount]:
         """Return the resources that a group may use by node.
@@ -265,6 +313,7 @@
                 self.available.room[record.node] = minus(
                     worker.capacity, ordered
                 )
+        self.state.preempted.add(victim)
         logger.info(
             "stop {} for {}: {} after {} ms, {:.1f} core-seconds lost",
             *(victim, group.name, cause, run_ms, lost_core_s),
--- a/filbertlb/batch/planner_state.py
+++ b/filbertlb/batch/planner_state.py
@@ -85,6 +85,10 @@
         Jobs whose progress is unreadable; nothing is decided about them.
     suspects : set of str
         Unfinished tasks that may have crashed a worker.
+    preempted : set of str
+        Gangs and single tasks that were preempted. They are preempted again
+        only if there is no other choice. It is not stored: the next decider
+        does not know of earlier preemptions.
     rack_wait_since_ms : dict of str to int
         Time since which a task group that fits elsewhere waits for a rack.
         It is not stored: under the next decider the wait begins again.
@@ -99,6 +103,7 @@
     jobs_lost_by_node: dict[str, set[str]] = attrs.Factory(dict)
     ignored_jobs: set[str] = attrs.Factory(set)
     suspects: set[str] = attrs.Factory(set)
+    preempted: set[str] = attrs.Factory(set)
     rack_wait_since_ms: dict[str, int] = attrs.Factory(dict)
     _tasks_by_node: dict[str, set[str]] = attrs.Factory(dict)
 
@@ -123,6 +128,9 @@
         self.jobs.pop(job_id, None)
         self.progress.pop(job_id, None)
         self.cancelled.discard(job_id)
+        self.preempted = {
+            name for name in self.preempted if job_id_of(name) != job_id
+        }
         self.rack_wait_since_ms = {
             group: since_ms
             for group, since_ms in self.rack_wait_since_ms.items()
@@ -289,6 +297,23 @@
             if task_group_of(task) == group
         }
 
+    def ready_ms(self, group: TaskGroup) -> int:
+        """Return when the waiting tasks of a group could first be placed.
+
+        That is after the steps before it, and after their own latest runs.
+        """
+        times_ms = [group.earliest_start_ms]
+        for index in group.step.after:
+            before = TaskGroup(group.job, group.occurrence, index)
+            times_ms += [
+                record.since_ms
+                for record in self.members(before.name).values()
+            ]
+        times_ms += [
+            self.record(task).since_ms for task in self.waiting(group)
+        ]
+        return max(times_ms)
+
     def done(self, group: TaskGroup) -> bool:
         """Return whether all tasks of a group are done."""
         return all(
--- a/filbertlb/batch/reservations.py
+++ b/filbertlb/batch/reservations.py
@@ -64,6 +64,7 @@
     node: str
     task: str
     needs: Amount
+    overdue: bool
 
 
 @attrs.define
@@ -160,9 +161,24 @@
         None if it can't even after all runs that end by themselves.
         """
         sites = [self._site(nodes) for nodes in node_groups]
-        found = self._soonest(group, sites)
+        found = self._soonest(group, sites, self._task_count(group))
         return None if found is None else found[1]
 
+    def starts_in_time(
+        self,
+        group: TaskGroup,
+        node_groups: Sequence[Sequence[str]],
+        latest_ms: int,
+    ) -> bool:
+        """Return whether all waiting tasks can start by a time.
+
+        Nobody knows when a run ends that has exceeded its expected time.
+        """
+        count = len(self.context.state.waiting(group))
+        sites = [self._site(nodes) for nodes in node_groups]
+        found = self._soonest(group, sites, count, overdue=False)
+        return found is not None and found[1] <= latest_ms
+
     def reserve(
         self, group: TaskGroup, node_groups: Sequence[Sequence[str]]
     ) -> None:
@@ -172,7 +188,7 @@
         end by themselves.
         """
         sites = [self._site(nodes) for nodes in node_groups]
-        found = self._soonest(group, sites)
+        found = self._soonest(group, sites, self._task_count(group))
         if found is None:
             return
         site, start_ms = found
@@ -190,10 +206,19 @@
         self.count += 1
 
     def _soonest(
-        self, group: TaskGroup, sites: Sequence[_Site]
+        self,
+        group: TaskGroup,
+        sites: Sequence[_Site],
+        count: int,
+        overdue: bool = True,
     ) -> tuple[_Site, int] | None:
-        """Return the nodes where a group can start first, and the time."""
-        count = self._task_count(group)
+        """Return the nodes where tasks can start first, and the time.
+
+        Parameters
+        ----------
+        overdue : bool
+            Count on the end of runs that have exceeded their expected time.
+        """
         limits = self._limits(group)
         needs = group.step.needs
         sites_by_node: dict[str, list[_Site]] = {}
@@ -205,6 +230,8 @@
             if site.total >= count:
                 return site, self.context.now_ms
         for run in self._runs_that_end():
+            if run.overdue and not overdue:
+                continue
             for site in sites_by_node.get(run.node, ()):
                 site.add_ending(run)
                 site.update(run.node, needs, limits.get(run.node, count))
@@ -256,11 +283,15 @@
         state = self.context.state
         step = state.step_of(task)
         run_ms = self.context.now_ms - state.record(task).since_ms
-        remaining_ms = self.context.durations.remaining_ms(
-            state.job_of(task), step, task, run_ms
-        )
+        job = state.job_of(task)
+        durations = self.context.durations
+        remaining_ms = durations.remaining_ms(job, step, task, run_ms)
+        # The expected end, and the time until it is reported.
+        left_ms = durations.expected_ms(job, step) - run_ms
+        if left_ms > 0:
+            remaining_ms = min(remaining_ms, left_ms + START_DELAY_MS)
         end_ms = self.context.now_ms + remaining_ms
-        return _RunEnding(end_ms, node, task, step.needs)
+        return _RunEnding(end_ms, node, task, step.needs, left_ms <= 0)
 
     def _room_until(self, node: str, end_ms: int | None) -> Amount:
         """Return what is free on a node for work that ends at a time."""
--- a/tests/batch/test_placing.py
+++ b/tests/batch/test_placing.py
@@ -15,6 +15,8 @@
 from filbertlb.batch.placing_context import CheckpointCosts
 from filbertlb.batch.planner import Planner
 from filbertlb.batch.preemption import GUARANTEE_PREEMPTION_DELAY_MS
+from filbertlb.batch.preemption import LATER_CLAIM_DELAY_MS
+from filbertlb.batch.preemption import LATEST_CLAIM_MS
 from filbertlb.batch.testing import a_job
 from filbertlb.batch.testing import a_report
 from filbertlb.batch.testing import a_step
@@ -35,12 +37,15 @@
         Real run time of each task of a job; others never end.
     started_ms : dict of str to int
         Time of the latest order of each task.
+    stopped : set of str
+        Tasks that were stopped at least once.
     """
 
     planner: Planner
     racks: dict[str, str]
     run_ms: dict[str, int] = attrs.Factory(dict)
     started_ms: dict[str, int] = attrs.Factory(dict)
+    stopped: set[str] = attrs.Factory(set)
     now_ms: int = 0
     _seen: set[tuple[str, int]] = attrs.Factory(set)
     _ends: list[tuple[int, str, int, str]] = attrs.Factory(list)
@@ -87,12 +92,21 @@
                     if run_ms is not None:
                         end_ms = self.now_ms + run_ms
                 elif record.phase is TaskPhase.STOPPING:
+                    self.stopped.add(task)
                     end_ms = self.now_ms + STOP_MS
                     cause = EndCause.STOPPED
                 if end_ms is not None:
                     entry = (end_ms, task, record.attempt, cause)
                     heapq.heappush(self._ends, entry)
 
+    def _run(self, task):
+        """Return a listed run; it takes a checkpoint every 500 ms."""
+        state = self.planner.state
+        saved = ""
+        if state.step_of(task).checkpointable:
+            saved = f"{self.now_ms // 500}"
+        return Run(task, state.record(task).attempt, saved)
+
     def _report(self):
         ended = {}
         while self._ends and self._ends[0][0] <= self.now_ms:
@@ -101,10 +115,7 @@
             end = RunEnd(task, attempt, cause)
             ended.setdefault(record.node, []).append(end)
         for node, view in self.planner.workers.items():
-            running = tuple(
-                Run(task, self.planner.state.record(task).attempt)
-                for task in self.planner.state.tasks_on(node)
-            )
+            running = tuple(map(self._run, self.planner.state.tasks_on(node)))
             self.planner.record_report(
                 attrs.evolve(
                     view.report,
@@ -401,3 +412,173 @@
         "stop low.0.0.0 for claim.0.0: guarantee after 6000 ms, "
         "432.0 core-seconds lost"
     ]
+
+
+def claim(replay, step, job_id="claim", **changes):
+    """Submit a job within its guarantee."""
+    fields = {"priority": 0, "target_ms": 1000} | changes
+    replay.submit(job_id, step, **fields)
+
+
+def test_claim_stops_one_gang_if_that_loses_less_than_single_runs():
+    # Each worker alone seemed cheaper to free of its single run.
+    replay = replay_on(6, guaranteed={"divers": 24})
+    gang = a_step(3, needs=ALL_ACCELERATORS, gang=True, estimate_ms=60_000)
+    replay.submit("gang", attrs.evolve(gang, checkpointable=True))
+    replay.play(100)
+    step = a_step(needs=ALL_ACCELERATORS, estimate_ms=60_000)
+    for number in range(3):
+        replay.submit(f"single{number}", step)
+    replay.play(1000)
+    claim(replay, attrs.evolve(gang, estimate_ms=5000))
+    replay.play(replay.now_ms + LATEST_CLAIM_MS + ROUND_MS)
+    assert len(replay.ordered("claim")) == 3
+    assert replay.stopped == {f"gang.0.0.{index}" for index in range(3)}
+
+
+def test_claim_spares_victims_that_later_ones_make_needless():
+    # The stop of the gang for one worker also frees the other.
+    replay = replay_on(2, guaranteed={"divers": 8})
+    gang = a_step(
+        2, needs=(6, 1, 1), gang=True, estimate_ms=60_000, checkpointable=True
+    )
+    replay.submit("gang", gang)
+    small = a_step(needs=(2, 1, 1), estimate_ms=60_000)
+    replay.submit("kept", small, priority=0)
+    replay.play(100)
+    replay.submit("small", small)
+    replay.play(1000)
+    assert replay.ordered("gang") == ["n0", "n1"]
+    step = a_step(
+        2, needs=(2, 1, 1), gang=True, max_per_worker=1, estimate_ms=5000
+    )
+    claim(replay, step)
+    replay.play(replay.now_ms + LATEST_CLAIM_MS + ROUND_MS)
+    assert len(replay.ordered("claim")) == 2
+    assert replay.stopped == {"gang.0.0.0", "gang.0.0.1"}
+
+
+def test_task_was_preempted_twice_in_a_row_beside_another():
+    # The restarted run had lost the least again.
+    replay = replay_on(2, guaranteed={"divers": 8})
+    for number in range(2):
+        step = a_step(needs=ALL_ACCELERATORS, estimate_ms=90_000)
+        replay.submit(f"low{number}", step)
+        replay.play(replay.now_ms + 1000)
+    first = a_step(needs=ALL_ACCELERATORS, estimate_ms=2000)
+    claim(replay, first, run_ms=2000)
+    replay.play(replay.now_ms + 7000)
+    (stopped,) = {task.partition(".")[0] for task in replay.stopped}
+    assert replay.ordered(stopped) != []
+    claim(replay, attrs.evolve(first, estimate_ms=9000), "again")
+    replay.play(replay.now_ms + LATEST_CLAIM_MS + ROUND_MS)
+    assert replay.ordered("again") != []
+    assert replay.planner.state.record(f"{stopped}.0.0.0").attempt == 2
+    assert replay.ordered(stopped) != []
+
+
+def test_task_is_preempted_again_if_there_is_no_other_choice():
+    replay = replay_on(1, guaranteed={"divers": 8})
+    step = a_step(needs=ALL_ACCELERATORS, estimate_ms=90_000)
+    replay.submit("low", step)
+    replay.play(1000)
+    for number in range(2):
+        short = attrs.evolve(step, estimate_ms=2000)
+        claim(replay, short, f"claim{number}", run_ms=2000)
+        replay.play(replay.now_ms + LATEST_CLAIM_MS + ROUND_MS)
+        assert replay.ordered(f"claim{number}") == ["n0"]
+        replay.play(replay.now_ms + 4000)
+        assert replay.ordered("low") == ["n0"]
+
+
+@pytest.mark.parametrize(
+    ("remaining_ms", "stopped"),
+    [
+        (GUARANTEE_PREEMPTION_DELAY_MS + 300, False),
+        (LATEST_CLAIM_MS + 500, True),
+    ],
+)
+def test_claim_waits_for_runs_that_end_in_time(remaining_ms, stopped):
+    replay = replay_on(1, guaranteed={"divers": 8})
+    step = a_step(needs=ALL_ACCELERATORS, estimate_ms=8000)
+    replay.submit("low", step, 8000)
+    replay.play(8000 - remaining_ms - ROUND_MS)
+    claim(replay, attrs.evolve(step, estimate_ms=2000))
+    accepted_ms = replay.now_ms
+    replay.play(accepted_ms + LATEST_CLAIM_MS + ROUND_MS)
+    assert replay.ordered("claim") == ["n0"]
+    assert bool(replay.stopped) is stopped
+
+
+def test_claim_does_not_wait_for_runs_beyond_the_limit():
+    # The run lasts longer than declared.
+    replay = replay_on(1, guaranteed={"divers": 8})
+    step = a_step(needs=ALL_ACCELERATORS, estimate_ms=8000)
+    replay.submit("low", step, 20_000)
+    replay.play(7000)
+    claim(replay, attrs.evolve(step, estimate_ms=2000))
+    accepted_ms = replay.now_ms
+    replay.play(accepted_ms + LATEST_CLAIM_MS)
+    assert replay.started_ms["claim.0.0.0"] - accepted_ms <= LATEST_CLAIM_MS
+
+
+def test_later_step_of_a_guaranteed_job_does_not_stop_costly_runs_at_once():
+    # It has no time limit, but waited since the acceptance of its job.
+    replay = replay_on(1, guaranteed={"divers": 8})
+    first = a_step(needs=(4, 1, 1), estimate_ms=4000)
+    later = a_step(needs=ALL_ACCELERATORS, estimate_ms=2000, after=(0,))
+    replay.planner.state.add_job(
+        a_job("claim", first, later, priority=0, target_ms=60_000)
+    )
+    replay.run_ms["claim"] = 4000
+    replay.submit("low", a_step(needs=(4, 1, 1), estimate_ms=90_000))
+    replay.play(4000 + LATER_CLAIM_DELAY_MS - 2 * ROUND_MS)
+    assert replay.planner.state.record("claim.0.1.0").attempt == 0
+    assert replay.stopped == set()
+    replay.play(4000 + LATER_CLAIM_DELAY_MS + 3 * ROUND_MS)
+    assert replay.planner.state.record("claim.0.1.0").attempt == 1
+
+
+@pytest.mark.parametrize(
+    ("low", "nodes"),
+    [
+        # The stop would lose the work of 9 s.
+        ({}, {"n2", "n3"}),
+        # The stop loses less than a run elsewhere takes more.
+        ({"checkpointable": True}, {"n0", "n1"}),
+    ],
+)
+def test_claim_uses_free_workers_elsewhere_unless_a_stop_loses_little(
+    low, nodes
+):
+    replay = replay_on(
+        4,
+        racks=["r1", "r1", "r2", "r2"],
+        guaranteed={"divers": 16},
+        checkpoints=CheckpointCosts(interval_ms=500, restore_ms=100),
+    )
+    fields = {"needs": ALL_ACCELERATORS, "estimate_ms": 90_000} | low
+    replay.submit("low", a_step(2, data_rack="r1", **fields))
+    replay.play(9000)
+    step = a_step(
+        2,
+        needs=ALL_ACCELERATORS,
+        data_rack="r1",
+        gang=True,
+        estimate_ms=10_000,
+    )
+    claim(replay, step)
+    replay.play(replay.now_ms + LATEST_CLAIM_MS + ROUND_MS)
+    assert set(replay.ordered("claim")) == nodes
+
+
+def test_job_over_its_guarantee_stops_no_run_that_it_would_make_late():
+    # One job was on time instead of the other, and work was lost.
+    replay = replay_on(1)
+    step = a_step(needs=ALL_ACCELERATORS, estimate_ms=4000)
+    tight = {"slack_factor": 1.2, "target_ms": 0}
+    replay.submit("low", step, 4000, priority=1, **tight)
+    replay.play(700)
+    replay.submit("urgent", step, 4000, priority=0, **tight)
+    replay.play(1500)
+    assert replay.stopped == set()
