Shorten a decision with many waiting groups

With 750 workers, 2,800 running tasks and 20 waiting groups (a throwaway script that decides on a planner, processor time on a busy machine) a decision took 290 ms before the work on reservations, 73 ms before this change and 39 to 67 ms after it; with 60 waiting groups 137 ms before and 57 ms after. 13 ms of it are spent without any waiting group.

The size of the payloads of a node is computed once a round, nodes without runs to stop are passed over, the check whether a rack is large enough counts tasks instead of placing them, and the ends of runs are looked up once.

--- a/filbertlb/batch/fitting.py
+++ b/filbertlb/batch/fitting.py
@@ -251,6 +251,8 @@
             continue
         stopped: list[RunningTask] | None = []
         if not covers(room, needs):
+            if node not in search.held:
+                continue
             stopped = search.victims_on(node, needs)
         if stopped is None:
             continue
--- a/filbertlb/batch/locality.py
+++ b/filbertlb/batch/locality.py
@@ -13,7 +13,6 @@
 import attrs
 from loguru import logger
 
-from filbertlb.batch.fitting import place_tasks
 from filbertlb.batch.workers import is_eligible
 from filbertlb.core.amounts import copies
 
@@ -152,9 +151,8 @@
         """Return whether a group fits on these nodes if they are idle."""
         step = group.step
         workers = self.context.available.workers
-        idle = {node: workers[node].capacity for node in nodes}
-        count = step.count if step.gang else 1
-        return (
-            place_tasks(idle, step.needs, count, step.max_per_worker)
-            is not None
-        )
+        remaining = step.count if step.gang else 1
+        most = step.max_per_worker or remaining
+        for node in nodes:
+            remaining -= min(most, copies(workers[node].capacity, step.needs))
+        return remaining <= 0
--- a/filbertlb/batch/placing.py
+++ b/filbertlb/batch/placing.py
@@ -280,6 +280,7 @@
             )
             self.separation.record_order(task, node)
             self.reservations.record_order(task, group, node)
+            self.context.record_order(node)
             room = self.available.room[node]
             self.available.room[node] = minus(room, group.step.needs)
         self.state.rack_wait_since_ms.pop(group.name, None)
--- a/filbertlb/batch/placing_context.py
+++ b/filbertlb/batch/placing_context.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from filbertlb.batch.job_check import MAX_JOB_PAYLOAD_BYTES
+from filbertlb.batch.planner_state import MAX_PAYLOAD_BYTES
 from filbertlb.batch.workers import is_eligible
 from filbertlb.core.amounts import minus
 
@@ -13,6 +15,7 @@
     from collections.abc import Mapping
 
     from filbertlb.batch.durations import DurationModel
+    from filbertlb.batch.model import Job
     from filbertlb.batch.model import Step
     from filbertlb.batch.model import Worker
     from filbertlb.batch.planner_state import PlannerState
@@ -99,6 +102,7 @@
     views: Mapping[str, WorkerView] = attrs.Factory(dict)
     checkpoints: CheckpointCosts = attrs.Factory(CheckpointCosts)
     lost_core_s: dict[str, float] = attrs.Factory(dict)
+    _payload_bytes: dict[str, int] = attrs.Factory(dict)
 
     def expected_ms(self, group: TaskGroup) -> int:
         """Return the expected run time of a task of a group."""
@@ -115,9 +119,26 @@
             node
             for node, worker in self.available.workers.items()
             if is_eligible(worker, group.job.service, label)
-            and self.state.can_order(group.job, node)
+            and self._can_order(group.job, node)
         ]
 
+    def record_order(self, node: str) -> None:
+        """Record that a task was ordered on a node."""
+        self._payload_bytes.pop(node, None)
+
+    def _can_order(self, job: Job, node: str) -> bool:
+        """Return whether a node's orders row holds one more run of a job.
+
+        It is asked for each group and node, and most rows have room.
+        """
+        used = self._payload_bytes.get(node)
+        if used is None:
+            used = self.state.payload_bytes(node)
+            self._payload_bytes[node] = used
+        if used + MAX_JOB_PAYLOAD_BYTES <= MAX_PAYLOAD_BYTES:
+            return True
+        return self.state.can_order(job, node)
+
 
 def core_seconds(step: Step, tasks: int, run_ms: int) -> float:
     """Return the work of tasks of a step in core-seconds.
--- a/filbertlb/batch/planner_state.py
+++ b/filbertlb/batch/planner_state.py
@@ -283,10 +283,17 @@
         if (len(tasks) + 1) * MAX_JOB_PAYLOAD_BYTES <= MAX_PAYLOAD_BYTES:
             return True
         job_ids = {job.job_id, *map(job_id_of, tasks)}
-        total_bytes = sum(
+        return self._bytes_of_payloads(job_ids) <= MAX_PAYLOAD_BYTES
+
+    def payload_bytes(self, node: str) -> int:
+        """Return the size of the payloads in a node's orders row."""
+        tasks = self._tasks_by_node.get(node, ())
+        return self._bytes_of_payloads(set(map(job_id_of, tasks)))
+
+    def _bytes_of_payloads(self, job_ids: set[str]) -> int:
+        return sum(
             len(self.jobs[job_id].payload.encode()) for job_id in job_ids
         )
-        return total_bytes <= MAX_PAYLOAD_BYTES
 
     def members(self, group: str) -> dict[str, TaskRecord]:
         """Return the existing records of the tasks of a group."""
--- a/filbertlb/batch/reservations.py
+++ b/filbertlb/batch/reservations.py
@@ -269,20 +269,23 @@
         if self._run_endings is None:
             state = self.context.state
             endings = [
-                self._run_ending(task, node)
+                ending
                 for node in self.context.available.room
                 for task in state.tasks_on(node)
-                if state.record(task).phase is TaskPhase.ORDERED
-                and not state.step_of(task).long_running
+                if (ending := self._run_ending(task, node)) is not None
             ]
             endings.sort(key=lambda run: (run.end_ms, run.task))
             self._run_endings = endings
         return self._run_endings
 
-    def _run_ending(self, task: str, node: str) -> _RunEnding:
+    def _run_ending(self, task: str, node: str) -> _RunEnding | None:
+        """Return the expected end of a run; None if it does not end."""
         state = self.context.state
         step = state.step_of(task)
-        run_ms = self.context.now_ms - state.record(task).since_ms
+        record = state.record(task)
+        if step.long_running or record.phase is not TaskPhase.ORDERED:
+            return None
+        run_ms = self.context.now_ms - record.since_ms
         job = state.job_of(task)
         durations = self.context.durations
         remaining_ms = durations.remaining_ms(job, step, task, run_ms)
