--- a/filbertlb/batch/decider.py
+++ b/filbertlb/batch/decider.py
@@ -23,6 +23,7 @@
 from filbertlb.batch.model import PROGRESS_PREFIX
 from filbertlb.batch.model import STATUS_PREFIX
 from filbertlb.batch.model import WORKER_TABLE
+from filbertlb.batch.placing_context import CheckpointCosts
 from filbertlb.batch.takeover import apply_report
 from filbertlb.batch.takeover import build_planner
 from filbertlb.batch.version_marks import marks_write
@@ -116,6 +117,13 @@
         This machine's processor is slow, so that others are preferred.
     run_times : RunTimes
         Source of the expected run times of tasks.
+    checkpoints : CheckpointCosts, optional
+        What a checkpointable run loses if it is stopped.
+
+    Attributes
+    ----------
+    lost_core_s : dict of str to float
+        Core-seconds lost by preemption that this process decided, by cause.
     """
 
     def __init__(
@@ -130,7 +138,10 @@
         limits: TransactionLimits | None = None,
         slow: bool = False,
         run_times: RunTimes = RunTimes.DECLARED,
+        checkpoints: CheckpointCosts | None = None,
     ) -> None:
+        self.lost_core_s: dict[str, float] = {}
+        self._checkpoints = checkpoints or CheckpointCosts()
         self._table = table
         self._mirror = mirror
         self._index = index
@@ -331,6 +342,8 @@
             self._clock,
             self._durations(),
         )
+        planner.checkpoints = self._checkpoints
+        planner.lost_core_s = self.lost_core_s
         logger.info(
             "deciding with epoch {} from version {} after {:.2f} s: {} jobs, "
             "{} workers",
--- a/filbertlb/batch/locality.py
+++ b/filbertlb/batch/locality.py
@@ -13,7 +13,6 @@
 import attrs
 from loguru import logger
 
-from filbertlb.batch.fitting import place_tasks
 from filbertlb.batch.workers import is_eligible
 from filbertlb.core.amounts import copies
 
@@ -96,11 +95,11 @@
         if start_ms is None:
             return [nodes]
         other_ms = self.reservations.expected_start_ms(group, [nodes])
-        if other_ms is None or start_ms - other_ms <= self._slower_ms(group):
+        if other_ms is None or start_ms - other_ms <= self.slower_ms(group):
             return local_groups
         return [nodes]
 
-    def _slower_ms(self, group: TaskGroup) -> int:
+    def slower_ms(self, group: TaskGroup) -> int:
         """Return how much longer a task runs elsewhere."""
         run_ms = self.context.expected_ms(group)
         if group.step.long_running or run_ms <= 0:
@@ -108,7 +107,7 @@
         return int((CROSS_RACK_FACTOR - 1) * run_ms)
 
     def _max_wait_ms(self, group: TaskGroup) -> int:
-        slower_ms = self._slower_ms(group)
+        slower_ms = self.slower_ms(group)
         if self._is_service_idle(group):
             return min(slower_ms, IDLE_WAIT_MS)
         return slower_ms
@@ -152,9 +151,8 @@
         """Return whether a group fits on these nodes if they are idle."""
         step = group.step
         workers = self.context.available.workers
-        idle = {node: workers[node].capacity for node in nodes}
-        count = step.count if step.gang else 1
-        return (
-            place_tasks(idle, step.needs, count, step.max_per_worker)
-            is not None
-        )
+        remaining = step.count if step.gang else 1
+        most = step.max_per_worker or remaining
+        for node in nodes:
+            remaining -= min(most, copies(workers[node].capacity, step.needs))
+        return remaining <= 0
--- a/filbertlb/batch/placing_context.py
+++ b/filbertlb/batch/placing_context.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from filbertlb.batch.job_check import MAX_JOB_PAYLOAD_BYTES
+from filbertlb.batch.planner_state import MAX_PAYLOAD_BYTES
 from filbertlb.batch.workers import is_eligible
 from filbertlb.core.amounts import minus
 
@@ -13,6 +15,7 @@
     from collections.abc import Mapping
 
     from filbertlb.batch.durations import DurationModel
+    from filbertlb.batch.model import Job
     from filbertlb.batch.model import Step
     from filbertlb.batch.model import Worker
     from filbertlb.batch.planner_state import PlannerState
@@ -23,6 +26,22 @@
 CORES_PER_ACCELERATOR = 8
 
 
+@attrs.frozen
+class CheckpointCosts:
+    """What a deployment's checkpoints cost a run that is stopped.
+
+    Parameters
+    ----------
+    interval_ms : int
+        Time between two checkpoints of a run.
+    restore_ms : int
+        Time until a run that resumes from a checkpoint does new work.
+    """
+
+    interval_ms: int = 2000
+    restore_ms: int = 100
+
+
 @attrs.define
 class AvailableCapacity:
     """Schedulable workers and their free resources during one decision.
@@ -66,6 +85,12 @@
         organisations.
     now_ms : int
         Current time in Unix milliseconds.
+    now_s : float
+        Current monotonic time.
+    views : mapping of str to WorkerView
+        The workers by node, with what their reports tell of checkpoints.
+    lost_core_s : dict of str to float
+        Core-seconds lost by preemption so far, by cause.
     """
 
     state: PlannerState
@@ -73,6 +98,11 @@
     within_guarantee: set[str]
     durations: DurationModel
     now_ms: int
+    now_s: float = 0.0
+    views: Mapping[str, WorkerView] = attrs.Factory(dict)
+    checkpoints: CheckpointCosts = attrs.Factory(CheckpointCosts)
+    lost_core_s: dict[str, float] = attrs.Factory(dict)
+    _payload_bytes: dict[str, int] = attrs.Factory(dict)
 
     def expected_ms(self, group: TaskGroup) -> int:
         """Return the expected run time of a task of a group."""
@@ -89,9 +119,26 @@
             node
             for node, worker in self.available.workers.items()
             if is_eligible(worker, group.job.service, label)
-            and self.state.can_order(group.job, node)
+            and self._can_order(group.job, node)
         ]
 
+    def record_order(self, node: str) -> None:
+        """Record that a task was ordered on a node."""
+        self._payload_bytes.pop(node, None)
+
+    def _can_order(self, job: Job, node: str) -> bool:
+        """Return whether a node's orders row holds one more run of a job.
+
+        It is asked for each group and node, and most rows have room.
+        """
+        used = self._payload_bytes.get(node)
+        if used is None:
+            used = self.state.payload_bytes(node)
+            self._payload_bytes[node] = used
+        if used + MAX_JOB_PAYLOAD_BYTES <= MAX_PAYLOAD_BYTES:
+            return True
+        return self.state.can_order(job, node)
+
 
 def core_seconds(step: Step, tasks: int, run_ms: int) -> float:
     """Return the work of tasks of a step in core-seconds.
