Show operators what was learned, and bound what is kept

Times of a clock that was ahead count as now, since later figures would otherwise seem old for ever.

--- a/filbertlb/batch/decider.py
+++ b/filbertlb/batch/decider.py
@@ -23,6 +23,7 @@
 from filbertlb.batch.model import PROGRESS_PREFIX
 from filbertlb.batch.model import STATUS_PREFIX
 from filbertlb.batch.model import WORKER_TABLE
+from filbertlb.batch.run_time_metrics import sample_run_times
 from filbertlb.batch.takeover import apply_report
 from filbertlb.batch.takeover import build_planner
 from filbertlb.batch.version_marks import marks_write
@@ -48,6 +49,7 @@
     from filbertlb.batch.write_plan import WriteUnit
     from filbertlb.core.clock import Clock
     from filbertlb.core.lease import Lease
+    from filbertlb.metrics import Metrics
     from filbertlb.table.base import Row
     from filbertlb.table.base import WatchedTable
 
@@ -166,6 +168,14 @@
         """Whether this process is the leader and places jobs."""
         return self._term is not None and self._term.planner is not None
 
+    def sample(self, metrics: Metrics) -> None:
+        """Set the gauges of the run times that this entry has learned."""
+        if self._term is None or self._term.planner is None:
+            return
+        durations = self._term.planner.durations
+        if isinstance(durations, LearnedDurations):
+            sample_run_times(metrics, durations)
+
     def keep_lease(self) -> None:
         """Acquire and renew the lease until stepping down."""
         while not self._stepped_down:
@@ -387,7 +397,7 @@
         """
         if self._run_times is RunTimes.DECLARED:
             return DeclaredDurations()
-        return read_learned(self._table)
+        return read_learned(self._table, int(self._clock.wall() * 1000))
 
     def _hand_on_run_times(self, planner: Planner, epoch: int) -> None:
         """Store what was learned, for the next decider.
--- a/filbertlb/batch/learned_durations.py
+++ b/filbertlb/batch/learned_durations.py
@@ -15,6 +15,7 @@
 from typing import TYPE_CHECKING
 
 import attrs
+from loguru import logger
 
 from filbertlb.batch.durations import DeclaredDurations
 from filbertlb.batch.durations import longest_chain_ms
@@ -28,7 +29,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from typing import Any
+    from collections.abc import Set
 
     from filbertlb.batch.durations import ObservedRun
     from filbertlb.batch.model import Job
@@ -63,6 +64,13 @@
 MAX_TRACKED_RUNS = 20_000
 """Runs whose progress is known; more than a site has at a time."""
 MAX_PREDICTIONS = 4096
+"""Predictions of a queue, and chains of jobs, that are kept."""
+REFRESH_MS = 1000
+"""Age up to which predictions of other queues are used."""
+LOGGED_CHANGE = log(1.25)
+"""Change of the logarithm of a queue's median that is logged."""
+LOG_PERIOD_MS = 5000
+"""Time between two lines on one queue, which bounds the log."""
 COMPLETE_PERCENT = 100
 ANCHOR_ERROR_MS = 500
 """Deviation of the time at which a share of work was seen.
@@ -72,6 +80,10 @@
 SPEED_PERCENT = 50
 """Work seen after which a run in progress tells its worker's speed."""
 ALL_CALLERS = ""
+QUEUES, KINDS, ERRORS = range(3)
+"""Positions of the tables of statistics."""
+_NOTHING = LogStatistics()
+_KindKey = tuple[str, str, str, int, int]
 LOWER_BOUND_CAUSES = frozenset(
     (EndCause.STOPPED, EndCause.FAILED, EndCause.LOST)
 )
@@ -175,7 +187,15 @@
     _speeds: WorkerSpeeds = attrs.field(init=False)
     _tracks: dict[str, _Track] = attrs.Factory(dict)
     _latest_ms: int = attrs.field(init=False)
-    _predictions: dict[Any, Prediction] = attrs.Factory(dict)
+    _logged: dict[str, tuple[float, int]] = attrs.Factory(dict)
+    _refreshed_ms: int = 0
+    _predictions: dict[str, dict[tuple[_KindKey, int], Prediction]] = (
+        attrs.Factory(dict)
+    )
+    _observed_by_kind: dict[_KindKey, tuple[LogNormal | None, int, int]] = (
+        attrs.Factory(dict)
+    )
+    _error_by_caller: dict[str, LogNormal] = attrs.Factory(dict)
     _remaining: dict[str, tuple[int, int]] = attrs.Factory(dict)
     _chain_ms: dict[str, int] = attrs.Factory(dict)
 
@@ -254,15 +274,15 @@
         """Return what is expected of the tasks of a step."""
         if step.long_running:
             return Prediction(None)
-        key = (
-            *(job.organisation, job.queue, step.image),
-            *(step.needs[:2], step.estimate_ms),
-        )
-        found = self._predictions.get(key)
+        of_queue = self._predictions.get(job.queue)
+        if of_queue is None:
+            of_queue = self._predictions[job.queue] = {}
+        key = (_kind_key(job, step), step.estimate_ms)
+        found = of_queue.get(key)
         if found is None:
-            if len(self._predictions) >= MAX_PREDICTIONS:
-                self._predictions.clear()
-            found = self._predictions[key] = self._predict(job, step)
+            if len(of_queue) >= MAX_PREDICTIONS:
+                of_queue.clear()
+            found = of_queue[key] = self._predict(job, step)
         return found
 
     def record_worker(self, node: str, worker: Worker) -> None:
@@ -324,25 +344,36 @@
             self._learn_speed(observed, LogNormal(log_ms(end.run_ms), 0.0))
         self._learn(observed, value, weight, now_ms)
 
+    def queue_times_ms(self) -> dict[str, tuple[int, int]]:
+        """Return the median and the upper run time by queue."""
+        distributions = {
+            queue: statistics.alone(QUEUE_VARIANCE, self._latest_ms)
+            for queue, statistics in self.learned.queues.items()
+        }
+        return {
+            queue: (found.median_ms(), found.quantile_ms(UPPER_QUANTILE))
+            for queue, found in distributions.items()
+            if found is not None
+        }
+
     def snapshot(self) -> LearnedRunTimes:
         """Return what is worth storing."""
         return attrs.evolve(self.learned, speeds=self._speeds.best_known())
 
-    def _all_statistics(self) -> list[LogStatistics]:
+    def _tables(self) -> tuple[dict[str, LogStatistics], ...]:
+        """Return the statistics in the order of QUEUES, KINDS and ERRORS."""
         learned = self.learned
+        return (learned.queues, learned.kinds, learned.errors)
+
+    def _all_statistics(self) -> list[LogStatistics]:
         return [
             statistics
-            for by_key in (learned.queues, learned.kinds, learned.errors)
+            for by_key in self._tables()
             for statistics in by_key.values()
         ]
 
     def _predict(self, job: Job, step: Step) -> Prediction:
-        learned, now_ms = self.learned, self._latest_ms
-        queue = learned.queues.get(_short(job.queue), LogStatistics())
-        kind = learned.kinds.get(_kind(job, step), LogStatistics())
-        observed = queue.alone(QUEUE_VARIANCE, now_ms)
-        if observed is not None:
-            observed = kind.refined(observed, now_ms)
+        observed, runs, queue_runs = self._observed(job, step)
         declared, correction = None, 1.0
         if step.estimate_ms > 0:
             error = self._estimate_error(job)
@@ -352,23 +383,46 @@
             )
         if observed is None or declared is None:
             return Prediction(
-                *(observed or declared, kind.runs, queue.runs, correction),
+                *(observed or declared, runs, queue_runs, correction),
                 float(observed is None and declared is not None),
             )
         return Prediction(
             observed.combined(declared),
-            *(kind.runs, queue.runs, correction),
+            *(runs, queue_runs, correction),
             observed.variance / (observed.variance + declared.variance),
         )
 
     def _estimate_error(self, job: Job) -> LogNormal:
         """Return the ratio of run times to the estimates of a caller."""
-        errors, now_ms = self.learned.errors, self._latest_ms
-        error = LogNormal(0.0, ESTIMATE_VARIANCE)
-        for key in (ALL_CALLERS, _short(job.organisation)):
-            error = errors.get(key, LogStatistics()).refined(error, now_ms)
+        error = self._error_by_caller.get(job.organisation)
+        if error is None:
+            errors, now_ms = self.learned.errors, self._latest_ms
+            error = LogNormal(0.0, ESTIMATE_VARIANCE)
+            for key in (ALL_CALLERS, _short(job.organisation)):
+                error = errors.get(key, _NOTHING).refined(error, now_ms)
+            self._error_by_caller[job.organisation] = error
         return error
 
+    def _observed(
+        self, job: Job, step: Step
+    ) -> tuple[LogNormal | None, int, int]:
+        """Return the distribution of observed run times and their numbers."""
+        key = _kind_key(job, step)
+        found = self._observed_by_kind.get(key)
+        if found is None:
+            if len(self._observed_by_kind) >= MAX_PREDICTIONS:
+                self._observed_by_kind.clear()
+            learned, now_ms = self.learned, self._latest_ms
+            queue = learned.queues.get(_short(job.queue), _NOTHING)
+            kind = learned.kinds.get(_kind(job, step), _NOTHING)
+            observed = queue.alone(QUEUE_VARIANCE, now_ms)
+            if observed is not None:
+                observed = kind.refined(observed, now_ms)
+            found = self._observed_by_kind[key] = (
+                *(observed, kind.runs, queue.runs),
+            )
+        return found
+
     def _remaining_ms(
         self, job: Job, step: Step, task: str, run_ms: int
     ) -> int:
@@ -406,12 +460,21 @@
             or observed.slowdown != 1.0
         ):
             return
-        self._speeds.record(
-            *(observed.node, observed.worker),
+        node, speeds = observed.node, self._speeds
+        band = speeds.band(node)
+        speeds.record(
+            *(node, observed.worker),
             expected.mean - total.mean,
             (expected.variance + total.variance) / _weight(observed.step),
         )
         self.changed = True
+        if speeds.band(node) != band:
+            logger.info(
+                "worker {} of incarnation {} runs at {:.2f} of the usual "
+                "speed, class {} was {}",
+                *(node, observed.worker.incarnation, speeds.speed(node)),
+                *(speeds.band(node), band),
+            )
 
     def _learn_bound(
         self, observed: ObservedRun, bound: float, weight: float, now_ms: int
@@ -432,52 +495,82 @@
     def _learn(
         self, observed: ObservedRun, value: float, weight: float, now_ms: int
     ) -> None:
-        job, step, learned = observed.job, observed.step, self.learned
-        self._add(learned.queues, _short(job.queue), value, weight, now_ms)
-        self._add(learned.kinds, _kind(job, step), value, weight, now_ms)
+        job, step = observed.job, observed.step
+        value_by_key = {
+            (QUEUES, _short(job.queue)): value,
+            (KINDS, _kind(job, step)): value,
+        }
         if step.estimate_ms > 0:
             error = value - log_ms(step.estimate_ms)
-            for key in (ALL_CALLERS, _short(job.organisation)):
-                self._add(learned.errors, key, error, weight, now_ms)
-        self._predictions.clear()
+            for caller in (ALL_CALLERS, _short(job.organisation)):
+                value_by_key[ERRORS, caller] = error
+        tables = self._tables()
+        for (table, key), new in value_by_key.items():
+            statistics = tables[table].setdefault(key, LogStatistics())
+            statistics.add(new, weight, now_ms)
+        self._evict(value_by_key.keys(), now_ms)
+        self._forget_predictions(job.queue, now_ms)
+        self.changed = True
+        self._log_change(_short(job.queue), now_ms)
+
+    def _log_change(self, queue: str, now_ms: int) -> None:
+        """Log what is expected of a queue if it has changed much."""
+        statistics = self.learned.queues[queue]
+        logged = self._logged.get(queue)
+        if logged is not None:
+            mean, at_ms = logged
+            change = abs(statistics.mean - mean)
+            if change < LOGGED_CHANGE or now_ms - at_ms < LOG_PERIOD_MS:
+                return
+        if len(self._logged) >= MAX_KEYS:
+            self._logged.clear()
+        self._logged[queue] = (statistics.mean, now_ms)
+        expected = statistics.alone(QUEUE_VARIANCE, now_ms)
+        assert expected is not None
+        logger.info(
+            "run times of queue {}: median {} ms, at most {} ms, by {} runs "
+            "that count for {:.1f}",
+            *(queue, expected.median_ms()),
+            expected.quantile_ms(UPPER_QUANTILE),
+            *(statistics.runs, statistics.weight),
+        )
+
+    def _forget_predictions(self, queue: str, now_ms: int) -> None:
+        """Drop the predictions that an observation of a queue changes.
+
+        Those of other queues change by the errors of estimates only, and
+        are kept for up to REFRESH_MS: to predict all running tasks anew
+        takes most of a decision's time.
+        """
+        self._predictions.pop(queue, None)
+        if now_ms - self._refreshed_ms >= REFRESH_MS:
+            self._refreshed_ms = now_ms
+            self._predictions.clear()
+        self._observed_by_kind.clear()
+        self._error_by_caller.clear()
         self._remaining.clear()
         self._chain_ms.clear()
-        self.changed = True
 
-    def _add(
-        self,
-        by_key: dict[str, LogStatistics],
-        key: str,
-        value: float,
-        weight: float,
-        now_ms: int,
-    ) -> None:
-        statistics = by_key.get(key)
-        if statistics is None:
-            if len(self._all_statistics()) >= MAX_KEYS:
-                self._evict(now_ms)
-            statistics = by_key[key] = LogStatistics()
-        statistics.add(value, weight, now_ms)
-
-    def _evict(self, now_ms: int) -> None:
-        """Drop the statistics with the least weight.
-
-        Those that the present observation has updated stay: the new key
-        refines them.
+    def _evict(self, current: Set[tuple[int, str]], now_ms: int) -> None:
+        """Drop the statistics with the least weight until few are left.
+
+        Parameters
+        ----------
+        current : set of tuple
+            Table and key of what the present observation has updated, which
+            stays.
         """
-        learned = self.learned
-        by_key, key = min(
-            (
-                (by_key, key)
-                for by_key in (learned.kinds, learned.queues, learned.errors)
-                for key in by_key
-            ),
-            key=lambda entry: (
-                entry[0][entry[1]].at_ms >= now_ms,
-                entry[0][entry[1]].weight_at(now_ms),
-            ),
-        )
-        del by_key[key]
+        excess = len(self._all_statistics()) - MAX_KEYS
+        if excess <= 0:
+            return
+        others = [
+            (statistics.weight_at(now_ms), number, key)
+            for number, by_key in enumerate(self._tables())
+            for key, statistics in by_key.items()
+            if (number, key) not in current
+        ]
+        for _, number, key in sorted(others)[:excess]:
+            del self._tables()[number][key]
 
 
 def _weight(step: Step) -> float:
@@ -486,6 +579,14 @@
     return 1 / (1 + TASK_CORRELATION * others)
 
 
+def _kind_key(job: Job, step: Step) -> _KindKey:
+    accelerators, millicores, _ = step.needs
+    return (
+        *(job.organisation, job.queue, _short(step.image)),
+        *(accelerators, millicores),
+    )
+
+
 def _kind(job: Job, step: Step) -> str:
     names = map(_short, (job.organisation, job.queue, step.image))
     return "/".join((*names, f"{step.needs[0]}x{step.needs[1]}"))
--- a/filbertlb/batch/learned_row.py
+++ b/filbertlb/batch/learned_row.py
@@ -30,9 +30,12 @@
     return Write(LEARNED_KEY, encode_value(durations.snapshot()))
 
 
-def read_learned(table: TableService) -> LearnedDurations:
+def read_learned(table: TableService, now_ms: int) -> LearnedDurations:
     """Return the run times that earlier deciders have learned.
 
+    Times in the future, of a clock that was wrong, count as now; later runs
+    would seem to be old for ever.
+
     Raises
     ------
     TableUnavailableError
@@ -47,6 +50,9 @@
     except UnreadableRowError as error:
         logger.error("run times are learned from the start: {}", error)
         return LearnedDurations()
+    for by_key in (learned.queues, learned.kinds, learned.errors):
+        for statistics in by_key.values():
+            statistics.at_ms = min(statistics.at_ms, now_ms)
     logger.info(
         "run times of {} queues and {} kinds and speeds of {} workers from "
         "row version {}",
--- a/filbertlb/batch/worker_speeds.py
+++ b/filbertlb/batch/worker_speeds.py
@@ -45,8 +45,11 @@
 """The same in standard deviations: 1 of 370 usual workers exceeds it."""
 SLOWEST_PREFERENCE = 100
 """Higher than the class of any speed."""
-MAX_WORKERS = 400
-"""Workers in the row, which holds 48 KiB; others are learned again."""
+MAX_WORKERS = 800
+"""Workers in the row: the design size. Others are learned again.
+
+With 750 workers the row has about half of the 48 KiB that a row may have.
+"""
 
 SpeedSum = Annotated[float, Meta(ge=-1e4, le=1e4)]
 SpeedWeight = Annotated[float, Meta(ge=0, le=1e4)]
@@ -121,6 +124,8 @@
         self.record_worker(node, worker)
         known = self.by_node.get(node)
         if known is None:
+            if len(self.by_node) >= 2 * MAX_WORKERS:
+                self.by_node = self.best_known()
             known = WorkerSpeed(worker.incarnation, worker_kind(worker))
             self.by_node[node] = known
         weight = 1 / max(MIN_VARIANCE, variance)
@@ -163,11 +168,21 @@
         return 1 if log_speed > 0 else -1
 
     def best_known(self) -> dict[str, WorkerSpeed]:
-        """Return the speeds that are worth keeping, at most MAX_WORKERS."""
+        """Return the speeds that are worth keeping, at most MAX_WORKERS.
+
+        Rounded figures keep the row small.
+        """
         nodes = sorted(
             self.by_node, key=lambda node: -self.by_node[node].weight
         )
-        return {node: self.by_node[node] for node in nodes[:MAX_WORKERS]}
+        return {
+            node: attrs.evolve(
+                self.by_node[node],
+                weight=round(self.by_node[node].weight, 3),
+                total=round(self.by_node[node].total, 3),
+            )
+            for node in nodes[:MAX_WORKERS]
+        }
 
 
 def worker_kind(worker: Worker) -> str:
--- a/filbertlb/metrics.py
+++ b/filbertlb/metrics.py
@@ -66,6 +66,17 @@
         Runs that an agent's worker holds.
     contact_age_s : Gauge
         Time since the table answered last, in seconds.
+    learned_keys : Gauge
+        Learned statistics, by ``of``: ``queue``, ``kind`` of task or
+        ``caller``; as all that follow, at the entry that decides.
+    expected_run_s : Gauge
+        Learned run time by ``queue`` and ``quantile``, ``median`` or
+        ``upper``, in seconds.
+    estimate_correction : Gauge
+        Mean ratio of run times to estimates by ``organisation``.
+    worker_speeds : Gauge
+        Workers with a learned speed, by ``speed``: ``slow``, ``usual`` or
+        ``fast``.
     """
 
     def __init__(self, role: str, instance_id: str) -> None:
@@ -102,6 +113,10 @@
         self.leader = gauge("leader")
         self.runs = gauge("runs")
         self.contact_age_s = gauge("contact_age_seconds")
+        self.learned_keys = gauge("learned_keys")
+        self.expected_run_s = gauge("expected_run_seconds")
+        self.estimate_correction = gauge("estimate_correction")
+        self.worker_speeds = gauge("worker_speeds")
 
     def render(self) -> bytes:
         """Return all values in the text format of Prometheus."""
--- a/filbertlb/platform/roles.py
+++ b/filbertlb/platform/roles.py
@@ -114,6 +114,7 @@
         metrics.queued_jobs.set(counts[JobState.QUEUED])
         metrics.running_jobs.set(counts[JobState.ACTIVE])
         metrics.leader.set(int(decider.deciding), {"scope": settings.region})
+        decider.sample(metrics)
         metrics.revision.set(in_force.version)
         metrics.contact_age_s.set(clock.monotonic() - state_follower.contact_s)
 
--- a/tests/batch/test_learned_durations.py
+++ b/tests/batch/test_learned_durations.py
@@ -2,30 +2,35 @@
 
 from __future__ import annotations
 
+from base64 import b64encode
 from math import exp
 from math import log
 from random import Random
 from statistics import fmean
 
 import pytest
+from loguru import logger
 
 from filbertlb.batch.durations import DeclaredDurations
 from filbertlb.batch.durations import longest_chain_ms
 from filbertlb.batch.durations import ObservedRun
 from filbertlb.batch.learned_durations import LearnedDurations
-from filbertlb.batch.learned_durations import LearnedRunTimes
 from filbertlb.batch.learned_durations import MAX_KEYS
+from filbertlb.batch.learned_row import learned_write
+from filbertlb.batch.learned_row import read_learned
 from filbertlb.batch.model import EndCause
 from filbertlb.batch.model import Run
 from filbertlb.batch.model import RunEnd
 from filbertlb.batch.model import TaskPhase
 from filbertlb.batch.planner import Planner
+from filbertlb.batch.run_time_metrics import sample_run_times
 from filbertlb.batch.testing import a_job
 from filbertlb.batch.testing import a_report
 from filbertlb.batch.testing import a_step
 from filbertlb.batch.testing import a_worker
-from filbertlb.table.base import Row
-from filbertlb.table.rows import decode_row
+from filbertlb.metrics import metrics_of
+from filbertlb.table.base import TransactionLimits
+from filbertlb.table.memory import MemoryTable
 from filbertlb.table.rows import encode_value
 
 ALL_ACCELERATORS = (8, 8_000, 8_000)
@@ -287,13 +292,57 @@
     assert len(encode_value(stored)) < 64 * 400
 
 
+def test_row_of_the_design_size_fits():
+    # 750 workers, and keys as long as they get.
+    random, learned = Random(5), LearnedDurations()
+    for _ in range(750):
+        names = [random.randbytes(1_000).hex() for _ in range(3)]
+        job = a_job(
+            "j",
+            a_step(estimate_ms=random.randrange(1, 10_000), image=names[0]),
+            queue=names[1],
+            organisation=names[2],
+        )
+        node = f"side-{random.randrange(10**9)}"
+        worker = a_worker(incarnation=f"{node}@{random.randrange(10**13)}")
+        run_ms = random.randrange(1_000, 100_000)
+        run_once(learned, job, run_ms, node=node, worker=worker)
+    value = learned_write(learned).value
+    assert value is not None
+    assert len(b64encode(value)) < TransactionLimits().row_bytes
+
+
+def test_figures_from_a_clock_that_was_ahead_do_not_outdate_later_ones():
+    learned, year_ms = LearnedDurations(), 365 * 86_400_000
+    job = a_job("j", a_step(estimate_ms=0))
+    for _ in range(20):
+        run_once(learned, job, 4_000, now_ms=year_ms)
+    table = MemoryTable()
+    table.commit([learned_write(learned)])
+    after = read_learned(table, 1_000)
+    other = a_job("k", a_step(estimate_ms=0), queue="other")
+    for number in range(6):
+        run_once(after, other, 16_000, now_ms=1_000 * (1 + number))
+    assert expected(after, other) == 16_000
+
+
+def test_new_keys_are_kept_when_all_others_weigh_as_much():
+    # The figures of a new queue were dropped for those of its first task.
+    learned = LearnedDurations()
+    for number in range(2 * MAX_KEYS):
+        job = a_job("j", a_step(estimate_ms=0), queue=f"q{number}")
+        run_once(learned, job, 1_000)
+        assert expected(learned, job) == 1_000
+
+
 def test_stored_figures_are_those_of_the_next_decider():
     learned = LearnedDurations()
     job = a_job("j", a_step(estimate_ms=20_000))
     for number in range(5):
         run_once(learned, job, 8_000 + number, now_ms=1_000 * number)
-    row = Row("durations/learned", encode_value(learned.snapshot()), 1)
-    after = LearnedDurations(decode_row(row, LearnedRunTimes))
+    table = MemoryTable()
+    table.commit([learned_write(learned)])
+    after = read_learned(table, 4_000)
     assert expected(after, job) == expected(learned, job)
     assert upper(after, job) == upper(learned, job)
 
@@ -437,3 +486,40 @@
         planner.record_report(report, now_s)
         planner.decide(now_s, round(1000 * now_s))
     assert planner.workers["n0"].stalled is stalled
+
+
+def test_operators_see_what_was_learned():
+    learned = LearnedDurations()
+    for number in range(6):
+        job = a_job(f"j{number}", a_step(estimate_ms=4_000))
+        run_once(learned, job, 8_000, now_ms=1000 * number)
+    with metrics_of("entry", "edge-1") as metrics:
+        sample_run_times(metrics, learned)
+        page = metrics.render().decode()
+    for line in (
+        'filbertlb_learned_keys{of="queue"} 1.0',
+        'filbertlb_expected_run_seconds{quantile="median",queue="batch"} 8.0',
+        'filbertlb_estimate_correction{organisation="divers"} 2.0',
+        'filbertlb_worker_speeds{speed="usual"} 1.0',
+    ):
+        assert line in page
+    job = a_job("next", a_step(estimate_ms=2_000))
+    text = learned.explain(job, job.steps[0])
+    assert "6 runs of its kind" in text
+    assert "estimate 2000 ms times" in text
+
+
+def test_lines_on_a_queue_are_bounded():
+    # A queue of two kinds of task changes its median with each run.
+    lines = []
+    handler = logger.add(lines.append, format="{message}")
+    learned = LearnedDurations()
+    try:
+        for number in range(200):
+            job = a_job(f"j{number}", a_step(estimate_ms=0))
+            run_ms = 1_000 if number % 40 < 20 else 100_000
+            run_once(learned, job, run_ms, now_ms=50 * number)
+    finally:
+        logger.remove(handler)
+    times = [line for line in lines if "run times of queue batch" in line]
+    assert 1 < len(times) <= 3
--- a/tests/batch/test_worker_speeds.py
+++ b/tests/batch/test_worker_speeds.py
@@ -17,6 +17,7 @@
 from filbertlb.batch.testing import a_report
 from filbertlb.batch.testing import a_step
 from filbertlb.batch.testing import a_worker
+from filbertlb.batch.worker_speeds import MAX_WORKERS
 from filbertlb.batch.worker_speeds import WorkerSpeeds
 
 SPEEDS = {"n0": 1.0, "n1": 0.6, "n2": 1.6, "n3": 1.0, "n4": 0.6, "n5": 1.6}
@@ -197,3 +198,15 @@
         learned.record_end(end, observe(job, "n1"), 20_000)
     job = a_job("j", a_step(estimate_ms=0))
     assert learned.expected_ms(job, job.steps[0]) < 10_000
+
+
+def test_speeds_of_replaced_machines_are_bounded():
+    # Machines that are replaced get new names, 52 of them a day.
+    speeds = WorkerSpeeds()
+    for number in range(3 * MAX_WORKERS):
+        speeds.record(f"n{number}", worker_on(f"n{number}"), 0.0, 0.1)
+        speeds.record("kept", worker_on("kept"), 0.0, 0.1)
+    assert len(speeds.by_node) <= 2 * MAX_WORKERS
+    stored = speeds.best_known()
+    assert len(stored) == MAX_WORKERS
+    assert "kept" in stored
