Time a gang on several workers by its slowest one

A gang ends with its slowest member, so its time says nothing on the speed of the others; a fast worker would have counted as slow. The new test failed before: the speed of the slow worker changed with each such gang.

--- a/filbertlb/batch/durations.py
+++ b/filbertlb/batch/durations.py
@@ -45,6 +45,8 @@
         rack.
     resumed : bool
         It began from a checkpoint, so it does only a part of the work.
+    other_nodes : tuple of str
+        Nodes of the other members of its gang, without its own.
     """
 
     job: Job
@@ -53,6 +55,7 @@
     worker: Worker | None = None
     slowdown: float = 1.0
     resumed: bool = False
+    other_nodes: tuple[str, ...] = ()
 
 
 class DurationModel(Protocol):
--- a/filbertlb/batch/learned_durations.py
+++ b/filbertlb/batch/learned_durations.py
@@ -331,11 +331,7 @@
         if observed.step.long_running:
             return
         self._latest_ms = max(self._latest_ms, now_ms)
-        value = (
-            log_ms(end.run_ms)
-            + self._speeds.log_speed(observed.node)
-            - log(observed.slowdown)
-        )
+        value = log_ms(end.run_ms) + self._log_pace(observed)
         weight = _weight(observed.step)
         if not done or observed.resumed:
             self._learn_bound(observed, value, weight, now_ms)
@@ -431,13 +427,11 @@
             return self._declared.remaining_ms(job, step, task, run_ms)
         track = self._tracks.get(task)
         if track is not None:
-            slower = log(track.observed.slowdown) - self._speeds.log_speed(
-                track.observed.node
-            )
-            expected = attrs.evolve(expected, mean=expected.mean + slower)
-            pace = track.total()
-            if pace is not None:
-                total = expected.combined(pace)
+            pace = self._log_pace(track.observed)
+            expected = attrs.evolve(expected, mean=expected.mean - pace)
+            observed = track.total()
+            if observed is not None:
+                total = expected.combined(observed)
                 left = (COMPLETE_PERCENT - track.percent) / COMPLETE_PERCENT
                 since_ms = run_ms - track.at_ms
                 left_ms = round(left * total.median_ms()) - since_ms
@@ -448,16 +442,27 @@
         total_ms = expected.quantile_ms((1 + ended) / 2)
         return max(MIN_REMAINING_MS, total_ms - run_ms)
 
+    def _log_pace(self, observed: ObservedRun) -> float:
+        """Return the logarithm of a run's pace relative to a usual one."""
+        log_speed = min(
+            map(self._speeds.log_speed, (observed.node, *observed.other_nodes))
+        )
+        return log_speed - log(observed.slowdown)
+
     def _learn_speed(
         self, observed: ObservedRun, total: LogNormal | None
     ) -> None:
-        """Learn a worker's speed from the time of one run's whole work."""
+        """Learn a worker's speed from the time of one run's whole work.
+
+        The time of a gang on several workers is that of the slowest.
+        """
         expected = self.prediction(observed.job, observed.step).distribution
         if (
             observed.worker is None
             or total is None
             or expected is None
             or observed.slowdown != 1.0
+            or observed.other_nodes
         ):
             return
         node, speeds = observed.node, self._speeds
--- a/filbertlb/batch/run_observation.py
+++ b/filbertlb/batch/run_observation.py
@@ -24,33 +24,31 @@
 ) -> ObservedRun:
     """Return the circumstances of the latest run of a task."""
     step, record = state.step_of(task), state.record(task)
-    worker = _worker_on(workers, record.node)
+    nodes = {record.node}
+    if step.gang:
+        members = state.members(task_group_of(task)).values()
+        nodes.update(member.node for member in members)
     return ObservedRun(
         state.job_of(task),
         step,
         record.node,
-        worker,
-        _slowdown(state, workers, task, step, worker),
+        _worker_on(workers, record.node),
+        _slowdown(step, {_rack_of(workers, node) for node in nodes}),
         bool(record.saved),
+        tuple(sorted(nodes - {record.node})),
     )
 
 
-def _slowdown(
-    state: PlannerState,
-    workers: Mapping[str, WorkerView],
-    task: str,
-    step: Step,
-    worker: Worker | None,
-) -> float:
-    racks = {"" if worker is None else worker.rack}
-    if step.same_rack and step.gang:
-        for member in state.members(task_group_of(task)).values():
-            other = _worker_on(workers, member.node)
-            racks.add("" if other is None else other.rack)
-    remote = len(racks) > 1 or (
-        bool(step.data_rack) and racks != {step.data_rack}
-    )
-    return REMOTE_SLOWDOWN if remote else 1.0
+def _slowdown(step: Step, racks: set[str]) -> float:
+    """Return the slowdown of a run whose gang uses some racks."""
+    spread = step.same_rack and step.gang and len(racks) > 1
+    far = bool(step.data_rack) and racks != {step.data_rack}
+    return REMOTE_SLOWDOWN if spread or far else 1.0
+
+
+def _rack_of(workers: Mapping[str, WorkerView], node: str) -> str:
+    worker = _worker_on(workers, node)
+    return "" if worker is None else worker.rack
 
 
 def _worker_on(workers: Mapping[str, WorkerView], node: str) -> Worker | None:
--- a/tests/batch/test_worker_speeds.py
+++ b/tests/batch/test_worker_speeds.py
@@ -210,3 +210,30 @@
     stored = speeds.best_known()
     assert len(stored) == MAX_WORKERS
     assert "kept" in stored
+
+
+def test_gang_on_unequal_workers_is_timed_by_the_slowest():
+    # A fast worker would count as slow, and the tasks as longer.
+    learned = learned_from_runs()
+    before = {node: learned.speeds.log_speed(node) for node in SPEEDS}
+    gang = a_step(2, needs=ALL_ACCELERATORS, gang=True, estimate_ms=0)
+    for number in range(30):
+        planner = planner_with(learned, nodes=("n1", "n2"))
+        job = a_job(f"g{number}", gang, queue="gangs")
+        assert nodes_of(planner, job) == {"n1", "n2"}
+        ended = [
+            (planner.state.record(task).node, task)
+            for task in planner.state.progress[job.job_id].tasks
+        ]
+        for node, task in ended:
+            end = RunEnd(
+                task, 1, EndCause.DONE, run_ms=round(8_000 / SPEEDS["n1"])
+            )
+            worker = planner.workers[node].report.worker
+            planner.record_report(
+                a_report(node, worker=worker, ended=(end,)), 1.0
+            )
+        planner.decide(1.0, 1_000)
+    assert before == {node: learned.speeds.log_speed(node) for node in SPEEDS}
+    job = a_job("next", gang, queue="gangs")
+    assert learned.expected_ms(job, gang) < 10_000
