--- a/filbertlb/platform/roles.py
+++ b/filbertlb/platform/roles.py
@@ -125,6 +125,7 @@
                 core_s - counted_core_s.get(cause, 0.0), {"cause": cause}
             )
             counted_core_s[cause] = core_s
+        decider.sample(metrics)
         metrics.revision.set(in_force.version)
         metrics.contact_age_s.set(clock.monotonic() - state_follower.contact_s)
 
--- a/tests/batch/test_worker_speeds.py
+++ b/tests/batch/test_worker_speeds.py
@@ -17,6 +17,7 @@
 from filbertlb.batch.testing import a_report
 from filbertlb.batch.testing import a_step
 from filbertlb.batch.testing import a_worker
+from filbertlb.batch.worker_speeds import MAX_WORKERS
 from filbertlb.batch.worker_speeds import WorkerSpeeds
 
 SPEEDS = {"n0": 1.0, "n1": 0.6, "n2": 1.6, "n3": 1.0, "n4": 0.6, "n5": 1.6}
@@ -197,3 +198,42 @@
         learned.record_end(end, observe(job, "n1"), 20_000)
     job = a_job("j", a_step(estimate_ms=0))
     assert learned.expected_ms(job, job.steps[0]) < 10_000
+
+
+def test_speeds_of_replaced_machines_are_bounded():
+    # Machines that are replaced get new names, 52 of them a day.
+    speeds = WorkerSpeeds()
+    for number in range(3 * MAX_WORKERS):
+        speeds.record(f"n{number}", worker_on(f"n{number}"), 0.0, 0.1)
+        speeds.record("kept", worker_on("kept"), 0.0, 0.1)
+    assert len(speeds.by_node) <= 2 * MAX_WORKERS
+    stored = speeds.best_known()
+    assert len(stored) == MAX_WORKERS
+    assert "kept" in stored
+
+
+def test_gang_on_unequal_workers_is_timed_by_the_slowest():
+    # A fast worker would count as slow, and the tasks as longer.
+    learned = learned_from_runs()
+    before = {node: learned.speeds.log_speed(node) for node in SPEEDS}
+    gang = a_step(2, needs=ALL_ACCELERATORS, gang=True, estimate_ms=0)
+    for number in range(30):
+        planner = planner_with(learned, nodes=("n1", "n2"))
+        job = a_job(f"g{number}", gang, queue="gangs")
+        assert nodes_of(planner, job) == {"n1", "n2"}
+        ended = [
+            (planner.state.record(task).node, task)
+            for task in planner.state.progress[job.job_id].tasks
+        ]
+        for node, task in ended:
+            end = RunEnd(
+                task, 1, EndCause.DONE, run_ms=round(8_000 / SPEEDS["n1"])
+            )
+            worker = planner.workers[node].report.worker
+            planner.record_report(
+                a_report(node, worker=worker, ended=(end,)), 1.0
+            )
+        planner.decide(1.0, 1_000)
+    assert before == {node: learned.speeds.log_speed(node) for node in SPEEDS}
+    job = a_job("next", gang, queue="gangs")
+    assert learned.expected_ms(job, gang) < 10_000
