Compare runs of one step to learn speeds; avoid workers that make work late

Run times of one queue vary with the job by as much as workers differ, and the tasks of one step counted as one observation, so speeds showed only after tens of jobs. Tasks of one step are now compared with each other, on other nodes, and a run in progress tells its speed once its pace is known to 20%. A group that would end late on slow workers only takes others if they have room or a preemption there is worth it; else it starts as before. A class needs 2.5 deviations instead of 3.

--- a/filbertlb/batch/durations.py
+++ b/filbertlb/batch/durations.py
@@ -84,6 +84,9 @@
     def speed_band(self, node: str) -> int:
         """Return 1 for a fast worker, -1 for a slow one, 0 for others."""
 
+    def speed(self, node: str) -> float:
+        """Return the speed of a worker relative to the usual one."""
+
     def explain(self, job: Job, step: Step) -> str:
         """Return the expected run time and its origin, for log lines."""
 
@@ -135,6 +138,10 @@
         """Return the same class for all workers."""
         return 0
 
+    def speed(self, node: str) -> float:
+        """Return the same speed for all workers."""
+        return 1.0
+
     def explain(self, job: Job, step: Step) -> str:
         """Return the declared run time."""
         return f"{step.estimate_ms} ms as declared"
--- a/filbertlb/batch/learned_durations.py
+++ b/filbertlb/batch/learned_durations.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from contextlib import contextmanager
 from hashlib import blake2b
 from math import exp
 from math import log
@@ -24,11 +25,15 @@
 from filbertlb.batch.log_normal import LogNormal
 from filbertlb.batch.log_normal import LogStatistics
 from filbertlb.batch.model import EndCause
+from filbertlb.batch.worker_speeds import MIN_SIBLINGS
+from filbertlb.batch.worker_speeds import Siblings
+from filbertlb.batch.worker_speeds import TimedRun
 from filbertlb.batch.worker_speeds import WorkerSpeed
 from filbertlb.batch.worker_speeds import WorkerSpeeds
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Generator
     from collections.abc import Set
 
     from filbertlb.batch.durations import ObservedRun
@@ -79,6 +84,10 @@
 """
 SPEED_PERCENT = 50
 """Work seen after which a run in progress tells its worker's speed."""
+EARLY_SPEED_PERCENT = 15
+"""The same if the pace was observed for long enough to be exact."""
+MAX_PACE_VARIANCE = 0.2**2
+"""Variance of the logarithm of the pace that is exact enough for that."""
 ALL_CALLERS = ""
 QUEUES, KINDS, ERRORS = range(3)
 """Positions of the tables of statistics."""
@@ -159,6 +168,19 @@
         self.percent = percent
         self.at_ms = run_ms
 
+    @property
+    def tells_speed(self) -> bool:
+        """Whether enough of the work was seen to compare the run."""
+        seen = self.percent - self.first_percent
+        if seen >= SPEED_PERCENT:
+            return True
+        total = self.total()
+        return (
+            seen >= EARLY_SPEED_PERCENT
+            and total is not None
+            and total.variance <= MAX_PACE_VARIANCE
+        )
+
     def total(self) -> LogNormal | None:
         """Return the time of the whole work at the observed pace."""
         done = self.percent - self.first_percent
@@ -185,6 +207,7 @@
     changed: bool = False
     _declared: DeclaredDurations = attrs.Factory(DeclaredDurations)
     _speeds: WorkerSpeeds = attrs.field(init=False)
+    _siblings: Siblings = attrs.Factory(Siblings)
     _tracks: dict[str, _Track] = attrs.Factory(dict)
     _latest_ms: int = attrs.field(init=False)
     _logged: dict[str, tuple[float, int]] = attrs.Factory(dict)
@@ -257,6 +280,10 @@
         """Return 1 for a fast worker, -1 for a slow one, 0 for others."""
         return self._speeds.band(node)
 
+    def speed(self, node: str) -> float:
+        """Return the speed of a slow or fast worker; 1 for others."""
+        return self._speeds.speed(node) if self._speeds.band(node) else 1.0
+
     def explain(self, job: Job, step: Step) -> str:
         """Return the expected run time and its origin, for log lines."""
         found = self.prediction(job, step)
@@ -309,8 +336,7 @@
         else:
             track.update(run.percent, run_ms)
         self._remaining.pop(run.task, None)
-        seen = track.percent - track.first_percent
-        if seen >= SPEED_PERCENT and not track.speed_counted:
+        if track.tells_speed and not track.speed_counted:
             self._learn_speed(track.observed, track.total())
             track.speed_counted = True
 
@@ -465,20 +491,38 @@
             or observed.other_nodes
         ):
             return
-        node, speeds = observed.node, self._speeds
-        band = speeds.band(node)
-        speeds.record(
-            *(node, observed.worker),
-            expected.mean - total.mean,
-            (expected.variance + total.variance) / _weight(observed.step),
+        job, step = observed.job, observed.step
+        run = TimedRun(
+            *(observed.node, observed.worker),
+            *(total.mean, total.variance),
         )
+        if step.count >= MIN_SIBLINGS:
+            key = (job.job_id, job.steps.index(step))
+            for ready in self._siblings.add(key, run):
+                others = self._siblings.others(key, ready)
+                with self._logging_speed(ready):
+                    self._speeds.compare(ready, others)
+        else:
+            with self._logging_speed(run):
+                self._speeds.record(
+                    *(run.node, run.worker),
+                    expected.mean - total.mean,
+                    (expected.variance + total.variance) / _weight(step),
+                )
         self.changed = True
-        if speeds.band(node) != band:
+
+    @contextmanager
+    def _logging_speed(self, run: TimedRun) -> Generator[None]:
+        """Log if the worker of a run is in another class afterwards."""
+        band = self._speeds.band(run.node)
+        yield
+        if self._speeds.band(run.node) != band:
             logger.info(
                 "worker {} of incarnation {} runs at {:.2f} of the usual "
                 "speed, class {} was {}",
-                *(node, observed.worker.incarnation, speeds.speed(node)),
-                *(speeds.band(node), band),
+                *(run.node, run.worker.incarnation),
+                *(self._speeds.speed(run.node), self._speeds.band(run.node)),
+                band,
             )
 
     def _learn_bound(
--- a/filbertlb/batch/placing.py
+++ b/filbertlb/batch/placing.py
@@ -150,11 +150,11 @@
     def _place_on(
         self, group: TaskGroup, nodes: Sequence[str], count: int
     ) -> Placement | None:
+        placement = self._place_in_time(group, nodes, count)
+        if placement is not None:
+            return placement
         racks = self.locality.local_groups(group, nodes)
-        local_groups = racks or [nodes]
-        placement = self._place_on_equal_speed(group, local_groups, count)
-        if placement is None:
-            placement = self._best_placement(group, local_groups, count, ())
+        placement = self._place_on_free(group, racks or [nodes], count)
         if placement is not None:
             return placement
         elsewhere = None
@@ -253,6 +253,47 @@
             if not self.reservations.is_held(run.node, group)
         ]
 
+    def _place_in_time(
+        self, group: TaskGroup, nodes: Sequence[str], count: int
+    ) -> Placement | None:
+        """Place a group without the workers on which it would be late.
+
+        Returns None if that does not matter or if they are needed.
+        """
+        if not self.band_by_node or self.order.is_late(group):
+            return None
+        fast_enough = [
+            node for node in nodes if self._ends_in_time(group, node)
+        ]
+        if len(fast_enough) == len(nodes):
+            return None
+        racks = self.locality.local_groups(group, fast_enough)
+        node_groups = racks or [fast_enough]
+        placement = self._place_on_free(group, node_groups, count)
+        if placement is None and self._preemptible_runs(group):
+            placement = self.preemption.if_loss_acceptable(
+                self._preempting(group, node_groups, count), group
+            )
+        return placement
+
+    def _ends_in_time(self, group: TaskGroup, node: str) -> bool:
+        """Return whether a group started now on a node meets its deadline."""
+        speed = self.context.durations.speed(node)
+        run_ms = self.context.expected_ms(group) / speed
+        return self.context.now_ms + run_ms <= self.order.deadline_ms(group)
+
+    def _place_on_free(
+        self,
+        group: TaskGroup,
+        node_groups: Sequence[Sequence[str]],
+        count: int,
+    ) -> Placement | None:
+        """Place a group on free resources of one set of nodes."""
+        placement = self._place_on_equal_speed(group, node_groups, count)
+        if placement is not None:
+            return placement
+        return self._best_placement(group, node_groups, count, ())
+
     def _place_on_equal_speed(
         self,
         group: TaskGroup,
--- a/filbertlb/batch/worker_speeds.py
+++ b/filbertlb/batch/worker_speeds.py
@@ -41,8 +41,14 @@
 
 The known speeds of workers differ by 0.26 and more.
 """
-MIN_DEVIATIONS = 3.0
-"""The same in standard deviations: 1 of 370 usual workers exceeds it."""
+MIN_DEVIATIONS = 2.5
+"""The same in standard deviations: 1 of 80 usual workers exceeds it."""
+MIN_SIBLINGS = 4
+"""Runs of one step from which they are compared with each other."""
+SIBLING_VARIANCE = 0.25**2
+"""Variance of the logarithm of run times of the tasks of one step."""
+MAX_STEPS = 1024
+"""Steps whose runs are remembered for comparison."""
 SLOWEST_PREFERENCE = 100
 """Higher than the class of any speed."""
 MAX_WORKERS = 800
@@ -87,6 +93,49 @@
         return float((PRIOR_WEIGHT + self.weight) ** -0.5)
 
 
+@attrs.frozen
+class TimedRun:
+    """Time of the whole work of one run, as a logarithm.
+
+    Parameters
+    ----------
+    variance : float
+        Variance of the logarithm.
+    """
+
+    node: str
+    worker: Worker
+    log_time: float
+    variance: float
+
+
+@attrs.define
+class Siblings:
+    """Runs of the tasks of each step, which differ least among themselves.
+
+    Times of one queue vary with the job, so a run is compared with others of
+    its own step as soon as there are some.
+    """
+
+    by_step: dict[tuple[str, int], list[TimedRun]] = attrs.Factory(dict)
+
+    def add(self, step: tuple[str, int], run: TimedRun) -> list[TimedRun]:
+        """Add a run; return the runs that can be compared from now on."""
+        if step not in self.by_step and len(self.by_step) >= MAX_STEPS:
+            self.by_step.pop(next(iter(self.by_step)))
+        runs = self.by_step.setdefault(step, [])
+        runs.append(run)
+        if len(runs) < MIN_SIBLINGS:
+            return []
+        return list(runs) if len(runs) == MIN_SIBLINGS else [run]
+
+    def others(self, step: tuple[str, int], run: TimedRun) -> list[TimedRun]:
+        """Return the runs of a step on other nodes than that of a run."""
+        return [
+            other for other in self.by_step[step] if other.node != run.node
+        ]
+
+
 @attrs.define
 class WorkerSpeeds:
     """Speeds by node."""
@@ -137,6 +186,19 @@
         known.total += weight * log_speed
         self._median = None
 
+    def compare(self, run: TimedRun, others: Sequence[TimedRun]) -> None:
+        """Record the speed that a run shows beside others of its step."""
+        if not others:
+            return
+        usual = sum(
+            other.log_time + self.log_speed(other.node) for other in others
+        )
+        self.record(
+            *(run.node, run.worker),
+            usual / len(others) - run.log_time,
+            SIBLING_VARIANCE * (1 + 1 / len(others)) + run.variance,
+        )
+
     def log_speed(self, node: str) -> float:
         """Return the logarithm of a worker's speed; 0 if it is unknown."""
         known = self.by_node.get(node)
--- a/tests/batch/test_worker_speeds.py
+++ b/tests/batch/test_worker_speeds.py
@@ -237,3 +237,61 @@
     assert before == {node: learned.speeds.log_speed(node) for node in SPEEDS}
     job = a_job("next", gang, queue="gangs")
     assert learned.expected_ms(job, gang) < 10_000
+
+
+def learned_from_one_step(speeds, tasks, seed=1):
+    """Return what the tasks of one step tell of workers in turn."""
+    random, learned = Random(seed), LearnedDurations()
+    job = a_job("bulk", a_step(tasks, estimate_ms=0))
+    job_factor = exp(random.gauss(0, 0.5))
+    nodes = list(speeds)
+    for index in range(tasks):
+        node = nodes[index % len(nodes)]
+        work_ms = 8_000 * job_factor * exp(random.gauss(0, 0.15))
+        end = RunEnd(
+            *(f"bulk.0.0.{index}", 1, EndCause.DONE),
+            run_ms=round(work_ms / speeds[node]),
+        )
+        learned.record_end(end, observe(job, node), 1000)
+    return learned
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_tasks_of_one_step_tell_speeds_after_few_runs(seed):
+    # Compared with their queue only, they counted as one job's long tasks.
+    learned = learned_from_one_step(SPEEDS, 8 * len(SPEEDS), seed)
+    bands = {node: learned.speed_band(node) for node in SPEEDS}
+    assert bands == {
+        node: (speed > 1) - (speed < 1) for node, speed in SPEEDS.items()
+    }
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_tasks_of_one_step_on_equal_workers_show_no_difference(seed):
+    speeds = dict.fromkeys(SPEEDS, 1.0)
+    learned = learned_from_one_step(speeds, 8 * len(SPEEDS), seed)
+    assert {learned.speed_band(node) for node in speeds} == {0}
+
+
+@pytest.mark.parametrize(
+    ("slack_factor", "speeds"),
+    [
+        # On a slow worker the task would end late.
+        (1.5, {1.0}),
+        # There is time enough for any worker with room.
+        (3.0, {0.6}),
+    ],
+)
+def test_task_avoids_workers_that_would_make_it_late(slack_factor, speeds):
+    # The slow workers were the best fit, as part of each was in use.
+    learned = learned_from_runs()
+    planner = planner_with(learned, nodes=("n0", "n1", "n3", "n4"))
+    for node in ("n1", "n4"):
+        busy = a_step(needs=(4, 1, 1), required_label=node, estimate_ms=60_000)
+        labelled = worker_on(node, labels=(node,))
+        planner.record_report(a_report(node, worker=labelled), 0.0)
+        planner.state.add_job(a_job(f"busy-{node}", busy))
+    planner.decide(0.0, 0)
+    fields = {"slack_factor": slack_factor, "target_ms": 300, "priority": 1}
+    job = a_job("j", a_step(estimate_ms=8_000), **fields)
+    assert {SPEEDS[node] for node in nodes_of(planner, job)} == speeds
