Yield far reservations to work of unknown length on an idle service

Tasks that last, or whose run time nobody declared, are never backfilled. A reservation whose start is far away could keep them queued while most of the service is idle, where a job with nothing running for 3 s counts as lost. After 2.5 s they now use resources that are held for a start in more than 14 s. Work of known length still waits, at most until that start. The first reservation of a group is logged.

Tests failing before: test_job_is_not_lost_beside_a_reservation_on_idle_ workers (both cases).

--- a/filbertlb/batch/locality.py
+++ b/filbertlb/batch/locality.py
@@ -108,11 +108,11 @@
 
     def _max_wait_ms(self, group: TaskGroup) -> int:
         slower_ms = self.slower_ms(group)
-        if self._is_service_idle(group):
+        if self.is_service_idle(group):
             return min(slower_ms, IDLE_WAIT_MS)
         return slower_ms
 
-    def _is_service_idle(self, group: TaskGroup) -> bool:
+    def is_service_idle(self, group: TaskGroup) -> bool:
         """Return whether a group fits twice and most capacity is idle."""
         step = group.step
         available = self.context.available
--- a/filbertlb/batch/placing.py
+++ b/filbertlb/batch/placing.py
@@ -9,6 +9,7 @@
 
 from filbertlb.batch.crashes import Separation
 from filbertlb.batch.fitting import place_in_best_group
+from filbertlb.batch.locality import IDLE_WAIT_MS
 from filbertlb.batch.locality import Locality
 from filbertlb.batch.model import TaskPhase
 from filbertlb.batch.ordering import PlacingOrder
@@ -209,10 +210,26 @@
         """Return the resources that a group may use by node.
 
         A claim of a guarantee has a time limit and disregards reservations.
+        Work of unknown length with nothing running while most of the service
+        is idle would count as lost, and disregards those that are not firm.
+        Other work waits until the reserved start at most.
         """
         if self.preemption.may_claim_guarantee(group):
             return self.available.room
-        return self.reservations.room_for(group)
+        return self.reservations.room_for(group, self._idles_too_long(group))
+
+    def _idles_too_long(self, group: TaskGroup) -> bool:
+        """Return whether a group waits while most of the service is idle."""
+        waited_ms = self.context.now_ms - self.state.ready_ms(group)
+        return (
+            waited_ms >= IDLE_WAIT_MS
+            and not self.reservations.ends_in_known_time(group)
+            and self.locality.is_service_idle(group)
+            and not any(
+                record.phase in ALLOCATED_PHASES
+                for record in self.state.members(group.name).values()
+            )
+        )
 
     def _preemptible_runs(self, group: TaskGroup) -> list[RunningTask]:
         """Return the runs that may be stopped for a group.
@@ -283,6 +300,7 @@
             self.context.record_order(node)
             room = self.available.room[node]
             self.available.room[node] = minus(room, group.step.needs)
+        self.state.with_reservation.discard(group.name)
         self.state.rack_wait_since_ms.pop(group.name, None)
         logger.info(
             "order {} attempt {} on {} (waited {} ms, stops {})",
--- a/filbertlb/batch/planner_state.py
+++ b/filbertlb/batch/planner_state.py
@@ -89,6 +89,8 @@
         Gangs and single tasks that were preempted. They are preempted again
         only if there is no other choice. It is not stored: the next decider
         does not know of earlier preemptions.
+    with_reservation : set of str
+        Waiting task groups whose reservation was logged.
     rack_wait_since_ms : dict of str to int
         Time since which a task group that fits elsewhere waits for a rack.
         It is not stored: under the next decider the wait begins again.
@@ -104,6 +106,7 @@
     ignored_jobs: set[str] = attrs.Factory(set)
     suspects: set[str] = attrs.Factory(set)
     preempted: set[str] = attrs.Factory(set)
+    with_reservation: set[str] = attrs.Factory(set)
     rack_wait_since_ms: dict[str, int] = attrs.Factory(dict)
     _tasks_by_node: dict[str, set[str]] = attrs.Factory(dict)
 
@@ -131,6 +134,9 @@
         self.preempted = {
             name for name in self.preempted if job_id_of(name) != job_id
         }
+        self.with_reservation = {
+            name for name in self.with_reservation if job_id_of(name) != job_id
+        }
         self.rack_wait_since_ms = {
             group: since_ms
             for group, since_ms in self.rack_wait_since_ms.items()
--- a/filbertlb/batch/reservations.py
+++ b/filbertlb/batch/reservations.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 import attrs
+from loguru import logger
 
 from filbertlb.batch.model import TaskPhase
 from filbertlb.batch.planner_state import ALLOCATED_PHASES
@@ -37,6 +38,13 @@
 """
 MAX_RESERVATIONS = 8
 """Groups with a reservation in one decision, so that it stays short."""
+FIRM_MS = 14_000
+"""Time until its expected start within which a reservation is firm.
+
+One that is farther away yields to work of unknown length that would count
+as lost: users look for jobs that do not run from 14 s after the last
+submission.
+"""
 START_DELAY_MS = 300
 """Time from a decision until a run ordered by it has begun."""
 
@@ -49,12 +57,15 @@
     ----------
     start_ms : int
         Expected start of the group that the resources are held for.
+    firm : bool
+        It does not yield to others.
     ending : dict of str to Amount
         Runs that are expected to have ended there by then.
     """
 
     start_ms: int
     amount: Amount
+    firm: bool
     ending: dict[str, Amount]
 
 
@@ -113,11 +124,18 @@
             for part, whole in zip(held, total, strict=True)
         )
 
-    def room_for(self, group: TaskGroup) -> Mapping[str, Amount]:
+    def room_for(
+        self, group: TaskGroup, firm_only: bool = False
+    ) -> Mapping[str, Amount]:
         """Return the free resources that a group may use by node.
 
         Resources held for others are included only if the tasks of the
         group very likely end before they are needed.
+
+        Parameters
+        ----------
+        firm_only : bool
+            Reservations that are not firm yield to the group.
         """
         if not self._holds:
             return self.context.available.room
@@ -125,9 +143,13 @@
         room = dict(self.context.available.room)
         for node in self._holds:
             if node in room:
-                room[node] = self._room_until(node, end_ms)
+                room[node] = self._room_until(node, end_ms, firm_only)
         return room
 
+    def ends_in_known_time(self, group: TaskGroup) -> bool:
+        """Return whether the end of a group's tasks can be foreseen."""
+        return self._latest_end_ms(group) is not None
+
     def is_held(self, node: str, group: TaskGroup) -> bool:
         """Return whether a node has a hold that a group's tasks outlast."""
         end_ms = self._latest_end_ms(group)
@@ -192,6 +214,8 @@
         if found is None:
             return
         site, start_ms = found
+        firm = start_ms - self.context.now_ms <= FIRM_MS
+        self._log(group, start_ms)
         remaining = self._task_count(group)
         # Best fit, as for placement.
         for node in sorted(site.fitting, key=lambda name: site.room[name]):
@@ -201,10 +225,21 @@
             remaining -= used
             amount = times(group.step.needs, used)
             ending = dict(site.ending.get(node, {}))
-            hold = Hold(start_ms, amount, ending)
+            hold = Hold(start_ms, amount, firm, ending)
             self._holds.setdefault(node, []).append(hold)
         self.count += 1
 
+    def _log(self, group: TaskGroup, start_ms: int) -> None:
+        """Log the first reservation of a group that waits."""
+        if group.name in self.context.state.with_reservation:
+            return
+        self.context.state.with_reservation.add(group.name)
+        logger.info(
+            "hold resources for {}: {} x {}, start expected in {} ms",
+            *(group.name, self._task_count(group), group.step.needs),
+            start_ms - self.context.now_ms,
+        )
+
     def _soonest(
         self,
         group: TaskGroup,
@@ -296,11 +331,15 @@
         end_ms = self.context.now_ms + remaining_ms
         return _RunEnding(end_ms, node, task, step.needs, left_ms <= 0)
 
-    def _room_until(self, node: str, end_ms: int | None) -> Amount:
+    def _room_until(
+        self, node: str, end_ms: int | None, firm_only: bool
+    ) -> Amount:
         """Return what is free on a node for work that ends at a time."""
         now = self.context.available.room[node]
         free = now
-        holds = self._holds[node]
+        holds = [
+            hold for hold in self._holds[node] if hold.firm or not firm_only
+        ]
         for hold in holds:
             if end_ms is not None and end_ms <= hold.start_ms:
                 continue
--- a/tests/batch/test_placing.py
+++ b/tests/batch/test_placing.py
@@ -233,6 +233,43 @@
     assert max(started_ms) - start_ms <= small_ms + 500
 
 
+@pytest.mark.parametrize(
+    "changes", [{"estimate_ms": 0}, {"long_running": True}]
+)
+def test_job_is_not_lost_beside_a_reservation_on_idle_workers(changes):
+    # Nobody knows whether it ends before the gang can start. A job with
+    # nothing running for 3 s while most capacity is idle counts as lost.
+    replay = replay_on(3)
+    busy = a_step(3, needs=(2, 1, 1), max_per_worker=1, estimate_ms=20_000)
+    replay.submit("busy", busy, 20_000)
+    replay.play(100)
+    gang = a_step(3, needs=ALL_ACCELERATORS, gang=True, estimate_ms=5000)
+    replay.submit("gang", gang, priority=0)
+    replay.submit("small", a_step(**changes), priority=1)
+    replay.play(200)
+    assert replay.ordered("small") == []
+    replay.play(3000)
+    assert len(replay.ordered("small")) == 1
+
+
+def test_gang_does_not_starve_under_small_jobs_that_leave_most_idle():
+    # They run for long and use less than half of the service.
+    replay = replay_on(4)
+    step = a_step(needs=(1, 1, 1), estimate_ms=30_000)
+
+    def arrive(now_ms):
+        if now_ms % 2400 == 0:
+            replay.submit(f"s{now_ms}", step, 30_000, target_ms=200_000)
+
+    replay.play(10_000, arrive)
+    gang = a_step(4, needs=ALL_ACCELERATORS, gang=True, estimate_ms=5000)
+    replay.submit("gang", gang, 5000, target_ms=60_000)
+    start_ms = replay.now_ms
+    limit_ms = 30_000 + 500
+    replay.play(start_ms + limit_ms, arrive)
+    assert replay.started_ms["gang.0.0.0"] - start_ms <= limit_ms
+
+
 def rack_replay(busy_ms, estimate_ms=None):
     """Return a replay with rack r1 occupied and r2 and r3 idle."""
     replay = replay_on(6, racks=["r1", "r1", "r2", "r2", "r3", "r3"])
