Place a gang at once if the rack of its data has no usable worker

Without such a worker every rack counted as near the data, so a gang that need not share a rack waited for one that holds all members. Test failing before: test_gang_does_not_wait_if_the_rack_of_its_data_has_no_usable_worker.

--- a/filbertlb/batch/locality.py
+++ b/filbertlb/batch/locality.py
@@ -51,15 +51,19 @@
     ) -> list[Sequence[str]]:
         """Return the racks where a group runs fast; none if all are equal.
 
-        Racks that are too small even when idle are left out.
+        Racks that are too small even when idle are left out. If the rack of
+        the data has no usable worker, no other is better.
         """
         step = group.step
         if not (step.data_rack or (step.same_rack and step.gang)):
             return []
+        racks = self._racks(group)
+        if step.data_rack not in racks and not (step.same_rack and step.gang):
+            return []
         allowed = set(nodes)
         return [
             [node for node in rack if node in allowed]
-            for rack in self._racks(group).values()
+            for rack in racks.values()
             if self._fits_if_idle(group, rack)
         ]
 
--- a/tests/batch/test_placing.py
+++ b/tests/batch/test_placing.py
@@ -363,6 +363,27 @@
     assert replay.ordered("near")[0] in ("n2", "n3")
 
 
+def test_gang_does_not_wait_if_the_rack_of_its_data_has_no_usable_worker():
+    # It waited for any rack that is large enough for all members.
+    replay = replay_on(4, racks=["r1", "r1", "r2", "r2"])
+    busy = a_step(needs=ALL_ACCELERATORS, estimate_ms=3000)
+    for number, node in enumerate(("n0", "n2")):
+        rack = replay.racks[node]
+        step = attrs.evolve(busy, data_rack=rack)
+        replay.submit(f"busy{number}", step, 3000)
+    replay.play(100)
+    gang = a_step(
+        2,
+        needs=ALL_ACCELERATORS,
+        gang=True,
+        data_rack="gone",
+        estimate_ms=6000,
+    )
+    replay.submit("gang", gang, 6000, target_ms=60_000)
+    replay.play(200)
+    assert replay.ordered("gang") == ["n1", "n3"]
+
+
 def test_step_waits_3_s_at_most_for_a_rack_of_an_idle_service():
     # A job with nothing running for 3 s counts as lost then.
     replay = rack_replay(9000)
