--- a/tests/batch/test_placing.py
+++ b/tests/batch/test_placing.py
@@ -238,6 +238,43 @@
     assert max(started_ms) - start_ms <= small_ms + 500
 
 
+@pytest.mark.parametrize(
+    "changes", [{"estimate_ms": 0}, {"long_running": True}]
+)
+def test_job_is_not_lost_beside_a_reservation_on_idle_workers(changes):
+    # Nobody knows whether it ends before the gang can start. A job with
+    # nothing running for 3 s while most capacity is idle counts as lost.
+    replay = replay_on(3)
+    busy = a_step(3, needs=(2, 1, 1), max_per_worker=1, estimate_ms=20_000)
+    replay.submit("busy", busy, 20_000)
+    replay.play(100)
+    gang = a_step(3, needs=ALL_ACCELERATORS, gang=True, estimate_ms=5000)
+    replay.submit("gang", gang, priority=0)
+    replay.submit("small", a_step(**changes), priority=1)
+    replay.play(200)
+    assert replay.ordered("small") == []
+    replay.play(3000)
+    assert len(replay.ordered("small")) == 1
+
+
+def test_gang_does_not_starve_under_small_jobs_that_leave_most_idle():
+    # They run for long and use less than half of the service.
+    replay = replay_on(4)
+    step = a_step(needs=(1, 1, 1), estimate_ms=30_000)
+
+    def arrive(now_ms):
+        if now_ms % 2400 == 0:
+            replay.submit(f"s{now_ms}", step, 30_000, target_ms=200_000)
+
+    replay.play(10_000, arrive)
+    gang = a_step(4, needs=ALL_ACCELERATORS, gang=True, estimate_ms=5000)
+    replay.submit("gang", gang, 5000, target_ms=60_000)
+    start_ms = replay.now_ms
+    limit_ms = 30_000 + 500
+    replay.play(start_ms + limit_ms, arrive)
+    assert replay.started_ms["gang.0.0.0"] - start_ms <= limit_ms
+
+
 def rack_replay(busy_ms, estimate_ms=None):
     """Return a replay with rack r1 occupied and r2 and r3 idle."""
     replay = replay_on(6, racks=["r1", "r1", "r2", "r2", "r3", "r3"])
@@ -331,6 +368,27 @@
     assert replay.ordered("near")[0] in ("n2", "n3")
 
 
+def test_gang_does_not_wait_if_the_rack_of_its_data_has_no_usable_worker():
+    # It waited for any rack that is large enough for all members.
+    replay = replay_on(4, racks=["r1", "r1", "r2", "r2"])
+    busy = a_step(needs=ALL_ACCELERATORS, estimate_ms=3000)
+    for number, node in enumerate(("n0", "n2")):
+        rack = replay.racks[node]
+        step = attrs.evolve(busy, data_rack=rack)
+        replay.submit(f"busy{number}", step, 3000)
+    replay.play(100)
+    gang = a_step(
+        2,
+        needs=ALL_ACCELERATORS,
+        gang=True,
+        data_rack="gone",
+        estimate_ms=6000,
+    )
+    replay.submit("gang", gang, 6000, target_ms=60_000)
+    replay.play(200)
+    assert replay.ordered("gang") == ["n1", "n3"]
+
+
 def test_step_waits_3_s_at_most_for_a_rack_of_an_idle_service():
     # A job with nothing running for 3 s counts as lost then.
     replay = rack_replay(9000)
