Read how long a worker is still cold from its heartbeat

A worker of a domain that returns to use may be slow in its first seconds. coldLeftMs is only a hint, so an odd value counts as 0 and does not cost the heartbeat. It changes with each announcement; it alone causes no report of its own, since the agent reports every second anyway.

Seen to fail: test_odd_cold_time_does_not_cost_the_heartbeat with the field decoded as a plain integer, and test_worker_that_warms_up_causes_no_more_reports with the former comparison of the whole worker.

--- a/filbertlb/batch/model.py
+++ b/filbertlb/batch/model.py
@@ -340,6 +340,8 @@
         Empty if unknown.
     remaining_ms : int
         Minimum time until the worker exits, while it drains.
+    cold_left_ms : int
+        Time for which the worker is still slow; 0 if it is not.
     """
 
     incarnation: str
@@ -350,6 +352,7 @@
     rack: str = ""
     draining: bool = False
     remaining_ms: Int64 = 0
+    cold_left_ms: Int64 = 0
 
 
 @attrs.frozen
--- a/filbertlb/batch/reconciler.py
+++ b/filbertlb/batch/reconciler.py
@@ -130,7 +130,11 @@
             self.last_end_number = 0
             self._listing_received = False
             self._deregistered = self._replaced = False
-        if previous != worker:
+        if previous is None or worker != attrs.evolve(
+            previous, cold_left_ms=worker.cold_left_ms
+        ):
+            # The time for which a worker is cold changes with each
+            # announcement; the periodic report tells it soon enough.
             self.report_changed = True
         self.worker = worker
 
--- a/filbertlb/platform/wire.py
+++ b/filbertlb/platform/wire.py
@@ -28,6 +28,8 @@
 
 WORKER_STATES = frozenset(("ready", "draining"))
 RACK_LABEL_PREFIX = "r"
+MAX_COLD_LEFT_MS = 3_600_000
+"""Longest time for which a worker counts as cold; longer ones are odd."""
 
 
 class UnreadableMessageError(InvalidInputError):
@@ -107,6 +109,8 @@
     # The worker's monotonic clock.
     clock_ms: Count = 0
     remaining_ms: Int64 = 0
+    # Only shifts new work, so an odd value must not cost the heartbeat.
+    cold_left_ms: Any = 0
 
 
 class Heartbeat(msgspec.Struct):
@@ -154,10 +158,18 @@
         rack,
         heartbeat.state == "draining",
         heartbeat.remaining_ms,
+        _cold_left_ms(heartbeat.cold_left_ms),
     )
     return Heartbeat(worker, heartbeat.seq, heartbeat.born, heartbeat.clock_ms)
 
 
+def _cold_left_ms(value: Any) -> int:
+    """Return a time up to ``MAX_COLD_LEFT_MS``; 0 for an odd value."""
+    if isinstance(value, bool) or not isinstance(value, int):
+        return 0
+    return max(0, min(value, MAX_COLD_LEFT_MS))
+
+
 def _is_rack(label: str) -> bool:
     return label.startswith(RACK_LABEL_PREFIX) and "-" in label
 
--- a/tests/batch/test_reconciler.py
+++ b/tests/batch/test_reconciler.py
@@ -45,6 +45,17 @@
         reconciler.record_start(call.order, StartResult.STARTED, now_s)
 
 
+def test_worker_that_warms_up_causes_no_more_reports():
+    # Each announcement of a cold worker caused a report of its own.
+    reconciler = reconciler_with(worker=a_worker(cold_left_ms=3000))
+    reconciler.report_changed = False
+    reconciler.set_worker(a_worker(cold_left_ms=1500))
+    assert not reconciler.report_changed
+    assert reconciler.worker.cold_left_ms == 1500
+    reconciler.set_worker(a_worker(cold_left_ms=0, draining=True))
+    assert reconciler.report_changed
+
+
 def test_order_is_started_once():
     reconciler = reconciler_with(an_order("j.0.0.0"))
     (call,) = reconciler.due_calls(0.0)
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -8,6 +8,7 @@
 from filbertlb.core.clock import VirtualClock
 from filbertlb.errors import NotFoundError
 from filbertlb.platform.heartbeats import HeartbeatReceiver
+from filbertlb.platform.wire import MAX_COLD_LEFT_MS
 from filbertlb.platform.wire import UnreadableMessageError
 
 PERIOD_S = 1.5
@@ -67,6 +68,24 @@
     assert not heartbeat.worker.draining
 
 
+@pytest.mark.parametrize(
+    ("changes", "cold_left_ms"),
+    [
+        ({"coldLeftMs": 1500}, 1500),
+        ({"coldLeftMs": -1}, 0),
+        ({"coldLeftMs": None}, 0),
+        ({"coldLeftMs": "x"}, 0),
+        ({"coldLeftMs": True}, 0),
+        ({"coldLeftMs": 10**30}, MAX_COLD_LEFT_MS),
+    ],
+)
+def test_odd_cold_time_does_not_cost_the_heartbeat(changes, cold_left_ms):
+    harness = Harness()
+    assert harness.send_heartbeat(**changes).status == 200
+    (heartbeat,) = harness.received
+    assert heartbeat.worker.cold_left_ms == cold_left_ms
+
+
 @pytest.mark.parametrize(
     "late", [{"seq": 3}, {"seq": 4}, {"seq": 9, "born": 6000}]
 )
