Place no work in evacuated failure domains, and withdraw orders there

The planner gets the evacuated domains with each decision. Their workers get no work. Orders there whose runs have not begun are stopped, since an agent that carried them out late would start work after the bound; a gang is stopped whole. Runs that a report has listed go on, also after their agent has restarted and lists nothing. After the request a domain's share of new work grows in steps, which jobs within their guarantees need not wait for. Nothing is placed while the known requests are too old.

--- a/filbertlb/batch/placing_context.py
+++ b/filbertlb/batch/placing_context.py
@@ -13,6 +13,7 @@
     from collections.abc import Mapping
 
     from filbertlb.batch.durations import DurationModel
+    from filbertlb.batch.evacuation import Evacuations
     from filbertlb.batch.model import Step
     from filbertlb.batch.model import Worker
     from filbertlb.batch.planner_state import PlannerState
@@ -35,27 +36,39 @@
         other runs.
     reserved : set of str
         Nodes reserved for more urgent groups that wait.
+    held_back : frozenset of str
+        Nodes of failure domains that return to use. They get only jobs
+        within their guarantees.
     """
 
     workers: dict[str, Worker]
     room: dict[str, Amount]
     reserved: set[str]
+    held_back: frozenset[str] = frozenset()
 
 
 def available_capacity(
-    state: PlannerState, views: Mapping[str, WorkerView], now_s: float
+    state: PlannerState,
+    views: Mapping[str, WorkerView],
+    now_s: float,
+    evacuations: Evacuations,
 ) -> AvailableCapacity:
     """Return the free resources of the workers that may get new work."""
     workers = {}
     for node, view in sorted(views.items()):
         worker = view.report.worker
-        if worker is not None and view.usable(now_s):
+        if (
+            worker is not None
+            and view.usable(now_s)
+            and worker.zone not in evacuations.version_by_domain
+        ):
             workers[node] = worker
     room = {
         node: minus(worker.capacity, state.ordered(node))
         for node, worker in workers.items()
     }
-    return AvailableCapacity(workers, room, set())
+    held_back = evacuations.held_back(workers, now_s)
+    return AvailableCapacity(workers, room, set(), held_back)
 
 
 @attrs.define
@@ -88,10 +101,13 @@
     def candidates(self, group: TaskGroup) -> list[str]:
         """Return the nodes that tasks of a group may be placed on."""
         label = group.step.required_label
+        excluded = self.available.reserved
+        if group.job.job_id not in self.within_guarantee:
+            excluded = excluded | self.available.held_back
         return [
             node
             for node, worker in self.available.workers.items()
-            if node not in self.available.reserved
+            if node not in excluded
             and is_eligible(worker, group.job.service, label)
             and self.state.can_order(group.job, node)
         ]
--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import attrs
@@ -15,6 +16,9 @@
 from filbertlb.batch.crashes import crashes_workers
 from filbertlb.batch.crashes import with_crash
 from filbertlb.batch.durations import DeclaredDurations
+from filbertlb.batch.evacuation import Evacuations
+from filbertlb.batch.evacuation_log import EvacuationLog
+from filbertlb.batch.evacuation_log import MIN_LOGGED_WAIT_MS
 from filbertlb.batch.model import Crash
 from filbertlb.batch.model import EndCause
 from filbertlb.batch.model import job_id_of
@@ -27,6 +31,7 @@
 from filbertlb.batch.placing_context import PlacingContext
 from filbertlb.batch.planner_state import PlannerState
 from filbertlb.batch.planner_state import TaskGroup
+from filbertlb.batch.workers import is_eligible
 from filbertlb.batch.workers import WorkerView
 
 if TYPE_CHECKING:
@@ -34,6 +39,7 @@
 
     from filbertlb.batch.durations import DurationModel
     from filbertlb.batch.model import Job
+    from filbertlb.batch.model import RunKey
     from filbertlb.batch.model import TaskRecord
     from filbertlb.batch.model import WorkerReport
 
@@ -61,6 +67,8 @@
         silent while its reports cannot be read.
     durations : DurationModel
         Predicts the run times of tasks.
+    evacuations : Evacuations
+        Failure domains that get no new work, or not their full share.
     """
 
     state: PlannerState = attrs.Factory(PlannerState)
@@ -68,6 +76,8 @@
     guaranteed: dict[str, int] = attrs.Factory(dict)
     reports_complete_s: float = float("inf")
     durations: DurationModel = attrs.Factory(DeclaredDurations)
+    evacuations: Evacuations = attrs.Factory(Evacuations)
+    _evacuation_log: EvacuationLog = attrs.Factory(EvacuationLog)
     _unprocessed_nodes: set[str] = attrs.Factory(set)
 
     def record_report(
@@ -89,6 +99,7 @@
             view.seen_s = now_s
             view.recent = recent
             view.silence_logged = False
+        view.record_begun(self._ordered_runs(report.node))
         self._unprocessed_nodes.add(report.node)
 
     def decide(self, now_s: float, now_ms: int) -> None:
@@ -100,8 +111,13 @@
         self._end_runs_of_dead_workers(known_s, now_ms)
         self._stop_cancelled_jobs(now_ms)
         self._vacate_draining_workers(now_ms)
+        self._withdraw_evacuated_orders(now_s, now_ms)
         self._finish_jobs(now_ms)
-        available = available_capacity(self.state, self.workers, now_s)
+        if not self._may_place(now_s):
+            return
+        available = available_capacity(
+            self.state, self.workers, now_s, self.evacuations
+        )
         context = PlacingContext(
             self.state,
             available,
@@ -110,6 +126,8 @@
             now_ms,
         )
         Placer(context).place(self._ready_groups(now_ms))
+        if self.evacuations.version_by_domain:
+            self._log_waiting_jobs(now_s, now_ms)
 
     def fail_oversized_job(self, job_id: str, now_ms: int) -> None:
         """Fail a job whose progress is too large to be stored.
@@ -285,6 +303,90 @@
                         task_group_of(task), step.gang, task, now_ms
                     )
 
+    def _ordered_runs(self, node: str) -> set[RunKey]:
+        return {
+            (task, self.state.record(task).attempt)
+            for task in self.state.tasks_on(node)
+        }
+
+    def _withdraw_evacuated_orders(self, now_s: float, now_ms: int) -> None:
+        """Stop orders in evacuated domains whose runs have not begun.
+
+        An agent that carried them out late would start work there after the
+        bound. A gang whose members have not all begun is stopped whole.
+        Orders of a worker whose domain is not known are withdrawn too.
+        """
+        version_by_domain = self.evacuations.version_by_domain
+        self._evacuation_log.update(
+            self.evacuations,
+            Counter(view.zone for view in self.workers.values()),
+            now_s,
+        )
+        if not version_by_domain:
+            return
+        for node in self.state.occupied_nodes():
+            view = self.workers.get(node)
+            if view is None:
+                continue
+            if view.zone is None:
+                versions = dict(version_by_domain)
+            elif view.zone in version_by_domain:
+                versions = {view.zone: version_by_domain[view.zone]}
+            else:
+                continue
+            for task in self.state.tasks_on(node):
+                record = self.state.record(task)
+                if (
+                    record.phase is TaskPhase.ORDERED
+                    and (task, record.attempt) not in view.begun
+                ):
+                    self._withdraw_order(task, versions, now_ms)
+
+    def _withdraw_order(
+        self, task: str, versions: dict[str, int], now_ms: int
+    ) -> None:
+        gang = self.state.step_of(task).gang
+        group = task_group_of(task)
+        record = self.state.record(task)
+        nodes = [record.node]
+        if gang:
+            members = self.state.members(group).values()
+            nodes = sorted({member.node for member in members})
+        logger.info(
+            "order {} attempt {} on {} withdrawn: not begun on {}, requests "
+            "of versions {} evacuate failure domains",
+            *(group if gang else task, record.attempt, ",".join(nodes)),
+            *(record.node, versions),
+        )
+        self._stop_group(group, gang, task, now_ms)
+
+    def _may_place(self, now_s: float) -> bool:
+        """Return whether the evacuation requests are recent enough."""
+        outdated = self.evacuations.outdated(now_s)
+        self._evacuation_log.log_outdated(self.evacuations, outdated, now_s)
+        return not outdated
+
+    def _log_waiting_jobs(self, now_s: float, now_ms: int) -> None:
+        """Log which jobs wait while their workers are evacuated."""
+        if not self._evacuation_log.waits_due(now_s):
+            return
+        zones_by_need: dict[tuple[str, str], Counter[str]] = {}
+        for group in self._ready_groups(now_ms):
+            waited_ms = now_ms - group.earliest_start_ms
+            if waited_ms < MIN_LOGGED_WAIT_MS:
+                continue
+            need = (group.job.service, group.step.required_label)
+            if need not in zones_by_need:
+                zones_by_need[need] = Counter(
+                    view.report.worker.zone
+                    for view in self.workers.values()
+                    if view.report.worker is not None
+                    and is_eligible(view.report.worker, *need)
+                )
+            self._evacuation_log.log_wait(
+                group.name, waited_ms, self.evacuations, zones_by_need[need]
+            )
+
     def _stop_group(
         self, group: str, gang: bool, task: str, now_ms: int
     ) -> None:
--- a/filbertlb/batch/workers.py
+++ b/filbertlb/batch/workers.py
@@ -12,8 +12,10 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from collections.abc import Set
 
     from filbertlb.batch.model import Run
+    from filbertlb.batch.model import RunKey
     from filbertlb.batch.model import Worker
     from filbertlb.batch.model import WorkerReport
 
@@ -71,6 +73,13 @@
         work.
     silence_logged : bool
         The log tells that no report has come for some time.
+    zone : str, optional
+        Failure domain that a report named last. A restarted agent reports
+        no worker until it announces itself; None if no report has named
+        one.
+    begun : set of RunKey
+        Ordered runs that a report has listed. A restarted agent lists none
+        until its worker has told it.
     """
 
     report: WorkerReport
@@ -79,6 +88,8 @@
     quarantined_until_s: float = 0.0
     stalled: bool = False
     silence_logged: bool = False
+    zone: str | None = None
+    begun: set[RunKey] = attrs.Factory(set)
     _ends: deque[_RecordedEnd] = attrs.Factory(deque)
     _percents: dict[tuple[str, int], int] = attrs.Factory(dict)
     _last_progress_s: float | None = None
@@ -104,6 +115,14 @@
         """Return whether every run ordered there must have ended."""
         return now_s - self.seen_s > DEAD_AFTER_S
 
+    def record_begun(self, ordered: Set[RunKey]) -> None:
+        """Record from the newest report which ordered runs have begun."""
+        worker = self.report.worker
+        if worker is not None:
+            self.zone = worker.zone
+        self.begun.update(run.key for run in self.report.running)
+        self.begun &= ordered
+
     def record_end(self, task_group: str, failed: bool, now_s: float) -> bool:
         """Record how a run ended; return True if it causes a quarantine.
 
