--- a/filbertlb/batch/placing_context.py
+++ b/filbertlb/batch/placing_context.py
@@ -15,6 +15,7 @@
     from collections.abc import Mapping
 
     from filbertlb.batch.durations import DurationModel
+    from filbertlb.batch.evacuation import Evacuations
     from filbertlb.batch.model import Job
     from filbertlb.batch.model import Step
     from filbertlb.batch.model import Worker
@@ -52,26 +53,38 @@
         Resources not used by ordered runs. Runs that are being stopped
         count as free, since an agent waits for their end before it starts
         other runs.
+    held_back : frozenset of str
+        Nodes of failure domains that return to use. They get only jobs
+        within their guarantees.
     """
 
     workers: dict[str, Worker]
     room: dict[str, Amount]
+    held_back: frozenset[str] = frozenset()
 
 
 def available_capacity(
-    state: PlannerState, views: Mapping[str, WorkerView], now_s: float
+    state: PlannerState,
+    views: Mapping[str, WorkerView],
+    now_s: float,
+    evacuations: Evacuations,
 ) -> AvailableCapacity:
     """Return the free resources of the workers that may get new work."""
     workers = {}
     for node, view in sorted(views.items()):
         worker = view.report.worker
-        if worker is not None and view.usable(now_s):
+        if (
+            worker is not None
+            and view.usable(now_s)
+            and worker.zone not in evacuations.version_by_domain
+        ):
             workers[node] = worker
     room = {
         node: minus(worker.capacity, state.ordered(node))
         for node, worker in workers.items()
     }
-    return AvailableCapacity(workers, room)
+    held_back = evacuations.held_back(workers, now_s)
+    return AvailableCapacity(workers, room, held_back)
 
 
 @attrs.define
@@ -115,10 +128,14 @@
     def candidates(self, group: TaskGroup) -> list[str]:
         """Return the nodes that tasks of a group may be placed on."""
         label = group.step.required_label
+        excluded: frozenset[str] = frozenset()
+        if group.job.job_id not in self.within_guarantee:
+            excluded = self.available.held_back
         return [
             node
             for node, worker in self.available.workers.items()
-            if is_eligible(worker, group.job.service, label)
+            if node not in excluded
+            and is_eligible(worker, group.job.service, label)
             and self._can_order(group.job, node)
         ]
 
