--- a/filbertlb/batch/decider.py
+++ b/filbertlb/batch/decider.py
@@ -35,6 +35,7 @@
 if TYPE_CHECKING:
     from collections.abc import Generator
 
+    from filbertlb.batch.evacuation import EvacuationSource
     from filbertlb.batch.index import JobIndex
     from filbertlb.batch.planner import Planner
     from filbertlb.batch.write_plan import WritePlan
@@ -107,6 +108,9 @@
         Largest transaction that the table accepts.
     slow : bool
         This machine's processor is slow, so that others are preferred.
+    evacuations : EvacuationSource, optional
+        Requests of operators to evacuate failure domains; None in a
+        deployment without them.
     """
 
     def __init__(
@@ -120,12 +124,14 @@
         guarantees: Callable[[], dict[str, int]],
         limits: TransactionLimits | None = None,
         slow: bool = False,
+        evacuations: EvacuationSource | None = None,
     ) -> None:
         self._table = table
         self._mirror = mirror
         self._index = index
         self._clock = clock
         self._guarantees = guarantees
+        self._evacuations = evacuations
         self._limits = _without_lease(limits or TransactionLimits())
         self._batch_entries = self._limits.entries
         self._lease_delay_s = SLOW_MACHINE_DELAY_S if slow else 0.0
@@ -262,9 +268,14 @@
 
     def _leave_if_blind(self, term: Term) -> None:
         """Leave the lease to others if the reports cannot be read here."""
-        age_s = self._clock.monotonic() - term.workers.complete_s
+        now_s = self._clock.monotonic()
+        age_s = now_s - term.workers.complete_s
         if age_s > REPORTS_TIMEOUT_S:
             self._leave_lease(f"no reports for {age_s:.1f} s")
+        elif self._evacuations is not None:
+            age_s = self._evacuations.current().age_s(now_s)
+            if age_s > REPORTS_TIMEOUT_S:
+                self._leave_lease(f"no evacuation requests for {age_s:.1f} s")
 
     def _leave_lease(self, reason: str) -> None:
         """Release the lease and let others take it."""
@@ -292,6 +303,8 @@
         planner = term.planner
         planner.guaranteed = self._guarantees()
         planner.reports_complete_s = term.workers.complete_s
+        if self._evacuations is not None:
+            planner.evacuations = self._evacuations.current()
         self._apply_changes(planner, term)
         now_ms = int(self._clock.wall() * 1000)
         planner.decide(self._clock.monotonic(), now_ms)
@@ -304,9 +317,12 @@
 
         The renewal before reading makes the table reject copies of earlier
         transactions that had no answer; one applied after the rows were read
-        would be missing in the planner.
+        would be missing in the planner. The evacuation requests are read
+        here, so that the first decision follows them.
         """
         self._keeper.renew(term.epoch)
+        if self._evacuations is not None:
+            self._evacuations.refresh()
         term.changed_reports.clear()
         self._changed_keys.clear()
         started_s = self._clock.monotonic()
--- a/filbertlb/metrics.py
+++ b/filbertlb/metrics.py
@@ -56,6 +56,8 @@
         Endpoints known, by ``role``.
     queued_jobs, running_jobs : Gauge
         Jobs of the scope, while this instance decides.
+    evacuated_domains : Gauge
+        Failure domains that an operator has asked to evacuate.
     guarantees_at_risk : Gauge
         Guaranteed shapes without a placement, by ``organisation``.
     revision : Gauge
@@ -97,6 +99,7 @@
         self.endpoints = gauge("endpoints")
         self.queued_jobs = gauge("queued_jobs")
         self.running_jobs = gauge("running_jobs")
+        self.evacuated_domains = gauge("evacuated_domains")
         self.guarantees_at_risk = gauge("guarantees_at_risk")
         self.revision = gauge("revision")
         self.leader = gauge("leader")
--- a/filbertlb/platform/roles.py
+++ b/filbertlb/platform/roles.py
@@ -30,6 +30,8 @@
 from filbertlb.metrics_page import MetricsPage
 from filbertlb.platform.configuration import ConfigurationReader
 from filbertlb.platform.configuration import OPERATOR_TABLE
+from filbertlb.platform.evacuation import EvacuationReader
+from filbertlb.platform.evacuation import new_evacuations
 from filbertlb.platform.heartbeats import HeartbeatReceiver
 from filbertlb.platform.http import json_application
 from filbertlb.platform.http import JsonResponse
@@ -45,6 +47,7 @@
 from filbertlb.typedserver import Service
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Mapping
     from typing import Any
 
@@ -87,6 +90,8 @@
     )
     reader = ConfigurationReader(in_force, peers)
     operator_mirror.add_listener(reader.on_row)
+    operator_follower = Follower(table, OPERATOR_TABLE, operator_mirror, clock)
+    evacuation_reader = _evacuation_reader(settings, operator_follower)
     decider = Decider(
         table,
         mirror,
@@ -97,6 +102,7 @@
         in_force.guaranteed,
         table.limits,
         slow=settings.processor_cores < FAST_MACHINE_CORES,
+        evacuations=evacuation_reader,
     )
     stopping = _stop_event(settings)
 
@@ -114,6 +120,9 @@
         metrics.running_jobs.set(counts[JobState.ACTIVE])
         metrics.leader.set(int(decider.deciding), {"scope": settings.region})
         metrics.revision.set(in_force.version)
+        if evacuation_reader is not None:
+            evacuations = evacuation_reader.current()
+            metrics.evacuated_domains.set(len(evacuations.version_by_domain))
         metrics.contact_age_s.set(clock.monotonic() - state_follower.contact_s)
 
     page = MetricsPage("entry", settings.node, sample)
@@ -126,15 +135,18 @@
         ready = available() and in_force.version >= 0
         return JsonResponse(200 if ready and not stopping.is_set() else 503)
 
-    tasks = (
+    tasks: list[Callable[[], None]] = [
         state_follower.run,
-        Follower(table, OPERATOR_TABLE, operator_mirror, clock).run,
+        operator_follower.run,
         decider.keep_lease,
         decider.run,
         lambda: reader.poll(table),
         lambda: peers.announce(table),
         page.load_soon,
-    )
+    ]
+    if evacuation_reader is not None:
+        poll = evacuation_reader.poll
+        tasks.append(lambda: poll(lambda: decider.deciding))
     with ExitStack() as stack:
         stack.enter_context(running_all(tasks))
         for address, application in (
@@ -204,6 +216,18 @@
     )
 
 
+def _evacuation_reader(
+    settings: Settings, follower: Follower
+) -> EvacuationReader | None:
+    """Return a reader of evacuation requests where there can be any."""
+    if not settings.evacuate_ms:
+        return None
+    evacuations = new_evacuations(settings.evacuate_ms)
+    return EvacuationReader(
+        evacuations, follower.table, follower, follower.clock
+    )
+
+
 def _stop_event(settings: Settings) -> Event:
     """Return an event that SIGTERM and SIGINT set; SIGHUP checks settings."""
     event = Event()
--- a/filbertlb/platform/settings.py
+++ b/filbertlb/platform/settings.py
@@ -40,6 +40,10 @@
     cores: float = 1.0
 
 
+class _Bounds(msgspec.Struct, rename="camel"):
+    evacuate_ms: Count | None = None
+
+
 class _File(msgspec.Struct, rename="camel"):
     node: str
     role: str
@@ -49,6 +53,7 @@
     listen: _Listen
     platform: _Store
     limits: _Machine = msgspec.field(default_factory=_Machine)
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     heartbeat_ms: Count = 1500
     port_range: tuple[Port, Port] = (0, 0)
     # Address of the worker on an agent's machine.
@@ -77,6 +82,9 @@
         Processor time available to the process, in cores.
     first_port : int
         Start of the port range assigned to the process.
+    evacuate_ms : int
+        Time after a request to evacuate a failure domain from which no work
+        may start there; 0 in a deployment without evacuation.
     """
 
     node: str
@@ -93,6 +101,7 @@
     store_row_bytes: int
     processor_cores: float
     first_port: int
+    evacuate_ms: int
 
 
 def load_settings_file(path: str | None = None) -> Settings:
@@ -132,4 +141,5 @@
         file.platform.row_bytes,
         file.limits.cpu_share * file.limits.cores,
         file.port_range[0],
+        file.bounds.evacuate_ms or 0,
     )
--- a/filbertlb/standin/row_store.py
+++ b/filbertlb/standin/row_store.py
@@ -52,6 +52,9 @@
     longest_page : int
         Reads of more rows are refused, as those over a thin link fail; 0
         for none.
+    missed_prefix : str
+        Table and start of the keys whose changes the feed leaves out; empty
+        for none.
     """
 
     refuse: int = 0
@@ -59,6 +62,7 @@
     hold_back: int = 0
     stale_by: int = 0
     longest_page: int = 0
+    missed_prefix: str = ""
 
 
 @attrs.define
@@ -89,6 +93,12 @@
         self._history.setdefault((table, "", key), []).append(stored)
         return self.version
 
+    def remove(self, table: str, key: str) -> None:
+        """Delete a row as the operator does."""
+        self.version += 1
+        stored = _Stored(None, self.version)
+        self._history.setdefault((table, "", key), []).append(stored)
+
     def read(self, table: str, key: str) -> bytes | None:
         """Return the value of a row, or None."""
         stored = self._at((table, "", key), self.version)
@@ -189,6 +199,9 @@
         rows = []
         for place, history in self._history.items():
             newest = history[-1]
+            missed = self.faults.missed_prefix
+            if missed and f"{place[0]}/{place[2]}".startswith(missed):
+                continue
             if place[0] == query["table"] and newest.version > after:
                 rows.append(_row(place, newest))
         rows.sort(key=lambda row: row["schemaVersion"])
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -58,6 +58,22 @@
     assert load_settings_file(path).heartbeat_period_s == period_s
 
 
+@pytest.mark.parametrize(
+    ("fields", "evacuate_ms"),
+    [
+        ({}, 0),
+        ({"bounds": {}}, 0),
+        ({"bounds": {"evacuateMs": None}}, 0),
+        ({"bounds": {"evacuateMs": 5000, "reclaimMs": 2700}}, 5000),
+    ],
+)
+def test_deployment_without_a_bound_has_no_evacuation(
+    tmp_path, fields, evacuate_ms
+):
+    path = write_settings(tmp_path, SETTINGS | fields)
+    assert load_settings_file(path).evacuate_ms == evacuate_ms
+
+
 @pytest.mark.parametrize(
     "body",
     ["", "{", {}, SETTINGS | {"platform": {}}, SETTINGS | {"portRange": "x"}],
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -43,6 +43,7 @@
         self.worker = LeasedWorker("i-1", self.clock)
         self.store.write("op", "config", configuration(7))
         self.refuse_other_entry = False
+        self.more_settings = {}
         self._store_application = self.store.application()
         store_url = stack.enter_context(serving(self._store_application))
         other_store_url = stack.enter_context(serving(self._serve_other_entry))
@@ -79,12 +80,16 @@
             "readiness": free_address(),
             "admin": self.heartbeat_address,
         }
-        body = self.common_settings | {
-            "node": f"{role}-{name}",
-            "role": role,
-            "listen": listen,
-            "portRange": [port - 1, port + 10],
-        }
+        body = (
+            self.common_settings
+            | self.more_settings
+            | {
+                "node": f"{role}-{name}",
+                "role": role,
+                "listen": listen,
+                "portRange": [port - 1, port + 10],
+            }
+        )
         if is_other:
             body |= self.other_settings
         path = self.folder / f"{role}-{name}.json"
@@ -146,6 +151,13 @@
             assert self.clock.monotonic() < end_s, key
             sleep(0.05)
 
+    def wait_until_logged(self, log, text):
+        """Wait until a process has logged a text; fail at the deadline."""
+        end_s = self.clock.monotonic() + DEADLINE_S
+        while text not in log.read_text():
+            assert self.clock.monotonic() < end_s, text
+            sleep(0.05)
+
     def submit(self, run_ms, path=JOB, caller=None):
         self.wait_until("/render/", lambda body: True)
         step = {"count": 2, "cpu": 1000, "memMb": 100, "gpu": 1}
@@ -226,3 +238,28 @@
             site.wait_until(path, is_complete)
             site.wait_until(path, is_complete, other)
     assert len(site.worker.starts) == 4
+
+
+def test_evacuated_domain_gets_work_only_after_the_row_is_deleted(site):
+    # The feed misses both changes, so the processes must poll.
+    site.more_settings = {"bounds": {"evacuateMs": 5000}}
+    site.store.faults.missed_prefix = "op/evacuate/"
+    log = site.folder / "entry-1.log"
+    with site.process("entry"), site.process("agent"):
+        assert site.submit(50).status == 200
+        site.wait_until(JOB, is_complete)
+        site.store.write("op", "evacuate/a", b"")
+        site.wait_until_logged(log, "failure domain a: 1 workers get no new")
+        path = "/render/00000000000000bb"
+        assert site.submit(50, path).status == 200
+        site.wait_until_logged(log, "group 00000000000000bb.0.0 waits")
+        assert len(site.worker.starts) == 2
+        site.store.remove("op", "evacuate/a")
+        site.wait_until(path, is_complete)
+
+
+def test_row_changes_nothing_in_a_deployment_without_evacuation(site):
+    site.store.write("op", "evacuate/a", b"")
+    with site.process("entry"), site.process("agent"):
+        assert site.submit(50).status == 200
+        site.wait_until(JOB, is_complete)
