--- a/filbertlb/batch/decider.py
+++ b/filbertlb/batch/decider.py
@@ -44,6 +44,7 @@
     from collections.abc import Generator
 
     from filbertlb.batch.durations import DurationModel
+    from filbertlb.batch.evacuation import EvacuationSource
     from filbertlb.batch.index import JobIndex
     from filbertlb.batch.planner import Planner
     from filbertlb.batch.write_plan import WritePlan
@@ -121,6 +122,9 @@
         Source of the expected run times of tasks.
     checkpoints : CheckpointCosts, optional
         What a checkpointable run loses if it is stopped.
+    evacuations : EvacuationSource, optional
+        Requests of operators to evacuate failure domains; None in a
+        deployment without them.
 
     Attributes
     ----------
@@ -141,6 +145,7 @@
         slow: bool = False,
         run_times: RunTimes = RunTimes.DECLARED,
         checkpoints: CheckpointCosts | None = None,
+        evacuations: EvacuationSource | None = None,
     ) -> None:
         self.lost_core_s: dict[str, float] = {}
         self._checkpoints = checkpoints or CheckpointCosts()
@@ -149,6 +154,7 @@
         self._index = index
         self._clock = clock
         self._guarantees = guarantees
+        self._evacuations = evacuations
         self._limits = _without_lease(limits or TransactionLimits())
         self._batch_entries = self._limits.entries
         self._run_times = run_times
@@ -295,9 +301,14 @@
 
     def _leave_if_blind(self, term: Term) -> None:
         """Leave the lease to others if the reports cannot be read here."""
-        age_s = self._clock.monotonic() - term.workers.complete_s
+        now_s = self._clock.monotonic()
+        age_s = now_s - term.workers.complete_s
         if age_s > REPORTS_TIMEOUT_S:
             self._leave_lease(f"no reports for {age_s:.1f} s")
+        elif self._evacuations is not None:
+            age_s = self._evacuations.current().age_s(now_s)
+            if age_s > REPORTS_TIMEOUT_S:
+                self._leave_lease(f"no evacuation requests for {age_s:.1f} s")
 
     def _leave_lease(self, reason: str) -> None:
         """Release the lease and let others take it."""
@@ -325,6 +336,8 @@
         planner = term.planner
         planner.guaranteed = self._guarantees()
         planner.reports_complete_s = term.workers.complete_s
+        if self._evacuations is not None:
+            planner.evacuations = self._evacuations.current()
         self._apply_changes(planner, term)
         now_ms = int(self._clock.wall() * 1000)
         planner.decide(self._clock.monotonic(), now_ms)
@@ -338,9 +351,12 @@
 
         The renewal before reading makes the table reject copies of earlier
         transactions that had no answer; one applied after the rows were read
-        would be missing in the planner.
+        would be missing in the planner. The evacuation requests are read
+        here, so that the first decision follows them.
         """
         self._keeper.renew(term.epoch)
+        if self._evacuations is not None:
+            self._evacuations.refresh()
         term.changed_reports.clear()
         self._changed_keys.clear()
         started_s = self._clock.monotonic()
--- a/filbertlb/platform/roles.py
+++ b/filbertlb/platform/roles.py
@@ -31,6 +31,8 @@
 from filbertlb.metrics_page import MetricsPage
 from filbertlb.platform.configuration import ConfigurationReader
 from filbertlb.platform.configuration import OPERATOR_TABLE
+from filbertlb.platform.evacuation import EvacuationReader
+from filbertlb.platform.evacuation import new_evacuations
 from filbertlb.platform.heartbeats import HeartbeatReceiver
 from filbertlb.platform.http import json_application
 from filbertlb.platform.http import JsonResponse
@@ -46,6 +48,7 @@
 from filbertlb.typedserver import Service
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Mapping
     from typing import Any
 
@@ -88,6 +91,8 @@
     )
     reader = ConfigurationReader(in_force, peers)
     operator_mirror.add_listener(reader.on_row)
+    operator_follower = Follower(table, OPERATOR_TABLE, operator_mirror, clock)
+    evacuation_reader = _evacuation_reader(settings, operator_follower)
     decider = Decider(
         table,
         mirror,
@@ -103,6 +108,7 @@
             interval_ms=int(settings.checkpoint_interval_s * 1000),
             restore_ms=settings.restore_ms,
         ),
+        evacuations=evacuation_reader,
     )
     counted_core_s: dict[str, float] = {}
     stopping = _stop_event(settings)
@@ -127,6 +133,9 @@
             counted_core_s[cause] = core_s
         decider.sample(metrics)
         metrics.revision.set(in_force.version)
+        if evacuation_reader is not None:
+            evacuations = evacuation_reader.current()
+            metrics.evacuated_domains.set(len(evacuations.version_by_domain))
         metrics.contact_age_s.set(clock.monotonic() - state_follower.contact_s)
 
     page = MetricsPage("entry", settings.node, sample)
@@ -139,15 +148,18 @@
         ready = available() and in_force.version >= 0
         return JsonResponse(200 if ready and not stopping.is_set() else 503)
 
-    tasks = (
+    tasks: list[Callable[[], None]] = [
         state_follower.run,
-        Follower(table, OPERATOR_TABLE, operator_mirror, clock).run,
+        operator_follower.run,
         decider.keep_lease,
         decider.run,
         lambda: reader.poll(table),
         lambda: peers.announce(table),
         page.load_soon,
-    )
+    ]
+    if evacuation_reader is not None:
+        poll = evacuation_reader.poll
+        tasks.append(lambda: poll(lambda: decider.deciding))
     with ExitStack() as stack:
         stack.enter_context(running_all(tasks))
         for address, application in (
@@ -217,6 +229,18 @@
     )
 
 
+def _evacuation_reader(
+    settings: Settings, follower: Follower
+) -> EvacuationReader | None:
+    """Return a reader of evacuation requests where there can be any."""
+    if not settings.evacuate_ms:
+        return None
+    evacuations = new_evacuations(settings.evacuate_ms)
+    return EvacuationReader(
+        evacuations, follower.table, follower, follower.clock
+    )
+
+
 def _stop_event(settings: Settings) -> Event:
     """Return an event that SIGTERM and SIGINT set; SIGHUP checks settings."""
     event = Event()
--- a/filbertlb/platform/settings.py
+++ b/filbertlb/platform/settings.py
@@ -54,6 +54,7 @@
     checkpoint_interval_s: Factor = 2.0
     # Time until a run that resumes from a checkpoint does new work.
     restore_ms: Count = 100
+    evacuate_ms: Count | None = None
 
 
 class _File(msgspec.Struct, rename="camel"):
@@ -98,6 +99,9 @@
         Time between two checkpoints of a run.
     restore_ms : int
         Time until a run that resumes from a checkpoint does new work.
+    evacuate_ms : int
+        Time after a request to evacuate a failure domain from which no work
+        may start there; 0 in a deployment without evacuation.
     run_times : RunTimes
         Source of the expected run times, from ``FILBERTLB_RUN_TIMES``.
     """
@@ -118,6 +122,7 @@
     first_port: int
     checkpoint_interval_s: float
     restore_ms: int
+    evacuate_ms: int
     run_times: RunTimes = RunTimes.DECLARED
 
 
@@ -162,6 +167,7 @@
         file.port_range[0],
         file.bounds.checkpoint_interval_s,
         file.bounds.restore_ms,
+        file.bounds.evacuate_ms or 0,
         _run_times(),
     )
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -100,6 +100,22 @@
     assert (settings.checkpoint_interval_s, settings.restore_ms) == costs
 
 
+@pytest.mark.parametrize(
+    ("fields", "evacuate_ms"),
+    [
+        ({}, 0),
+        ({"bounds": {}}, 0),
+        ({"bounds": {"evacuateMs": None}}, 0),
+        ({"bounds": {"evacuateMs": 5000, "reclaimMs": 2700}}, 5000),
+    ],
+)
+def test_deployment_without_a_bound_has_no_evacuation(
+    tmp_path, fields, evacuate_ms
+):
+    path = write_settings(tmp_path, SETTINGS | fields)
+    assert load_settings_file(path).evacuate_ms == evacuate_ms
+
+
 @pytest.mark.parametrize(
     "body",
     [
