--- a/filbertlb/batch/placing.py
+++ b/filbertlb/batch/placing.py
@@ -46,6 +46,7 @@
     reservations: Reservations = attrs.field(init=False)
     separation: Separation = attrs.field(init=False)
     band_by_node: dict[str, int] = attrs.field(init=False)
+    _preferences: dict[bool, dict[str, int]] = attrs.Factory(dict)
 
     def __attrs_post_init__(self) -> None:
         """Set up the decisions that the round consists of."""
@@ -176,7 +177,11 @@
             return None
         job = group.job
         prefers_fast = job.priority == 0 or len(job.steps) > 1
-        return preference_by_node(self.band_by_node, prefers_fast)
+        preference = self._preferences.get(prefers_fast)
+        if preference is None:
+            preference = preference_by_node(self.band_by_node, prefers_fast)
+            self._preferences[prefers_fast] = preference
+        return preference
 
     def _best_placement(
         self,
--- a/filbertlb/batch/worker_speeds.py
+++ b/filbertlb/batch/worker_speeds.py
@@ -214,10 +214,9 @@
 
     A gang runs at the pace of its slowest member.
     """
-    parts: list[Sequence[str]] = []
-    for band in sorted(set(band_by_node.values()), reverse=True):
-        for nodes in node_groups:
-            part = [node for node in nodes if band_by_node[node] == band]
-            if part:
-                parts.append(part)
-    return parts
+    parts: dict[tuple[int, int], list[str]] = {}
+    for number, nodes in enumerate(node_groups):
+        for node in nodes:
+            key = (-band_by_node[node], number)
+            parts.setdefault(key, []).append(node)
+    return [parts[key] for key in sorted(parts)]
