Run the soak and a whole-path test with learned run times

Both replace the environment, so processes ran with declared times only, unlike the deployed ones. Two entries in turn now show that the row is handed on.

--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -17,9 +17,11 @@
 from geventhttpclient import HTTPClient
 
 from filbertlb.addresses import split_address
+from filbertlb.batch.durations import RunTimes
 from filbertlb.core.clock import SystemClock
 from filbertlb.httpcall import CallNotSentError
 from filbertlb.httpcall import HttpCaller
+from filbertlb.platform.settings import RUN_TIMES_VARIABLE
 from filbertlb.platform.settings import SETTINGS_VARIABLE
 from filbertlb.standin.leased_worker import LeasedWorker
 from filbertlb.standin.row_store import RowStore
@@ -43,6 +45,7 @@
         self.worker = LeasedWorker("i-1", self.clock)
         self.store.write("op", "config", configuration(7))
         self.refuse_other_entry = False
+        self.environment = {}
         self._store_application = self.store.application()
         store_url = stack.enter_context(serving(self._store_application))
         other_store_url = stack.enter_context(serving(self._serve_other_entry))
@@ -94,7 +97,10 @@
     @contextmanager
     def process(self, role, name="1"):
         command = [sys.executable, "-m", "filbertlb.platform"]
-        environment = {SETTINGS_VARIABLE: str(self.write_settings(role, name))}
+        environment = {
+            SETTINGS_VARIABLE: str(self.write_settings(role, name)),
+            **self.environment,
+        }
         log = (self.folder / f"{role}-{name}.log").open("a")
         process = subprocess.Popen(
             command, env=environment, stdout=log, stderr=log
@@ -226,3 +232,21 @@
             site.wait_until(path, is_complete)
             site.wait_until(path, is_complete, other)
     assert len(site.worker.starts) == 4
+
+
+def test_learned_run_times_outlive_the_deciding_process(site):
+    # As deployed; other tests here run with the declared times.
+    site.environment = {RUN_TIMES_VARIABLE: RunTimes.LEARNED}
+    with site.process("agent"):
+        with site.process("entry"):
+            site.submit(300)
+            site.wait_until(JOB, is_complete)
+            site.wait_until_stored("durations", "learned")
+        with site.process("entry"):
+            path = "/render/00000000000000bb"
+            site.submit(50, path)
+            site.wait_until(path, is_complete)
+    log = (site.folder / "entry-1.log").read_text()
+    assert "run times are learned from the start: no row" in log
+    assert "run times of 1 queues" in log
+    assert "by 2 runs of its kind" in log
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -13,8 +13,10 @@
 from gevent import sleep
 from gevent import spawn
 
+from filbertlb.batch.durations import RunTimes
 from filbertlb.errors import FilbertlbError
 from filbertlb.httpcall import HttpCaller
+from filbertlb.platform.settings import RUN_TIMES_VARIABLE
 from filbertlb.platform.settings import SETTINGS_VARIABLE
 from filbertlb.standin.row_store import RowStore
 from filbertlb.standin.wsgi import serving
@@ -45,7 +47,11 @@
         with open(self.log_path, "a") as log:
             self.running = subprocess.Popen(
                 [sys.executable, "-m", "filbertlb.platform"],
-                env={SETTINGS_VARIABLE: self.settings_path},
+                env={
+                    SETTINGS_VARIABLE: self.settings_path,
+                    # As deploy/system.toml sets it.
+                    RUN_TIMES_VARIABLE: RunTimes.LEARNED,
+                },
                 stdout=log,
                 stderr=log,
             )
