--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -17,9 +17,11 @@
 from geventhttpclient import HTTPClient
 
 from filbertlb.addresses import split_address
+from filbertlb.batch.durations import RunTimes
 from filbertlb.core.clock import SystemClock
 from filbertlb.httpcall import CallNotSentError
 from filbertlb.httpcall import HttpCaller
+from filbertlb.platform.settings import RUN_TIMES_VARIABLE
 from filbertlb.platform.settings import SETTINGS_VARIABLE
 from filbertlb.standin.leased_worker import LeasedWorker
 from filbertlb.standin.row_store import RowStore
@@ -44,6 +46,7 @@
         self.store.write("op", "config", configuration(7))
         self.refuse_other_entry = False
         self.more_settings = {}
+        self.environment = {}
         self._store_application = self.store.application()
         store_url = stack.enter_context(serving(self._store_application))
         other_store_url = stack.enter_context(serving(self._serve_other_entry))
@@ -99,7 +102,10 @@
     @contextmanager
     def process(self, role, name="1"):
         command = [sys.executable, "-m", "filbertlb.platform"]
-        environment = {SETTINGS_VARIABLE: str(self.write_settings(role, name))}
+        environment = {
+            SETTINGS_VARIABLE: str(self.write_settings(role, name)),
+            **self.environment,
+        }
         log = (self.folder / f"{role}-{name}.log").open("a")
         process = subprocess.Popen(
             command, env=environment, stdout=log, stderr=log
@@ -263,3 +269,21 @@
     with site.process("entry"), site.process("agent"):
         assert site.submit(50).status == 200
         site.wait_until(JOB, is_complete)
+
+
+def test_learned_run_times_outlive_the_deciding_process(site):
+    # As deployed; other tests here run with the declared times.
+    site.environment = {RUN_TIMES_VARIABLE: RunTimes.LEARNED}
+    with site.process("agent"):
+        with site.process("entry"):
+            site.submit(300)
+            site.wait_until(JOB, is_complete)
+            site.wait_until_stored("durations", "learned")
+        with site.process("entry"):
+            path = "/render/00000000000000bb"
+            site.submit(50, path)
+            site.wait_until(path, is_complete)
+    log = (site.folder / "entry-1.log").read_text()
+    assert "run times are learned from the start: no row" in log
+    assert "run times of 1 queues" in log
+    assert "by 2 runs of its kind" in log
