Order the queue by benefit at stake where the settings select it

With FILBERTLB_QUEUE_ORDER=benefit ready groups are placed by what their jobs probably earn less if passed over, for the work that is left; work of an organisation beyond its share of the capacity gives way; groups that have waited three objectives come first within a sixteenth of the capacity. Guarantees stay first. Within that, groups that can still be on time come before those that can only be late, and groups that can earn nothing last. The default, deadline, is the order as before; it moves unchanged from ordering.py to deadline_order.py.

--- a/filbertlb/batch/decider.py
+++ b/filbertlb/batch/decider.py
@@ -12,6 +12,7 @@
 from gevent import spawn
 from loguru import logger
 
+from filbertlb.batch.demand import Demand
 from filbertlb.batch.model import CANCEL_PREFIX
 from filbertlb.batch.model import JOB_PREFIX
 from filbertlb.batch.model import PROGRESS_PREFIX
@@ -107,6 +108,8 @@
         Largest transaction that the table accepts.
     slow : bool
         This machine's processor is slow, so that others are preferred.
+    by_benefit : bool
+        Ready tasks are ordered by benefit instead of deadline.
     """
 
     def __init__(
@@ -120,12 +123,14 @@
         guarantees: Callable[[], dict[str, int]],
         limits: TransactionLimits | None = None,
         slow: bool = False,
+        by_benefit: bool = False,
     ) -> None:
         self._table = table
         self._mirror = mirror
         self._index = index
         self._clock = clock
         self._guarantees = guarantees
+        self._by_benefit = by_benefit
         self._limits = _without_lease(limits or TransactionLimits())
         self._batch_entries = self._limits.entries
         self._lease_delay_s = SLOW_MACHINE_DELAY_S if slow else 0.0
@@ -317,6 +322,7 @@
             term.workers.mirror,
             self._clock,
         )
+        planner.demand = Demand() if self._by_benefit else None
         logger.info(
             "deciding with epoch {} from version {} after {:.2f} s: {} jobs, "
             "{} workers",
--- a/filbertlb/batch/ordering.py
+++ b/filbertlb/batch/ordering.py
@@ -1,59 +1,42 @@
-"""Order in which groups of tasks are placed.
-
-Answers times in which more work is ready than fits: groups within their
-guarantee come first, then the more urgent, then those that can still meet
-their deadline.
-"""
+"""Order in which groups of tasks are placed."""
 
 from __future__ import annotations
 
+from typing import Protocol
 from typing import TYPE_CHECKING
 
-import attrs
+from filbertlb.batch.benefit_order import BenefitOrder
+from filbertlb.batch.deadline_order import DeadlineOrder
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from filbertlb.batch.placing_context import PlacingContext
     from filbertlb.batch.planner_state import TaskGroup
 
-SortKey = tuple[int, bool, int, str]
 
-
-@attrs.frozen
-class PlacingOrder:
+class PlacingOrder(Protocol):
     """Urgency of groups in one placement round."""
 
-    context: PlacingContext
-
-    def sort_key(self, group: TaskGroup) -> SortKey:
-        """Return the key by which groups are sorted, most urgent first."""
-        job = group.job
-        guaranteed = job.job_id in self.context.within_guarantee
-        priority = 0 if guaranteed else job.priority + 1
-        return (
-            priority,
-            self.is_late(group),
-            self.deadline_ms(group),
-            group.name,
-        )
+    def sort(self, groups: Iterable[TaskGroup]) -> list[TaskGroup]:
+        """Return the ready groups, those to be placed first at the front."""
+        ...
 
     def is_late(self, group: TaskGroup) -> bool:
         """Return whether a group misses its deadline even if started now."""
-        end_ms = self.context.now_ms + self.context.expected_ms(group)
-        return end_ms > self.deadline_ms(group)
+        ...
 
     def must_start_now(self, group: TaskGroup) -> bool:
         """Return whether a group may miss its deadline unless started now."""
-        work_ms = self.context.durations.upper_ms(group.job, group.step)
-        return self.context.now_ms + work_ms >= self.deadline_ms(group)
-
-    def deadline_ms(self, group: TaskGroup) -> int:
-        """Return the deadline of the job, or of the occurrence."""
-        job = group.job
-        chain_ms = sum(
-            self.context.durations.expected_ms(job, step) for step in job.steps
-        )
-        return (
-            group.earliest_start_ms
-            + job.target_ms
-            + int(job.slack_factor * chain_ms)
-        )
+        ...
+
+    def explain(self, group: TaskGroup) -> str:
+        """Return why a group has its place, for logs."""
+        ...
+
+
+def placing_order(context: PlacingContext) -> PlacingOrder:
+    """Return the order that the settings select."""
+    if context.demand is None:
+        return DeadlineOrder(context)
+    return BenefitOrder(context, context.demand)
--- a/filbertlb/batch/placing.py
+++ b/filbertlb/batch/placing.py
@@ -11,7 +11,7 @@
 from filbertlb.batch.fitting import place_in_best_group
 from filbertlb.batch.locality import Locality
 from filbertlb.batch.model import TaskPhase
-from filbertlb.batch.ordering import PlacingOrder
+from filbertlb.batch.ordering import placing_order
 from filbertlb.batch.planner_state import ALLOCATED_PHASES
 from filbertlb.batch.preemption import Preemption
 from filbertlb.batch.reservations import Reservations
@@ -23,6 +23,7 @@
 
     from filbertlb.batch.fitting import Placement
     from filbertlb.batch.fitting import RunningTask
+    from filbertlb.batch.ordering import PlacingOrder
     from filbertlb.batch.placing_context import AvailableCapacity
     from filbertlb.batch.placing_context import PlacingContext
     from filbertlb.batch.planner_state import PlannerState
@@ -46,7 +47,7 @@
     def __attrs_post_init__(self) -> None:
         """Set up the decisions that the round consists of."""
         context = self.context
-        self.order = PlacingOrder(context)
+        self.order = placing_order(context)
         self.preemption = Preemption(context, self.order)
         self.locality = Locality(context)
         self.reservations = Reservations(context)
@@ -64,7 +65,7 @@
 
     def place(self, groups: Iterable[TaskGroup]) -> None:
         """Order the tasks that fit; reserve nodes for the first others."""
-        for group in sorted(groups, key=self.order.sort_key):
+        for group in self.order.sort(groups):
             changed = len(self.state.changed_jobs)
             if changed + len(self.state.changed_nodes) > MAX_CHANGED_ROWS:
                 return
--- a/filbertlb/batch/placing_context.py
+++ b/filbertlb/batch/placing_context.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from filbertlb.batch.demand import Demand
     from filbertlb.batch.durations import DurationModel
     from filbertlb.batch.model import Step
     from filbertlb.batch.model import Worker
@@ -69,6 +70,9 @@
         organisations.
     now_ms : int
         Current time in Unix milliseconds.
+    demand : Demand, optional
+        Demand of organisations and queues if groups are ordered by benefit;
+        None if they are ordered by deadline.
     """
 
     state: PlannerState
@@ -76,6 +80,7 @@
     within_guarantee: set[str]
     durations: DurationModel
     now_ms: int
+    demand: Demand | None = None
 
     def expected_ms(self, group: TaskGroup) -> int:
         """Return the expected run time of a task of a group."""
@@ -102,5 +107,9 @@
 
     An accelerator counts as ``CORES_PER_ACCELERATOR`` cores.
     """
-    cores = step.needs[1] / 1000 + CORES_PER_ACCELERATOR * step.needs[0]
-    return cores * tasks * run_ms / 1000
+    return cores(step.needs) * tasks * run_ms / 1000
+
+
+def cores(amount: Amount) -> float:
+    """Return the cores that resources count as; memory is not counted."""
+    return amount[1] / 1000 + CORES_PER_ACCELERATOR * amount[0]
--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -34,6 +34,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from filbertlb.batch.demand import Demand
     from filbertlb.batch.durations import DurationModel
     from filbertlb.batch.model import Job
     from filbertlb.batch.model import Step
@@ -64,6 +65,8 @@
         silent while its reports cannot be read.
     durations : DurationModel
         Predicts the run times of tasks.
+    demand : Demand, optional
+        Present if ready tasks are ordered by benefit instead of deadline.
     """
 
     state: PlannerState = attrs.Factory(PlannerState)
@@ -71,6 +74,7 @@
     guaranteed: dict[str, int] = attrs.Factory(dict)
     reports_complete_s: float = float("inf")
     durations: DurationModel = attrs.Factory(DeclaredDurations)
+    demand: Demand | None = None
     _unprocessed_nodes: set[str] = attrs.Factory(set)
 
     def record_report(
@@ -111,6 +115,7 @@
             self._jobs_within_guarantee(),
             self.durations,
             now_ms,
+            self.demand,
         )
         Placer(context).place(self._ready_groups(now_ms))
 
--- a/filbertlb/batch/planner_state.py
+++ b/filbertlb/batch/planner_state.py
@@ -157,6 +157,11 @@
         """Return the job that a task belongs to."""
         return self.jobs[job_id_of(task)]
 
+    def group_of(self, task: str) -> TaskGroup:
+        """Return the group that a task belongs to."""
+        _, occurrence, index, _ = task.split(".")
+        return TaskGroup(self.job_of(task), int(occurrence), int(index))
+
     def step_of(self, task: str) -> Step:
         """Return the step that a task belongs to."""
         return self.job_of(task).steps[int(task.split(".")[2])]
@@ -249,6 +254,14 @@
         """Return the nodes that are occupied by tasks."""
         return [node for node, tasks in self._tasks_by_node.items() if tasks]
 
+    def ordered_records(self) -> Iterator[tuple[str, TaskRecord]]:
+        """Yield the tasks that are ordered on any node."""
+        for tasks in self._tasks_by_node.values():
+            for task in tasks:
+                record = self.record(task)
+                if record.phase is TaskPhase.ORDERED:
+                    yield task, record
+
     def ordered(self, node: str) -> Amount:
         """Return the resources of the runs ordered on a node.
 
--- a/filbertlb/platform/roles.py
+++ b/filbertlb/platform/roles.py
@@ -36,6 +36,7 @@
 from filbertlb.platform.ingress import Ingress
 from filbertlb.platform.runner import PlatformWorkerClient
 from filbertlb.platform.settings import load_settings_file
+from filbertlb.platform.settings import QueueOrder
 from filbertlb.platform.store import PlatformTable
 from filbertlb.settings.process import Limits
 from filbertlb.table.base import TransactionLimits
@@ -97,6 +98,7 @@
         in_force.guaranteed,
         table.limits,
         slow=settings.processor_cores < FAST_MACHINE_CORES,
+        by_benefit=settings.queue_order is QueueOrder.BENEFIT,
     )
     stopping = _stop_event(settings)
 
--- a/filbertlb/platform/settings.py
+++ b/filbertlb/platform/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+from enum import StrEnum
 from pathlib import Path
 
 import msgspec
@@ -14,6 +15,14 @@
 from filbertlb.ranges import Port
 
 SETTINGS_VARIABLE = "FILBERTLB_SETTINGS"
+QUEUE_ORDER_VARIABLE = "FILBERTLB_QUEUE_ORDER"
+
+
+class QueueOrder(StrEnum):
+    """Order in which ready tasks are placed."""
+
+    DEADLINE = "deadline"
+    BENEFIT = "benefit"
 
 
 class SettingsFileError(InvalidInputError):
@@ -22,6 +31,12 @@
     code = "settings_file"
 
 
+class QueueOrderError(InvalidInputError):
+    """The order of the queue is unknown."""
+
+    code = "queue_order"
+
+
 class _Listen(msgspec.Struct, rename="camel"):
     client_addr: str = ""
     readiness: str = ""
@@ -77,6 +92,8 @@
         Processor time available to the process, in cores.
     first_port : int
         Start of the port range assigned to the process.
+    queue_order : QueueOrder
+        Order in which an entry that decides places ready tasks.
     """
 
     node: str
@@ -93,6 +110,7 @@
     store_row_bytes: int
     processor_cores: float
     first_port: int
+    queue_order: QueueOrder = QueueOrder.DEADLINE
 
 
 def load_settings_file(path: str | None = None) -> Settings:
@@ -107,6 +125,8 @@
     ------
     SettingsFileError
         If the file is missing or invalid.
+    QueueOrderError
+        If ``FILBERTLB_QUEUE_ORDER`` is invalid.
     """
     file_path = path or os.environ.get(SETTINGS_VARIABLE, "")
     try:
@@ -132,4 +152,17 @@
         file.platform.row_bytes,
         file.limits.cpu_share * file.limits.cores,
         file.port_range[0],
+        _queue_order(),
     )
+
+
+def _queue_order() -> QueueOrder:
+    """Return the order of the queue that the environment selects."""
+    value = os.environ.get(QUEUE_ORDER_VARIABLE) or QueueOrder.DEADLINE
+    try:
+        return QueueOrder(value)
+    except ValueError as error:
+        raise QueueOrderError(
+            f"{QUEUE_ORDER_VARIABLE} is {value!r}; set it to one of "
+            f"{', '.join(QueueOrder)}"
+        ) from error
--- a/tests/batch/test_decider.py
+++ b/tests/batch/test_decider.py
@@ -144,12 +144,14 @@
 
 
 @contextmanager
-def deciding(table, name="entry", slow=False):
+def deciding(table, name="entry", slow=False, by_benefit=False):
     """Run the tasks of one entry's decider while the agents report."""
     index, mirror, clock = JobIndex(), Mirror(), SystemClock()
     mirror.add_listener(index.apply_row)
     decider = Decider(
-        table, mirror, index, clock, name, "coast", dict, slow=slow
+        *(table, mirror, index, clock, name, "coast", dict),
+        slow=slow,
+        by_benefit=by_benefit,
     )
     follower = Follower(table, STATE_TABLE, mirror, clock)
     tasks = [
@@ -199,6 +201,25 @@
     return [order.task for order in decode_row(row, Orders).orders]
 
 
+@pytest.mark.parametrize("by_benefit", [False, True])
+def test_order_that_the_settings_select_is_decided_in(by_benefit):
+    # The worker has room for one of the two; only the order by benefit
+    # prefers the short one, as the other has the earlier deadline.
+    table = LimitedTable()
+    put_workers(table, ["n0"])
+    now_ms = int(SystemClock().wall() * 1000)
+    for job_id, run_ms, target_ms in (
+        ("long", 60_000, 0),
+        ("short", 1000, 600_000),
+    ):
+        step = a_step(needs=(8, 8_000, 8_000), estimate_ms=run_ms)
+        job = a_job(job_id, step, target_ms=target_ms, accepted_ms=now_ms)
+        put(table, JOB_PREFIX + job_id, job)
+    first = "short" if by_benefit else "long"
+    with deciding(table, by_benefit=by_benefit):
+        wait_until(lambda: orders_on(table, "n0") == [f"{first}.0.0.0"])
+
+
 @pytest.mark.parametrize("count", [160, 750])
 def test_take_over_of_many_workers_orders_what_was_decided(count):
     table = LimitedTable()
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -8,6 +8,9 @@
 from filbertlb.cli.context import ExitCode
 from filbertlb.cli.main import main
 from filbertlb.platform.settings import load_settings_file
+from filbertlb.platform.settings import QUEUE_ORDER_VARIABLE
+from filbertlb.platform.settings import QueueOrder
+from filbertlb.platform.settings import QueueOrderError
 from filbertlb.platform.settings import SettingsFileError
 
 SETTINGS = {
@@ -74,3 +77,30 @@
     path = write_settings(tmp_path, SETTINGS)
     result = CliRunner().invoke(main, ["platform", "settings", path])
     assert "store_address: 10.0.0.9:8524" in result.output
+
+
+@pytest.mark.parametrize(
+    ("value", "order"),
+    [
+        (None, QueueOrder.DEADLINE),
+        ("", QueueOrder.DEADLINE),
+        ("deadline", QueueOrder.DEADLINE),
+        ("benefit", QueueOrder.BENEFIT),
+    ],
+)
+def test_queue_order_is_read_from_the_environment(
+    value, order, tmp_path, monkeypatch
+):
+    # Deployments that do not select an order are served as before.
+    monkeypatch.delenv(QUEUE_ORDER_VARIABLE, raising=False)
+    if value is not None:
+        monkeypatch.setenv(QUEUE_ORDER_VARIABLE, value)
+    path = write_settings(tmp_path, SETTINGS)
+    assert load_settings_file(path).queue_order is order
+
+
+def test_unknown_queue_order_is_a_coded_error(tmp_path, monkeypatch):
+    monkeypatch.setenv(QUEUE_ORDER_VARIABLE, "fair")
+    path = write_settings(tmp_path, SETTINGS)
+    with pytest.raises(QueueOrderError, match="'fair'; set it to one of"):
+        load_settings_file(path)
