Tell why groups wait, and describe the order of the queue

A full site gave no hint of what came next and what each group waited for. The decider now logs every 5 s, while groups wait, how many wait for which reason and the first eight in their order with band, rate and excess; the gauge waiting_groups counts them by reason.

--- a/filbertlb/batch/decider.py
+++ b/filbertlb/batch/decider.py
@@ -159,6 +159,14 @@
         """Whether this process is the leader and places jobs."""
         return self._term is not None and self._term.planner is not None
 
+    @property
+    def waiting_groups(self) -> dict[str, int]:
+        """Number of ready groups that wait, by reason, while deciding."""
+        term = self._term
+        if term is None or term.planner is None:
+            return {}
+        return term.planner.queue_report.count_by_reason
+
     def keep_lease(self) -> None:
         """Acquire and renew the lease until stepping down."""
         while not self._stepped_down:
--- a/filbertlb/batch/placing.py
+++ b/filbertlb/batch/placing.py
@@ -35,7 +35,14 @@
 
 @attrs.define
 class Placer:
-    """One placement round."""
+    """One placement round.
+
+    Attributes
+    ----------
+    waiting, untried : list of TaskGroup
+        Groups with tasks that could not be placed, and those that the round
+        did not reach, in their order.
+    """
 
     context: PlacingContext
     order: PlacingOrder = attrs.field(init=False)
@@ -43,6 +50,8 @@
     locality: Locality = attrs.field(init=False)
     reservations: Reservations = attrs.field(init=False)
     separation: Separation = attrs.field(init=False)
+    waiting: list[TaskGroup] = attrs.field(init=False, factory=list)
+    untried: list[TaskGroup] = attrs.field(init=False, factory=list)
 
     def __attrs_post_init__(self) -> None:
         """Set up the decisions that the round consists of."""
@@ -65,15 +74,18 @@
 
     def place(self, groups: Iterable[TaskGroup]) -> None:
         """Order the tasks that fit; reserve nodes for the first others."""
-        for group in self.order.sort(groups):
+        ordered = self.order.sort(groups)
+        for number, group in enumerate(ordered):
             changed = len(self.state.changed_jobs)
             if changed + len(self.state.changed_nodes) > MAX_CHANGED_ROWS:
+                self.untried = ordered[number:]
                 return
             self._place_group(group)
+            left = self.state.waiting(group)
+            if left:
+                self.waiting.append(group)
             waiting = [
-                task
-                for task in self.state.waiting(group)
-                if not self.separation.is_held(task)
+                task for task in left if not self.separation.is_held(task)
             ]
             if waiting and self.reservations.may_reserve():
                 self.available.reserved |= self._nodes_to_reserve(group)
--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -29,6 +29,7 @@
 from filbertlb.batch.placing_context import PlacingContext
 from filbertlb.batch.planner_state import PlannerState
 from filbertlb.batch.planner_state import TaskGroup
+from filbertlb.batch.queue_report import QueueReport
 from filbertlb.batch.workers import WorkerView
 
 if TYPE_CHECKING:
@@ -67,6 +68,8 @@
         Predicts the run times of tasks.
     demand : Demand, optional
         Present if ready tasks are ordered by benefit instead of deadline.
+    queue_report : QueueReport
+        Tells what waits and why.
     """
 
     state: PlannerState = attrs.Factory(PlannerState)
@@ -75,6 +78,7 @@
     reports_complete_s: float = float("inf")
     durations: DurationModel = attrs.Factory(DeclaredDurations)
     demand: Demand | None = None
+    queue_report: QueueReport = attrs.Factory(QueueReport)
     _unprocessed_nodes: set[str] = attrs.Factory(set)
 
     def record_report(
@@ -117,7 +121,9 @@
             now_ms,
             self.demand,
         )
-        Placer(context).place(self._ready_groups(now_ms))
+        placer = Placer(context)
+        placer.place(self._ready_groups(now_ms))
+        self.queue_report.update(placer, now_s)
 
     def fail_oversized_job(self, job_id: str, now_ms: int) -> None:
         """Fail a job whose progress is too large to be stored.
--- /dev/null
+++ b/filbertlb/batch/queue_report.py
@@ -0,0 +1,141 @@
+"""Why groups wait, for operators.
+
+Answers the question that a full site raises: what comes next, and what does
+each group that doesn't start wait for.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+import attrs
+from loguru import logger
+
+from filbertlb.batch.workers import is_eligible
+from filbertlb.core.amounts import covers
+
+if TYPE_CHECKING:
+    from filbertlb.batch.placing import Placer
+    from filbertlb.batch.planner_state import TaskGroup
+
+COUNT_PERIOD_S = 1.0
+"""Time between two counts, as one looks at all workers."""
+LOG_PERIOD_S = 5.0
+"""Time between two log lines while groups wait."""
+LOGGED_GROUPS = 8
+"""Groups that a log line names."""
+MAX_NAME_LENGTH = 64
+
+
+class WaitReason(StrEnum):
+    """What a group that is ready waits for."""
+
+    NOT_TRIED = "not_tried"
+    """The decision had changed as many rows as it may."""
+    NO_WORKER = "no_worker"
+    """No usable worker serves it."""
+    DELAYED = "delayed"
+    """Its restart after crashes of workers is delayed or kept apart."""
+    NO_ROOM = "no_room"
+    """No worker has room for one of its tasks."""
+    RESERVED = "reserved"
+    """Only workers reserved for it, or for groups before it, have room."""
+    CONSTRAINED = "constrained"
+    """There is room for one task, but not for a whole gang, or not where
+    the step's rack, limit per worker or payload allow it."""
+
+
+@attrs.define
+class QueueReport:
+    """Groups that waited after a recent decision.
+
+    Attributes
+    ----------
+    count_by_reason : dict of str to int
+        Number of waiting groups.
+    """
+
+    count_by_reason: dict[str, int] = attrs.Factory(dict)
+    _next_count_s: float = float("-inf")
+    _next_log_s: float = float("-inf")
+
+    def update(self, placer: Placer, now_s: float) -> None:
+        """Count, and log from time to time, what still waits."""
+        if now_s < self._next_count_s:
+            return
+        self._next_count_s = now_s + COUNT_PERIOD_S
+        reasons = _Reasons(placer)
+        waiting = [(group, reasons.of(group)) for group in placer.waiting]
+        waiting += [(group, WaitReason.NOT_TRIED) for group in placer.untried]
+        self.count_by_reason = dict(
+            Counter(reason.value for _, reason in waiting)
+        )
+        if waiting and now_s >= self._next_log_s:
+            self._next_log_s = now_s + LOG_PERIOD_S
+            logger.info(
+                "queue: {} groups wait ({}), first {}",
+                *(len(waiting), _summary(self.count_by_reason)),
+                "; ".join(
+                    _description(placer, group, reason)
+                    for group, reason in waiting[:LOGGED_GROUPS]
+                ),
+            )
+
+
+@attrs.define
+class _Reasons:
+    """Reasons in one decision; equal needs are looked up once."""
+
+    placer: Placer
+    _cache: dict[object, WaitReason] = attrs.Factory(dict)
+
+    def of(self, group: TaskGroup) -> WaitReason:
+        placer = self.placer
+        if placer.state.suspects and not placer.separation.startable(group):
+            return WaitReason.DELAYED
+        step = group.step
+        key = (group.job.service, step.required_label, step.needs)
+        reason = self._cache.get(key)
+        if reason is None:
+            reason = self._cache[key] = self._reason(group)
+        return reason
+
+    def _reason(self, group: TaskGroup) -> WaitReason:
+        available = self.placer.available
+        step = group.step
+        eligible = [
+            node
+            for node, worker in available.workers.items()
+            if is_eligible(worker, group.job.service, step.required_label)
+        ]
+        if not eligible:
+            return WaitReason.NO_WORKER
+        fitting = {
+            node
+            for node in eligible
+            if covers(available.room[node], step.needs)
+        }
+        if not fitting:
+            return WaitReason.NO_ROOM
+        if fitting <= available.reserved:
+            return WaitReason.RESERVED
+        return WaitReason.CONSTRAINED
+
+
+def _summary(count_by_reason: dict[str, int]) -> str:
+    return ", ".join(
+        f"{reason} {count}"
+        for reason, count in sorted(count_by_reason.items())
+    )
+
+
+def _description(placer: Placer, group: TaskGroup, reason: WaitReason) -> str:
+    job = group.job
+    return (
+        f"{group.name[:MAX_NAME_LENGTH]} of "
+        f"{job.organisation[:MAX_NAME_LENGTH]!r} priority {job.priority} "
+        f"waited {placer.context.waited_ms(group)} ms, "
+        f"{placer.order.explain(group)}: {reason.value}"
+    )
--- a/filbertlb/metrics.py
+++ b/filbertlb/metrics.py
@@ -56,6 +56,9 @@
         Endpoints known, by ``role``.
     queued_jobs, running_jobs : Gauge
         Jobs of the scope, while this instance decides.
+    waiting_groups : Gauge
+        Groups of tasks that are ready and wait, by ``reason``, while this
+        instance decides.
     guarantees_at_risk : Gauge
         Guaranteed shapes without a placement, by ``organisation``.
     revision : Gauge
@@ -97,6 +100,7 @@
         self.endpoints = gauge("endpoints")
         self.queued_jobs = gauge("queued_jobs")
         self.running_jobs = gauge("running_jobs")
+        self.waiting_groups = gauge("waiting_groups")
         self.guarantees_at_risk = gauge("guarantees_at_risk")
         self.revision = gauge("revision")
         self.leader = gauge("leader")
--- a/filbertlb/platform/roles.py
+++ b/filbertlb/platform/roles.py
@@ -23,6 +23,7 @@
 from filbertlb.batch.model import WORKER_PARTITIONS
 from filbertlb.batch.model import WORKER_TABLE
 from filbertlb.batch.peers import Peers
+from filbertlb.batch.queue_report import WaitReason
 from filbertlb.batch.service import JobService
 from filbertlb.core.clock import SystemClock
 from filbertlb.errors import FilbertlbError
@@ -114,6 +115,11 @@
         counts = Counter(index.state(job_id) for job_id in index.jobs)
         metrics.queued_jobs.set(counts[JobState.QUEUED])
         metrics.running_jobs.set(counts[JobState.ACTIVE])
+        waiting = decider.waiting_groups
+        for reason in WaitReason:
+            metrics.waiting_groups.set(
+                waiting.get(reason.value, 0), {"reason": reason.value}
+            )
         metrics.leader.set(int(decider.deciding), {"scope": settings.region})
         metrics.revision.set(in_force.version)
         metrics.contact_age_s.set(clock.monotonic() - state_follower.contact_s)
