--- a/filbertlb/batch/decider.py
+++ b/filbertlb/batch/decider.py
@@ -12,6 +12,7 @@
 from gevent import spawn
 from loguru import logger
 
+from filbertlb.batch.demand import Demand
 from filbertlb.batch.durations import DeclaredDurations
 from filbertlb.batch.durations import RunTimes
 from filbertlb.batch.learned_durations import LearnedDurations
@@ -125,6 +126,8 @@
     evacuations : EvacuationSource, optional
         Requests of operators to evacuate failure domains; None in a
         deployment without them.
+    by_benefit : bool
+        Ready tasks are ordered by benefit instead of deadline.
 
     Attributes
     ----------
@@ -146,6 +149,7 @@
         run_times: RunTimes = RunTimes.DECLARED,
         checkpoints: CheckpointCosts | None = None,
         evacuations: EvacuationSource | None = None,
+        by_benefit: bool = False,
     ) -> None:
         self.lost_core_s: dict[str, float] = {}
         self._checkpoints = checkpoints or CheckpointCosts()
@@ -155,6 +159,7 @@
         self._clock = clock
         self._guarantees = guarantees
         self._evacuations = evacuations
+        self._by_benefit = by_benefit
         self._limits = _without_lease(limits or TransactionLimits())
         self._batch_entries = self._limits.entries
         self._run_times = run_times
@@ -193,6 +198,14 @@
         if isinstance(durations, LearnedDurations):
             sample_run_times(metrics, durations)
 
+    @property
+    def waiting_groups(self) -> dict[str, int]:
+        """Number of ready groups that wait, by reason, while deciding."""
+        term = self._term
+        if term is None or term.planner is None:
+            return {}
+        return term.planner.queue_report.count_by_reason
+
     def keep_lease(self) -> None:
         """Acquire and renew the lease until stepping down."""
         while not self._stepped_down:
@@ -370,6 +383,7 @@
         )
         planner.checkpoints = self._checkpoints
         planner.lost_core_s = self.lost_core_s
+        planner.demand = Demand() if self._by_benefit else None
         logger.info(
             "deciding with epoch {} from version {} after {:.2f} s: {} jobs, "
             "{} workers",
--- a/filbertlb/batch/placing.py
+++ b/filbertlb/batch/placing.py
@@ -13,7 +13,7 @@
 from filbertlb.batch.locality import IDLE_WAIT_MS
 from filbertlb.batch.locality import Locality
 from filbertlb.batch.model import TaskPhase
-from filbertlb.batch.ordering import PlacingOrder
+from filbertlb.batch.ordering import placing_order
 from filbertlb.batch.planner_state import ALLOCATED_PHASES
 from filbertlb.batch.preemption import GUARANTEE_PREEMPTION_DELAY_MS
 from filbertlb.batch.preemption import Preemption
@@ -29,6 +29,7 @@
 
     from filbertlb.batch.fitting import Placement
     from filbertlb.batch.fitting import RunningTask
+    from filbertlb.batch.ordering import PlacingOrder
     from filbertlb.batch.placing_context import AvailableCapacity
     from filbertlb.batch.placing_context import PlacingContext
     from filbertlb.batch.planner_state import PlannerState
@@ -43,7 +44,14 @@
 
 @attrs.define
 class Placer:
-    """One placement round."""
+    """One placement round.
+
+    Attributes
+    ----------
+    waiting, untried : list of TaskGroup
+        Groups with tasks that could not be placed, and those that the round
+        did not reach, in their order.
+    """
 
     context: PlacingContext
     order: PlacingOrder = attrs.field(init=False)
@@ -53,11 +61,13 @@
     separation: Separation = attrs.field(init=False)
     band_by_node: dict[str, int] = attrs.field(init=False)
     _preferences: dict[bool, dict[str, int]] = attrs.Factory(dict)
+    waiting: list[TaskGroup] = attrs.field(init=False, factory=list)
+    untried: list[TaskGroup] = attrs.field(init=False, factory=list)
 
     def __attrs_post_init__(self) -> None:
         """Set up the decisions that the round consists of."""
         context = self.context
-        self.order = PlacingOrder(context)
+        self.order = placing_order(context)
         self.preemption = Preemption(context, self.order)
         self.reservations = Reservations(context)
         self.locality = Locality(context, self.reservations)
@@ -81,18 +91,21 @@
 
     def place(self, groups: Iterable[TaskGroup]) -> None:
         """Order the tasks that fit; hold resources for the first others."""
-        for group in sorted(groups, key=self.order.sort_key):
+        ordered = self.order.sort(groups)
+        for number, group in enumerate(ordered):
             changed = len(self.state.changed_jobs)
             if changed + len(self.state.changed_nodes) > MAX_CHANGED_ROWS:
+                self.untried = ordered[number:]
                 return
             if self.state.restarts(group):
                 self._reserve_for_restart(group)
                 continue
             self._place_group(group)
+            left = self.state.waiting(group)
+            if left:
+                self.waiting.append(group)
             waiting = [
-                task
-                for task in self.state.waiting(group)
-                if not self.separation.is_held(task)
+                task for task in left if not self.separation.is_held(task)
             ]
             if waiting and self.reservations.may_reserve():
                 self._reserve(group)
--- a/filbertlb/batch/placing_context.py
+++ b/filbertlb/batch/placing_context.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from filbertlb.batch.demand import Demand
     from filbertlb.batch.durations import DurationModel
     from filbertlb.batch.evacuation import Evacuations
     from filbertlb.batch.model import Job
@@ -104,6 +105,9 @@
         The workers by node, with what their reports tell of checkpoints.
     lost_core_s : dict of str to float
         Core-seconds lost by preemption so far, by cause.
+    demand : Demand, optional
+        Demand of organisations and queues if groups are ordered by benefit;
+        None if they are ordered by deadline.
     """
 
     state: PlannerState
@@ -115,6 +119,7 @@
     views: Mapping[str, WorkerView] = attrs.Factory(dict)
     checkpoints: CheckpointCosts = attrs.Factory(CheckpointCosts)
     lost_core_s: dict[str, float] = attrs.Factory(dict)
+    demand: Demand | None = None
     _payload_bytes: dict[str, int] = attrs.Factory(dict)
 
     def expected_ms(self, group: TaskGroup) -> int:
@@ -162,5 +167,9 @@
 
     An accelerator counts as ``CORES_PER_ACCELERATOR`` cores.
     """
-    cores = step.needs[1] / 1000 + CORES_PER_ACCELERATOR * step.needs[0]
-    return cores * tasks * run_ms / 1000
+    return cores(step.needs) * tasks * run_ms / 1000
+
+
+def cores(amount: Amount) -> float:
+    """Return the cores that resources count as; memory is not counted."""
+    return amount[1] / 1000 + CORES_PER_ACCELERATOR * amount[0]
--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -35,6 +35,7 @@
 from filbertlb.batch.placing_context import PlacingContext
 from filbertlb.batch.planner_state import PlannerState
 from filbertlb.batch.planner_state import TaskGroup
+from filbertlb.batch.queue_report import QueueReport
 from filbertlb.batch.run_observation import observed_run
 from filbertlb.batch.workers import is_eligible
 from filbertlb.batch.workers import WorkerView
@@ -43,6 +44,7 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
+    from filbertlb.batch.demand import Demand
     from filbertlb.batch.durations import DurationModel
     from filbertlb.batch.durations import ObservedRun
     from filbertlb.batch.model import Job
@@ -81,6 +83,10 @@
         Core-seconds lost by preemption so far, by cause.
     evacuations : Evacuations
         Failure domains that get no new work, or not their full share.
+    demand : Demand, optional
+        Present if ready tasks are ordered by benefit instead of deadline.
+    queue_report : QueueReport
+        Tells what waits and why.
     """
 
     state: PlannerState = attrs.Factory(PlannerState)
@@ -92,6 +98,8 @@
     lost_core_s: dict[str, float] = attrs.Factory(dict)
     evacuations: Evacuations = attrs.Factory(Evacuations)
     _evacuation_log: EvacuationLog = attrs.Factory(EvacuationLog)
+    demand: Demand | None = None
+    queue_report: QueueReport = attrs.Factory(QueueReport)
     _unprocessed_nodes: set[str] = attrs.Factory(set)
 
     def record_report(
@@ -144,8 +152,11 @@
             self.workers,
             self.checkpoints,
             self.lost_core_s,
+            self.demand,
         )
-        Placer(context).place(self._ready_groups(now_ms))
+        placer = Placer(context)
+        placer.place(self._ready_groups(now_ms))
+        self.queue_report.update(placer, now_s)
         if self.evacuations.version_by_domain:
             self._log_waiting_jobs(now_s, now_ms)
 
--- a/filbertlb/metrics.py
+++ b/filbertlb/metrics.py
@@ -58,6 +58,9 @@
         Jobs of the scope, while this instance decides.
     evacuated_domains : Gauge
         Failure domains that an operator has asked to evacuate.
+    waiting_groups : Gauge
+        Groups of tasks that are ready and wait, by ``reason``, while this
+        instance decides.
     guarantees_at_risk : Gauge
         Guaranteed shapes without a placement, by ``organisation``.
     lost_core_seconds : Counter
@@ -114,6 +117,7 @@
         self.queued_jobs = gauge("queued_jobs")
         self.running_jobs = gauge("running_jobs")
         self.evacuated_domains = gauge("evacuated_domains")
+        self.waiting_groups = gauge("waiting_groups")
         self.guarantees_at_risk = gauge("guarantees_at_risk")
         self.lost_core_seconds = counter("lost_core_seconds")
         self.revision = gauge("revision")
--- a/filbertlb/platform/roles.py
+++ b/filbertlb/platform/roles.py
@@ -24,6 +24,7 @@
 from filbertlb.batch.model import WORKER_TABLE
 from filbertlb.batch.peers import Peers
 from filbertlb.batch.placing_context import CheckpointCosts
+from filbertlb.batch.queue_report import WaitReason
 from filbertlb.batch.service import JobService
 from filbertlb.core.clock import SystemClock
 from filbertlb.errors import FilbertlbError
@@ -39,6 +40,7 @@
 from filbertlb.platform.ingress import Ingress
 from filbertlb.platform.runner import PlatformWorkerClient
 from filbertlb.platform.settings import load_settings_file
+from filbertlb.platform.settings import QueueOrder
 from filbertlb.platform.store import PlatformTable
 from filbertlb.settings.process import Limits
 from filbertlb.table.base import TransactionLimits
@@ -109,6 +111,7 @@
             restore_ms=settings.restore_ms,
         ),
         evacuations=evacuation_reader,
+        by_benefit=settings.queue_order is QueueOrder.BENEFIT,
     )
     counted_core_s: dict[str, float] = {}
     stopping = _stop_event(settings)
@@ -125,6 +128,11 @@
         counts = Counter(index.state(job_id) for job_id in index.jobs)
         metrics.queued_jobs.set(counts[JobState.QUEUED])
         metrics.running_jobs.set(counts[JobState.ACTIVE])
+        waiting = decider.waiting_groups
+        for reason in WaitReason:
+            metrics.waiting_groups.set(
+                waiting.get(reason.value, 0), {"reason": reason.value}
+            )
         metrics.leader.set(int(decider.deciding), {"scope": settings.region})
         for cause, core_s in decider.lost_core_s.items():
             metrics.lost_core_seconds.add(
--- a/filbertlb/platform/settings.py
+++ b/filbertlb/platform/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+from enum import StrEnum
 from pathlib import Path
 
 import msgspec
@@ -17,6 +18,14 @@
 
 SETTINGS_VARIABLE = "FILBERTLB_SETTINGS"
 RUN_TIMES_VARIABLE = "FILBERTLB_RUN_TIMES"
+QUEUE_ORDER_VARIABLE = "FILBERTLB_QUEUE_ORDER"
+
+
+class QueueOrder(StrEnum):
+    """Order in which ready tasks are placed."""
+
+    DEADLINE = "deadline"
+    BENEFIT = "benefit"
 
 
 class SettingsFileError(InvalidInputError):
@@ -31,6 +40,12 @@
     code = "run_times_setting"
 
 
+class QueueOrderError(InvalidInputError):
+    """The order of the queue is unknown."""
+
+    code = "queue_order"
+
+
 class _Listen(msgspec.Struct, rename="camel"):
     client_addr: str = ""
     readiness: str = ""
@@ -104,6 +119,8 @@
         may start there; 0 in a deployment without evacuation.
     run_times : RunTimes
         Source of the expected run times, from ``FILBERTLB_RUN_TIMES``.
+    queue_order : QueueOrder
+        Order in which an entry that decides places ready tasks.
     """
 
     node: str
@@ -124,6 +141,7 @@
     restore_ms: int
     evacuate_ms: int
     run_times: RunTimes = RunTimes.DECLARED
+    queue_order: QueueOrder = QueueOrder.DEADLINE
 
 
 def load_settings_file(path: str | None = None) -> Settings:
@@ -140,6 +158,8 @@
         If the file is missing or invalid.
     RunTimesSettingError
         If ``FILBERTLB_RUN_TIMES`` has an unknown value.
+    QueueOrderError
+        If ``FILBERTLB_QUEUE_ORDER`` is invalid.
     """
     file_path = path or os.environ.get(SETTINGS_VARIABLE, "")
     try:
@@ -169,6 +189,7 @@
         file.bounds.restore_ms,
         file.bounds.evacuate_ms or 0,
         _run_times(),
+        _queue_order(),
     )
 
 
@@ -182,3 +203,15 @@
             f"{', '.join(RunTimes)}, or leave it unset for "
             f"{RunTimes.DECLARED}"
         ) from error
+
+
+def _queue_order() -> QueueOrder:
+    """Return the order of the queue that the environment selects."""
+    value = os.environ.get(QUEUE_ORDER_VARIABLE) or QueueOrder.DEADLINE
+    try:
+        return QueueOrder(value)
+    except ValueError as error:
+        raise QueueOrderError(
+            f"{QUEUE_ORDER_VARIABLE} is {value!r}; set it to one of "
+            f"{', '.join(QueueOrder)}"
+        ) from error
