--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 
 unit: setup
 	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n 0 -m hostile tests/test_hostile_clients.py
 
 measure: setup
 	$(BIN)/python -m benchmarks.measure_placement
