Keep a budget of the bytes held for clients

Cause: each listener took up to 1,024 connections and read each body whole, up to 4 MiB, whatever the machine's memory. Nothing related what all of them held; the body also stayed with its connection until the next request.

Change: filbertlb/admission.py, without I/O, keeps one budget per process, a fifth of the machine's memory, over all listeners. Headers, each 64 KiB of a body, and responses are reserved before they take memory and released however the request ends. When it is short, stalled connections are closed, those first that hold most bytes for the longest time; else the request is refused with 503, or 429 if its address holds three quarters, both with Retry-After and before it runs. Requests of up to 64 KiB have an eighth for themselves. Running requests are never closed. Connections follow from the descriptors less 400, and an eighth of the memory, with a share for each listener; a full listener closes stalled connections. A request or response without progress for 10 s ends.

--- a/filbertlb/metrics.py
+++ b/filbertlb/metrics.py
@@ -66,6 +66,13 @@
         Runs that an agent's worker holds.
     contact_age_s : Gauge
         Time since the table answered last, in seconds.
+    connections : Gauge
+        Connections to this process's HTTP listeners.
+    held_bytes : Gauge
+        Memory held for requests and unread responses.
+    refusals : Gauge
+        Requests refused and connections closed by the HTTP server since
+        the start, by ``kind``.
     """
 
     def __init__(self, role: str, instance_id: str) -> None:
@@ -102,6 +109,9 @@
         self.leader = gauge("leader")
         self.runs = gauge("runs")
         self.contact_age_s = gauge("contact_age_seconds")
+        self.connections = gauge("connections")
+        self.held_bytes = gauge("held_bytes")
+        self.refusals = gauge("refusals")
 
     def render(self) -> bytes:
         """Return all values in the text format of Prometheus."""
--- a/filbertlb/metrics_page.py
+++ b/filbertlb/metrics_page.py
@@ -17,11 +17,20 @@
     from collections.abc import Mapping
     from typing import Any
 
+    from filbertlb.admission import Admission
     from filbertlb.metrics import Metrics
 
 LOAD_DELAY_S = 2.0
 
 
+def sample_admission(metrics: Metrics, admission: Admission) -> None:
+    """Show a process's connections, what they hold, and its refusals."""
+    metrics.connections.set(len(admission.connections))
+    metrics.held_bytes.set(admission.held_bytes)
+    for kind, count in admission.refusals.items():
+        metrics.refusals.set(count, {"kind": kind})
+
+
 class MetricsPage:
     """Metrics of one role, loaded late.
 
--- a/filbertlb/platform/roles.py
+++ b/filbertlb/platform/roles.py
@@ -7,12 +7,15 @@
 from contextlib import ExitStack
 from typing import TYPE_CHECKING
 
+import attrs
 from gevent import signal_handler
 from gevent import sleep
 from gevent.event import Event
 from loguru import logger
 
 from filbertlb.addresses import split_address
+from filbertlb.admission import Admission
+from filbertlb.admission import machine_bounds
 from filbertlb.batch.agent import Agent
 from filbertlb.batch.configuration import CurrentConfiguration
 from filbertlb.batch.decider import Decider
@@ -28,6 +31,7 @@
 from filbertlb.errors import FilbertlbError
 from filbertlb.httpserver import serving_http
 from filbertlb.metrics_page import MetricsPage
+from filbertlb.metrics_page import sample_admission
 from filbertlb.platform.configuration import ConfigurationReader
 from filbertlb.platform.configuration import OPERATOR_TABLE
 from filbertlb.platform.heartbeats import HeartbeatReceiver
@@ -45,7 +49,10 @@
 from filbertlb.typedserver import Service
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
     from collections.abc import Mapping
+    from collections.abc import Sequence
     from typing import Any
 
     from filbertlb.metrics import Metrics
@@ -72,12 +79,19 @@
 """The deploy file declares the second port of the range for metrics."""
 PEER_OFFSET = 2
 LIMITS = Limits(drain_s=DRAIN_S, connection_idle_s=30.0)
+MAIN_LISTENER_SHARE = 5 / 8
+"""Share of the connections for callers of an entry or an agent's worker.
+
+The rest is divided among the other listeners, so that a crowd at one of
+them leaves those of operators and other entries reachable.
+"""
 
 
 def run_entry(settings: Settings) -> None:
     """Run an entry: serve callers; schedule jobs while it holds the lease."""
     clock = SystemClock()
     table = _open_table(settings)
+    admission = _open_admission(settings)
     index, mirror, in_force = JobIndex(), Mirror(), CurrentConfiguration()
     mirror.add_listener(index.apply_row)
     state_follower = Follower(table, STATE_TABLE, mirror, clock)
@@ -115,6 +129,7 @@
         metrics.leader.set(int(decider.deciding), {"scope": settings.region})
         metrics.revision.set(in_force.version)
         metrics.contact_age_s.set(clock.monotonic() - state_follower.contact_s)
+        sample_admission(metrics, admission)
 
     page = MetricsPage("entry", settings.node, sample)
     service = JobService(table, mirror, index, clock)
@@ -137,14 +152,23 @@
     )
     with ExitStack() as stack:
         stack.enter_context(running_all(tasks))
-        for address, application in (
-            (settings.client_address, json_application(ingress.handle)),
-            (settings.readiness_address, json_application(handle_readiness)),
-            (_port_range_address(settings, METRICS_OFFSET), page.application),
-            (peers.address, peer_service),
-        ):
-            host, port = split_address(address)
-            stack.enter_context(serving_http(application, host, port, LIMITS))
+        _serve(
+            stack,
+            settings,
+            admission,
+            (
+                (settings.client_address, json_application(ingress.handle)),
+                (
+                    settings.readiness_address,
+                    json_application(handle_readiness),
+                ),
+                (
+                    _port_range_address(settings, METRICS_OFFSET),
+                    page.application,
+                ),
+                (peers.address, peer_service),
+            ),
+        )
         logger.info("entry {} serves", settings.node)
         stopping.wait()
         logger.info("entry {} leaves", settings.node)
@@ -157,6 +181,7 @@
     """Run an agent: execute the orders for the worker on this machine."""
     clock = SystemClock()
     table = _open_table(settings)
+    admission = _open_admission(settings)
     worker = PlatformWorkerClient(settings.worker_address, clock)
     agent = Agent(
         table, worker, clock, settings.node, settings.heartbeat_period_s
@@ -167,7 +192,6 @@
         agent.update_worker(heartbeat.worker)
 
     stopping = _stop_event(settings)
-    host, port = split_address(settings.heartbeat_address)
     application = json_application(
         HeartbeatReceiver(
             on_heartbeat,
@@ -181,21 +205,57 @@
         agent.run()
         stopping.set()
 
-    page = MetricsPage("agent", settings.node, agent.sample)
-    with (
-        running_all((run_until_superseded,)),
-        serving_http(application, host, port, LIMITS),
-        serving_http(
-            page.application,
-            *split_address(_port_range_address(settings, METRICS_OFFSET)),
-            LIMITS,
-        ),
-    ):
+    def sample(metrics: Metrics) -> None:
+        agent.sample(metrics)
+        sample_admission(metrics, admission)
+
+    page = MetricsPage("agent", settings.node, sample)
+    with ExitStack() as stack:
+        stack.enter_context(running_all((run_until_superseded,)))
+        _serve(
+            stack,
+            settings,
+            admission,
+            (
+                (settings.heartbeat_address, application),
+                (
+                    _port_range_address(settings, METRICS_OFFSET),
+                    page.application,
+                ),
+            ),
+        )
         logger.info("agent {} serves", settings.node)
         stopping.wait()
     logger.info("agent {} stopped", settings.node)
 
 
+def _open_admission(settings: Settings) -> Admission:
+    bounds = machine_bounds(settings.memory_bytes, settings.descriptors)
+    return Admission(bounds.held_bytes)
+
+
+def _serve(
+    stack: ExitStack,
+    settings: Settings,
+    admission: Admission,
+    listeners: Sequence[tuple[str, Callable[..., Iterable[bytes]]]],
+) -> None:
+    """Serve applications at their addresses, the main listener first.
+
+    All listeners share one budget; each has connections of its own.
+    """
+    bounds = machine_bounds(settings.memory_bytes, settings.descriptors)
+    main = int(bounds.connections * MAIN_LISTENER_SHARE)
+    other = (bounds.connections - main) // (len(listeners) - 1)
+    for number, (address, application) in enumerate(listeners):
+        connections = other if number else min(main, LIMITS.connections)
+        limits = attrs.evolve(LIMITS, connections=connections)
+        host, port = split_address(address)
+        stack.enter_context(
+            serving_http(application, host, port, limits, admission)
+        )
+
+
 def _open_table(settings: Settings) -> PlatformTable:
     return PlatformTable(
         settings.store_address,
--- a/filbertlb/platform/settings.py
+++ b/filbertlb/platform/settings.py
@@ -13,6 +13,7 @@
 from filbertlb.ranges import Count
 from filbertlb.ranges import Port
 
+MIB = 1024 * 1024
 SETTINGS_VARIABLE = "FILBERTLB_SETTINGS"
 
 
@@ -38,6 +39,9 @@
     # Share of one core, as fast as `cores` cores together.
     cpu_share: float = 1.0
     cores: float = 1.0
+    # Defaults of the smallest machine that the platform has.
+    memory_mb: Count = 160
+    max_fds: Count = 1638
 
 
 class _File(msgspec.Struct, rename="camel"):
@@ -77,6 +81,8 @@
         Processor time available to the process, in cores.
     first_port : int
         Start of the port range assigned to the process.
+    memory_bytes, descriptors : int
+        Memory of the machine, and descriptors that the process may open.
     """
 
     node: str
@@ -93,6 +99,8 @@
     store_row_bytes: int
     processor_cores: float
     first_port: int
+    memory_bytes: int
+    descriptors: int
 
 
 def load_settings_file(path: str | None = None) -> Settings:
@@ -132,4 +140,6 @@
         file.platform.row_bytes,
         file.limits.cpu_share * file.limits.cores,
         file.port_range[0],
+        file.limits.memory_mb * MIB,
+        file.limits.max_fds,
     )
--- a/filbertlb/settings/process.py
+++ b/filbertlb/settings/process.py
@@ -68,6 +68,11 @@
         time that headers may take to arrive.
     drain_s : float
         Time that a planned stop gives to work in flight.
+    held_bytes : int
+        Most memory for requests and unread responses of all connections.
+    progress_s : float
+        Longest time without a byte of a request that has begun, or for
+        sending one block of a response.
     """
 
     body_bytes: int = _positive(4 * MIB)
@@ -76,6 +81,8 @@
     connections: int = _positive(1024)
     connection_idle_s: float = _positive(60.0)
     drain_s: float = _positive(30.0)
+    held_bytes: int = _positive(32 * MIB)
+    progress_s: float = _positive(10.0)
 
 
 @attrs.frozen
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+from contextlib import suppress
 from json import loads
 from socket import IPPROTO_TCP
 from socket import TCP_NODELAY
@@ -13,6 +14,7 @@
 from gevent.socket import socket
 
 from filbertlb import httpserver
+from filbertlb.admission import Admission
 from filbertlb.httpcall import HttpCaller
 from filbertlb.httpserver import serving_http
 from filbertlb.httpserver import without_delay
@@ -179,3 +181,117 @@
     monkeypatch.setattr(httpserver, "without_delay", seen.append)
     with serving_http(echo, "127.0.0.1", 0, SMALL) as url:
         assert [f"http://127.0.0.1:{one.server_port}" for one in seen] == [url]
+
+
+LARGE = 200_000
+TIGHT = Limits(body_bytes=LARGE, header_bytes=300, held_bytes=400_000)
+
+
+def start_body(url, count, announced=LARGE):
+    """Send part of a body and wait until it is held."""
+    sock = connect(url)
+    sock.sendall(POST + b"Content-Length: %d\r\n\r\n" % announced)
+    sock.sendall(b"x" * count)
+    return sock
+
+
+def wait_until(condition):
+    with gevent.Timeout(30):
+        while not condition():
+            gevent.idle()
+
+
+@pytest.mark.parametrize(
+    ("held_bytes", "status", "code"),
+    [(100_000, 503, "server_busy"), (200_000, 429, "address_busy")],
+)
+def test_request_without_room_is_refused_before_it_runs(
+    echo, held_bytes, status, code
+):
+    """Guards against a refusal that does not tell when to come back."""
+    limits = Limits(body_bytes=LARGE)
+    admission = Admission(held_bytes)
+    if status == 503:
+        # One client alone reaches the bound of its address first.
+        admission._address_limit_bytes = LARGE * 2
+    with serving_http(echo, "127.0.0.1", 0, limits, admission) as url:
+        head, _, body = read_all(start_body(url, LARGE)).partition(b"\r\n\r\n")
+        wait_until(lambda: not admission.connections)
+    assert head.startswith(b"HTTP/1.1 %d " % status)
+    assert b"\r\nRetry-After: 2\r\n" in head
+    assert loads(body)["error"]["code"] == code
+    assert loads(body)["error"]["ran"] == "no"
+    assert echo.calls == 0
+    assert admission.held_bytes == 0
+    assert admission.refusals == {code: 1}
+
+
+def test_body_closed_for_others_is_refused_and_never_runs(echo):
+    """Guards against a request that runs after its refusal."""
+    admission = Admission(TIGHT.held_bytes)
+    with serving_http(echo, "127.0.0.1", 0, TIGHT, admission) as url:
+        sock = start_body(url, LARGE - 1)
+        wait_until(lambda: admission.held_bytes >= LARGE)
+        (held,) = admission.connections
+        (closed,) = admission.make_room([held], 1, held.progress_s + 1.0)
+        closed.owner.close_for_others()
+        with suppress(OSError):
+            sock.sendall(b"x")
+        assert read_all(sock).startswith(b"HTTP/1.1 503 ")
+    assert echo.calls == 0
+    assert admission.held_bytes == 0
+
+
+def test_budget_is_released_however_a_request_ends():
+    def application(environ, start_response):
+        body = environ["wsgi.input"].read()
+        start_response("200 OK", [("Content-Length", str(len(body)))])
+        return [body]
+
+    admission = Admission(TIGHT.held_bytes)
+    with serving_http(application, "127.0.0.1", 0, TIGHT, admission) as url:
+        whole = start_body(url, LARGE)
+        start_body(url, LARGE - 1).close()
+        start_body(url, 10).close()
+        start_body(url, 10, 10**9).close()
+        connect(url).close()
+        with gevent.Timeout(30):
+            received = 0
+            while received < LARGE:
+                received += len(whole.recv(65536))
+        # The connection is kept and holds nothing.
+        wait_until(lambda: admission.held_bytes == 0)
+        whole.close()
+        wait_until(lambda: not admission.connections)
+
+
+def test_unread_response_ends_its_connection(capfd):
+    """Guards against memory held for a client that does not read."""
+
+    def application(environ, start_response):
+        body = b"x" * 64_000_000
+        start_response("200 OK", [("Content-Length", str(len(body)))])
+        return [body]
+
+    limits = Limits(progress_s=0.1)
+    admission = Admission(limits.held_bytes)
+    with serving_http(application, "127.0.0.1", 0, limits, admission) as url:
+        sock = connect(url)
+        sock.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        wait_until(lambda: admission.refusals["response_unread"] == 1)
+        wait_until(lambda: not admission.connections)
+        sock.close()
+    assert admission.held_bytes == 0
+    assert "Traceback" not in capfd.readouterr().err
+
+
+def test_silent_connections_make_room(echo):
+    """Guards against a listener that is full of clients without requests."""
+    limits = Limits(connections=2)
+    with serving_http(echo, "127.0.0.1", 0, limits) as url:
+        silent = [connect(url) for _ in range(6)]
+        caller = HttpCaller(url, 1)
+        assert caller.post("/x", b"hi", 30.0).body == b"hi"
+        caller.close()
+        for sock in silent:
+            sock.close()
