Bound the answers that a process reads

Cause: an answer with a length could have 64 MiB, one in chunks any size, and headers had no bound. The body was kept twice while its parts were joined, and once more by the frames of the error that was raised.

Change: AnswerBudget in filbertlb/admission.py bounds each answer, on the platform to a fifth of the machine's memory (32 MiB of 160, a full page of the store), and all answers being read to three tenths; each 16 KiB is reserved before it is read. 64 KiB are read until the headers are whole.

--- a/filbertlb/admission.py
+++ b/filbertlb/admission.py
@@ -56,6 +56,13 @@
 OWN_DESCRIPTORS = 200
 """Descriptors for calls of the store, workers and other entries."""
 MIN_CONNECTIONS = 32
+ANSWER_SHARE = 1 / 5
+"""Share of the machine's memory for one answer that the process reads.
+
+On the smallest machine this is a full page of the store, 500 rows of 64 KiB.
+"""
+ANSWERS_SHARE = 3 / 10
+"""Share of the machine's memory for all answers that are being read."""
 LOG_PERIOD_S = 10.0
 """Least time between two log lines about one kind of refusal."""
 
@@ -138,10 +145,14 @@
         Budget for requests and responses.
     connections : int
         Most connections of all listeners together.
+    answer_bytes, answers_bytes : int
+        Largest answer to a call, and most bytes of all answers being read.
     """
 
     held_bytes: int
     connections: int
+    answer_bytes: int
+    answers_bytes: int
 
 
 def machine_bounds(memory_bytes: int, descriptors: int) -> MachineBounds:
@@ -151,10 +162,55 @@
         int(memory_bytes * CONNECTIONS_SHARE) // CONNECTION_BYTES,
     )
     return MachineBounds(
-        int(memory_bytes * HELD_SHARE), max(MIN_CONNECTIONS, connections)
+        int(memory_bytes * HELD_SHARE),
+        max(MIN_CONNECTIONS, connections),
+        int(memory_bytes * ANSWER_SHARE),
+        int(memory_bytes * ANSWERS_SHARE),
     )
 
 
+@attrs.define
+class AnswerBudget:
+    """Budget of the bytes held for answers that are being read.
+
+    Answers stores and workers whose answers do not end, or which are many
+    and large at the same time.
+
+    Parameters
+    ----------
+    answer_bytes : int
+        Largest answer.
+    total_bytes : int
+        Most bytes of all answers being read. Answers of up to 64 KiB do
+        not count, so that large ones never keep them from being read.
+
+    Attributes
+    ----------
+    refused : int
+        Answers that were not read to their end.
+    """
+
+    answer_bytes: int
+    total_bytes: int
+    held_bytes: int = 0
+    refused: int = 0
+
+    def grow(self, held: int, count: int) -> bool:
+        """Reserve the next part of an answer of which some bytes are held."""
+        if held + count <= SMALL_BYTES:
+            return True
+        over_answer = held + count > self.answer_bytes
+        if over_answer or self.held_bytes + count > self.total_bytes:
+            self.refused += 1
+            return False
+        self.held_bytes += count
+        return True
+
+    def release(self, count: int) -> None:
+        """Release what was reserved for one answer."""
+        self.held_bytes -= count
+
+
 class Admission:
     """Budget of one process over all its listeners.
 
--- a/filbertlb/httpcall.py
+++ b/filbertlb/httpcall.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from io import BytesIO
 from re import compile as compile_pattern
 from socket import IPPROTO_TCP
 from socket import TCP_NODELAY
@@ -9,12 +10,15 @@
 
 import attrs
 from gevent import Timeout
+from gevent.socket import socket
 from geventhttpclient import HTTPClient
 from geventhttpclient.connectionpool import ConnectionPool
 from geventhttpclient.response import HTTPParseError
 from geventhttpclient.url import URL
 
 from filbertlb.addresses import InvalidAddressError
+from filbertlb.admission import AnswerBudget
+from filbertlb.admission import SMALL_BYTES
 from filbertlb.errors import InvalidInputError
 from filbertlb.errors import OutcomeUnknownError
 from filbertlb.errors import UnavailableError
@@ -33,6 +37,8 @@
 BODY_PART_BYTES = 16 * 1024
 """Part of an answer's body that must arrive within the call's timeout."""
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
+MAX_HEAD_BYTES = 64 * 1024
+"""Most bytes read while an answer's headers are incomplete."""
 
 _TARGET = compile_pattern(r"/(?!/)[!-~]*")
 
@@ -61,6 +67,12 @@
     code = "call_outcome_unknown"
 
 
+class AnswerTooLargeError(CallOutcomeUnknownError):
+    """The call was sent, but its answer is larger than can be read."""
+
+    code = "answer_too_large"
+
+
 @attrs.frozen
 class Reply:
     """A whole HTTP response."""
@@ -70,6 +82,10 @@
     content_type: str
 
 
+class _LargeAnswerError(HTTPParseError):
+    """Raised when an answer is not read to its end."""
+
+
 class _NoConnectionError(Exception):
     """Raised in place of any failure to get a connection."""
 
@@ -78,13 +94,38 @@
     """Raised in place of a refused connection."""
 
 
+class _Socket(socket):
+    """Socket that reads a bounded number of bytes until it is told more.
+
+    The client library reads headers without a bound.
+    """
+
+    head_left_bytes: int | None = None
+
+    def recv(self, *args: Any) -> bytes:
+        """Read what has arrived."""
+        data: bytes = super().recv(*args)
+        if self.head_left_bytes is not None:
+            self.head_left_bytes -= len(data)
+            if self.head_left_bytes < 0:
+                raise ConnectionAbortedError(
+                    f"the headers are over {MAX_HEAD_BYTES} bytes"
+                )
+        return data
+
+
 class _Pool(ConnectionPool):
     """Pool whose failures to connect have their own type."""
 
+    def _create_tcp_socket(self, *args: Any) -> _Socket:
+        return _Socket(*args)
+
     def get_socket(self) -> Any:
         """Return a connected socket."""
         try:
             found = super().get_socket()
+            # The last block of the headers may hold part of the body.
+            found.head_left_bytes = MAX_HEAD_BYTES + READ_BLOCK_BYTES
             # Headers and body leave in two writes; without this the
             # second waits for the peer's delayed acknowledgement.
             found.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
@@ -126,6 +167,9 @@
         Such as ``http://10.0.0.1:8080``.
     connections : int
         Most connections at once; further calls wait.
+    answers : AnswerBudget, optional
+        Bounds of the answers, which callers may share; by default 64 MiB
+        for each answer.
 
     Raises
     ------
@@ -134,7 +178,10 @@
     """
 
     def __init__(
-        self, base_url: str, connections: int = DEFAULT_CONNECTIONS
+        self,
+        base_url: str,
+        connections: int = DEFAULT_CONNECTIONS,
+        answers: AnswerBudget | None = None,
     ) -> None:
         try:
             url = URL(base_url)
@@ -148,6 +195,9 @@
         self._url = url
         self._connections = connections
         self._client = client
+        self._answers = answers or AnswerBudget(
+            MAX_ANSWER_BYTES, connections * MAX_ANSWER_BYTES
+        )
 
     def post(
         self,
@@ -232,7 +282,7 @@
                     response = client.request(
                         method, target, body, dict(headers or {})
                     )
-                return _whole(response, timeout_s)
+                return _whole(response, timeout_s, self._answers)
         except _NoConnectionError as error:
             refused = isinstance(error, _NoListenerError)
             failure = CallRefusedError if refused else CallNotSentError
@@ -242,7 +292,9 @@
             ) from error
         except (OSError, HTTPParseError) as error:
             self._drop(client)
-            raise CallOutcomeUnknownError(
+            large = isinstance(error, _LargeAnswerError)
+            lost = AnswerTooLargeError if large else CallOutcomeUnknownError
+            raise lost(
                 f"{method} {self._base_url + path!r} got no whole answer: "
                 f"{error}"
             ) from error
@@ -256,27 +308,57 @@
         return response.read(BODY_PART_BYTES)
 
 
-def _whole(response: HTTPSocketPoolResponse, timeout_s: float) -> Reply:
+def _whole(
+    response: HTTPSocketPoolResponse, timeout_s: float, answers: AnswerBudget
+) -> Reply:
     """Read a response to its end, or fail.
 
     The timeout holds for each part of the body: a large answer on a slow
     link is not lost while parts of it arrive.
     """
+    sock = response._sock
+    if sock is not None:
+        # From here on the answer's budget holds.
+        sock.head_left_bytes = None
     announced = response.content_length
-    if announced is not None and announced > MAX_ANSWER_BYTES:
+    if announced is not None and announced > answers.answer_bytes:
+        answers.refused += 1
         response.release()
-        raise HTTPParseError(f"answer of {announced!r} bytes is too large")
+        raise _LargeAnswerError(f"answer of {announced!r} bytes is too large")
     if announced is None and "transfer-encoding" not in response:
         response.release()
         # Its end would look the same as a lost connection.
         raise HTTPParseError("answer states no length")
-    parts = []
-    while part := _next_part(response, timeout_s):
-        parts.append(part)
-    body = b"".join(parts)
+    body = _read_body(response, timeout_s, answers)
     if not response.message_complete or announced not in (None, len(body)):
         raise HTTPParseError(
             f"answer ended after {len(body)!r} of {announced!r} bytes"
         )
     content_type = response.get("content-type", "")
     return Reply(response.status_code, body, str(content_type))
+
+
+def _read_body(
+    response: HTTPSocketPoolResponse, timeout_s: float, answers: AnswerBudget
+) -> bytes:
+    """Read the parts of a body, each reserved before it is read."""
+    body = BytesIO()
+    held = reserved = 0
+    try:
+        while True:
+            if not answers.grow(held, BODY_PART_BYTES):
+                response.release()
+                raise _LargeAnswerError(
+                    f"answer is too large after {held!r} bytes, while "
+                    f"{answers.held_bytes!r} are held for all answers"
+                )
+            if held + BODY_PART_BYTES > SMALL_BYTES:
+                reserved += BODY_PART_BYTES
+            part = _next_part(response, timeout_s)
+            if not part:
+                return body.getvalue()
+            held += body.write(part)
+    finally:
+        # A kept error refers to this frame, but not to the body.
+        body.close()
+        answers.release(reserved)
--- a/filbertlb/metrics.py
+++ b/filbertlb/metrics.py
@@ -73,6 +73,10 @@
     refusals : Gauge
         Requests refused and connections closed by the HTTP server since
         the start, by ``kind``.
+    answer_bytes : Gauge
+        Memory held for answers to calls while they are read.
+    answers_refused : Gauge
+        Answers to calls that were too large to be read, since the start.
     """
 
     def __init__(self, role: str, instance_id: str) -> None:
@@ -112,6 +116,8 @@
         self.connections = gauge("connections")
         self.held_bytes = gauge("held_bytes")
         self.refusals = gauge("refusals")
+        self.answer_bytes = gauge("answer_bytes")
+        self.answers_refused = gauge("answers_refused")
 
     def render(self) -> bytes:
         """Return all values in the text format of Prometheus."""
--- a/filbertlb/metrics_page.py
+++ b/filbertlb/metrics_page.py
@@ -18,13 +18,18 @@
     from typing import Any
 
     from filbertlb.admission import Admission
+    from filbertlb.admission import AnswerBudget
     from filbertlb.metrics import Metrics
 
 LOAD_DELAY_S = 2.0
 
 
-def sample_admission(metrics: Metrics, admission: Admission) -> None:
+def sample_admission(
+    metrics: Metrics, admission: Admission, answers: AnswerBudget
+) -> None:
     """Show a process's connections, what they hold, and its refusals."""
+    metrics.answer_bytes.set(answers.held_bytes)
+    metrics.answers_refused.set(answers.refused)
     metrics.connections.set(len(admission.connections))
     metrics.held_bytes.set(admission.held_bytes)
     for kind, count in admission.refusals.items():
--- a/filbertlb/platform/roles.py
+++ b/filbertlb/platform/roles.py
@@ -15,6 +15,7 @@
 
 from filbertlb.addresses import split_address
 from filbertlb.admission import Admission
+from filbertlb.admission import AnswerBudget
 from filbertlb.admission import machine_bounds
 from filbertlb.batch.agent import Agent
 from filbertlb.batch.configuration import CurrentConfiguration
@@ -90,7 +91,8 @@
 def run_entry(settings: Settings) -> None:
     """Run an entry: serve callers; schedule jobs while it holds the lease."""
     clock = SystemClock()
-    table = _open_table(settings)
+    answers = _open_answers(settings)
+    table = _open_table(settings, answers)
     admission = _open_admission(settings)
     index, mirror, in_force = JobIndex(), Mirror(), CurrentConfiguration()
     mirror.add_listener(index.apply_row)
@@ -129,7 +131,7 @@
         metrics.leader.set(int(decider.deciding), {"scope": settings.region})
         metrics.revision.set(in_force.version)
         metrics.contact_age_s.set(clock.monotonic() - state_follower.contact_s)
-        sample_admission(metrics, admission)
+        sample_admission(metrics, admission, answers)
 
     page = MetricsPage("entry", settings.node, sample)
     service = JobService(table, mirror, index, clock)
@@ -180,9 +182,10 @@
 def run_agent(settings: Settings) -> None:
     """Run an agent: execute the orders for the worker on this machine."""
     clock = SystemClock()
-    table = _open_table(settings)
+    answers = _open_answers(settings)
+    table = _open_table(settings, answers)
     admission = _open_admission(settings)
-    worker = PlatformWorkerClient(settings.worker_address, clock)
+    worker = PlatformWorkerClient(settings.worker_address, clock, answers)
     agent = Agent(
         table, worker, clock, settings.node, settings.heartbeat_period_s
     )
@@ -207,7 +210,7 @@
 
     def sample(metrics: Metrics) -> None:
         agent.sample(metrics)
-        sample_admission(metrics, admission)
+        sample_admission(metrics, admission, answers)
 
     page = MetricsPage("agent", settings.node, sample)
     with ExitStack() as stack:
@@ -234,6 +237,11 @@
     return Admission(bounds.held_bytes)
 
 
+def _open_answers(settings: Settings) -> AnswerBudget:
+    bounds = machine_bounds(settings.memory_bytes, settings.descriptors)
+    return AnswerBudget(bounds.answer_bytes, bounds.answers_bytes)
+
+
 def _serve(
     stack: ExitStack,
     settings: Settings,
@@ -256,11 +264,12 @@
         )
 
 
-def _open_table(settings: Settings) -> PlatformTable:
+def _open_table(settings: Settings, answers: AnswerBudget) -> PlatformTable:
     return PlatformTable(
         settings.store_address,
         {WORKER_TABLE: WORKER_PARTITIONS},
         TransactionLimits(row_bytes=settings.store_row_bytes),
+        answers,
     )
 
 
--- a/filbertlb/platform/runner.py
+++ b/filbertlb/platform/runner.py
@@ -34,6 +34,7 @@
     from collections.abc import Iterable
     from collections.abc import Iterator
 
+    from filbertlb.admission import AnswerBudget
     from filbertlb.batch.model import Order
     from filbertlb.core.clock import Clock
     from filbertlb.httpcall import Reply
@@ -102,10 +103,14 @@
     ----------
     address : str
         Host and port of the worker.
+    answers : AnswerBudget, optional
+        Bounds of the worker's answers.
     """
 
-    def __init__(self, address: str, clock: Clock) -> None:
-        self._caller = HttpCaller(f"http://{address}")
+    def __init__(
+        self, address: str, clock: Clock, answers: AnswerBudget | None = None
+    ) -> None:
+        self._caller = HttpCaller(f"http://{address}", answers=answers)
         self._clock = clock
         self._instance_id = ""
         self._clock_offset_ms = 0.0
--- a/filbertlb/platform/store.py
+++ b/filbertlb/platform/store.py
@@ -17,6 +17,7 @@
 from filbertlb.decoding import decode_entries
 from filbertlb.decoding import decode_json
 from filbertlb.decoding import MalformedDataError
+from filbertlb.httpcall import AnswerTooLargeError
 from filbertlb.httpcall import CallNotSentError
 from filbertlb.httpcall import CallOutcomeUnknownError
 from filbertlb.httpcall import HttpCaller
@@ -36,6 +37,7 @@
     from collections.abc import Mapping
     from collections.abc import Sequence
 
+    from filbertlb.admission import AnswerBudget
     from filbertlb.httpcall import Reply
     from filbertlb.table.base import Write
 
@@ -108,6 +110,8 @@
         Number of partitions of the tables that have more than one.
     limits : TransactionLimits
         Largest transaction that the store accepts.
+    answers : AnswerBudget, optional
+        Bounds of the store's answers.
     """
 
     def __init__(
@@ -115,12 +119,14 @@
         address: str,
         partitions_by_table: Mapping[str, int] | None = None,
         limits: TransactionLimits | None = None,
+        answers: AnswerBudget | None = None,
     ) -> None:
         self.limits = limits or TransactionLimits()
         self._partitions_by_table = dict(partitions_by_table or {})
-        self._caller = HttpCaller(f"http://{address}")
+        url = f"http://{address}"
+        self._caller = HttpCaller(url, answers=answers)
         # Separate connections, as feed calls wait for changes.
-        self._feed_caller = HttpCaller(f"http://{address}")
+        self._feed_caller = HttpCaller(url, answers=answers)
         self._newest_version = 0
         self._page_rows = FIRST_PAGE_ROWS
 
@@ -226,11 +232,20 @@
         query = urlencode(
             {"table": table, "after": after, "waitMs": int(wait_s * 1000)}
         )
-        reply = self._get(
-            self._feed_caller,
-            f"/filbertlb/rows-feed?{query}",
-            wait_s + FEED_TIMEOUT_MARGIN_S,
-        )
+        try:
+            reply = self._get(
+                self._feed_caller,
+                f"/filbertlb/rows-feed?{query}",
+                wait_s + FEED_TIMEOUT_MARGIN_S,
+            )
+        except TableUnavailableError as error:
+            if isinstance(error.__cause__, AnswerTooLargeError):
+                # The same call would fail again; a snapshot is in pages.
+                raise HistoryLostError(
+                    f"changes of {table!r} after version {after!r} are too "
+                    "large to be read at once; read a snapshot"
+                ) from error
+            raise
         if reply.status == HTTP_GONE:
             raise HistoryLostError(
                 f"changes of {table!r} after version {after!r} are no longer "
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from filbertlb.admission import AnswerBudget
 from filbertlb.platform.store import PlatformTable
 from filbertlb.standin.row_store import RowStore
 from filbertlb.standin.wsgi import serving
@@ -123,6 +124,22 @@
     assert changes.version == 2
 
 
+def test_changes_too_large_to_be_read_are_read_as_a_snapshot(store):
+    """Guards against a follower that asks for the same answer for ever."""
+    answers = AnswerBudget(200_000, 200_000)
+    with serving(store.application()) as url:
+        address = url.removeprefix("http://")
+        table = PlatformTable(address, answers=answers)
+        keys = [f"state/{number:02d}" for number in range(20)]
+        for key in keys:
+            table.commit([Write(key, b"x" * 20_000)])
+        with pytest.raises(HistoryLostError):
+            table.changes("state", 1, 0.0)
+        rows = table.snapshot("state/").rows
+        assert [row.key for row in rows] == keys
+        table.close()
+
+
 def test_changes_before_kept_history_raise_history_lost(table, store):
     table.commit([Write("state/a", b"1")])
     store.forget_history()
