Refuse jobs that take many times their bytes once decoded

Found while the budget was checked: five jobs of 4 MiB, one after the other, with 349,523 short steps each took an entry to 168 MB, and with 2,097,129 dependencies to 166 MB, on a machine of 160 MB. No such job fits a row.

Change: a body with over 32,768 objects or 262,144 values is refused as unreadable_message before it is decoded.

--- a/filbertlb/platform/wire.py
+++ b/filbertlb/platform/wire.py
@@ -30,6 +30,16 @@
 RACK_LABEL_PREFIX = "r"
 
 
+MAX_JOB_OBJECTS = 32_768
+"""Most objects in a submission.
+
+A job's row holds under 3,000 steps, and its payload of 8,000 characters may
+hold braces. A body of 4 MiB with 349,523 short steps took 120 MB to decode.
+"""
+MAX_JOB_COMMAS = 262_144
+"""Most values in a submission; 2,000,000 dependencies took 55 MB."""
+
+
 class UnreadableMessageError(InvalidInputError):
     """A message of another writer cannot be used."""
 
@@ -176,6 +186,11 @@
     body: bytes, job_id: str, queue: Queue, organisation: str, now_ms: int
 ) -> Job:
     """Decode the body of a job submission."""
+    if body.count(b"{") > MAX_JOB_OBJECTS or body.count(b",") > MAX_JOB_COMMAS:
+        raise UnreadableMessageError(
+            f"a job of {len(body)!r} bytes has more than {MAX_JOB_OBJECTS} "
+            f"objects or {MAX_JOB_COMMAS} values; split it"
+        )
     submission = _decode(body, _Job)
     step_count = len(submission.steps)
     for step in submission.steps:
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -344,6 +344,32 @@
         watch.check()
 
 
+def filled(start, item, end):
+    """Return a largest legal body that repeats an item."""
+    count = (BODY_BYTES - len(start) - len(end)) // (len(item) + 1)
+    return start + b",".join([item] * count) + end
+
+
+@pytest.mark.parametrize(
+    "parts",
+    [
+        (b'{"spec":"a","steps":[', b'{"count":1}', b"]}"),
+        (b'{"spec":"a","steps":[{"count":1,"after":[', b"0", b"]}]}"),
+        (b'{"spec":"a","steps":[{"count":1}],"x":[', b"{}", b"]}"),
+    ],
+    ids=["steps", "dependencies", "unknown"],
+)
+def test_largest_jobs_are_decoded_within_the_machine(site, parts):
+    """Guards against a legal body that takes much more once decoded."""
+    body = filled(*parts)
+    with site.watched("entry") as watch:
+        caller = HttpCaller(f"http://{watch.address('callers')}", 1)
+        for number in range(ORDINARY_REQUESTS):
+            path = f"/render/{number:016x}"
+            caller.post(path, body, DEADLINE_S, HEADERS)
+        watch.check()
+
+
 def endless(length):
     """Return an application whose answers take more than the machine has."""
 
