Describe the protection against clients beyond the limits

In filbertlb/admission.py the reason for the budget's share of the memory is given by the parts that it was checked with.

--- a/filbertlb/admission.py
+++ b/filbertlb/admission.py
@@ -46,8 +46,8 @@
 HELD_SHARE = 1 / 5
 """Share of the machine's memory that is the budget.
 
-An entry without load takes 45 MB of 160; decoding the largest body that
-is well-formed takes another 30 MB for a moment.
+An entry without load takes 45 MB of 160, its connections up to 20 MB and
+answers that it reads up to 48 MB.
 """
 CONNECTIONS_SHARE = 1 / 8
 """Share of the machine's memory for connections without a request."""
