--- a/filbertlb/platform/settings.py
+++ b/filbertlb/platform/settings.py
@@ -16,6 +16,7 @@
 from filbertlb.ranges import Factor
 from filbertlb.ranges import Port
 
+MIB = 1024 * 1024
 SETTINGS_VARIABLE = "FILBERTLB_SETTINGS"
 RUN_TIMES_VARIABLE = "FILBERTLB_RUN_TIMES"
 QUEUE_ORDER_VARIABLE = "FILBERTLB_QUEUE_ORDER"
@@ -62,6 +63,9 @@
     # Share of one core, as fast as `cores` cores together.
     cpu_share: float = 1.0
     cores: float = 1.0
+    # Defaults of the smallest machine that the platform has.
+    memory_mb: Count = 160
+    max_fds: Count = 1638
 
 
 class _Bounds(msgspec.Struct, rename="camel"):
@@ -117,6 +121,8 @@
     evacuate_ms : int
         Time after a request to evacuate a failure domain from which no work
         may start there; 0 in a deployment without evacuation.
+    memory_bytes, descriptors : int
+        Memory of the machine, and descriptors that the process may open.
     run_times : RunTimes
         Source of the expected run times, from ``FILBERTLB_RUN_TIMES``.
     queue_order : QueueOrder
@@ -140,6 +146,8 @@
     checkpoint_interval_s: float
     restore_ms: int
     evacuate_ms: int
+    memory_bytes: int
+    descriptors: int
     run_times: RunTimes = RunTimes.DECLARED
     queue_order: QueueOrder = QueueOrder.DEADLINE
 
@@ -188,6 +196,8 @@
         file.bounds.checkpoint_interval_s,
         file.bounds.restore_ms,
         file.bounds.evacuate_ms or 0,
+        file.limits.memory_mb * MIB,
+        file.limits.max_fds,
         _run_times(),
         _queue_order(),
     )
