--- a/tests/batch/test_evacuation_machine.py
+++ b/tests/batch/test_evacuation_machine.py
@@ -10,6 +10,7 @@
 
 import attrs
 import pytest
+from hypothesis import Phase
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import rule
@@ -117,6 +118,9 @@
 
 EvacuatedWorld.TestCase.settings = settings(
     derandomize=True,
+    # Shrinking a failing run takes longer than the time limit of a test,
+    # which then hides the failure.
+    phases=(Phase.explicit, Phase.generate),
     max_examples=60,
     stateful_step_count=30,
     deadline=None,
--- a/tests/batch/test_world_machine.py
+++ b/tests/batch/test_world_machine.py
@@ -28,6 +28,7 @@
 
 import attrs
 import pytest
+from hypothesis import Phase
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import initialize
@@ -746,6 +747,9 @@
 
 World.TestCase.settings = settings(
     derandomize=True,
+    # Shrinking a failing run takes longer than the time limit of a test,
+    # which then hides the failure.
+    phases=(Phase.explicit, Phase.generate),
     max_examples=80,
     stateful_step_count=30,
     deadline=None,
