Preempt within a rack before running a gang across racks

A gang that fitted across racks was placed there at once if its rack was not expected to be free in time; a cheap stop on its rack was never considered, and stops for a run across racks were.

--- a/filbertlb/batch/placing.py
+++ b/filbertlb/batch/placing.py
@@ -177,11 +177,12 @@
             elsewhere = self._best_placement(group, [nodes], count, ())
         if self.preemption.may_claim_guarantee(group):
             return self._claim(group, nodes, racks, elsewhere, count)
-        if elsewhere is not None and not self._waits_for_rack(group, racks):
-            return elsewhere
-        node_groups = racks if elsewhere is not None else [*racks, nodes]
-        placement = self._preempting(group, node_groups, count)
-        return self.preemption.if_loss_acceptable(placement, group)
+        placement = self.preemption.if_loss_acceptable(
+            self._preempting(group, racks or [nodes], count), group
+        )
+        if placement is not None or elsewhere is None:
+            return placement
+        return None if self._waits_for_rack(group, racks) else elsewhere
 
     def _waits_for_rack(
         self, group: TaskGroup, racks: Sequence[Sequence[str]]
--- a/tests/batch/test_placing.py
+++ b/tests/batch/test_placing.py
@@ -663,3 +663,26 @@
     replay.submit("urgent", step, 4000, priority=0, **tight)
     replay.play(1500)
     assert replay.stopped == set()
+
+
+def test_urgent_gang_ran_across_racks_beside_a_cheap_stop():
+    # It would end late across racks, and the stop loses half a second.
+    replay = replay_on(4, racks=["r1", "r1", "r2", "r2"])
+    for number in (0, 2):
+        low = a_step(
+            needs=ALL_ACCELERATORS,
+            estimate_ms=30_000,
+            data_rack=f"r{1 + number // 2}",
+        )
+        replay.submit(f"low{number}", low, 30_000, priority=2)
+    replay.play(400)
+    gang = a_step(
+        2, needs=ALL_ACCELERATORS, gang=True, same_rack=True, estimate_ms=5000
+    )
+    tight = {"slack_factor": 1.5, "target_ms": 300, "priority": 0}
+    replay.submit("gang", gang, 5000, **tight)
+    replay.play(replay.now_ms + STOP_MS)
+    assert {replay.racks[node] for node in replay.ordered("gang")} in (
+        {"r1"},
+        {"r2"},
+    )
