--- a/filbertlb/platform/wire.py
+++ b/filbertlb/platform/wire.py
@@ -48,7 +48,9 @@
     code = "unreadable_message"
 
 
-class _Route(msgspec.Struct, rename="camel"):
+class Route(msgspec.Struct, rename="camel"):
+    """Entry of ``routes`` in the configuration row."""
+
     name: str
     host: str = ""
     prefix: str = "/"
@@ -62,13 +64,17 @@
     advisor: dict[str, Any] | None = None
 
 
-class _Tenant(msgspec.Struct, rename="camel"):
+class Tenant(msgspec.Struct, rename="camel"):
+    """Entry of ``tenants`` in the configuration row."""
+
     name: str
     api_keys: list[str] = []
     guaranteed: dict[str, Count] | None = None
 
 
-class _Configuration(msgspec.Struct, rename="camel"):
+class Configuration(msgspec.Struct, rename="camel"):
+    """Value of the configuration row, with undecoded entries."""
+
     version: Count
     routes: list[msgspec.Raw] = []
     tenants: list[msgspec.Raw] = []
@@ -238,9 +244,9 @@
 
     Malformed routes and tenants are skipped, the others hold.
     """
-    configuration = _decode(body, _Configuration)
+    configuration = _decode(body, Configuration)
     queues_by_host: dict[str, tuple[Queue, ...]] = {}
-    for route in decode_entries(configuration.routes, _Route):
+    for route in decode_entries(configuration.routes, Route):
         queue = Queue(
             route.name,
             route.host,
@@ -259,7 +265,7 @@
         )
     organisation_by_key: dict[str, str] = {}
     guaranteed: dict[str, int] = {}
-    for tenant in decode_entries(configuration.tenants, _Tenant):
+    for tenant in decode_entries(configuration.tenants, Tenant):
         organisation_by_key.update(dict.fromkeys(tenant.api_keys, tenant.name))
         guaranteed[tenant.name] = (tenant.guaranteed or {}).get("gpu", 0)
     return SiteConfiguration(
--- a/tests/test_odd_numbers.py
+++ b/tests/test_odd_numbers.py
@@ -73,8 +73,8 @@
     *(WorkerReport, _StoredEntry),
     *(platform_settings._File, runner._CallReply, runner._HoldReply),
     *(runner._ListedEnd, runner._ListedRun, runner._NumberedEnd),
-    *(store._Rows, wire._Configuration, wire._Heartbeat, wire._Job),
-    *(wire._Route, wire._Tenant),
+    *(store._Rows, wire.Configuration, wire._Heartbeat, wire._Job),
+    *(wire.Route, wire.Tenant),
 )
 
 
