--- a/filbertlb/platform/configuration_check.py
+++ b/filbertlb/platform/configuration_check.py
@@ -26,7 +26,7 @@
     from collections.abc import Sequence
 
 _T = TypeVar("_T")
-_NULL = msgspec.Raw(b"null")
+NULL = msgspec.Raw(b"null")
 
 MAX_SHOWN_CHARACTERS = 80
 """Characters of a value that a message shows."""
@@ -66,7 +66,7 @@
 
 
 class _Services(msgspec.Struct):
-    services: msgspec.Raw = _NULL
+    services: msgspec.Raw = NULL
 
 
 def check_configuration(
@@ -109,6 +109,17 @@
     return findings
 
 
+def read_version(body: bytes) -> int:
+    """Return the version of the value of a configuration row.
+
+    Raises
+    ------
+    MalformedDataError
+        If the row as a whole cannot be decoded.
+    """
+    return decode_json(body, Configuration).version
+
+
 def _error(code: str, path: str, message: str) -> Finding:
     return Finding(code, Severity.ERROR, path, message)
 
@@ -165,7 +176,7 @@
     it and an odd one must not cost the other checks.
     """
     section = decode_json(body, _Services).services
-    if section == _NULL:
+    if section == NULL:
         return None
     try:
         entries = decode_json(section, list[msgspec.Raw])
@@ -175,7 +186,7 @@
         return None
     names = {}
     for number, entry in enumerate(entries):
-        name = _name_of(_decode_object(entry))
+        name = name_of(decode_object(entry))
         if name is None:
             path = f"services[{number}]"
             message = "not an object with a name; give a text as name"
@@ -323,7 +334,7 @@
     return [_error("guarantees_exceed_capacity", "tenants", message)]
 
 
-def _decode_object(entry: msgspec.Raw) -> dict[str, Any]:
+def decode_object(entry: msgspec.Raw) -> dict[str, Any]:
     """Return an object; an empty one for anything else."""
     try:
         found = decode_json(entry)
@@ -332,6 +343,7 @@
     return found if isinstance(found, dict) else {}
 
 
-def _name_of(entry: dict[str, Any]) -> str | None:
+def name_of(entry: dict[str, Any]) -> str | None:
+    """Return the name of an entry, or ``None`` if it is not a text."""
     name = entry.get("name")
     return name if isinstance(name, str) else None
