Add the command config check-row

It is a sibling of config check, whose arguments (a base and overlays) and exit code 3 for refused changes do not fit: this one ends with 0, 1 for errors and 2 for wrong usage or a file that cannot be read. The message about an unreadable file shows none of its content, which may be an API key.

--- a/filbertlb/cli/config.py
+++ b/filbertlb/cli/config.py
@@ -6,6 +6,7 @@
 import sys
 from pathlib import Path
 from typing import Any
+from typing import BinaryIO
 from typing import TYPE_CHECKING
 
 import click
@@ -13,10 +14,16 @@
 from filbertlb.cli.context import encode
 from filbertlb.cli.context import ExitCode
 from filbertlb.cli.context import pass_context
+from filbertlb.cli.context import report_failure
 from filbertlb.cli.context import table
 from filbertlb.cli.context import utc
 from filbertlb.cli.sending import send_until_settled
 from filbertlb.core.site import load_site
+from filbertlb.decoding import MalformedDataError
+from filbertlb.platform.configuration_check import check_configuration
+from filbertlb.platform.configuration_check import read_version
+from filbertlb.platform.configuration_check import Severity
+from filbertlb.platform.configuration_differences import find_differences
 from filbertlb.scheduling.dry_run import broken_guarantees
 
 if TYPE_CHECKING:
@@ -65,6 +72,58 @@
     _exit_if(problems)
 
 
+@config.command("check-row")
+@click.argument("file", type=click.File("rb"))
+@click.option(
+    "--against",
+    type=click.File("rb"),
+    default=None,
+    help="The version in force; shows what differs from it.",
+)
+@click.option(
+    "--accelerators",
+    type=click.IntRange(0),
+    default=None,
+    help="Accelerators of the site, for the sum of the guarantees.",
+)
+@pass_context
+def check_row(
+    context: Context,
+    file: BinaryIO,
+    against: BinaryIO | None,
+    accelerators: int | None,
+) -> None:
+    """Check a value of the row op/config of the users' platform.
+
+    Exit codes: 0 no errors, 1 errors, 2 wrong usage or unreadable file.
+    """
+    body, version = _read_row(context, file)
+    before, in_force = b"", None
+    if against is not None:
+        before, in_force = _read_row(context, against)
+    findings = check_configuration(
+        body, accelerators=accelerators, version_in_force=in_force
+    )
+    differences = None if against is None else find_differences(before, body)
+    value = {
+        "version": version,
+        "findings": findings,
+        "differences": differences,
+    }
+    errors = sum(found.severity is Severity.ERROR for found in findings)
+    lines = [
+        f"configuration {version}: errors: {errors}, "
+        f"warnings: {len(findings) - errors}",
+        *(str(finding) for finding in findings),
+    ]
+    if differences is not None:
+        lines.append(f"differences from {in_force}: {len(differences)}")
+        lines += [str(difference) for difference in differences]
+    context.show(value, "\n".join(lines))
+    if errors:
+        sys.exit(ExitCode.FAILED)
+
+
 @config.command()
 @click.option("--revision", type=click.IntRange(1), default=None)
 @pass_context
@@ -163,6 +222,23 @@
     context.show(found, f"latest revision: {found['head']}\n{listing}")
 
 
+def _read_row(context: Context, file: BinaryIO) -> tuple[bytes, int]:
+    """Return a configuration row and its version.
+
+    An unreadable file ends the command. The message shows none of the
+    file's content, which may be an API key.
+    """
+    try:
+        body = file.read()
+        return body, read_version(body)
+    except OSError as error:
+        raise click.UsageError(f"{file.name}: {error}") from error
+    except MalformedDataError as error:
+        named = MalformedDataError(f"{file.name}: {error.message}")
+        report_failure(named, context.as_json)
+        sys.exit(ExitCode.USAGE)
+
+
 def _seen(client: Client, based_on: int | None) -> int:
     """Return the revision that the change is based on."""
     if based_on is not None:
--- a/filbertlb/cli/main.py
+++ b/filbertlb/cli/main.py
@@ -47,9 +47,9 @@
 ) -> None:
     """Scheduler for multi-accelerator jobs under guarantees.
 
-    Exit codes: 0 done, 1 the job or the demo failed, 2 wrong usage,
-    3 refused, 4 outcome unknown (ask again), 5 not available (nothing
-    was done; try again).
+    Exit codes: 0 done, 1 the job, the demo or a check failed, 2 wrong
+    usage, 3 refused, 4 outcome unknown (ask again), 5 not available
+    (nothing was done; try again).
     """
     ctx.obj = Context(url, token, as_json, organisation)
 
