Log the findings about a new configuration row

A process skipped or misapplied parts of a faulty row with at most a line about entries that it could not decode. It now makes the checks of config check-row on each new row and logs up to 10 findings with the version of the configuration and of the row. The row is applied first, so a fault of the checks keeps no row from being applied.

--- a/filbertlb/platform/configuration.py
+++ b/filbertlb/platform/configuration.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from filbertlb.errors import FilbertlbError
+from filbertlb.platform.configuration_check import check_configuration
 from filbertlb.platform.wire import decode_configuration
 from filbertlb.platform.wire import UnreadableMessageError
 
@@ -22,6 +23,8 @@
 CONFIGURATION_KEY = f"{OPERATOR_TABLE}/config"
 POLL_S = 0.9
 """Polling period; catches changes that the change feed misses."""
+MAX_LOGGED_FINDINGS = 10
+"""Most findings logged per row, to bound the log volume of a faulty one."""
 
 
 @attrs.define
@@ -59,11 +62,34 @@
             logger.error("unreadable configuration row ignored: {}", error)
             return
         self.row_version = row.version
+        version_before = self.in_force.version
         if self.peers is not None:
             self.peers.keep_newest(row)
         self.in_force.update_if_newer(
             configuration, f"row version {row.version}"
         )
+        # Last, so that no fault of the checks keeps a row from being applied.
+        self._log_findings(row, configuration.version, version_before)
+
+    def _log_findings(
+        self, row: Row, version: int, version_before: int
+    ) -> None:
+        """Log what the checks find, up to ``MAX_LOGGED_FINDINGS``."""
+        findings = check_configuration(
+            row.value,
+            version_in_force=version_before if version_before >= 0 else None,
+        )
+        for finding in findings[:MAX_LOGGED_FINDINGS]:
+            logger.warning(
+                "configuration {}, row version {}: {}",
+                *(version, row.version, finding),
+            )
+        if len(findings) > MAX_LOGGED_FINDINGS:
+            logger.warning(
+                "configuration {}, row version {}: {} more findings; "
+                "filbertlb config check-row shows them",
+                *(version, row.version, len(findings) - MAX_LOGGED_FINDINGS),
+            )
 
     def poll(self, table: TableService) -> None:
         """Read the row every ``POLL_S`` seconds until the task is killed."""
