Define the constants of the order by benefit once

MIN_OBJECTIVE_MS was unused; the one in job_shape.py is used.

A test pins the share between two jobs of known values. It was seen to fail with 0.2 and with 0.

--- a/filbertlb/batch/benefit_order.py
+++ b/filbertlb/batch/benefit_order.py
@@ -46,7 +46,7 @@
 A shorter time made groups wait until their slack was used up, and an error
 of the estimate made them late.
 """
-BASE_STAKE = 0.2
+BASE_STAKE = 0.1
 """Share of the expected value that counts for a group that could wait.
 
 It puts groups with ample slack in order of the value for their work.
@@ -78,23 +78,6 @@
 """Odds that a task ends within the time that few tasks exceed."""
 MIN_SPREAD = 1.1
 """Least ratio assumed between the time that few exceed and the expected."""
-FAIRNESS_POWER = 8
-"""Power of an organisation's excess by which its benefit is divided.
-
-Work of an organisation that exceeds its share by a fifth counts a quarter,
-so its urgent work gives way to bulk work of others, two levels below.
-"""
-MIN_OBJECTIVE_MS = 1000
-"""Shortest objective assumed, for jobs without an estimate."""
-UPPER_ODDS = 19
-"""Odds that a task ends within the time that few tasks exceed."""
-MIN_SPREAD = 1.1
-"""Least ratio assumed between the time that few exceed and the expected."""
-BASE_STAKE = 0.1
-"""Share of its value that counts for a group that could as well wait.
-
-It puts such groups in order, after those that lose by waiting.
-"""
 DIGITS = 9
 """Digits of shares that count, so that rounding errors decide nothing."""
 MAX_PRIORITY_LEVELS = 16
--- a/tests/batch/test_queue_order.py
+++ b/tests/batch/test_queue_order.py
@@ -245,6 +245,19 @@
     assert Decision(*jobs).names == ["u", "b"]
 
 
+@pytest.mark.parametrize(
+    ("priority", "names"), [(2, ["tight", "ample"]), (3, ["ample", "tight"])]
+)
+def test_job_with_ample_slack_counts_a_tenth_of_its_value(priority, names):
+    # With a larger share, urgent jobs that could wait go before jobs that
+    # would end too late; with none, jobs of little value go before them.
+    ample = a_run("ample", 1, 10_000, priority=0, slack_factor=50.0)
+    tight = a_run(
+        "tight", 1, 10_000, priority=priority, slack_factor=1.0, target_ms=0
+    )
+    assert Decision(ample, tight).names == names
+
+
 def test_rest_of_a_job_that_is_nearly_done_comes_first():
     # Its other steps are paid for, so little work earns its whole value.
     step = a_step(needs=(1, 1000, 1000), estimate_ms=2000)
