Refresh the work of jobs with their shapes

The work of a job that demand and entitlements count was computed once, with the run times of that moment, while shapes were refreshed every 5 s. A decider that had just taken over therefore found other entitlements than the one before it. Both now come from the same shapes, which are forgotten with the job. Jobs are summed up in the order of their ids, so sums are equal too.

--- a/filbertlb/batch/demand.py
+++ b/filbertlb/batch/demand.py
@@ -11,7 +11,6 @@
 import attrs
 
 from filbertlb.batch.job_shape import shape_of
-from filbertlb.batch.job_shape import step_work
 
 if TYPE_CHECKING:
     from filbertlb.batch.durations import DurationModel
@@ -38,15 +37,6 @@
 """
 
 
-@attrs.frozen
-class _JobDemand:
-    organisation: str
-    queue: str
-    work: float
-    times: int
-    accepted_ms: int
-
-
 @attrs.define
 class Demand:
     """Work of the known jobs in core-seconds.
@@ -64,39 +54,34 @@
 
     size_by_organisation: dict[str, float] = attrs.Factory(dict)
     mean_work_by_queue: dict[str, float] = attrs.Factory(dict)
-    _demand_by_job_id: dict[str, _JobDemand] = attrs.Factory(dict)
     _shape_by_job_id: dict[str, JobShape] = attrs.Factory(dict)
     _shapes_since_ms: int = 0
 
     def update(
         self, state: PlannerState, durations: DurationModel, now_ms: int
     ) -> None:
-        """Take in new jobs, and forget those that the state has forgotten."""
+        """Sum up the work of the known jobs.
+
+        All figures come from the same run times, so that a decider that has
+        just taken over finds the same as one that has decided for long.
+        """
+        shapes = self._shape_by_job_id
         if not 0 <= now_ms - self._shapes_since_ms < MAX_SHAPE_AGE_MS:
-            self._shape_by_job_id.clear()
+            shapes.clear()
             self._shapes_since_ms = now_ms
-        known = self._demand_by_job_id
-        for job_id in known.keys() - state.jobs.keys():
-            del known[job_id]
-        for job_id in sorted(state.jobs.keys() - known.keys()):
-            job = state.jobs[job_id]
-            known[job_id] = _JobDemand(
-                job.organisation,
-                job.queue,
-                sum(step_work(job, step, durations) for step in job.steps),
-                max(1, job.times),
-                job.accepted_ms,
-            )
+        for job_id in shapes.keys() - state.jobs.keys():
+            del shapes[job_id]
         sizes: dict[str, float] = {}
         totals: dict[str, tuple[float, int]] = {}
-        for demand in known.values():
-            age_ms = max(0, now_ms - demand.accepted_ms)
+        for _, job in sorted(state.jobs.items()):
+            job_work = self.shape(job, durations).work
+            age_ms = max(0, now_ms - job.accepted_ms)
             settled = min(1.0, age_ms / SETTLED_AGE_MS)
-            name = demand.organisation
-            work = demand.work * demand.times * settled
+            name = job.organisation
+            work = job_work * max(1, job.times) * settled
             sizes[name] = sizes.get(name, 0.0) + work
-            total, jobs = totals.get(demand.queue, (0.0, 0))
-            totals[demand.queue] = (total + demand.work, jobs + 1)
+            total, jobs = totals.get(job.queue, (0.0, 0))
+            totals[job.queue] = (total + job_work, jobs + 1)
         self.size_by_organisation = sizes
         self.mean_work_by_queue = {
             queue: total / jobs for queue, (total, jobs) in totals.items()
--- a/tests/batch/test_queue_order.py
+++ b/tests/batch/test_queue_order.py
@@ -2,6 +2,7 @@
 
 from random import Random
 
+import attrs
 import pytest
 
 from filbertlb.batch.benefit_order import AGED_FACTOR
@@ -10,6 +11,7 @@
 from filbertlb.batch.benefit_order import BenefitOrder
 from filbertlb.batch.benefit_order import LATE_FACTOR
 from filbertlb.batch.demand import Demand
+from filbertlb.batch.demand import MAX_SHAPE_AGE_MS
 from filbertlb.batch.demand import MIN_ENTITLEMENT
 from filbertlb.batch.demand import SETTLED_AGE_MS
 from filbertlb.batch.durations import DeclaredDurations
@@ -341,6 +343,37 @@
     assert newcomer >= 0.9 * MIN_ENTITLEMENT / 3
 
 
+@attrs.frozen
+class ScaledDurations(DeclaredDurations):
+    """Multiples of the declared run times."""
+
+    factor: int = 1
+
+    def expected_ms(self, job, step):
+        return self.factor * step.estimate_ms
+
+
+def test_work_is_that_of_the_run_times_that_are_expected_now():
+    # The first decider kept the work of the moment when it saw a job, so
+    # entitlements changed when another took over.
+    state = PlannerState()
+    first = a_run("a", 1, 1000, 0, organisation="a")
+    state.add_job(first)
+    old = Demand()
+    old.update(state, DeclaredDurations(), SETTLED_AGE_MS)
+    state.add_job(a_run("b", 1, 1000, 0, organisation="b"))
+    durations = ScaledDurations(factor=4)
+    now_ms = SETTLED_AGE_MS + MAX_SHAPE_AGE_MS
+    new = Demand()
+    for demand in (old, new):
+        demand.update(state, durations, now_ms)
+    assert old.size_by_organisation == new.size_by_organisation
+    assert old.mean_work_by_queue == new.mean_work_by_queue
+    assert old.entitlements({"a", "b"}) == {"a": 0.5, "b": 0.5}
+    mean_work = old.mean_work_by_queue[first.queue]
+    assert old.shape(first, durations).work == mean_work
+
+
 def test_forgotten_jobs_do_not_count_as_demand():
     state = PlannerState()
     state.add_job(a_run("a", 1, 1000, 0, organisation="a"))
