Report waiting groups while evacuation requests are outdated

A decision that places nothing, since the evacuation requests were last read too long ago, left out the report of the queue, so the gauge waiting_groups kept its last values and the log said nothing. All ready groups are now counted under a reason of their own, requests_outdated.

--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -138,6 +138,8 @@
         self._withdraw_evacuated_orders(now_s, now_ms)
         self._finish_jobs(now_ms)
         if not self._may_place(now_s):
+            ready = self._ready_groups(now_ms)
+            self.queue_report.update_outdated(ready, now_s, now_ms)
             return
         available = available_capacity(
             self.state, self.workers, now_s, self.evacuations
--- a/filbertlb/batch/queue_report.py
+++ b/filbertlb/batch/queue_report.py
@@ -17,6 +17,10 @@
 from filbertlb.core.amounts import covers
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+    from collections.abc import Sequence
+
     from filbertlb.batch.placing import Placer
     from filbertlb.batch.planner_state import TaskGroup
 
@@ -32,6 +36,8 @@
 class WaitReason(StrEnum):
     """What a group that is ready waits for."""
 
+    REQUESTS_OUTDATED = "requests_outdated"
+    """Nothing is placed, as the known evacuation requests are too old."""
     NOT_TRIED = "not_tried"
     """The decision had changed as many rows as it may."""
     NO_WORKER = "no_worker"
@@ -65,10 +71,40 @@
         """Count, and log from time to time, what still waits."""
         if now_s < self._next_count_s:
             return
-        self._next_count_s = now_s + COUNT_PERIOD_S
         reasons = _Reasons(placer)
         waiting = [(group, reasons.of(group)) for group in placer.waiting]
         waiting += [(group, WaitReason.NOT_TRIED) for group in placer.untried]
+        self._record(
+            waiting,
+            now_s,
+            placer.context.now_ms,
+            lambda group: f", {placer.order.explain(group)}",
+        )
+
+    def update_outdated(
+        self, groups: Iterable[TaskGroup], now_s: float, now_ms: int
+    ) -> None:
+        """Count and log ready groups while evacuation requests are outdated.
+
+        Their order is not known then; the oldest are logged first.
+        """
+        if now_s < self._next_count_s:
+            return
+        oldest = sorted(
+            groups, key=lambda item: (item.earliest_start_ms, item.name)
+        )
+        waiting = [(group, WaitReason.REQUESTS_OUTDATED) for group in oldest]
+        self._record(waiting, now_s, now_ms, lambda _: "")
+
+    def _record(
+        self,
+        waiting: Sequence[tuple[TaskGroup, WaitReason]],
+        now_s: float,
+        now_ms: int,
+        place: Callable[[TaskGroup], str],
+    ) -> None:
+        """Count what waits, and log it if a line is due."""
+        self._next_count_s = now_s + COUNT_PERIOD_S
         self.count_by_reason = dict(
             Counter(reason.value for _, reason in waiting)
         )
@@ -78,7 +114,7 @@
                 "queue: {} groups wait ({}), first {}",
                 *(len(waiting), _summary(self.count_by_reason)),
                 "; ".join(
-                    _description(placer, group, reason)
+                    _description(group, now_ms, place(group), reason)
                     for group, reason in waiting[:LOGGED_GROUPS]
                 ),
             )
@@ -132,11 +168,12 @@
     )
 
 
-def _description(placer: Placer, group: TaskGroup, reason: WaitReason) -> str:
+def _description(
+    group: TaskGroup, now_ms: int, place: str, reason: WaitReason
+) -> str:
     job = group.job
     return (
         f"{group.name[:MAX_NAME_LENGTH]} of "
         f"{job.organisation[:MAX_NAME_LENGTH]!r} priority {job.priority} "
-        f"waited {placer.context.waited_ms(group)} ms, "
-        f"{placer.order.explain(group)}: {reason.value}"
+        f"waited {now_ms - group.earliest_start_ms} ms{place}: {reason.value}"
     )
--- a/tests/batch/test_queue_report.py
+++ b/tests/batch/test_queue_report.py
@@ -5,6 +5,7 @@
 
 from filbertlb.batch.crashes import MAX_BACKOFF_MS
 from filbertlb.batch.demand import Demand
+from filbertlb.batch.evacuation import Evacuations
 from filbertlb.batch.model import Crash
 from filbertlb.batch.model import TaskRecord
 from filbertlb.batch.placing import MAX_CHANGED_ROWS
@@ -98,6 +99,22 @@
     assert planner.queue_report.count_by_reason == {"not_tried": 3}
 
 
+def test_groups_are_counted_while_evacuation_requests_are_outdated(lines):
+    # The gauge kept its last values for as long as nothing was placed.
+    planner = decided(a_job("a", a_step(17, gang=True)))
+    assert planner.queue_report.count_by_reason == {"constrained": 1}
+    planner.state.add_job(a_job("b"))
+    planner.evacuations = Evacuations(max_age_s=1.0, complete_s=0.0)
+    planner.decide(LOG_PERIOD_S, 5000)
+    assert planner.queue_report.count_by_reason == {"requests_outdated": 2}
+    assert lines[-1].startswith("queue: 2 groups wait (requests_outdated 2)")
+    assert "a.0.0 of 'divers' priority 2 waited 5000 ms: req" in lines[-1]
+    planner.evacuations.complete_s = LOG_PERIOD_S
+    planner.workers["n0"].seen_s = planner.workers["n1"].seen_s = 6.0
+    planner.decide(6.0, 6000)
+    assert planner.queue_report.count_by_reason == {"constrained": 1}
+
+
 @pytest.mark.parametrize("demand", [None, Demand()])
 def test_log_tells_the_order_and_is_bounded(lines, demand):
     # Hundreds of groups wait on a full site, and decisions follow each other
