Tell the reasons of waiting groups apart by what placement looks at

The reason of a group was that of the first one with its service, label and needs, although what is reserved also depends on how long its tasks run. And workers that are held back while their domain returns to use counted as free, so groups that had no room seemed to wait for their own limits. The cache now tells run times and guarantees apart, and reasons come from the nodes that placement considers. Nodes with a full orders row still count, as that depends on the job and is told as constrained; a test pins it.

--- a/filbertlb/batch/placing_context.py
+++ b/filbertlb/batch/placing_context.py
@@ -132,6 +132,14 @@
 
     def candidates(self, group: TaskGroup) -> list[str]:
         """Return the nodes that tasks of a group may be placed on."""
+        return [
+            node
+            for node in self.eligible_nodes(group)
+            if self._can_order(group.job, node)
+        ]
+
+    def eligible_nodes(self, group: TaskGroup) -> list[str]:
+        """Return the candidates, also those whose orders row is full."""
         label = group.step.required_label
         excluded: frozenset[str] = frozenset()
         if group.job.job_id not in self.within_guarantee:
@@ -141,7 +149,6 @@
             for node, worker in self.available.workers.items()
             if node not in excluded
             and is_eligible(worker, group.job.service, label)
-            and self._can_order(group.job, node)
         ]
 
     def record_order(self, node: str) -> None:
--- a/filbertlb/batch/queue_report.py
+++ b/filbertlb/batch/queue_report.py
@@ -13,7 +13,6 @@
 import attrs
 from loguru import logger
 
-from filbertlb.batch.workers import is_eligible
 from filbertlb.core.amounts import covers
 
 if TYPE_CHECKING:
@@ -122,7 +121,7 @@
 
 @attrs.define
 class _Reasons:
-    """Reasons in one decision; equal needs are looked up once."""
+    """Reasons in one decision; groups that are alike are looked up once."""
 
     placer: Placer
     _cache: dict[object, WaitReason] = attrs.Factory(dict)
@@ -131,32 +130,35 @@
         placer = self.placer
         if placer.state.suspects and not placer.separation.startable(group):
             return WaitReason.DELAYED
-        step = group.step
-        key = (group.job.service, step.required_label, step.needs)
+        key = (
+            group.job.service,
+            group.step.required_label,
+            group.step.needs,
+            group.job.job_id in placer.context.within_guarantee,
+            placer.reservations.latest_end_ms(group),
+        )
         reason = self._cache.get(key)
         if reason is None:
             reason = self._cache[key] = self._reason(group)
         return reason
 
     def _reason(self, group: TaskGroup) -> WaitReason:
-        available = self.placer.available
-        step = group.step
-        eligible = [
-            node
-            for node, worker in available.workers.items()
-            if is_eligible(worker, group.job.service, step.required_label)
-        ]
+        """Return the reason by what :meth:`of` tells groups apart by.
+
+        Whether an orders row is full depends on the job, so nodes with a
+        full one count as well.
+        """
+        placer = self.placer
+        needs = group.step.needs
+        eligible = placer.context.eligible_nodes(group)
         if not eligible:
             return WaitReason.NO_WORKER
-        fitting = {
-            node
-            for node in eligible
-            if covers(available.room[node], step.needs)
-        }
+        room = placer.available.room
+        fitting = [node for node in eligible if covers(room[node], needs)]
         if not fitting:
             return WaitReason.NO_ROOM
-        unreserved = self.placer.reservations.room_for(group)
-        if not any(covers(unreserved[node], step.needs) for node in fitting):
+        unreserved = placer.reservations.room_for(group)
+        if not any(covers(unreserved[node], needs) for node in fitting):
             return WaitReason.RESERVED
         return WaitReason.CONSTRAINED
 
--- a/filbertlb/batch/reservations.py
+++ b/filbertlb/batch/reservations.py
@@ -139,7 +139,7 @@
         """
         if not self._holds:
             return self.context.available.room
-        end_ms = self._latest_end_ms(group)
+        end_ms = self.latest_end_ms(group)
         room = dict(self.context.available.room)
         for node in self._holds:
             if node in room:
@@ -148,11 +148,22 @@
 
     def ends_in_known_time(self, group: TaskGroup) -> bool:
         """Return whether the end of a group's tasks can be foreseen."""
-        return self._latest_end_ms(group) is not None
+        return self.latest_end_ms(group) is not None
+
+    def latest_end_ms(self, group: TaskGroup) -> int | None:
+        """Return when tasks started now very likely have ended, or None.
+
+        None if they last until they are cancelled or nobody knows how long
+        they run.
+        """
+        upper_ms = self.context.durations.upper_ms(group.job, group.step)
+        if group.step.long_running or upper_ms <= 0:
+            return None
+        return self.context.now_ms + START_DELAY_MS + upper_ms
 
     def is_held(self, node: str, group: TaskGroup) -> bool:
         """Return whether a node has a hold that a group's tasks outlast."""
-        end_ms = self._latest_end_ms(group)
+        end_ms = self.latest_end_ms(group)
         return any(
             end_ms is None or hold.start_ms < end_ms
             for hold in self._holds.get(node, ())
@@ -160,7 +171,7 @@
 
     def record_order(self, task: str, group: TaskGroup, node: str) -> None:
         """Record that a task was ordered on a node."""
-        end_ms = self._latest_end_ms(group)
+        end_ms = self.latest_end_ms(group)
         for hold in self._holds.get(node, ()):
             if end_ms is not None and end_ms <= hold.start_ms:
                 hold.ending[task] = group.step.needs
@@ -352,17 +363,6 @@
             free = elementwise_min(free, then)
         return free
 
-    def _latest_end_ms(self, group: TaskGroup) -> int | None:
-        """Return when tasks started now very likely have ended, or None.
-
-        None if they last until they are cancelled or nobody knows how long
-        they run.
-        """
-        upper_ms = self.context.durations.upper_ms(group.job, group.step)
-        if group.step.long_running or upper_ms <= 0:
-            return None
-        return self.context.now_ms + START_DELAY_MS + upper_ms
-
     @staticmethod
     def _task_count(group: TaskGroup) -> int:
         """Return how many tasks are started together."""
--- a/tests/batch/test_queue_report.py
+++ b/tests/batch/test_queue_report.py
@@ -6,6 +6,7 @@
 from filbertlb.batch.crashes import MAX_BACKOFF_MS
 from filbertlb.batch.demand import Demand
 from filbertlb.batch.evacuation import Evacuations
+from filbertlb.batch.job_check import MAX_JOB_PAYLOAD_BYTES
 from filbertlb.batch.model import Crash
 from filbertlb.batch.model import TaskRecord
 from filbertlb.batch.placing import MAX_CHANGED_ROWS
@@ -35,10 +36,10 @@
     logger.remove(sink)
 
 
-def decided(*jobs, demand=None, records=None, now_s=0.0):
-    """Return a planner of two workers after a decision."""
+def decided(*jobs, demand=None, records=None, now_s=0.0, nodes=("n0", "n1")):
+    """Return a planner of some workers after a decision."""
     planner = Planner(demand=demand)
-    for node in ("n0", "n1"):
+    for node in nodes:
         worker = a_worker(incarnation=f"{node}@1")
         planner.record_report(a_report(node, worker=worker), now_s)
     for job in jobs:
@@ -77,6 +78,51 @@
     assert planner.queue_report.count_by_reason == {"reserved": 2}
 
 
+def test_groups_of_equal_needs_that_end_before_a_reservation_are_told_apart():
+    # The reason of the first group counted for all with its needs.
+    running = a_job("r", a_step(needs=(4, 1, 1)), priority=0)
+    gang = a_job("g", a_step(2, gang=True, needs=ALL_ACCELERATORS), priority=1)
+    needs = (1, 1, 1)
+    long = a_job("l", a_step(needs=needs), target_ms=0)
+    short = a_job("s", a_step(13, gang=True, needs=needs, estimate_ms=100))
+    planner = decided(running, gang, long, short)
+    assert planner.queue_report.count_by_reason == {
+        "reserved": 2,
+        "constrained": 1,
+    }
+
+
+@pytest.mark.parametrize("guaranteed", [0, 32])
+def test_workers_that_are_held_back_have_no_room_for_ordinary_work(guaranteed):
+    # They counted as free, so groups seemed to wait for their own limits.
+    planner = Planner(guaranteed={"divers": guaranteed})
+    for node, zone in (("n0", "a"), ("n1", "a"), ("n2", "b")):
+        worker = a_worker(incarnation=f"{node}@1", zone=zone)
+        planner.record_report(a_report(node, worker=worker), 0.0)
+    planner.evacuations.request("a", 1)
+    planner.evacuations.withdraw("a", 0.0)
+    claim = a_job("c", a_step(32, gang=True), priority=0)
+    for job in (claim, a_job("o", a_step(17))):
+        planner.state.add_job(job)
+    planner.decide(0.0, 0)
+    assert (
+        planner.queue_report.count_by_reason
+        == {
+            True: {"constrained": 1, "no_room": 1},
+            False: {"no_room": 2},
+        }[guaranteed > 0]
+    )
+
+
+def test_worker_with_a_full_orders_row_is_no_missing_worker():
+    payload = "x" * MAX_JOB_PAYLOAD_BYTES
+    jobs = [a_job(f"{n:02}", payload=payload) for n in range(8)]
+    planner = decided(*jobs, nodes=("n0",))
+    waiting = sum(planner.queue_report.count_by_reason.values())
+    assert waiting
+    assert planner.queue_report.count_by_reason == {"constrained": waiting}
+
+
 def test_delayed_restart_is_told_apart():
     job = a_job("a", a_step(long_running=True))
     planner = decided(job, records={"a.0.0.0": crashed(0)})
