--- a/tests/batch/test_queue_report.py
+++ b/tests/batch/test_queue_report.py
@@ -36,9 +36,11 @@
     logger.remove(sink)
 
 
-def decided(*jobs, demand=None, records=None, now_s=0.0, nodes=("n0", "n1")):
+def decided(
+    *jobs, by_benefit=False, records=None, now_s=0.0, nodes=("n0", "n1")
+):
     """Return a planner of some workers after a decision."""
-    planner = Planner(demand=demand)
+    planner = Planner(demand=Demand() if by_benefit else None)
     for node in nodes:
         worker = a_worker(incarnation=f"{node}@1")
         planner.record_report(a_report(node, worker=worker), now_s)
@@ -63,9 +65,9 @@
         (a_step(3, max_per_worker=1), WaitReason.CONSTRAINED),
     ],
 )
-@pytest.mark.parametrize("demand", [None, Demand()])
-def test_waiting_groups_are_counted_by_reason(step, reason, demand):
-    planner = decided(a_job("a", step), demand=demand)
+@pytest.mark.parametrize("by_benefit", [False, True])
+def test_waiting_groups_are_counted_by_reason(step, reason, by_benefit):
+    planner = decided(a_job("a", step), by_benefit=by_benefit)
     assert planner.queue_report.count_by_reason == {reason.value: 1}
 
 
@@ -161,13 +163,14 @@
     assert planner.queue_report.count_by_reason == {"constrained": 1}
 
 
-@pytest.mark.parametrize("demand", [None, Demand()])
-def test_log_tells_the_order_and_is_bounded(lines, demand):
+@pytest.mark.parametrize("by_benefit", [False, True])
+def test_log_tells_the_order_and_is_bounded(lines, by_benefit):
     # Hundreds of groups wait on a full site, and decisions follow each other
     # within 10 ms.
     names = ["x" * 300] + [f"{n:03}" for n in range(300)]
     step = a_step(17, gang=True)
-    planner = decided(*[a_job(n, step) for n in names], demand=demand)
+    jobs = [a_job(name, step) for name in names]
+    planner = decided(*jobs, by_benefit=by_benefit)
     for number in range(100):
         now_s = number * LOG_PERIOD_S / 100
         planner.decide(now_s, int(now_s * 1000))
