Read the two choices in the environment alike

FILBERTLB_QUEUE_ORDER and FILBERTLB_RUN_TIMES were read by two copies of one function: an empty value was an error of the one and the default of the other, and only one cut a long value in its message. The test case that expected the default for an empty order is therefore replaced by one that expects the error. The class and code of the queue order are named like those of the run times: QueueOrderSettingError, queue_order_setting.

--- a/filbertlb/platform/settings.py
+++ b/filbertlb/platform/settings.py
@@ -5,6 +5,7 @@
 import os
 from enum import StrEnum
 from pathlib import Path
+from typing import TypeVar
 
 import msgspec
 
@@ -20,6 +21,10 @@
 SETTINGS_VARIABLE = "FILBERTLB_SETTINGS"
 RUN_TIMES_VARIABLE = "FILBERTLB_RUN_TIMES"
 QUEUE_ORDER_VARIABLE = "FILBERTLB_QUEUE_ORDER"
+MAX_SHOWN_CHARACTERS = 80
+"""Characters of a bad value that a message shows."""
+
+_Choice = TypeVar("_Choice", bound=StrEnum)
 
 
 class QueueOrder(StrEnum):
@@ -41,10 +46,10 @@
     code = "run_times_setting"
 
 
-class QueueOrderError(InvalidInputError):
+class QueueOrderSettingError(InvalidInputError):
     """The order of the queue is unknown."""
 
-    code = "queue_order"
+    code = "queue_order_setting"
 
 
 class _Listen(msgspec.Struct, rename="camel"):
@@ -166,8 +171,8 @@
         If the file is missing or invalid.
     RunTimesSettingError
         If ``FILBERTLB_RUN_TIMES`` has an unknown value.
-    QueueOrderError
-        If ``FILBERTLB_QUEUE_ORDER`` is invalid.
+    QueueOrderSettingError
+        If ``FILBERTLB_QUEUE_ORDER`` has an unknown value.
     """
     file_path = path or os.environ.get(SETTINGS_VARIABLE, "")
     try:
@@ -198,30 +203,29 @@
         file.bounds.evacuate_ms or 0,
         file.limits.memory_mb * MIB,
         file.limits.max_fds,
-        _run_times(),
-        _queue_order(),
+        _variable(RUN_TIMES_VARIABLE, RunTimes.DECLARED, RunTimesSettingError),
+        _variable(
+            QUEUE_ORDER_VARIABLE, QueueOrder.DEADLINE, QueueOrderSettingError
+        ),
     )
 
 
-def _run_times() -> RunTimes:
-    value = os.environ.get(RUN_TIMES_VARIABLE, RunTimes.DECLARED)
-    try:
-        return RunTimes(value)
-    except ValueError as error:
-        raise RunTimesSettingError(
-            f"{RUN_TIMES_VARIABLE} is {value[:80]!r}; set it to one of "
-            f"{', '.join(RunTimes)}, or leave it unset for "
-            f"{RunTimes.DECLARED}"
-        ) from error
-
+def _variable(
+    name: str, default: _Choice, error_class: type[InvalidInputError]
+) -> _Choice:
+    """Return the choice that an environment variable makes.
 
-def _queue_order() -> QueueOrder:
-    """Return the order of the queue that the environment selects."""
-    value = os.environ.get(QUEUE_ORDER_VARIABLE) or QueueOrder.DEADLINE
+    Raises
+    ------
+    InvalidInputError
+        An ``error_class`` if the value is unknown; an empty one is too.
+    """
+    value = os.environ.get(name, default)
+    choices = type(default)
     try:
-        return QueueOrder(value)
+        return choices(value)
     except ValueError as error:
-        raise QueueOrderError(
-            f"{QUEUE_ORDER_VARIABLE} is {value!r}; set it to one of "
-            f"{', '.join(QueueOrder)}"
+        raise error_class(
+            f"{name} is {value[:MAX_SHOWN_CHARACTERS]!r}; set it to one of "
+            f"{', '.join(choices)}, or leave it unset for {default}"
         ) from error
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -11,7 +11,7 @@
 from filbertlb.platform.settings import load_settings_file
 from filbertlb.platform.settings import QUEUE_ORDER_VARIABLE
 from filbertlb.platform.settings import QueueOrder
-from filbertlb.platform.settings import QueueOrderError
+from filbertlb.platform.settings import QueueOrderSettingError
 from filbertlb.platform.settings import RUN_TIMES_VARIABLE
 from filbertlb.platform.settings import SettingsFileError
 
@@ -149,7 +149,6 @@
     ("value", "order"),
     [
         (None, QueueOrder.DEADLINE),
-        ("", QueueOrder.DEADLINE),
         ("deadline", QueueOrder.DEADLINE),
         ("benefit", QueueOrder.BENEFIT),
     ],
@@ -165,8 +164,14 @@
     assert load_settings_file(path).queue_order is order
 
 
-def test_unknown_queue_order_is_a_coded_error(tmp_path, monkeypatch):
-    monkeypatch.setenv(QUEUE_ORDER_VARIABLE, "fair")
+@pytest.mark.parametrize("value", ["", "fair", "x" * 999])
+def test_unknown_queue_order_is_a_coded_error(tmp_path, monkeypatch, value):
+    # An empty value selected the default, unlike that of the run times, and
+    # a long one was shown whole.
+    monkeypatch.setenv(QUEUE_ORDER_VARIABLE, value)
     path = write_settings(tmp_path, SETTINGS)
-    with pytest.raises(QueueOrderError, match="'fair'; set it to one of"):
+    expected = f"{value[:80]!r}; set it to one of deadline, benefit"
+    with pytest.raises(QueueOrderSettingError, match=expected) as caught:
         load_settings_file(path)
+    assert caught.value.code == "queue_order_setting"
+    assert len(str(caught.value)) < 300
