Reject a bound of evacuations that is shorter than two polls

No work is placed while the known evacuation requests are older than half of evacuateMs, and the requests are polled every 0.9 s. With a bound under 2 s a decider would mostly place nothing, and only its log would tell. Such a value now ends the process with the code settings_file.

--- a/filbertlb/platform/settings.py
+++ b/filbertlb/platform/settings.py
@@ -24,6 +24,13 @@
 MAX_SHOWN_CHARACTERS = 80
 """Characters of a bad value that a message shows."""
 
+MIN_EVACUATE_MS = 2000
+"""Shortest bound of an evacuation.
+
+No work is placed while the requests are older than half of it, and they are
+only polled every 0.9 s; with a shorter bound an entry would rarely place any.
+"""
+
 _Choice = TypeVar("_Choice", bound=StrEnum)
 
 
@@ -168,7 +175,7 @@
     Raises
     ------
     SettingsFileError
-        If the file is missing or invalid.
+        If the file is missing or invalid, or a value is out of range.
     RunTimesSettingError
         If ``FILBERTLB_RUN_TIMES`` has an unknown value.
     QueueOrderSettingError
@@ -183,6 +190,13 @@
             f"{SETTINGS_VARIABLE} to the path of a settings file written by "
             "the platform"
         ) from error
+    evacuate_ms = file.bounds.evacuate_ms or 0
+    if 0 < evacuate_ms < MIN_EVACUATE_MS:
+        raise SettingsFileError(
+            f"settings file {file_path!r} cannot be used: 'evacuateMs' in "
+            f"'bounds' is {evacuate_ms}; set it to {MIN_EVACUATE_MS} or more, "
+            "or to 0 for a deployment without evacuation"
+        )
     return Settings(
         file.node,
         file.role,
@@ -200,7 +214,7 @@
         file.port_range[0],
         file.bounds.checkpoint_interval_s,
         file.bounds.restore_ms,
-        file.bounds.evacuate_ms or 0,
+        evacuate_ms,
         file.limits.memory_mb * MIB,
         file.limits.max_fds,
         _variable(RUN_TIMES_VARIABLE, RunTimes.DECLARED, RunTimesSettingError),
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -5,10 +5,13 @@
 import pytest
 from click.testing import CliRunner
 
+from filbertlb.batch.evacuation import MAX_AGE_SHARE
 from filbertlb.cli.context import ExitCode
 from filbertlb.cli.main import main
 from filbertlb.errors import FilbertlbError
+from filbertlb.platform.configuration import POLL_S
 from filbertlb.platform.settings import load_settings_file
+from filbertlb.platform.settings import MIN_EVACUATE_MS
 from filbertlb.platform.settings import QUEUE_ORDER_VARIABLE
 from filbertlb.platform.settings import QueueOrder
 from filbertlb.platform.settings import QueueOrderSettingError
@@ -109,6 +112,8 @@
         ({}, 0),
         ({"bounds": {}}, 0),
         ({"bounds": {"evacuateMs": None}}, 0),
+        ({"bounds": {"evacuateMs": 0}}, 0),
+        ({"bounds": {"evacuateMs": 2000}}, 2000),
         ({"bounds": {"evacuateMs": 5000, "reclaimMs": 2700}}, 5000),
     ],
 )
@@ -139,6 +144,24 @@
     assert result.exit_code == ExitCode.REFUSED
 
 
+@pytest.mark.parametrize("evacuate_ms", [1, 1000, 1999])
+def test_bound_of_evacuations_below_two_polls_is_rejected(
+    tmp_path, evacuate_ms
+):
+    # The known requests would be outdated between two polls, and an entry
+    # that decides would place nothing most of the time.
+    body = SETTINGS | {"bounds": {"evacuateMs": evacuate_ms}}
+    path = write_settings(tmp_path, body)
+    expected = f"'evacuateMs' in 'bounds' is {evacuate_ms}; set it to 2000"
+    with pytest.raises(SettingsFileError, match=expected) as caught:
+        load_settings_file(path)
+    assert caught.value.code == "settings_file"
+
+
+def test_shortest_bound_of_evacuations_covers_a_poll():
+    assert MAX_AGE_SHARE * MIN_EVACUATE_MS / 1000 > POLL_S
+
+
 def test_settings_command_shows_loaded_settings(tmp_path):
     path = write_settings(tmp_path, SETTINGS)
     result = CliRunner().invoke(main, ["platform", "settings", path])
