--- a/filbertlb/batch/benefit_order.py
+++ b/filbertlb/batch/benefit_order.py
@@ -37,14 +37,14 @@
 LATE_VALUE = 0.25
 """Share of its value that a late job earns.
 
-Only its being well below 1 matters: it weighs what a late group can lose
-against what one that is on time can.
+Well below 1, as it weighs what a late group can lose against what one that
+is on time can.
 """
 HORIZON_RUNS = 3
 """Mean run times after which a group that is passed over is looked at again.
 
-A shorter time made groups wait until their slack was used up, and an error
-of the estimate made them late.
+With a shorter time a group waits until its slack is used up, and an error of
+the estimate makes it late.
 """
 BASE_STAKE = 0.1
 """Share of the expected value that counts for a group that could wait.
