--- a/filbertlb/batch/benefit_order.py
+++ b/filbertlb/batch/benefit_order.py
@@ -233,7 +233,9 @@
         """
         older = sorted(aged_runs, reverse=True)
         held = 0.0
-        for group in sorted(groups, key=self._start_ms):
+        for group in sorted(
+            groups, key=lambda item: (self._start_ms(item), item.name)
+        ):
             if bands[group.name] is Band.GUARANTEED:
                 continue
             while older and older[-1][0] <= self._start_ms(group):
--- a/tests/batch/test_queue_order.py
+++ b/tests/batch/test_queue_order.py
@@ -280,6 +280,15 @@
     assert decision.names[0] == "fresh"
 
 
+def test_aged_groups_of_one_age_are_advanced_in_the_order_of_their_names():
+    # The next decider may know the jobs in another order.
+    aged = [a_run(f"a{n}", 1, 1000, 0) for n in range(8)]
+    for jobs in (aged, aged[::-1]):
+        decision = Decision(*jobs, now_ms=60_000)
+        bands = [decision.band(job.job_id) for job in aged]
+        assert bands == [Band.AGED] + 7 * [Band.EXPIRED]
+
+
 def test_younger_aged_runs_do_not_hold_up_an_older_group():
     # They are placed by benefit; if they used up the aged share, a large
     # gang would wait for ever under lasting overload.
