--- a/filbertlb/batch/benefit_order.py
+++ b/filbertlb/batch/benefit_order.py
@@ -37,16 +37,16 @@
 LATE_VALUE = 0.25
 """Share of its value that a late job earns.
 
-Only its being well below 1 matters: it weighs what a late group can lose
-against what one that is on time can.
+Well below 1, as it weighs what a late group can lose against what one that
+is on time can.
 """
 HORIZON_RUNS = 3
 """Mean run times after which a group that is passed over is looked at again.
 
-A shorter time made groups wait until their slack was used up, and an error
-of the estimate made them late.
+With a shorter time a group waits until its slack is used up, and an error of
+the estimate makes it late.
 """
-BASE_STAKE = 0.2
+BASE_STAKE = 0.1
 """Share of the expected value that counts for a group that could wait.
 
 It puts groups with ample slack in order of the value for their work.
@@ -78,23 +78,6 @@
 """Odds that a task ends within the time that few tasks exceed."""
 MIN_SPREAD = 1.1
 """Least ratio assumed between the time that few exceed and the expected."""
-FAIRNESS_POWER = 8
-"""Power of an organisation's excess by which its benefit is divided.
-
-Work of an organisation that exceeds its share by a fifth counts a quarter,
-so its urgent work gives way to bulk work of others, two levels below.
-"""
-MIN_OBJECTIVE_MS = 1000
-"""Shortest objective assumed, for jobs without an estimate."""
-UPPER_ODDS = 19
-"""Odds that a task ends within the time that few tasks exceed."""
-MIN_SPREAD = 1.1
-"""Least ratio assumed between the time that few exceed and the expected."""
-BASE_STAKE = 0.1
-"""Share of its value that counts for a group that could as well wait.
-
-It puts such groups in order, after those that lose by waiting.
-"""
 DIGITS = 9
 """Digits of shares that count, so that rounding errors decide nothing."""
 MAX_PRIORITY_LEVELS = 16
@@ -250,7 +233,9 @@
         """
         older = sorted(aged_runs, reverse=True)
         held = 0.0
-        for group in sorted(groups, key=self._start_ms):
+        for group in sorted(
+            groups, key=lambda item: (self._start_ms(item), item.name)
+        ):
             if bands[group.name] is Band.GUARANTEED:
                 continue
             while older and older[-1][0] <= self._start_ms(group):
