Count the tasks that fit on overcommitted nodes as none

may_hold divided negative room by the need, which gave a negative number of tasks: overcommitted nodes hid that others had room, and a gang was not placed on workers of one class of speed. It uses copies, as reservations do. The test failed before: two nodes without room hid that a third holds two tasks.

--- a/filbertlb/batch/fitting.py
+++ b/filbertlb/batch/fitting.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from filbertlb.core.amounts import copies
 from filbertlb.core.amounts import covers
 from filbertlb.core.amounts import is_negative
 from filbertlb.core.amounts import minus
@@ -259,12 +260,7 @@
     """Return whether nodes have room for a number of identical tasks."""
     held = 0
     for node in nodes:
-        shares = [
-            room // need
-            for room, need in zip(room_by_node[node], needs, strict=True)
-            if need
-        ]
-        held += min(shares, default=count)
+        held += copies(room_by_node[node], needs)
         if held >= count:
             return True
     return False
