State why place_tasks makes no second search after a failure

The tasks are identical, and stopping all runs of a node is always among the choices, so either search fails exactly if all stops together free too little.

--- a/filbertlb/batch/fitting.py
+++ b/filbertlb/batch/fitting.py
@@ -199,6 +199,8 @@
         search.preference = preference or {}
         placement = _search(search, needs, count, max_per_worker)
         if placement is None:
+            # Any choice of runs leads to the same number of tasks that fit
+            # on a node in the end, so the other search would fail too.
             return best
         if best is None or placement.cost < best.cost:
             best = placement
