Learn no run times from runs whose rack is not known

A report may lack the worker. Its rack counted as another one, so the run was learned as a third of its real time. The slowdown is now unknown where it depends on such a rack, and nothing is learned. An end is judged by the circumstances seen while the run was listed, as the last report may lack the worker or name another one. Both tests failed before, with 3,000 ms learned from a run of 9,000 ms.

--- a/filbertlb/batch/durations.py
+++ b/filbertlb/batch/durations.py
@@ -40,9 +40,9 @@
         Node of its worker.
     worker : Worker, optional
         The worker; None if it is not known.
-    slowdown : float
+    slowdown : float, optional
         Known ratio of its run time to that near its data and within one
-        rack.
+        rack; None if it depends on a rack that is not known.
     resumed : bool
         It began from a checkpoint, so it does only a part of the work.
     other_nodes : tuple of str
@@ -53,7 +53,7 @@
     step: Step
     node: str
     worker: Worker | None = None
-    slowdown: float = 1.0
+    slowdown: float | None = 1.0
     resumed: bool = False
     other_nodes: tuple[str, ...] = ()
 
--- a/filbertlb/batch/learned_durations.py
+++ b/filbertlb/batch/learned_durations.py
@@ -168,6 +168,12 @@
         self.percent = percent
         self.at_ms = run_ms
 
+    @property
+    def known(self) -> bool:
+        """Whether the worker and the slowdown of the run are known."""
+        observed = self.observed
+        return observed.worker is not None and observed.slowdown is not None
+
     @property
     def tells_speed(self) -> bool:
         """Whether enough of the work was seen to compare the run."""
@@ -334,6 +340,8 @@
                 track.first_percent = track.first_ms = 0
             self._tracks[run.task] = track
         else:
+            if not track.known:
+                track.observed = observe()
             track.update(run.percent, run_ms)
         self._remaining.pop(run.task, None)
         if track.tells_speed and not track.speed_counted:
@@ -346,15 +354,16 @@
         """Learn from the end of a run.
 
         One that was stopped, failed or was resumed from a checkpoint shows
-        that the whole work takes at least as long.
+        that the whole work takes at least as long. One whose slowdown is not
+        known shows nothing.
         """
         track = self._tracks.pop(end.task, None)
         self._remaining.pop(end.task, None)
         done = end.cause is EndCause.DONE
         if end.run_ms is None or not (done or end.cause in LOWER_BOUND_CAUSES):
             return
-        observed = observe()
-        if observed.step.long_running:
+        observed = _observed_last(track, end, observe)
+        if observed.step.long_running or observed.slowdown is None:
             return
         self._latest_ms = max(self._latest_ms, now_ms)
         value = log_ms(end.run_ms) + self._log_pace(observed)
@@ -473,7 +482,7 @@
         log_speed = min(
             map(self._speeds.log_speed, (observed.node, *observed.other_nodes))
         )
-        return log_speed - log(observed.slowdown)
+        return log_speed - log(observed.slowdown or 1.0)
 
     def _learn_speed(
         self, observed: ObservedRun, total: LogNormal | None
@@ -622,6 +631,19 @@
             del self._tables()[number][key]
 
 
+def _observed_last(
+    track: _Track | None, end: RunEnd, observe: Callable[[], ObservedRun]
+) -> ObservedRun:
+    """Return the circumstances of a run that has ended.
+
+    Those while it was listed count: at its end the worker may be unknown,
+    or another one on the same node.
+    """
+    if track is not None and track.attempt == end.attempt and track.known:
+        return track.observed
+    return observe()
+
+
 def _weight(step: Step) -> float:
     """Return the weight of one run; members of a gang end as one."""
     others = 0 if step.gang else step.count - 1
--- a/filbertlb/batch/run_observation.py
+++ b/filbertlb/batch/run_observation.py
@@ -39,16 +39,25 @@
     )
 
 
-def _slowdown(step: Step, racks: set[str]) -> float:
-    """Return the slowdown of a run whose gang uses some racks."""
-    spread = step.same_rack and step.gang and len(racks) > 1
-    far = bool(step.data_rack) and racks != {step.data_rack}
-    return REMOTE_SLOWDOWN if spread or far else 1.0
+def _slowdown(step: Step, racks: set[str | None]) -> float | None:
+    """Return the slowdown of a run whose gang uses some racks.
 
+    None if it depends on a rack that is not known.
+    """
+    known = racks - {None}
+    near_members = step.same_rack and step.gang
+    spread = near_members and len(known) > 1
+    far = bool(step.data_rack) and not known <= {step.data_rack}
+    if spread or far:
+        return REMOTE_SLOWDOWN
+    if len(known) < len(racks) and (near_members or step.data_rack):
+        return None
+    return 1.0
 
-def _rack_of(workers: Mapping[str, WorkerView], node: str) -> str:
+
+def _rack_of(workers: Mapping[str, WorkerView], node: str) -> str | None:
     worker = _worker_on(workers, node)
-    return "" if worker is None else worker.rack
+    return None if worker is None else worker.rack
 
 
 def _worker_on(workers: Mapping[str, WorkerView], node: str) -> Worker | None:
--- a/tests/batch/test_learned_durations.py
+++ b/tests/batch/test_learned_durations.py
@@ -22,12 +22,16 @@
 from filbertlb.batch.model import Run
 from filbertlb.batch.model import RunEnd
 from filbertlb.batch.model import TaskPhase
+from filbertlb.batch.model import TaskRecord
 from filbertlb.batch.planner import Planner
+from filbertlb.batch.planner_state import PlannerState
+from filbertlb.batch.run_observation import observed_run
 from filbertlb.batch.run_time_metrics import sample_run_times
 from filbertlb.batch.testing import a_job
 from filbertlb.batch.testing import a_report
 from filbertlb.batch.testing import a_step
 from filbertlb.batch.testing import a_worker
+from filbertlb.batch.workers import WorkerView
 from filbertlb.metrics import metrics_of
 from filbertlb.table.base import TransactionLimits
 from filbertlb.table.memory import MemoryTable
@@ -435,6 +439,55 @@
     assert learned.prediction(a_job("next", gang), gang).runs == 1
 
 
+@pytest.mark.parametrize(
+    ("step", "other", "learns"),
+    [
+        (a_step(estimate_ms=0, data_rack="r1-1"), None, False),
+        (a_step(2, gang=True, same_rack=True, estimate_ms=0), "n1", False),
+        (a_step(2, gang=True, estimate_ms=0), "n1", True),
+        (a_step(estimate_ms=0), None, True),
+    ],
+)
+def test_run_on_an_unknown_rack_was_learned_as_a_third(step, other, learns):
+    # A worker whose report says nothing about it counted as far away.
+    learned = LearnedDurations()
+    state = PlannerState()
+    state.add_job(a_job("j", step))
+    for number, node in enumerate(("n0", other)):
+        if node is not None:
+            record = TaskRecord(TaskPhase.ORDERED, 1, node=node)
+            state.set_record(f"j.0.0.{number}", record)
+    views = {"n0": WorkerView(a_report("n0", worker=None), 0.0, True)}
+    if other is not None:
+        views[other] = WorkerView(a_report(other), 0.0, True)
+    learned.record_end(
+        RunEnd("j.0.0.0", 1, EndCause.DONE, run_ms=9_000),
+        lambda: observed_run(state, views, "j.0.0.0"),
+        0,
+    )
+    assert expected(learned, a_job("next", step)) == (9_000 if learns else 0)
+
+
+@pytest.mark.parametrize("listed_unknown", [False, True])
+def test_circumstances_are_those_while_the_run_was_listed(listed_unknown):
+    # The report with the end may be that of another worker on the node.
+    learned = LearnedDurations()
+    step = a_step(estimate_ms=0, data_rack="r1-1")
+    job = a_job("j", step)
+    known = ObservedRun(job, step, "n0", a_worker(rack="r1-1"))
+    unknown = ObservedRun(job, step, "n0", slowdown=None)
+    if listed_unknown:
+        run = Run("j.0.0.0", 1, percent=10)
+        learned.record_progress(run, 1_000, lambda: unknown)
+    for percent in (20, 40):
+        run = Run("j.0.0.0", 1, percent=percent)
+        learned.record_progress(run, 100 * percent, lambda: known)
+    other = ObservedRun(job, step, "n0", a_worker(rack="r1-2"), 3.0)
+    end = RunEnd("j.0.0.0", 1, EndCause.DONE, run_ms=9_000)
+    learned.record_end(end, lambda: other, 10_000)
+    assert expected(learned, a_job("next", step)) == 9_000
+
+
 def test_predictions_of_a_decision_at_design_size_are_cheap():
     # 2,300 runs, each asked for its remaining time once in a decision.
     learned, random = LearnedDurations(), Random(4)
