Forget preemptions once the work is done

The names of preempted tasks and gangs were kept until their rows were deleted, so the set grew, and a task of many occurrences or restarts was spared for the whole term. A name is dropped when its run ends done and when its job ends. The tests failed before, with the names still in the set.

--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -303,6 +303,10 @@
                 crashes=_crashes_after(record, end, step),
             ),
         )
+        if end.cause is EndCause.DONE:
+            state.preempted.discard(
+                task_group_of(end.task) if step.gang else end.task
+            )
         if step.gang:
             self._end_gang(end.task, done, now_ms)
 
--- a/filbertlb/batch/planner_state.py
+++ b/filbertlb/batch/planner_state.py
@@ -86,9 +86,9 @@
     suspects : set of str
         Unfinished tasks that may have crashed a worker.
     preempted : set of str
-        Gangs and single tasks that were preempted. They are preempted again
-        only if there is no other choice. It is not stored: the next decider
-        does not know of earlier preemptions.
+        Gangs and single tasks that were preempted and have not been done
+        since. They are preempted again only if there is no other choice. It
+        is not stored: the next decider does not know of earlier preemptions.
     with_reservation : set of str
         Waiting task groups whose reservation was logged.
     rack_wait_since_ms : dict of str to int
@@ -131,9 +131,7 @@
         self.jobs.pop(job_id, None)
         self.progress.pop(job_id, None)
         self.cancelled.discard(job_id)
-        self.preempted = {
-            name for name in self.preempted if job_id_of(name) != job_id
-        }
+        self._forget_preemptions(job_id)
         self.with_reservation = {
             name for name in self.with_reservation if job_id_of(name) != job_id
         }
@@ -143,6 +141,11 @@
             if job_id_of(group) != job_id
         }
 
+    def _forget_preemptions(self, job_id: str) -> None:
+        self.preempted = {
+            name for name in self.preempted if job_id_of(name) != job_id
+        }
+
     def mark_lost(self, task: str, node: str) -> None:
         """Record that a task leaves a silent node."""
         lost_jobs = self.jobs_lost_by_node.setdefault(node, set())
@@ -258,6 +261,7 @@
             progress.ended_ms = now_ms if state in FINAL_STATES else 0
             if state in FINAL_STATES:
                 self.suspects.difference_update(progress.tasks)
+                self._forget_preemptions(job_id)
             self._mark_status(job_id)
 
     def unfinished_jobs(self) -> Iterator[tuple[Job, Progress]]:
--- a/tests/batch/test_placing.py
+++ b/tests/batch/test_placing.py
@@ -9,11 +9,13 @@
 from loguru import logger
 
 from filbertlb.batch.model import EndCause
+from filbertlb.batch.model import JobState
 from filbertlb.batch.model import Run
 from filbertlb.batch.model import RunEnd
 from filbertlb.batch.model import TaskPhase
 from filbertlb.batch.placing_context import CheckpointCosts
 from filbertlb.batch.planner import Planner
+from filbertlb.batch.planner_state import PlannerState
 from filbertlb.batch.preemption import GUARANTEE_PREEMPTION_DELAY_MS
 from filbertlb.batch.preemption import LATER_CLAIM_DELAY_MS
 from filbertlb.batch.preemption import LATEST_CLAIM_MS
@@ -572,6 +574,35 @@
         assert replay.ordered("low") == ["n0"]
 
 
+@pytest.mark.parametrize("gang", [False, True])
+def test_preemption_was_remembered_after_its_run_was_done(gang):
+    # The set grew for as long as a decider was in office.
+    replay = replay_on(1, guaranteed={"divers": 8})
+    step = a_step(needs=ALL_ACCELERATORS, estimate_ms=5000, gang=gang)
+    first = attrs.evolve(step, estimate_ms=90_000)
+    replay.submit("low", first, 6000, times=2, interval_ms=1000)
+    replay.play(1000)
+    claim(replay, attrs.evolve(step, estimate_ms=2000), run_ms=2000)
+    replay.play(replay.now_ms + LATEST_CLAIM_MS + 1000)
+    preempted = replay.planner.state.preempted
+    assert preempted == {"low.0.0" if gang else "low.0.0.0"}
+    replay.play(replay.now_ms + 9000)
+    assert replay.planner.state.record("low.0.0.0").phase is TaskPhase.DONE
+    assert replay.planner.state.progress["low"].state is JobState.ACTIVE
+    assert replay.planner.state.preempted == set()
+
+
+@pytest.mark.parametrize("state", [JobState.FAILED, JobState.CANCELLED])
+def test_preemption_was_remembered_after_its_job_had_ended(state):
+    # Names of ended jobs were kept until their rows were deleted.
+    planner_state = PlannerState()
+    for job_id in ("a", "b"):
+        planner_state.add_job(a_job(job_id))
+        planner_state.preempted |= {f"{job_id}.0.0", f"{job_id}.0.1.0"}
+    planner_state.set_job_state("a", state, 1000)
+    assert planner_state.preempted == {"b.0.0", "b.0.1.0"}
+
+
 @pytest.mark.parametrize(
     ("remaining_ms", "stopped"),
     [
