Decide on while a worker reports a suspect without a job

_known_culprits looked up the step of each reported suspect, and forget left the suspects of a job whose rows were deleted: a late report of one made every decision raise KeyError. The lookup is limited to known jobs and forget drops the job's suspects. Both tests failed before, the first with that KeyError.

--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -218,6 +218,7 @@
             end.task
             for end in report.ended
             if end.task in self.state.suspects
+            and job_id_of(end.task) in self.state.jobs
             and end.crashed_after_ms is not None
             and end.crashed_after_ms <= MAX_BLAME_MS
             and self.state.step_of(end.task).long_running
--- a/filbertlb/batch/planner_state.py
+++ b/filbertlb/batch/planner_state.py
@@ -131,6 +131,9 @@
         self.jobs.pop(job_id, None)
         self.progress.pop(job_id, None)
         self.cancelled.discard(job_id)
+        self.suspects = {
+            task for task in self.suspects if job_id_of(task) != job_id
+        }
         self._forget_preemptions(job_id)
         self.with_reservation = {
             name for name in self.with_reservation if job_id_of(name) != job_id
--- a/tests/batch/test_crashes.py
+++ b/tests/batch/test_crashes.py
@@ -19,7 +19,9 @@
 from filbertlb.batch.model import PROGRESS_PREFIX
 from filbertlb.batch.model import RunEnd
 from filbertlb.batch.model import TaskPhase
+from filbertlb.batch.model import TaskRecord
 from filbertlb.batch.planner import Planner
+from filbertlb.batch.planner_state import PlannerState
 from filbertlb.batch.preemption import GUARANTEE_PREEMPTION_DELAY_MS
 from filbertlb.batch.testing import a_job
 from filbertlb.batch.testing import a_report
@@ -285,6 +287,32 @@
         assert all(rec.phase is TaskPhase.ORDERED for rec in records)
 
 
+def test_end_of_a_suspect_without_a_job_stopped_all_decisions():
+    # A worker may still report its end after the rows of its job are deleted.
+    site = Site(a_job("a", a_step(long_running=True)))
+    site.decide()
+    site.crash(site.node_of("a.0.0.0"), 10)
+    site.decide()
+    state = site.planner.state
+    assert state.suspects == {"a.0.0.0"}
+    end = RunEnd("a.0.0.0", 1, EndCause.LOST, "", 10)
+    site.report("n0", ended=(end,))
+    del state.jobs["a"]
+    site.add(a_job("b"))
+    site.planner.decide(site.now_ms / 1000, site.now_ms)
+    assert "b.0.0.0" in state.progress["b"].tasks
+
+
+def test_suspect_was_kept_after_the_rows_of_its_job_were_deleted():
+    state = PlannerState()
+    for job_id in ("a", "b"):
+        state.add_job(a_job(job_id))
+        record = TaskRecord(crashes=some_crashes(("n0", 10)))
+        state.set_record(f"{job_id}.0.0.0", record)
+    state.forget("a")
+    assert state.suspects == {"b.0.0.0"}
+
+
 def test_suspect_starts_apart_from_other_runs():
     site = Site(a_job("a"), a_job("b"), nodes=2)
     site.decide()
