Withdraw the gauges of learned run times

Gauges show the last value of each set of attributes for good, so an entry that had stopped deciding went on showing its run times, and evicted queues and organisations stayed. These four gauges are observed at each scrape and can be cleared: before each fill, and while the entry does not decide. Both tests failed before.

--- a/filbertlb/batch/decider.py
+++ b/filbertlb/batch/decider.py
@@ -25,6 +25,7 @@
 from filbertlb.batch.model import STATUS_PREFIX
 from filbertlb.batch.model import WORKER_TABLE
 from filbertlb.batch.placing_context import CheckpointCosts
+from filbertlb.batch.run_time_metrics import clear_run_times
 from filbertlb.batch.run_time_metrics import sample_run_times
 from filbertlb.batch.takeover import apply_report
 from filbertlb.batch.takeover import build_planner
@@ -191,12 +192,17 @@
         return self._term is not None and self._term.planner is not None
 
     def sample(self, metrics: Metrics) -> None:
-        """Set the gauges of the run times that this entry has learned."""
-        if self._term is None or self._term.planner is None:
-            return
-        durations = self._term.planner.durations
+        """Set the gauges of learned run times, or clear them.
+
+        They are those of the entry that decides.
+        """
+        term = self._term
+        planner = None if term is None else term.planner
+        durations = None if planner is None else planner.durations
         if isinstance(durations, LearnedDurations):
             sample_run_times(metrics, durations)
+        else:
+            clear_run_times(metrics)
 
     @property
     def waiting_groups(self) -> dict[str, int]:
--- a/filbertlb/batch/run_time_metrics.py
+++ b/filbertlb/batch/run_time_metrics.py
@@ -13,8 +13,20 @@
 SPEED_NAME_BY_BAND = {-1: "slow", 0: "usual", 1: "fast"}
 
 
+def clear_run_times(metrics: Metrics) -> None:
+    """Withdraw the gauges of an entry that does not decide."""
+    metrics.learned_keys.clear()
+    metrics.expected_run_s.clear()
+    metrics.estimate_correction.clear()
+    metrics.worker_speeds.clear()
+
+
 def sample_run_times(metrics: Metrics, durations: LearnedDurations) -> None:
-    """Set the gauges of learned run times, errors and speeds."""
+    """Set the gauges of learned run times, errors and speeds.
+
+    Those of queues and organisations that were evicted are withdrawn.
+    """
+    clear_run_times(metrics)
     learned = durations.learned
     for name, by_key in (
         ("queue", learned.queues),
--- a/filbertlb/metrics.py
+++ b/filbertlb/metrics.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.resources import Resource
 from prometheus_client import CollectorRegistry
@@ -17,9 +18,13 @@
 from prometheus_client import generate_latest
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from collections.abc import Iterator
+    from collections.abc import Mapping
 
+    from opentelemetry.metrics import CallbackOptions
     from opentelemetry.metrics import Histogram
+    from opentelemetry.metrics import Meter
 
 METRICS_CONTENT_TYPE = CONTENT_TYPE_LATEST
 DURATION_BOUNDS_S = (
@@ -28,6 +33,34 @@
 )
 
 
+class ClearableGauge:
+    """Gauge whose values can be withdrawn.
+
+    Other gauges show the last value of each set of attributes for good.
+    """
+
+    def __init__(self, meter: Meter, name: str) -> None:
+        self._value_by_attributes: dict[
+            tuple[tuple[str, str], ...], float
+        ] = {}
+        meter.create_observable_gauge(name, (self._observe,))
+
+    def set(self, value: float, attributes: Mapping[str, str]) -> None:
+        """Set the value that is shown for some attributes."""
+        key = tuple(sorted(attributes.items()))
+        self._value_by_attributes[key] = value
+
+    def clear(self) -> None:
+        """Show no value until one is set again."""
+        self._value_by_attributes.clear()
+
+    def _observe(self, _: CallbackOptions) -> Iterable[Observation]:
+        return [
+            Observation(value, dict(key))
+            for key, value in self._value_by_attributes.items()
+        ]
+
+
 class Metrics:
     """Instruments of one role, created once.
 
@@ -74,15 +107,15 @@
         Runs that an agent's worker holds.
     contact_age_s : Gauge
         Time since the table answered last, in seconds.
-    learned_keys : Gauge
+    learned_keys : ClearableGauge
         Learned statistics, by ``of``: ``queue``, ``kind`` of task or
         ``caller``; as all that follow, at the entry that decides.
-    expected_run_s : Gauge
+    expected_run_s : ClearableGauge
         Learned run time by ``queue`` and ``quantile``, ``median`` or
         ``upper``, in seconds.
-    estimate_correction : Gauge
+    estimate_correction : ClearableGauge
         Mean ratio of run times to estimates by ``organisation``.
-    worker_speeds : Gauge
+    worker_speeds : ClearableGauge
         Workers with a learned speed, by ``speed``: ``slow``, ``usual`` or
         ``fast``.
     connections : Gauge
@@ -135,10 +168,10 @@
         self.leader = gauge("leader")
         self.runs = gauge("runs")
         self.contact_age_s = gauge("contact_age_seconds")
-        self.learned_keys = gauge("learned_keys")
-        self.expected_run_s = gauge("expected_run_seconds")
-        self.estimate_correction = gauge("estimate_correction")
-        self.worker_speeds = gauge("worker_speeds")
+        self.learned_keys = ClearableGauge(meter, "learned_keys")
+        self.expected_run_s = ClearableGauge(meter, "expected_run_seconds")
+        self.estimate_correction = ClearableGauge(meter, "estimate_correction")
+        self.worker_speeds = ClearableGauge(meter, "worker_speeds")
         self.connections = gauge("connections")
         self.held_bytes = gauge("held_bytes")
         self.refusals = gauge("refusals")
--- a/tests/batch/test_decider.py
+++ b/tests/batch/test_decider.py
@@ -46,6 +46,7 @@
 from filbertlb.batch.version_marks import VersionMarks
 from filbertlb.batch.version_marks import VERSIONS_KEY
 from filbertlb.core.clock import SystemClock
+from filbertlb.metrics import metrics_of
 from filbertlb.table.base import Row
 from filbertlb.table.base import RowConflictError
 from filbertlb.table.base import TableRejectedError
@@ -231,6 +232,21 @@
         wait_until(lambda: orders_on(table, "n0") == [f"{first}.0.0.0"])
 
 
+def test_learned_gauges_were_shown_after_the_entry_stopped_deciding():
+    table = LimitedTable()
+    with (
+        deciding(table, run_times=RunTimes.LEARNED) as decider,
+        metrics_of("entry", "edge-1") as metrics,
+    ):
+        wait_until(lambda: decider.deciding)
+        decider.sample(metrics)
+        assert "filbertlb_learned_keys{" in metrics.render().decode()
+        decider.step_down()
+        wait_until(lambda: not decider.deciding)
+        decider.sample(metrics)
+        assert "filbertlb_learned_keys{" not in metrics.render().decode()
+
+
 @pytest.mark.parametrize("count", [160, 750])
 def test_take_over_of_many_workers_orders_what_was_decided(count):
     table = LimitedTable()
--- a/tests/batch/test_learned_durations.py
+++ b/tests/batch/test_learned_durations.py
@@ -562,6 +562,19 @@
     assert "estimate 2000 ms times" in text
 
 
+def test_gauges_of_a_queue_were_shown_after_it_was_evicted():
+    learned = LearnedDurations()
+    run_once(learned, a_job("j", a_step(estimate_ms=4_000)), 8_000)
+    with metrics_of("entry", "edge-1") as metrics:
+        sample_run_times(metrics, learned)
+        assert 'queue="batch"' in metrics.render().decode()
+        sample_run_times(metrics, LearnedDurations())
+        page = metrics.render().decode()
+    assert 'filbertlb_learned_keys{of="queue"} 0.0' in page
+    assert 'queue="batch"' not in page
+    assert 'organisation="divers"' not in page
+
+
 def test_lines_on_a_queue_are_bounded():
     # A queue of two kinds of task changes its median with each run.
     lines = []
