Name the factor across racks and a kind of task once

CROSS_RACK_FACTOR and REMOTE_SLOWDOWN were the same 3.0, the name of a kind was built beside its key, and preemption parsed the name of a task although group_of does. Behaviour is unchanged.

--- a/filbertlb/batch/learned_durations.py
+++ b/filbertlb/batch/learned_durations.py
@@ -445,7 +445,7 @@
                 self._observed_by_kind.clear()
             learned, now_ms = self.learned, self._latest_ms
             queue = learned.queues.get(_short(job.queue), _NOTHING)
-            kind = learned.kinds.get(_kind(job, step), _NOTHING)
+            kind = learned.kinds.get(_kind_name(key), _NOTHING)
             observed = queue.alone(QUEUE_VARIANCE, now_ms)
             if observed is not None:
                 observed = kind.refined(observed, now_ms)
@@ -556,7 +556,7 @@
         job, step = observed.job, observed.step
         value_by_key = {
             (QUEUES, _short(job.queue)): value,
-            (KINDS, _kind(job, step)): value,
+            (KINDS, _kind_name(_kind_key(job, step))): value,
         }
         if step.estimate_ms > 0:
             error = value - log_ms(step.estimate_ms)
@@ -658,9 +658,10 @@
     )
 
 
-def _kind(job: Job, step: Step) -> str:
-    names = map(_short, (job.organisation, job.queue, step.image))
-    return "/".join((*names, f"{step.needs[0]}x{step.needs[1]}"))
+def _kind_name(key: _KindKey) -> str:
+    """Return the name under which a kind of task is stored."""
+    *names, accelerators, millicores = key
+    return "/".join((*map(_short, names), f"{accelerators}x{millicores}"))
 
 
 def _short(name: str) -> str:
--- a/filbertlb/batch/locality.py
+++ b/filbertlb/batch/locality.py
@@ -13,6 +13,7 @@
 import attrs
 from loguru import logger
 
+from filbertlb.batch.run_observation import CROSS_RACK_FACTOR
 from filbertlb.batch.workers import is_eligible
 from filbertlb.core.amounts import copies
 
@@ -23,8 +24,6 @@
     from filbertlb.batch.planner_state import TaskGroup
     from filbertlb.batch.reservations import Reservations
 
-CROSS_RACK_FACTOR = 3.0
-"""Run time across racks, or away from the data, relative to the other."""
 UNKNOWN_RUN_WAIT_MS = 4000
 """Maximum wait for a rack if the run time is not known.
 
--- a/filbertlb/batch/preemption.py
+++ b/filbertlb/batch/preemption.py
@@ -16,13 +16,13 @@
 from filbertlb.batch.model import task_group_of
 from filbertlb.batch.model import TaskPhase
 from filbertlb.batch.placing_context import core_seconds
-from filbertlb.batch.planner_state import TaskGroup
 
 if TYPE_CHECKING:
     from filbertlb.batch.fitting import Placement
     from filbertlb.batch.model import Job
     from filbertlb.batch.ordering import PlacingOrder
     from filbertlb.batch.placing_context import PlacingContext
+    from filbertlb.batch.planner_state import TaskGroup
 
 REPORT_PERIOD_MS = 1000
 """Time between two reports of an agent."""
@@ -201,8 +201,7 @@
         step = state.step_of(task)
         if step.long_running:
             return 0.0
-        _, occurrence, index, _ = task.split(".")
-        group = TaskGroup(job, int(occurrence), int(index))
+        group = state.group_of(task)
         run_ms = context.now_ms - state.record(task).since_ms
         remaining_ms = context.durations.remaining_ms(job, step, task, run_ms)
         end_ms = context.now_ms + remaining_ms
--- a/filbertlb/batch/run_observation.py
+++ b/filbertlb/batch/run_observation.py
@@ -15,8 +15,8 @@
     from filbertlb.batch.planner_state import PlannerState
     from filbertlb.batch.workers import WorkerView
 
-REMOTE_SLOWDOWN = 3.0
-"""Ratio of run times away from a step's data, or of a gang across racks."""
+CROSS_RACK_FACTOR = 3.0
+"""Run time across racks, or away from the data, relative to the other."""
 
 
 def observed_run(
@@ -49,7 +49,7 @@
     spread = near_members and len(known) > 1
     far = bool(step.data_rack) and not known <= {step.data_rack}
     if spread or far:
-        return REMOTE_SLOWDOWN
+        return CROSS_RACK_FACTOR
     if len(known) < len(racks) and (near_members or step.data_rack):
         return None
     return 1.0
