--- a/filbertlb/batch/learned_durations.py
+++ b/filbertlb/batch/learned_durations.py
@@ -48,7 +48,7 @@
 ESTIMATE_VARIANCE = 0.7**2
 """Variance of the logarithmic error of estimates, until it is learned.
 
-Callers' estimates were found to have a deviation of 0.5 to 0.9.
+Callers' estimates are often wrong by a factor of two.
 """
 QUEUE_VARIANCE = 0.5**2
 """Variance of the logarithm of run times of a queue, until it is learned.
--- a/filbertlb/batch/locality.py
+++ b/filbertlb/batch/locality.py
@@ -27,7 +27,7 @@
 UNKNOWN_RUN_WAIT_MS = 4000
 """Maximum wait for a rack if the run time is not known.
 
-It is what a run of 2 s takes more elsewhere.
+Short runs take about that much longer elsewhere.
 """
 IDLE_WAIT_MS = 2500
 """Maximum wait for a rack while most of the service's capacity is idle.
--- a/filbertlb/batch/preemption.py
+++ b/filbertlb/batch/preemption.py
@@ -34,8 +34,8 @@
 LATEST_CLAIM_MS = 1600
 """Time until which it waits instead if runs will have ended by then.
 
-It leaves 900 ms of each deployment's limit (2,700 and 3,400 ms) beside the
-longest stop (200 and 900 ms) to write the order and to start the tasks.
+It leaves enough of the time limit for the longest stop, for writing the
+order and for starting the tasks.
 """
 LATER_CLAIM_DELAY_MS = 4000
 """The same delay for tasks other than the first of a job's first steps.
@@ -50,8 +50,8 @@
 LOSS_LIMIT_PER_CORE_S = 0.05
 """Additional acceptable loss per core-second of work.
 
-Lost work counts several times as much as work done in time. With 0.15 more
-than twice as much was lost in replays of bursts, and no more served.
+Lost work counts several times as much as work done in time, so only a small
+loss is worth an earlier start.
 """
 RESTART_DELAY_MS = 4000
 """Time after which a preempted run is expected to be placed again."""
--- a/filbertlb/batch/reservations.py
+++ b/filbertlb/batch/reservations.py
@@ -41,9 +41,8 @@
 FIRM_MS = 14_000
 """Time until its expected start within which a reservation is firm.
 
-One that is farther away yields to work of unknown length that would count
-as lost: users look for jobs that do not run from 14 s after the last
-submission.
+One that is farther away yields to work of unknown length, which counts as
+lost if it does not run by this time after the last submission.
 """
 START_DELAY_MS = 300
 """Time from a decision until a run ordered by it has begun."""
--- a/filbertlb/batch/worker_speeds.py
+++ b/filbertlb/batch/worker_speeds.py
@@ -39,7 +39,8 @@
 MIN_DIFFERENCE = 0.1
 """Logarithm of a speed from which a worker counts as fast or slow.
 
-The known speeds of workers differ by 0.26 and more.
+Kinds of worker differ by more; a smaller difference is not worth scattering
+work for.
 """
 MIN_DEVIATIONS = 2.5
 """The same in standard deviations: 1 of 80 usual workers exceeds it."""
