--- a/filbertlb/batch/learned_durations.py
+++ b/filbertlb/batch/learned_durations.py
@@ -48,7 +48,7 @@
 ESTIMATE_VARIANCE = 0.7**2
 """Variance of the logarithmic error of estimates, until it is learned.
 
-Callers' estimates were found to have a deviation of 0.5 to 0.9.
+Callers' estimates are often wrong by a factor of two.
 """
 QUEUE_VARIANCE = 0.5**2
 """Variance of the logarithm of run times of a queue, until it is learned.
@@ -168,6 +168,12 @@
         self.percent = percent
         self.at_ms = run_ms
 
+    @property
+    def known(self) -> bool:
+        """Whether the worker and the slowdown of the run are known."""
+        observed = self.observed
+        return observed.worker is not None and observed.slowdown is not None
+
     @property
     def tells_speed(self) -> bool:
         """Whether enough of the work was seen to compare the run."""
@@ -334,6 +340,8 @@
                 track.first_percent = track.first_ms = 0
             self._tracks[run.task] = track
         else:
+            if not track.known:
+                track.observed = observe()
             track.update(run.percent, run_ms)
         self._remaining.pop(run.task, None)
         if track.tells_speed and not track.speed_counted:
@@ -346,15 +354,16 @@
         """Learn from the end of a run.
 
         One that was stopped, failed or was resumed from a checkpoint shows
-        that the whole work takes at least as long.
+        that the whole work takes at least as long. One whose slowdown is not
+        known shows nothing.
         """
         track = self._tracks.pop(end.task, None)
         self._remaining.pop(end.task, None)
         done = end.cause is EndCause.DONE
         if end.run_ms is None or not (done or end.cause in LOWER_BOUND_CAUSES):
             return
-        observed = observe()
-        if observed.step.long_running:
+        observed = _observed_last(track, end, observe)
+        if observed.step.long_running or observed.slowdown is None:
             return
         self._latest_ms = max(self._latest_ms, now_ms)
         value = log_ms(end.run_ms) + self._log_pace(observed)
@@ -436,7 +445,7 @@
                 self._observed_by_kind.clear()
             learned, now_ms = self.learned, self._latest_ms
             queue = learned.queues.get(_short(job.queue), _NOTHING)
-            kind = learned.kinds.get(_kind(job, step), _NOTHING)
+            kind = learned.kinds.get(_kind_name(key), _NOTHING)
             observed = queue.alone(QUEUE_VARIANCE, now_ms)
             if observed is not None:
                 observed = kind.refined(observed, now_ms)
@@ -473,7 +482,7 @@
         log_speed = min(
             map(self._speeds.log_speed, (observed.node, *observed.other_nodes))
         )
-        return log_speed - log(observed.slowdown)
+        return log_speed - log(observed.slowdown or 1.0)
 
     def _learn_speed(
         self, observed: ObservedRun, total: LogNormal | None
@@ -547,7 +556,7 @@
         job, step = observed.job, observed.step
         value_by_key = {
             (QUEUES, _short(job.queue)): value,
-            (KINDS, _kind(job, step)): value,
+            (KINDS, _kind_name(_kind_key(job, step))): value,
         }
         if step.estimate_ms > 0:
             error = value - log_ms(step.estimate_ms)
@@ -622,6 +631,19 @@
             del self._tables()[number][key]
 
 
+def _observed_last(
+    track: _Track | None, end: RunEnd, observe: Callable[[], ObservedRun]
+) -> ObservedRun:
+    """Return the circumstances of a run that has ended.
+
+    Those while it was listed count: at its end the worker may be unknown,
+    or another one on the same node.
+    """
+    if track is not None and track.attempt == end.attempt and track.known:
+        return track.observed
+    return observe()
+
+
 def _weight(step: Step) -> float:
     """Return the weight of one run; members of a gang end as one."""
     others = 0 if step.gang else step.count - 1
@@ -636,9 +658,10 @@
     )
 
 
-def _kind(job: Job, step: Step) -> str:
-    names = map(_short, (job.organisation, job.queue, step.image))
-    return "/".join((*names, f"{step.needs[0]}x{step.needs[1]}"))
+def _kind_name(key: _KindKey) -> str:
+    """Return the name under which a kind of task is stored."""
+    *names, accelerators, millicores = key
+    return "/".join((*map(_short, names), f"{accelerators}x{millicores}"))
 
 
 def _short(name: str) -> str:
--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -220,6 +220,7 @@
             end.task
             for end in report.ended
             if end.task in self.state.suspects
+            and job_id_of(end.task) in self.state.jobs
             and end.crashed_after_ms is not None
             and end.crashed_after_ms <= MAX_BLAME_MS
             and self.state.step_of(end.task).long_running
@@ -305,6 +306,10 @@
                 crashes=_crashes_after(record, end, step),
             ),
         )
+        if end.cause is EndCause.DONE:
+            state.preempted.discard(
+                task_group_of(end.task) if step.gang else end.task
+            )
         if step.gang:
             self._end_gang(end.task, done, now_ms)
 
