--- a/filbertlb/httpcall.py
+++ b/filbertlb/httpcall.py
@@ -73,6 +73,12 @@
     code = "answer_too_large"
 
 
+class AnswerBudgetFullError(CallOutcomeUnknownError):
+    """The call was sent, but no memory was left to read its answer."""
+
+    code = "answer_budget_full"
+
+
 @attrs.frozen
 class Reply:
     """A whole HTTP response."""
@@ -83,7 +89,11 @@
 
 
 class _LargeAnswerError(HTTPParseError):
-    """Raised when an answer is not read to its end."""
+    """Raised when an answer is larger than its bound."""
+
+
+class _BudgetFullError(HTTPParseError):
+    """Raised when other answers leave no memory for an answer."""
 
 
 class _NoConnectionError(Exception):
@@ -292,14 +302,19 @@
             ) from error
         except (OSError, HTTPParseError) as error:
             self._drop(client)
-            large = isinstance(error, _LargeAnswerError)
-            lost = AnswerTooLargeError if large else CallOutcomeUnknownError
+            lost = _OUTCOME_ERRORS.get(type(error), CallOutcomeUnknownError)
             raise lost(
                 f"{method} {self._base_url + path!r} got no whole answer: "
                 f"{error}"
             ) from error
 
 
+_OUTCOME_ERRORS: dict[type[Exception], type[CallOutcomeUnknownError]] = {
+    _LargeAnswerError: AnswerTooLargeError,
+    _BudgetFullError: AnswerBudgetFullError,
+}
+
+
 def _next_part(
     response: HTTPSocketPoolResponse, timeout_s: float
 ) -> bytes | bytearray:
@@ -348,9 +363,14 @@
         while True:
             if not answers.grow(held, BODY_PART_BYTES):
                 response.release()
-                raise _LargeAnswerError(
-                    f"answer is too large after {held!r} bytes, while "
-                    f"{answers.held_bytes!r} are held for all answers"
+                if held + BODY_PART_BYTES > answers.answer_bytes:
+                    raise _LargeAnswerError(
+                        f"answer is too large after {held!r} bytes"
+                    )
+                raise _BudgetFullError(
+                    f"no memory for the answer after {held!r} bytes, as "
+                    f"{answers.held_bytes!r} are held for all answers; call "
+                    "again later"
                 )
             if held + BODY_PART_BYTES > SMALL_BYTES:
                 reserved += BODY_PART_BYTES
--- a/filbertlb/metrics.py
+++ b/filbertlb/metrics.py
@@ -95,7 +95,8 @@
     answer_bytes : Gauge
         Memory held for answers to calls while they are read.
     answers_refused : Gauge
-        Answers to calls that were too large to be read, since the start.
+        Answers to calls that were too large or found no memory, since the
+        start.
     """
 
     def __init__(self, role: str, instance_id: str) -> None:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -5,6 +5,7 @@
 import pytest
 
 from filbertlb.admission import AnswerBudget
+from filbertlb.admission import SMALL_BYTES
 from filbertlb.platform.store import PlatformTable
 from filbertlb.standin.row_store import RowStore
 from filbertlb.standin.wsgi import serving
@@ -140,6 +141,21 @@
         table.close()
 
 
+def test_changes_without_memory_for_now_are_retried(store):
+    """Guards against a short lack of memory that starts a snapshot."""
+    answers = AnswerBudget(400_000, 300_000)
+    with serving(store.application()) as url:
+        table = PlatformTable(url.removeprefix("http://"), answers=answers)
+        for number in range(10):
+            table.commit([Write(f"state/{number}", b"x" * 10_000)])
+        assert answers.grow(SMALL_BYTES, 270_000)
+        with pytest.raises(TableUnavailableError):
+            table.changes("state", 1, 0.0)
+        answers.release(270_000)
+        assert len(table.changes("state", 1, 0.0).rows) == 9
+        table.close()
+
+
 def test_changes_before_kept_history_raise_history_lost(table, store):
     table.commit([Write("state/a", b"1")])
     store.forget_history()
--- a/tests/test_httpcall.py
+++ b/tests/test_httpcall.py
@@ -12,6 +12,8 @@
 
 from filbertlb.admission import AnswerBudget
 from filbertlb.admission import SMALL_BYTES
+from filbertlb.httpcall import AnswerBudgetFullError
+from filbertlb.httpcall import AnswerTooLargeError
 from filbertlb.httpcall import CallOutcomeUnknownError
 from filbertlb.httpcall import HttpCaller
 
@@ -80,6 +82,29 @@
     assert answers.refused == 0
 
 
+def test_kinds_of_refused_answers_differ():
+    """Guards against a lack of memory that looks like a large answer."""
+    answers = AnswerBudget(ANSWER_BYTES, ANSWER_BYTES)
+    body = b"x" * (ANSWER_BYTES - SMALL_BYTES)
+    start = HEAD + b"Content-Length: %d\r\n\r\n" % len(body)
+    assert answers.grow(SMALL_BYTES, 2 * SMALL_BYTES)
+    with (
+        server(start, body, 1) as (url, _),
+        closing(HttpCaller(url, answers=answers)) as caller,
+        pytest.raises(AnswerBudgetFullError),
+    ):
+        caller.get("/x", 30.0)
+    assert answers.held_bytes == 2 * SMALL_BYTES
+    answers.release(2 * SMALL_BYTES)
+    with (
+        server(CHUNKED, CHUNK, MANY) as (url, _),
+        closing(HttpCaller(url, answers=answers)) as caller,
+        pytest.raises(AnswerTooLargeError),
+    ):
+        caller.get("/x", 30.0)
+    assert answers.held_bytes == 0
+
+
 def test_callers_share_the_budget_and_small_answers_are_read():
     """Guards against many large answers at once."""
     answers = AnswerBudget(ANSWER_BYTES, ANSWER_BYTES)
