Reserve no more for an answer than is still announced

Room for 16 KiB was reserved once more before the read that found the end, so an answer within 16 KiB of its bound was refused after it was read whole.

The test with an answer of exactly the bound failed before.

--- a/filbertlb/httpcall.py
+++ b/filbertlb/httpcall.py
@@ -316,11 +316,11 @@
 
 
 def _next_part(
-    response: HTTPSocketPoolResponse, timeout_s: float
+    response: HTTPSocketPoolResponse, count: int, timeout_s: float
 ) -> bytes | bytearray:
     expired = TimeoutError(f"no part of the body within {timeout_s!r} s")
     with Timeout(timeout_s, expired):
-        return response.read(BODY_PART_BYTES)
+        return response.read(count)
 
 
 def _whole(
@@ -357,13 +357,17 @@
     response: HTTPSocketPoolResponse, timeout_s: float, answers: AnswerBudget
 ) -> bytes:
     """Read the parts of a body, each reserved before it is read."""
+    announced = response.content_length
     body = BytesIO()
     held = reserved = 0
     try:
-        while True:
-            if not answers.grow(held, BODY_PART_BYTES):
+        while announced is None or held < announced:
+            count = BODY_PART_BYTES
+            if announced is not None:
+                count = min(count, announced - held)
+            if not answers.grow(held, count):
                 response.release()
-                if held + BODY_PART_BYTES > answers.answer_bytes:
+                if held + count > answers.answer_bytes:
                     raise _LargeAnswerError(
                         f"answer is too large after {held!r} bytes"
                     )
@@ -372,12 +376,13 @@
                     f"{answers.held_bytes!r} are held for all answers; call "
                     "again later"
                 )
-            if held + BODY_PART_BYTES > SMALL_BYTES:
-                reserved += BODY_PART_BYTES
-            part = _next_part(response, timeout_s)
+            if held + count > SMALL_BYTES:
+                reserved += count
+            part = _next_part(response, count, timeout_s)
             if not part:
-                return body.getvalue()
+                break
             held += body.write(part)
+        return body.getvalue()
     finally:
         # A kept error refers to this frame, but not to the body.
         body.close()
--- a/tests/test_httpcall.py
+++ b/tests/test_httpcall.py
@@ -69,9 +69,14 @@
     assert answers.held_bytes == 0
 
 
-def test_answer_up_to_its_bound_is_read():
+@pytest.mark.parametrize(
+    "length",
+    [0, 1, SMALL_BYTES, ANSWER_BYTES - SMALL_BYTES, ANSWER_BYTES],
+)
+def test_answer_up_to_its_bound_is_read(length):
+    """Guards against room for more than the length that is announced."""
     answers = AnswerBudget(ANSWER_BYTES, ANSWER_BYTES)
-    body = b"x" * (ANSWER_BYTES - SMALL_BYTES)
+    body = b"x" * length
     start = HEAD + b"Content-Length: %d\r\n\r\n" % len(body)
     with (
         server(start, body, 1) as (url, _),
@@ -87,15 +92,15 @@
     answers = AnswerBudget(ANSWER_BYTES, ANSWER_BYTES)
     body = b"x" * (ANSWER_BYTES - SMALL_BYTES)
     start = HEAD + b"Content-Length: %d\r\n\r\n" % len(body)
-    assert answers.grow(SMALL_BYTES, 2 * SMALL_BYTES)
+    assert answers.grow(SMALL_BYTES, 3 * SMALL_BYTES)
     with (
         server(start, body, 1) as (url, _),
         closing(HttpCaller(url, answers=answers)) as caller,
         pytest.raises(AnswerBudgetFullError),
     ):
         caller.get("/x", 30.0)
-    assert answers.held_bytes == 2 * SMALL_BYTES
-    answers.release(2 * SMALL_BYTES)
+    assert answers.held_bytes == 3 * SMALL_BYTES
+    answers.release(3 * SMALL_BYTES)
     with (
         server(CHUNKED, CHUNK, MANY) as (url, _),
         closing(HttpCaller(url, answers=answers)) as caller,
