Close at most four connections at once for a full listener

Up to half of a listener's connections were closed when one place was needed, also those that a load balancer had kept idle for a second. The look is now every 0.1 s, so a crowd of silent clients still goes at 40 a second.

--- a/filbertlb/httpserver.py
+++ b/filbertlb/httpserver.py
@@ -58,8 +58,14 @@
 """Part of a body that is reserved and read at once."""
 SEND_BLOCK_BYTES = 64 * 1024
 """Part of a response that must leave within the progress time."""
-ROOM_PERIOD_S = 0.25
+ROOM_PERIOD_S = 0.1
 """Time between two looks for stalled connections while a listener is full."""
+CLOSED_PER_LOOK = 4
+"""Most connections closed at one look.
+
+A load balancer keeps most of its idle connections, and a crowd of silent
+clients is still closed within seconds.
+"""
 REQUESTS_PER_TURN = 16
 """Requests of one connection after which others get their turn.
 
@@ -449,8 +455,9 @@
             self._makes_room = False
             return
         held = [handler.held for handler in self.handlers]
-        half = max(1, self.limits.connections // 2)
-        self.close_all(self.admission.make_room(held, half, monotonic()))
+        self.close_all(
+            self.admission.make_room(held, CLOSED_PER_LOOK, monotonic())
+        )
         spawn_later(ROOM_PERIOD_S, self._make_room)
 
 
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -15,7 +15,9 @@
 
 from filbertlb import httpserver
 from filbertlb.admission import Admission
+from filbertlb.admission import STALLED_S
 from filbertlb.httpcall import HttpCaller
+from filbertlb.httpserver import CLOSED_PER_LOOK
 from filbertlb.httpserver import serving_http
 from filbertlb.httpserver import without_delay
 from filbertlb.settings.process import Limits
@@ -285,6 +287,24 @@
     assert "Traceback" not in capfd.readouterr().err
 
 
+def test_few_kept_connections_make_room(echo):
+    """Guards against a client whose kept connections are closed in bulk."""
+    connections = 4 * CLOSED_PER_LOOK
+    limits = Limits(connections=connections)
+    admission = Admission(limits.held_bytes)
+    with serving_http(echo, "127.0.0.1", 0, limits, admission) as url:
+        kept = [connect(url) for _ in range(connections)]
+        wait_until(lambda: len(admission.connections) == connections)
+        for connection in admission.connections:
+            connection.progress_s -= STALLED_S
+        caller = HttpCaller(url, 1)
+        assert caller.post("/x", b"hi", 30.0).body == b"hi"
+        assert admission.refusals["closed_idle"] == CLOSED_PER_LOOK
+        caller.close()
+        for sock in kept:
+            sock.close()
+
+
 def test_silent_connections_make_room(echo):
     """Guards against a listener that is full of clients without requests."""
     limits = Limits(connections=2)
