--- a/filbertlb/admission.py
+++ b/filbertlb/admission.py
@@ -108,19 +108,19 @@
     large_bytes: int = 0
     closing: bool = False
     served: bool = False
-    _moved_bytes: int = 0
+    _transferred_bytes: int = 0
 
     def enter(self, phase: Phase, now_s: float) -> None:
         """Change the phase."""
         self.phase = phase
         self.progress_s = now_s
-        self._moved_bytes = 0
+        self._transferred_bytes = 0
 
-    def move(self, count: int, now_s: float) -> None:
-        """Note bytes that were received or sent."""
-        self._moved_bytes += count
-        if self._moved_bytes >= PROGRESS_BYTES:
-            self._moved_bytes = 0
+    def record_transfer(self, count: int, now_s: float) -> None:
+        """Record bytes that were received or sent."""
+        self._transferred_bytes += count
+        if self._transferred_bytes >= PROGRESS_BYTES:
+            self._transferred_bytes = 0
             self.progress_s = now_s
 
 
--- a/filbertlb/httpserver.py
+++ b/filbertlb/httpserver.py
@@ -34,6 +34,7 @@
 
 from filbertlb.admission import Admission
 from filbertlb.admission import Phase
+from filbertlb.admission import PROGRESS_BYTES
 from filbertlb.admission import Verdict
 from filbertlb.allocator import return_large_blocks
 from filbertlb.api.calls import BodyTooLargeError
@@ -56,8 +57,6 @@
 LINGER_BLOCK_BYTES = 64 * 1024
 READ_BLOCK_BYTES = 64 * 1024
 """Part of a body that is reserved and read at once."""
-SEND_BLOCK_BYTES = 64 * 1024
-"""Part of a response that must leave within the progress time."""
 ROOM_PERIOD_S = 0.1
 """Time between two looks for stalled connections while a listener is full."""
 CLOSED_PER_LOOK = 4
@@ -116,10 +115,16 @@
 
 
 class _BoundedLines:
-    """File of header lines that refuses more than a number of bytes."""
+    """File of header lines that refuses more than a number of bytes.
 
-    def __init__(self, file: Any, limit_bytes: int) -> None:
+    The lines count as progress of their connection.
+    """
+
+    def __init__(
+        self, file: Any, limit_bytes: int, connection: Connection
+    ) -> None:
         self._file = file
+        self._connection = connection
         self._limit_bytes = limit_bytes
         self._left_bytes = limit_bytes
 
@@ -131,6 +136,7 @@
             raise HeadersTooLargeError(
                 f"the headers are over {self._limit_bytes} bytes"
             )
+        self._connection.record_transfer(len(line), monotonic())
         return line
 
 
@@ -217,7 +223,8 @@
 
     def MessageClass(self, file: Any, *args: Any) -> Any:  # noqa: N802
         """Parse the headers within their limit."""
-        lines = _BoundedLines(file, self.server.limits.header_bytes)
+        limit_bytes = self.server.limits.header_bytes
+        lines = _BoundedLines(file, limit_bytes, self.held)
         return super().MessageClass(lines, *args)
 
     def get_environ(self) -> dict[str, Any]:
@@ -281,15 +288,17 @@
         self.held.enter(Phase.IDLE, monotonic())
 
     def _sendall(self, data: bytes) -> None:
-        """Send in blocks, each within the progress time."""
+        """Send in blocks, each within the progress time.
+
+        A block is no larger than what counts as progress, so a steady reader
+        does not count as stalled.
+        """
         try:
-            if len(data) <= SEND_BLOCK_BYTES:
-                super()._sendall(data)
-                return
             view = memoryview(data)
-            for start in range(0, len(view), SEND_BLOCK_BYTES):
-                super()._sendall(view[start : start + SEND_BLOCK_BYTES])
-                self.held.move(SEND_BLOCK_BYTES, monotonic())
+            for start in range(0, len(view), PROGRESS_BYTES):
+                block = view[start : start + PROGRESS_BYTES]
+                super()._sendall(block)
+                self.held.record_transfer(len(block), monotonic())
         except OSError as error:
             timed_out = isinstance(error, TimeoutError)
             if timed_out:
@@ -328,11 +337,7 @@
             )
         if self.headers.get("expect", "").lower():
             self.socket.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
-        if length <= READ_BLOCK_BYTES:
-            self._reserve(length, monotonic())
-            body = self.rfile.read(length)
-        else:
-            body = self._read_blocks(length)
+        body = self._read_blocks(length)
         if len(body) < length:
             if self.held.closing:
                 raise self._busy(Verdict.PROCESS_FULL)
@@ -342,7 +347,7 @@
         return body
 
     def _read_blocks(self, length: int) -> bytes:
-        """Read a large body in blocks, each reserved before it is read."""
+        """Read a body in blocks, each reserved before it is read."""
         self._partial = partial = BytesIO()
         try:
             left = length
@@ -358,7 +363,7 @@
                         return partial.getvalue()
                     partial.write(block)
                     arrived += len(block)
-                    self.held.move(len(block), monotonic())
+                    self.held.record_transfer(len(block), monotonic())
                 left -= count
             return partial.getvalue()
         finally:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -31,7 +31,7 @@
         decision = admission.reserve(connection, BLOCK, now_s)
         if decision.verdict is not Verdict.GRANTED:
             return decision
-        connection.move(BLOCK, now_s)
+        connection.record_transfer(BLOCK, now_s)
     return decision
 
 
@@ -105,7 +105,7 @@
     """Guards against clients that send one byte now and then."""
     connection = reading(Admission(LIMIT))
     for second in range(1, 10):
-        connection.move(1, float(second))
+        connection.record_transfer(1, float(second))
     assert connection.progress_s == 0.0
 
 
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -15,6 +15,8 @@
 
 from filbertlb import httpserver
 from filbertlb.admission import Admission
+from filbertlb.admission import Phase
+from filbertlb.admission import PROGRESS_BYTES
 from filbertlb.admission import STALLED_S
 from filbertlb.httpcall import HttpCaller
 from filbertlb.httpserver import CLOSED_PER_LOOK
@@ -244,6 +246,57 @@
     assert admission.held_bytes == 0
 
 
+@pytest.mark.parametrize(
+    ("start", "block"),
+    [
+        (POST + b"Content-Length: 60000\r\n\r\n", b"x" * 20_000),
+        (POST, b"X: %s\r\n" % (b"x" * 1000) * 20),
+    ],
+    ids=["body", "headers"],
+)
+def test_received_bytes_of_a_small_request_are_progress(echo, start, block):
+    """Guards against a steady sender that counts as stalled."""
+    limits = Limits(header_bytes=60_000)
+    admission = Admission(limits.held_bytes)
+    with serving_http(echo, "127.0.0.1", 0, limits, admission) as url:
+        sock = connect(url)
+        sock.sendall(start)
+        wait_until(lambda: admission.held_bytes > 0)
+        (held,) = admission.connections
+        held.progress_s = 0.0
+        sock.sendall(block)
+        wait_until(lambda: held.progress_s > 0.0)
+        # The end of a request would count as a change of phase.
+        assert held.phase is Phase.READING
+        sock.close()
+
+
+def test_each_part_of_a_response_is_progress(monkeypatch):
+    """Guards against a steady reader that counts as stalled."""
+    length = 10 * PROGRESS_BYTES + 1
+    sent = []
+
+    def application(environ, start_response):
+        start_response("200 OK", [("Content-Length", str(length))])
+        return [b"x" * length]
+
+    def send(handler, data):
+        sent.append((len(data), handler.held.progress_s))
+        handler.held.progress_s = 0.0
+        handler.socket.sendall(data)
+
+    monkeypatch.setattr(httpserver.WSGIHandler, "_sendall", send)
+    with serving_http(application, "127.0.0.1", 0, Limits()) as url:
+        caller = HttpCaller(url, 1)
+        assert len(caller.get("/", 30.0).body) == length
+        caller.close()
+    body = [part for part in sent if part[0] == PROGRESS_BYTES]
+    assert len(body) == 10
+    assert max(count for count, _ in sent) == PROGRESS_BYTES
+    # The first part follows the headers, which are less than is progress.
+    assert all(progress_s > 0.0 for _, progress_s in body[1:])
+
+
 def test_budget_is_released_however_a_request_ends():
     def application(environ, start_response):
         body = environ["wsgi.input"].read()
