Read answers of other entries within the budget of answers

Calls to other entries had a bound of their own of 64 MiB for each answer, which alone is two fifths of the smallest machine.

The test failed without the budget.

--- a/filbertlb/batch/peers.py
+++ b/filbertlb/batch/peers.py
@@ -32,6 +32,7 @@
     from collections.abc import Iterable
     from collections.abc import Iterator
 
+    from filbertlb.admission import AnswerBudget
     from filbertlb.table.base import Row
     from filbertlb.table.base import TableService
     from filbertlb.table.mirror import Mirror
@@ -59,6 +60,8 @@
         Name of this entry's machine.
     address : str
         Host and port at which this entry serves other entries.
+    answers : AnswerBudget, optional
+        Bounds of the other entries' answers.
     newest_row : Row or None
         Newest configuration row that this entry has read.
     """
@@ -66,6 +69,7 @@
     node: str
     address: str
     mirror: Mirror
+    answers: AnswerBudget | None = None
     newest_row: Row | None = None
     _failed_addresses: dict[str, None] = attrs.Factory(dict)
 
@@ -142,7 +146,7 @@
     ) -> _T:
         """Call another entry once."""
         split_address(address)
-        caller = HttpCaller(f"http://{address}", connections=1)
+        caller = HttpCaller(f"http://{address}", 1, self.answers)
         typed_caller = TypedCaller(
             caller,
             timeout_s,
--- a/filbertlb/platform/roles.py
+++ b/filbertlb/platform/roles.py
@@ -104,7 +104,10 @@
     state_follower = Follower(table, STATE_TABLE, mirror, clock)
     operator_mirror = Mirror()
     peers = Peers(
-        settings.node, _port_range_address(settings, PEER_OFFSET), mirror
+        settings.node,
+        _port_range_address(settings, PEER_OFFSET),
+        mirror,
+        answers,
     )
     reader = ConfigurationReader(in_force, peers)
     operator_mirror.add_listener(reader.on_row)
--- a/tests/platform/test_peers.py
+++ b/tests/platform/test_peers.py
@@ -8,6 +8,7 @@
 from gevent import spawn
 from gevent import Timeout
 
+from filbertlb.admission import AnswerBudget
 from filbertlb.batch.configuration import CurrentConfiguration
 from filbertlb.batch.peers import NewestRowCall
 from filbertlb.batch.peers import Peers
@@ -161,6 +162,20 @@
                 sleep(0.01)
 
 
+def test_answers_of_other_entries_are_within_the_budget():
+    """Guards against memory that follows from what other entries send."""
+    answers = AnswerBudget(100_000, 100_000)
+    other, mirror = make_reader("b"), Mirror()
+    other.peers.keep_newest(Row("op/config", b"x" * 200_000, 20))
+    peers = Peers("a", "unused:1", mirror, answers)
+    with serving_peers(other) as url:
+        address = url.removeprefix("http://")
+        mirror.put(Row("state/entry/b", address.encode(), 1), 0.0)
+        assert peers.fetch_rows() == []
+    assert answers.refused == 1
+    assert answers.held_bytes == 0
+
+
 @pytest.mark.parametrize("address", ODD_ADDRESSES.values(), ids=ODD_ADDRESSES)
 def test_call_to_an_odd_address_is_a_coded_error(address):
     reader = make_reader("a")
