Export refusals and refused answers as counters

Both count since the start of the process but were gauges, of which rates cannot be taken over a restart. Their names now end in _total.

The test failed with gauges.

--- a/filbertlb/metrics.py
+++ b/filbertlb/metrics.py
@@ -89,14 +89,13 @@
         Connections to this process's HTTP listeners.
     held_bytes : Gauge
         Memory held for requests and unread responses.
-    refusals : Gauge
-        Requests refused and connections closed by the HTTP server since
-        the start, by ``kind``.
+    refusals : Counter
+        Requests refused and connections closed by the HTTP server, by
+        ``kind``.
     answer_bytes : Gauge
         Memory held for answers to calls while they are read.
-    answers_refused : Gauge
-        Answers to calls that were too large or found no memory, since the
-        start.
+    answers_refused : Counter
+        Answers to calls that were too large or found no memory.
     """
 
     def __init__(self, role: str, instance_id: str) -> None:
@@ -142,9 +141,9 @@
         self.worker_speeds = gauge("worker_speeds")
         self.connections = gauge("connections")
         self.held_bytes = gauge("held_bytes")
-        self.refusals = gauge("refusals")
+        self.refusals = counter("refusals")
         self.answer_bytes = gauge("answer_bytes")
-        self.answers_refused = gauge("answers_refused")
+        self.answers_refused = counter("answers_refused")
 
     def render(self) -> bytes:
         """Return all values in the text format of Prometheus."""
--- a/filbertlb/metrics_page.py
+++ b/filbertlb/metrics_page.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from gevent import sleep
@@ -24,16 +25,27 @@
 LOAD_DELAY_S = 2.0
 
 
-def sample_admission(
-    metrics: Metrics, admission: Admission, answers: AnswerBudget
-) -> None:
-    """Show a process's connections, what they hold, and its refusals."""
-    metrics.answer_bytes.set(answers.held_bytes)
-    metrics.answers_refused.set(answers.refused)
-    metrics.connections.set(len(admission.connections))
-    metrics.held_bytes.set(admission.held_bytes)
-    for kind, count in admission.refusals.items():
-        metrics.refusals.set(count, {"kind": kind})
+class AdmissionSampler:
+    """Shows a process's connections, what they hold, and its refusals."""
+
+    def __init__(self, admission: Admission, answers: AnswerBudget) -> None:
+        self._admission = admission
+        self._answers = answers
+        self._counted_by_kind: Counter[str] = Counter()
+        self._counted_answers = 0
+
+    def sample(self, metrics: Metrics) -> None:
+        """Set the gauges, and add to the counters what is new."""
+        admission, answers = self._admission, self._answers
+        metrics.connections.set(len(admission.connections))
+        metrics.held_bytes.set(admission.held_bytes)
+        for kind, count in admission.refusals.items():
+            new = count - self._counted_by_kind[kind]
+            metrics.refusals.add(new, {"kind": kind})
+            self._counted_by_kind[kind] = count
+        metrics.answer_bytes.set(answers.held_bytes)
+        metrics.answers_refused.add(answers.refused - self._counted_answers)
+        self._counted_answers = answers.refused
 
 
 class MetricsPage:
--- a/filbertlb/platform/roles.py
+++ b/filbertlb/platform/roles.py
@@ -33,8 +33,8 @@
 from filbertlb.core.clock import SystemClock
 from filbertlb.errors import FilbertlbError
 from filbertlb.httpserver import serving_http
+from filbertlb.metrics_page import AdmissionSampler
 from filbertlb.metrics_page import MetricsPage
-from filbertlb.metrics_page import sample_admission
 from filbertlb.platform.configuration import ConfigurationReader
 from filbertlb.platform.configuration import OPERATOR_TABLE
 from filbertlb.platform.evacuation import EvacuationReader
@@ -99,6 +99,7 @@
     answers = _open_answers(settings)
     table = _open_table(settings, answers)
     admission = _open_admission(settings)
+    sampler = AdmissionSampler(admission, answers)
     index, mirror, in_force = JobIndex(), Mirror(), CurrentConfiguration()
     mirror.add_listener(index.apply_row)
     state_follower = Follower(table, STATE_TABLE, mirror, clock)
@@ -163,7 +164,7 @@
             evacuations = evacuation_reader.current()
             metrics.evacuated_domains.set(len(evacuations.version_by_domain))
         metrics.contact_age_s.set(clock.monotonic() - state_follower.contact_s)
-        sample_admission(metrics, admission, answers)
+        sampler.sample(metrics)
 
     page = MetricsPage("entry", settings.node, sample)
     service = JobService(table, mirror, index, clock)
@@ -220,6 +221,7 @@
     answers = _open_answers(settings)
     table = _open_table(settings, answers)
     admission = _open_admission(settings)
+    sampler = AdmissionSampler(admission, answers)
     worker = PlatformWorkerClient(settings.worker_address, clock, answers)
     agent = Agent(
         table, worker, clock, settings.node, settings.heartbeat_period_s
@@ -245,7 +247,7 @@
 
     def sample(metrics: Metrics) -> None:
         agent.sample(metrics)
-        sample_admission(metrics, admission, answers)
+        sampler.sample(metrics)
 
     page = MetricsPage("agent", settings.node, sample)
     with ExitStack() as stack:
--- a/tests/test_logs_metrics.py
+++ b/tests/test_logs_metrics.py
@@ -7,11 +7,14 @@
 import pytest
 from loguru import logger
 
+from filbertlb.admission import Admission
+from filbertlb.admission import AnswerBudget
 from filbertlb.logs import LineBudget
 from filbertlb.logs import log_context
 from filbertlb.logs import logging_to
 from filbertlb.logs import LogSettings
 from filbertlb.metrics import metrics_of
+from filbertlb.metrics_page import AdmissionSampler
 
 SECRET = "s3cr3t-value"
 
@@ -74,6 +77,23 @@
     assert not any("request_seconds" in line for line in other)
 
 
+def test_refusals_are_counters():
+    """Guards against rates that a scraper cannot tell from a restart."""
+    admission, answers = Admission(1000), AnswerBudget(1000, 1000)
+    sampler = AdmissionSampler(admission, answers)
+    with metrics_of("entry", "e1") as metrics:
+        for _ in range(2):
+            admission.count_refusal("server_busy", 0.0)
+            answers.refused += 1
+            sampler.sample(metrics)
+            sampler.sample(metrics)
+        lines = metrics.render().decode().splitlines()
+    assert 'filbertlb_refusals_total{kind="server_busy"} 2.0' in lines
+    assert "filbertlb_answers_refused_total 2.0" in lines
+    assert "# TYPE filbertlb_refusals_total counter" in lines
+    assert "# TYPE filbertlb_answers_refused_total counter" in lines
+
+
 def test_lines_over_the_budget_are_left_out_and_counted():
     budget = LineBudget(lines_per_s=2)
     assert [budget.admit(at_s) for at_s in (1.0, 1.1, 1.2, 1.9, 2.0)] == [
