--- a/filbertlb/allocator.py
+++ b/filbertlb/allocator.py
@@ -3,8 +3,7 @@
 By default glibc raises its threshold for separately mapped blocks to the
 size of each such block that is freed, up to 32 MiB. After the first large
 body, later ones come from the heap, where a single small block above them
-keeps their memory in the process: 100 clients with four pipelined bodies
-of 4 MiB left 170 MB to 229 MB behind, and 46 MB with a fixed threshold.
+keeps their memory in the process.
 """
 
 from __future__ import annotations
--- a/filbertlb/platform/settings.py
+++ b/filbertlb/platform/settings.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from filbertlb.admission import MIB
 from filbertlb.batch.durations import RunTimes
 from filbertlb.decoding import decode_json
 from filbertlb.decoding import MalformedDataError
@@ -16,7 +17,6 @@
 from filbertlb.ranges import Factor
 from filbertlb.ranges import Port
 
-MIB = 1024 * 1024
 SETTINGS_VARIABLE = "FILBERTLB_SETTINGS"
 RUN_TIMES_VARIABLE = "FILBERTLB_RUN_TIMES"
 QUEUE_ORDER_VARIABLE = "FILBERTLB_QUEUE_ORDER"
--- a/filbertlb/platform/wire.py
+++ b/filbertlb/platform/wire.py
@@ -30,16 +30,14 @@
 RACK_LABEL_PREFIX = "r"
 MAX_COLD_LEFT_MS = 3_600_000
 """Longest time for which a worker counts as cold; longer ones are odd."""
-
-
 MAX_JOB_OBJECTS = 32_768
-"""Most objects in a submission.
+"""Most objects in a submission, as a decoded one takes far more than its text.
 
 A job's row holds under 3,000 steps, and its payload of 8,000 characters may
-hold braces. A body of 4 MiB with 349,523 short steps took 120 MB to decode.
+hold braces.
 """
 MAX_JOB_COMMAS = 262_144
-"""Most values in a submission; 2,000,000 dependencies took 55 MB."""
+"""Most values in a submission, as a decoded one takes more than its text."""
 
 
 class UnreadableMessageError(InvalidInputError):
--- a/filbertlb/settings/process.py
+++ b/filbertlb/settings/process.py
@@ -13,13 +13,13 @@
 from attrs.validators import matches_re
 from attrs.validators import min_len
 
+from filbertlb.admission import MIB
 from filbertlb.core.model import Resources
 from filbertlb.logs import LogSettings
 from filbertlb.messages import Role
 from filbertlb.settings.decode import secret
 
 MAX_PORT = 65535
-MIB = 1024 * 1024
 
 
 class ProcessRole(StrEnum):
