Rename parts of the HTTP server and test that bodies are freed

owner is now handler, _let_go _release_request, _drop_body _drop_partial_body; comments keep their reasons without figures. Nothing checked that a body is freed when its connection is closed for others or its request fails; the test failed without either call.

--- a/filbertlb/admission.py
+++ b/filbertlb/admission.py
@@ -42,12 +42,12 @@
 A round trip between regions and a retransmission take less.
 """
 CONNECTION_BYTES = 16 * KIB
-"""Memory of a connection that sends nothing; measured as 15 KiB."""
+"""Memory that the process holds for a connection that sends nothing."""
 HELD_SHARE = 1 / 5
 """Share of the machine's memory that is the budget.
 
-An entry without load takes 45 MB of 160, its connections up to 20 MB and
-answers that it reads up to 48 MB.
+The rest is for the process without load, connections without a request and
+answers that are being read.
 """
 CONNECTIONS_SHARE = 1 / 8
 """Share of the machine's memory for connections without a request."""
@@ -96,13 +96,13 @@
         When it last changed its phase or made progress.
     large_bytes : int
         Part of the held bytes that counts for the client's address.
-    owner : object, optional
-        Whoever can close it; not used here.
+    handler : object, optional
+        Serves the connection; callers use it to close the connection.
     """
 
     address: str
     progress_s: float
-    owner: Any = None
+    handler: Any = None
     phase: Phase = Phase.IDLE
     held_bytes: int = 0
     large_bytes: int = 0
@@ -238,10 +238,10 @@
         self._logged_by_kind: dict[str, tuple[float, int]] = {}
 
     def open(
-        self, address: str, now_s: float, owner: Any = None
+        self, address: str, now_s: float, handler: Any = None
     ) -> Connection:
         """Return the record of a new connection."""
-        connection = Connection(address, now_s, owner)
+        connection = Connection(address, now_s, handler)
         self.connections.add(connection)
         return connection
 
--- a/filbertlb/httpserver.py
+++ b/filbertlb/httpserver.py
@@ -172,7 +172,7 @@
         idle_s = self.server.limits.connection_idle_s
         self.socket.settimeout(idle_s)
         # The base class closes the connection on an OSError. A line that has
-        # arrived whole needs no timer, which saves 3 us.
+        # arrived whole needs no timer.
         if b"\n" in self.rfile.peek():
             line = super().read_requestline()
         else:
@@ -239,7 +239,7 @@
         try:
             super().handle_one_response()
         finally:
-            self._let_go()
+            self._release_request()
 
     def process_result(self) -> None:
         """Send the response, which is held until the client takes it."""
@@ -269,17 +269,19 @@
         Its memory counts as released, so the body read so far goes at once.
         """
         self.server.count_refusal(f"closed_{self.held.phase.value}")
-        self._drop_body()
+        self._drop_partial_body()
         writing = self.held.phase is Phase.WRITING
         with suppress(OSError):
             self.socket.shutdown(SHUT_RDWR if writing else SHUT_RD)
 
-    def _drop_body(self) -> None:
+    def _drop_partial_body(self) -> None:
+        """Free the body read so far, also while a frame refers to it."""
         if self._partial is not None:
             self._partial.close()
             self._partial = None
 
-    def _let_go(self) -> None:
+    def _release_request(self) -> None:
+        """Drop the request and its response, and release their memory."""
         self.body = b""
         self.environ = None
         self.wsgi_input = None
@@ -368,7 +370,7 @@
             return partial.getvalue()
         finally:
             # An error on its way refers to this frame, but not to the body.
-            self._drop_body()
+            self._drop_partial_body()
 
     def _handle_client_error(self, ex: Exception) -> None:
         """Answer what is no request within the limits, then close."""
@@ -377,7 +379,7 @@
             if isinstance(ex, FilbertlbError)
             else MalformedRequestError("the bytes are not an HTTP request")
         )
-        self._let_go()
+        self._release_request()
         self.server.count_refusal(error.code)
         with suppress(OSError):
             self.socket.sendall(_raw_response(error))
@@ -433,7 +435,7 @@
     def close_all(self, connections: Iterable[Connection]) -> None:
         """Close connections, also of other listeners."""
         for connection in connections:
-            connection.owner.close_for_others()
+            connection.handler.close_for_others()
 
     def count_refusal(self, kind: str) -> None:
         """Count a refusal, and log it unless its kind was logged lately."""
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -238,7 +238,7 @@
         wait_until(lambda: admission.held_bytes >= LARGE)
         (held,) = admission.connections
         (closed,) = admission.make_room([held], 1, held.progress_s + 1.0)
-        closed.owner.close_for_others()
+        closed.handler.close_for_others()
         with suppress(OSError):
             sock.sendall(b"x")
         assert read_all(sock).startswith(b"HTTP/1.1 503 ")
@@ -297,6 +297,24 @@
     assert all(progress_s > 0.0 for _, progress_s in body[1:])
 
 
+@pytest.mark.parametrize("by_client", [True, False])
+def test_body_of_an_ended_request_is_freed(echo, by_client):
+    """Guards against bodies that are kept while their memory is reused."""
+    admission = Admission(TIGHT.held_bytes)
+    with serving_http(echo, "127.0.0.1", 0, TIGHT, admission) as url:
+        sock = start_body(url, LARGE - 1)
+        wait_until(lambda: admission.held_bytes >= LARGE)
+        (held,) = admission.connections
+        body = held.handler._partial
+        if by_client:
+            sock.close()
+            wait_until(lambda: not admission.connections)
+        else:
+            # The task of the connection has had no turn yet.
+            held.handler.close_for_others()
+        assert body.closed
+
+
 def test_budget_is_released_however_a_request_ends():
     def application(environ, start_response):
         body = environ["wsgi.input"].read()
