--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -366,7 +366,8 @@
         caller = HttpCaller(f"http://{watch.address('callers')}", 1)
         for number in range(ORDINARY_REQUESTS):
             path = f"/render/{number:016x}"
-            caller.post(path, body, DEADLINE_S, HEADERS)
+            reply = caller.post(path, body, DEADLINE_S, HEADERS)
+            assert reply.status == 400
         watch.check()
 
 
