--- a/filbertlb/httpcall.py
+++ b/filbertlb/httpcall.py
@@ -73,6 +73,12 @@
     code = "answer_too_large"
 
 
+class AnswerBudgetFullError(CallOutcomeUnknownError):
+    """The call was sent, but no memory was left to read its answer."""
+
+    code = "answer_budget_full"
+
+
 @attrs.frozen
 class Reply:
     """A whole HTTP response."""
@@ -83,7 +89,11 @@
 
 
 class _LargeAnswerError(HTTPParseError):
-    """Raised when an answer is not read to its end."""
+    """Raised when an answer is larger than its bound."""
+
+
+class _BudgetFullError(HTTPParseError):
+    """Raised when other answers leave no memory for an answer."""
 
 
 class _NoConnectionError(Exception):
@@ -292,20 +302,25 @@
             ) from error
         except (OSError, HTTPParseError) as error:
             self._drop(client)
-            large = isinstance(error, _LargeAnswerError)
-            lost = AnswerTooLargeError if large else CallOutcomeUnknownError
+            lost = _OUTCOME_ERRORS.get(type(error), CallOutcomeUnknownError)
             raise lost(
                 f"{method} {self._base_url + path!r} got no whole answer: "
                 f"{error}"
             ) from error
 
 
+_OUTCOME_ERRORS: dict[type[Exception], type[CallOutcomeUnknownError]] = {
+    _LargeAnswerError: AnswerTooLargeError,
+    _BudgetFullError: AnswerBudgetFullError,
+}
+
+
 def _next_part(
-    response: HTTPSocketPoolResponse, timeout_s: float
+    response: HTTPSocketPoolResponse, count: int, timeout_s: float
 ) -> bytes | bytearray:
     expired = TimeoutError(f"no part of the body within {timeout_s!r} s")
     with Timeout(timeout_s, expired):
-        return response.read(BODY_PART_BYTES)
+        return response.read(count)
 
 
 def _whole(
@@ -342,22 +357,32 @@
     response: HTTPSocketPoolResponse, timeout_s: float, answers: AnswerBudget
 ) -> bytes:
     """Read the parts of a body, each reserved before it is read."""
+    announced = response.content_length
     body = BytesIO()
     held = reserved = 0
     try:
-        while True:
-            if not answers.grow(held, BODY_PART_BYTES):
+        while announced is None or held < announced:
+            count = BODY_PART_BYTES
+            if announced is not None:
+                count = min(count, announced - held)
+            if not answers.grow(held, count):
                 response.release()
-                raise _LargeAnswerError(
-                    f"answer is too large after {held!r} bytes, while "
-                    f"{answers.held_bytes!r} are held for all answers"
+                if held + count > answers.answer_bytes:
+                    raise _LargeAnswerError(
+                        f"answer is too large after {held!r} bytes"
+                    )
+                raise _BudgetFullError(
+                    f"no memory for the answer after {held!r} bytes, as "
+                    f"{answers.held_bytes!r} are held for all answers; call "
+                    "again later"
                 )
-            if held + BODY_PART_BYTES > SMALL_BYTES:
-                reserved += BODY_PART_BYTES
-            part = _next_part(response, timeout_s)
+            if held + count > SMALL_BYTES:
+                reserved += count
+            part = _next_part(response, count, timeout_s)
             if not part:
-                return body.getvalue()
+                break
             held += body.write(part)
+        return body.getvalue()
     finally:
         # A kept error refers to this frame, but not to the body.
         body.close()
--- a/filbertlb/httpserver.py
+++ b/filbertlb/httpserver.py
@@ -34,6 +34,7 @@
 
 from filbertlb.admission import Admission
 from filbertlb.admission import Phase
+from filbertlb.admission import PROGRESS_BYTES
 from filbertlb.admission import Verdict
 from filbertlb.allocator import return_large_blocks
 from filbertlb.api.calls import BodyTooLargeError
@@ -56,10 +57,14 @@
 LINGER_BLOCK_BYTES = 64 * 1024
 READ_BLOCK_BYTES = 64 * 1024
 """Part of a body that is reserved and read at once."""
-SEND_BLOCK_BYTES = 64 * 1024
-"""Part of a response that must leave within the progress time."""
-ROOM_PERIOD_S = 0.25
+ROOM_PERIOD_S = 0.1
 """Time between two looks for stalled connections while a listener is full."""
+CLOSED_PER_LOOK = 4
+"""Most connections closed at one look.
+
+A load balancer keeps most of its idle connections, and a crowd of silent
+clients is still closed within seconds.
+"""
 REQUESTS_PER_TURN = 16
 """Requests of one connection after which others get their turn.
 
@@ -110,10 +115,16 @@
 
 
 class _BoundedLines:
-    """File of header lines that refuses more than a number of bytes."""
+    """File of header lines that refuses more than a number of bytes.
 
-    def __init__(self, file: Any, limit_bytes: int) -> None:
+    The lines count as progress of their connection.
+    """
+
+    def __init__(
+        self, file: Any, limit_bytes: int, connection: Connection
+    ) -> None:
         self._file = file
+        self._connection = connection
         self._limit_bytes = limit_bytes
         self._left_bytes = limit_bytes
 
@@ -125,6 +136,7 @@
             raise HeadersTooLargeError(
                 f"the headers are over {self._limit_bytes} bytes"
             )
+        self._connection.record_transfer(len(line), monotonic())
         return line
 
 
@@ -160,7 +172,7 @@
         idle_s = self.server.limits.connection_idle_s
         self.socket.settimeout(idle_s)
         # The base class closes the connection on an OSError. A line that has
-        # arrived whole needs no timer, which saves 3 us.
+        # arrived whole needs no timer.
         if b"\n" in self.rfile.peek():
             line = super().read_requestline()
         else:
@@ -211,7 +223,8 @@
 
     def MessageClass(self, file: Any, *args: Any) -> Any:  # noqa: N802
         """Parse the headers within their limit."""
-        lines = _BoundedLines(file, self.server.limits.header_bytes)
+        limit_bytes = self.server.limits.header_bytes
+        lines = _BoundedLines(file, limit_bytes, self.held)
         return super().MessageClass(lines, *args)
 
     def get_environ(self) -> dict[str, Any]:
@@ -226,7 +239,7 @@
         try:
             super().handle_one_response()
         finally:
-            self._let_go()
+            self._release_request()
 
     def process_result(self) -> None:
         """Send the response, which is held until the client takes it."""
@@ -256,17 +269,19 @@
         Its memory counts as released, so the body read so far goes at once.
         """
         self.server.count_refusal(f"closed_{self.held.phase.value}")
-        self._drop_body()
+        self._drop_partial_body()
         writing = self.held.phase is Phase.WRITING
         with suppress(OSError):
             self.socket.shutdown(SHUT_RDWR if writing else SHUT_RD)
 
-    def _drop_body(self) -> None:
+    def _drop_partial_body(self) -> None:
+        """Free the body read so far, also while a frame refers to it."""
         if self._partial is not None:
             self._partial.close()
             self._partial = None
 
-    def _let_go(self) -> None:
+    def _release_request(self) -> None:
+        """Drop the request and its response, and release their memory."""
         self.body = b""
         self.environ = None
         self.wsgi_input = None
@@ -275,15 +290,17 @@
         self.held.enter(Phase.IDLE, monotonic())
 
     def _sendall(self, data: bytes) -> None:
-        """Send in blocks, each within the progress time."""
+        """Send in blocks, each within the progress time.
+
+        A block is no larger than what counts as progress, so a steady reader
+        does not count as stalled.
+        """
         try:
-            if len(data) <= SEND_BLOCK_BYTES:
-                super()._sendall(data)
-                return
             view = memoryview(data)
-            for start in range(0, len(view), SEND_BLOCK_BYTES):
-                super()._sendall(view[start : start + SEND_BLOCK_BYTES])
-                self.held.move(SEND_BLOCK_BYTES, monotonic())
+            for start in range(0, len(view), PROGRESS_BYTES):
+                block = view[start : start + PROGRESS_BYTES]
+                super()._sendall(block)
+                self.held.record_transfer(len(block), monotonic())
         except OSError as error:
             timed_out = isinstance(error, TimeoutError)
             if timed_out:
@@ -322,11 +339,7 @@
             )
         if self.headers.get("expect", "").lower():
             self.socket.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
-        if length <= READ_BLOCK_BYTES:
-            self._reserve(length, monotonic())
-            body = self.rfile.read(length)
-        else:
-            body = self._read_blocks(length)
+        body = self._read_blocks(length)
         if len(body) < length:
             if self.held.closing:
                 raise self._busy(Verdict.PROCESS_FULL)
@@ -336,7 +349,7 @@
         return body
 
     def _read_blocks(self, length: int) -> bytes:
-        """Read a large body in blocks, each reserved before it is read."""
+        """Read a body in blocks, each reserved before it is read."""
         self._partial = partial = BytesIO()
         try:
             left = length
@@ -352,12 +365,12 @@
                         return partial.getvalue()
                     partial.write(block)
                     arrived += len(block)
-                    self.held.move(len(block), monotonic())
+                    self.held.record_transfer(len(block), monotonic())
                 left -= count
             return partial.getvalue()
         finally:
             # An error on its way refers to this frame, but not to the body.
-            self._drop_body()
+            self._drop_partial_body()
 
     def _handle_client_error(self, ex: Exception) -> None:
         """Answer what is no request within the limits, then close."""
@@ -366,7 +379,7 @@
             if isinstance(ex, FilbertlbError)
             else MalformedRequestError("the bytes are not an HTTP request")
         )
-        self._let_go()
+        self._release_request()
         self.server.count_refusal(error.code)
         with suppress(OSError):
             self.socket.sendall(_raw_response(error))
@@ -422,7 +435,7 @@
     def close_all(self, connections: Iterable[Connection]) -> None:
         """Close connections, also of other listeners."""
         for connection in connections:
-            connection.owner.close_for_others()
+            connection.handler.close_for_others()
 
     def count_refusal(self, kind: str) -> None:
         """Count a refusal, and log it unless its kind was logged lately."""
@@ -449,8 +462,9 @@
             self._makes_room = False
             return
         held = [handler.held for handler in self.handlers]
-        half = max(1, self.limits.connections // 2)
-        self.close_all(self.admission.make_room(held, half, monotonic()))
+        self.close_all(
+            self.admission.make_room(held, CLOSED_PER_LOOK, monotonic())
+        )
         spawn_later(ROOM_PERIOD_S, self._make_room)
 
 
--- a/filbertlb/platform/settings.py
+++ b/filbertlb/platform/settings.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from filbertlb.admission import MIB
 from filbertlb.batch.durations import RunTimes
 from filbertlb.decoding import decode_json
 from filbertlb.decoding import MalformedDataError
@@ -17,7 +18,6 @@
 from filbertlb.ranges import Factor
 from filbertlb.ranges import Port
 
-MIB = 1024 * 1024
 SETTINGS_VARIABLE = "FILBERTLB_SETTINGS"
 RUN_TIMES_VARIABLE = "FILBERTLB_RUN_TIMES"
 QUEUE_ORDER_VARIABLE = "FILBERTLB_QUEUE_ORDER"
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -15,7 +15,11 @@
 
 from filbertlb import httpserver
 from filbertlb.admission import Admission
+from filbertlb.admission import Phase
+from filbertlb.admission import PROGRESS_BYTES
+from filbertlb.admission import STALLED_S
 from filbertlb.httpcall import HttpCaller
+from filbertlb.httpserver import CLOSED_PER_LOOK
 from filbertlb.httpserver import serving_http
 from filbertlb.httpserver import without_delay
 from filbertlb.settings.process import Limits
@@ -234,7 +238,7 @@
         wait_until(lambda: admission.held_bytes >= LARGE)
         (held,) = admission.connections
         (closed,) = admission.make_room([held], 1, held.progress_s + 1.0)
-        closed.owner.close_for_others()
+        closed.handler.close_for_others()
         with suppress(OSError):
             sock.sendall(b"x")
         assert read_all(sock).startswith(b"HTTP/1.1 503 ")
@@ -242,6 +246,75 @@
     assert admission.held_bytes == 0
 
 
+@pytest.mark.parametrize(
+    ("start", "block"),
+    [
+        (POST + b"Content-Length: 60000\r\n\r\n", b"x" * 20_000),
+        (POST, b"X: %s\r\n" % (b"x" * 1000) * 20),
+    ],
+    ids=["body", "headers"],
+)
+def test_received_bytes_of_a_small_request_are_progress(echo, start, block):
+    """Guards against a steady sender that counts as stalled."""
+    limits = Limits(header_bytes=60_000)
+    admission = Admission(limits.held_bytes)
+    with serving_http(echo, "127.0.0.1", 0, limits, admission) as url:
+        sock = connect(url)
+        sock.sendall(start)
+        wait_until(lambda: admission.held_bytes > 0)
+        (held,) = admission.connections
+        held.progress_s = 0.0
+        sock.sendall(block)
+        wait_until(lambda: held.progress_s > 0.0)
+        # The end of a request would count as a change of phase.
+        assert held.phase is Phase.READING
+        sock.close()
+
+
+def test_each_part_of_a_response_is_progress(monkeypatch):
+    """Guards against a steady reader that counts as stalled."""
+    length = 10 * PROGRESS_BYTES + 1
+    sent = []
+
+    def application(environ, start_response):
+        start_response("200 OK", [("Content-Length", str(length))])
+        return [b"x" * length]
+
+    def send(handler, data):
+        sent.append((len(data), handler.held.progress_s))
+        handler.held.progress_s = 0.0
+        handler.socket.sendall(data)
+
+    monkeypatch.setattr(httpserver.WSGIHandler, "_sendall", send)
+    with serving_http(application, "127.0.0.1", 0, Limits()) as url:
+        caller = HttpCaller(url, 1)
+        assert len(caller.get("/", 30.0).body) == length
+        caller.close()
+    body = [part for part in sent if part[0] == PROGRESS_BYTES]
+    assert len(body) == 10
+    assert max(count for count, _ in sent) == PROGRESS_BYTES
+    # The first part follows the headers, which are less than is progress.
+    assert all(progress_s > 0.0 for _, progress_s in body[1:])
+
+
+@pytest.mark.parametrize("by_client", [True, False])
+def test_body_of_an_ended_request_is_freed(echo, by_client):
+    """Guards against bodies that are kept while their memory is reused."""
+    admission = Admission(TIGHT.held_bytes)
+    with serving_http(echo, "127.0.0.1", 0, TIGHT, admission) as url:
+        sock = start_body(url, LARGE - 1)
+        wait_until(lambda: admission.held_bytes >= LARGE)
+        (held,) = admission.connections
+        body = held.handler._partial
+        if by_client:
+            sock.close()
+            wait_until(lambda: not admission.connections)
+        else:
+            # The task of the connection has had no turn yet.
+            held.handler.close_for_others()
+        assert body.closed
+
+
 def test_budget_is_released_however_a_request_ends():
     def application(environ, start_response):
         body = environ["wsgi.input"].read()
@@ -285,6 +358,24 @@
     assert "Traceback" not in capfd.readouterr().err
 
 
+def test_few_kept_connections_make_room(echo):
+    """Guards against a client whose kept connections are closed in bulk."""
+    connections = 4 * CLOSED_PER_LOOK
+    limits = Limits(connections=connections)
+    admission = Admission(limits.held_bytes)
+    with serving_http(echo, "127.0.0.1", 0, limits, admission) as url:
+        kept = [connect(url) for _ in range(connections)]
+        wait_until(lambda: len(admission.connections) == connections)
+        for connection in admission.connections:
+            connection.progress_s -= STALLED_S
+        caller = HttpCaller(url, 1)
+        assert caller.post("/x", b"hi", 30.0).body == b"hi"
+        assert admission.refusals["closed_idle"] == CLOSED_PER_LOOK
+        caller.close()
+        for sock in kept:
+            sock.close()
+
+
 def test_silent_connections_make_room(echo):
     """Guards against a listener that is full of clients without requests."""
     limits = Limits(connections=2)
