--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -154,6 +154,13 @@
             f"{path} did not meet the condition, last reply {reply!r}"
         )
 
+    def wait_until_stored(self, table, key):
+        """Wait until the store has a row; fail at the deadline."""
+        end_s = self.clock.monotonic() + DEADLINE_S
+        while self.store.read(table, key) is None:
+            assert self.clock.monotonic() < end_s, key
+            sleep(0.05)
+
     def wait_until_learned(self, runs):
         """Wait until the stored run times are of a number of runs.
 
