--- a/filbertlb/httpserver.py
+++ b/filbertlb/httpserver.py
@@ -60,7 +60,8 @@
 ROOM_PERIOD_S = 0.1
 """Time between two looks for stalled connections while a listener is full."""
 CLOSED_PER_LOOK = 4
-"""Most connections closed at one look.
+CLOSED_SHARE = 1 / 4
+"""Most connections closed at one look, as a number or share of all.
 
 A load balancer keeps most of its idle connections, and a crowd of silent
 clients is still closed within seconds.
@@ -463,7 +464,11 @@
             return
         held = [handler.held for handler in self.handlers]
         self.close_all(
-            self.admission.make_room(held, CLOSED_PER_LOOK, monotonic())
+            self.admission.make_room(
+                held,
+                max(CLOSED_PER_LOOK, int(CLOSED_SHARE * len(held))),
+                monotonic(),
+            )
         )
         spawn_later(ROOM_PERIOD_S, self._make_room)
 
--- a/filbertlb/platform/__main__.py
+++ b/filbertlb/platform/__main__.py
@@ -4,17 +4,24 @@
 
 import os
 import sys
+from importlib import import_module
 
 from loguru import logger
 
 from filbertlb.errors import FilbertlbError
 from filbertlb.logs import logging_to
 from filbertlb.logs import LogSettings
-from filbertlb.platform.roles import run_agent
-from filbertlb.platform.roles import run_entry
 from filbertlb.platform.settings import load_settings_file
 
-RUN_BY_ROLE = {"entry": run_entry, "agent": run_agent}
+FUNCTION_BY_ROLE = {
+    "entry": ("filbertlb.platform.entry", "run_entry"),
+    "agent": ("filbertlb.platform.agent", "run_agent"),
+}
+"""Module and function of each role.
+
+Only that of the role is imported, as agents need neither the time nor the
+memory for the modules that decide.
+"""
 
 
 def main() -> int:
@@ -25,7 +32,8 @@
     with logging_to(LogSettings(json_lines=True), sys.stdout):
         try:
             settings = load_settings_file()
-            RUN_BY_ROLE[settings.role](settings)
+            module, function = FUNCTION_BY_ROLE[settings.role]
+            getattr(import_module(module), function)(settings)
         except FilbertlbError as error:
             logger.error("stops: {} {}", error.code, error)
             return 1
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -28,8 +28,8 @@
 from filbertlb.addresses import split_address
 from filbertlb.errors import FilbertlbError
 from filbertlb.httpcall import HttpCaller
-from filbertlb.platform.roles import METRICS_OFFSET
-from filbertlb.platform.roles import PEER_OFFSET
+from filbertlb.platform.entry import PEER_OFFSET
+from filbertlb.platform.process import METRICS_OFFSET
 from filbertlb.standin.wsgi import serving
 from tests.platform.test_whole_path import DEADLINE_S
 from tests.platform.test_whole_path import HEADERS
