--- a/filbertlb/metrics.py
+++ b/filbertlb/metrics.py
@@ -58,6 +58,9 @@
         Jobs of the scope, while this instance decides.
     evacuated_domains : Gauge
         Failure domains that an operator has asked to evacuate.
+    waiting_groups : Gauge
+        Groups of tasks that are ready and wait, by ``reason``, while this
+        instance decides.
     guarantees_at_risk : Gauge
         Guaranteed shapes without a placement, by ``organisation``.
     lost_core_seconds : Counter
@@ -82,6 +85,17 @@
     worker_speeds : Gauge
         Workers with a learned speed, by ``speed``: ``slow``, ``usual`` or
         ``fast``.
+    connections : Gauge
+        Connections to this process's HTTP listeners.
+    held_bytes : Gauge
+        Memory held for requests and unread responses.
+    refusals : Gauge
+        Requests refused and connections closed by the HTTP server since
+        the start, by ``kind``.
+    answer_bytes : Gauge
+        Memory held for answers to calls while they are read.
+    answers_refused : Gauge
+        Answers to calls that were too large to be read, since the start.
     """
 
     def __init__(self, role: str, instance_id: str) -> None:
@@ -114,6 +128,7 @@
         self.queued_jobs = gauge("queued_jobs")
         self.running_jobs = gauge("running_jobs")
         self.evacuated_domains = gauge("evacuated_domains")
+        self.waiting_groups = gauge("waiting_groups")
         self.guarantees_at_risk = gauge("guarantees_at_risk")
         self.lost_core_seconds = counter("lost_core_seconds")
         self.revision = gauge("revision")
@@ -124,6 +139,11 @@
         self.expected_run_s = gauge("expected_run_seconds")
         self.estimate_correction = gauge("estimate_correction")
         self.worker_speeds = gauge("worker_speeds")
+        self.connections = gauge("connections")
+        self.held_bytes = gauge("held_bytes")
+        self.refusals = gauge("refusals")
+        self.answer_bytes = gauge("answer_bytes")
+        self.answers_refused = gauge("answers_refused")
 
     def render(self) -> bytes:
         """Return all values in the text format of Prometheus."""
--- a/filbertlb/platform/settings.py
+++ b/filbertlb/platform/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+from enum import StrEnum
 from pathlib import Path
 
 import msgspec
@@ -15,8 +16,17 @@
 from filbertlb.ranges import Factor
 from filbertlb.ranges import Port
 
+MIB = 1024 * 1024
 SETTINGS_VARIABLE = "FILBERTLB_SETTINGS"
 RUN_TIMES_VARIABLE = "FILBERTLB_RUN_TIMES"
+QUEUE_ORDER_VARIABLE = "FILBERTLB_QUEUE_ORDER"
+
+
+class QueueOrder(StrEnum):
+    """Order in which ready tasks are placed."""
+
+    DEADLINE = "deadline"
+    BENEFIT = "benefit"
 
 
 class SettingsFileError(InvalidInputError):
@@ -31,6 +41,12 @@
     code = "run_times_setting"
 
 
+class QueueOrderError(InvalidInputError):
+    """The order of the queue is unknown."""
+
+    code = "queue_order"
+
+
 class _Listen(msgspec.Struct, rename="camel"):
     client_addr: str = ""
     readiness: str = ""
@@ -47,6 +63,9 @@
     # Share of one core, as fast as `cores` cores together.
     cpu_share: float = 1.0
     cores: float = 1.0
+    # Defaults of the smallest machine that the platform has.
+    memory_mb: Count = 160
+    max_fds: Count = 1638
 
 
 class _Bounds(msgspec.Struct, rename="camel"):
@@ -102,8 +121,12 @@
     evacuate_ms : int
         Time after a request to evacuate a failure domain from which no work
         may start there; 0 in a deployment without evacuation.
+    memory_bytes, descriptors : int
+        Memory of the machine, and descriptors that the process may open.
     run_times : RunTimes
         Source of the expected run times, from ``FILBERTLB_RUN_TIMES``.
+    queue_order : QueueOrder
+        Order in which an entry that decides places ready tasks.
     """
 
     node: str
@@ -123,7 +146,10 @@
     checkpoint_interval_s: float
     restore_ms: int
     evacuate_ms: int
+    memory_bytes: int
+    descriptors: int
     run_times: RunTimes = RunTimes.DECLARED
+    queue_order: QueueOrder = QueueOrder.DEADLINE
 
 
 def load_settings_file(path: str | None = None) -> Settings:
@@ -140,6 +166,8 @@
         If the file is missing or invalid.
     RunTimesSettingError
         If ``FILBERTLB_RUN_TIMES`` has an unknown value.
+    QueueOrderError
+        If ``FILBERTLB_QUEUE_ORDER`` is invalid.
     """
     file_path = path or os.environ.get(SETTINGS_VARIABLE, "")
     try:
@@ -168,7 +196,10 @@
         file.bounds.checkpoint_interval_s,
         file.bounds.restore_ms,
         file.bounds.evacuate_ms or 0,
+        file.limits.memory_mb * MIB,
+        file.limits.max_fds,
         _run_times(),
+        _queue_order(),
     )
 
 
@@ -182,3 +213,15 @@
             f"{', '.join(RunTimes)}, or leave it unset for "
             f"{RunTimes.DECLARED}"
         ) from error
+
+
+def _queue_order() -> QueueOrder:
+    """Return the order of the queue that the environment selects."""
+    value = os.environ.get(QUEUE_ORDER_VARIABLE) or QueueOrder.DEADLINE
+    try:
+        return QueueOrder(value)
+    except ValueError as error:
+        raise QueueOrderError(
+            f"{QUEUE_ORDER_VARIABLE} is {value!r}; set it to one of "
+            f"{', '.join(QueueOrder)}"
+        ) from error
