--- a/tests/batch/test_queue_order.py
+++ b/tests/batch/test_queue_order.py
@@ -2,6 +2,7 @@
 
 from random import Random
 
+import attrs
 import pytest
 
 from filbertlb.batch.benefit_order import AGED_FACTOR
@@ -10,6 +11,7 @@
 from filbertlb.batch.benefit_order import BenefitOrder
 from filbertlb.batch.benefit_order import LATE_FACTOR
 from filbertlb.batch.demand import Demand
+from filbertlb.batch.demand import MAX_SHAPE_AGE_MS
 from filbertlb.batch.demand import MIN_ENTITLEMENT
 from filbertlb.batch.demand import SETTLED_AGE_MS
 from filbertlb.batch.durations import DeclaredDurations
@@ -245,6 +247,19 @@
     assert Decision(*jobs).names == ["u", "b"]
 
 
+@pytest.mark.parametrize(
+    ("priority", "names"), [(2, ["tight", "ample"]), (3, ["ample", "tight"])]
+)
+def test_job_with_ample_slack_counts_a_tenth_of_its_value(priority, names):
+    # With a larger share, urgent jobs that could wait go before jobs that
+    # would end too late; with none, jobs of little value go before them.
+    ample = a_run("ample", 1, 10_000, priority=0, slack_factor=50.0)
+    tight = a_run(
+        "tight", 1, 10_000, priority=priority, slack_factor=1.0, target_ms=0
+    )
+    assert Decision(ample, tight).names == names
+
+
 def test_rest_of_a_job_that_is_nearly_done_comes_first():
     # Its other steps are paid for, so little work earns its whole value.
     step = a_step(needs=(1, 1000, 1000), estimate_ms=2000)
@@ -265,6 +280,15 @@
     assert decision.names[0] == "fresh"
 
 
+def test_aged_groups_of_one_age_are_advanced_in_the_order_of_their_names():
+    # The next decider may know the jobs in another order.
+    aged = [a_run(f"a{n}", 1, 1000, 0) for n in range(8)]
+    for jobs in (aged, aged[::-1]):
+        decision = Decision(*jobs, now_ms=60_000)
+        bands = [decision.band(job.job_id) for job in aged]
+        assert bands == [Band.AGED] + 7 * [Band.EXPIRED]
+
+
 def test_younger_aged_runs_do_not_hold_up_an_older_group():
     # They are placed by benefit; if they used up the aged share, a large
     # gang would wait for ever under lasting overload.
@@ -328,6 +352,37 @@
     assert newcomer >= 0.9 * MIN_ENTITLEMENT / 3
 
 
+@attrs.frozen
+class ScaledDurations(DeclaredDurations):
+    """Multiples of the declared run times."""
+
+    factor: int = 1
+
+    def expected_ms(self, job, step):
+        return self.factor * step.estimate_ms
+
+
+def test_work_is_that_of_the_run_times_that_are_expected_now():
+    # The first decider kept the work of the moment when it saw a job, so
+    # entitlements changed when another took over.
+    state = PlannerState()
+    first = a_run("a", 1, 1000, 0, organisation="a")
+    state.add_job(first)
+    old = Demand()
+    old.update(state, DeclaredDurations(), SETTLED_AGE_MS)
+    state.add_job(a_run("b", 1, 1000, 0, organisation="b"))
+    durations = ScaledDurations(factor=4)
+    now_ms = SETTLED_AGE_MS + MAX_SHAPE_AGE_MS
+    new = Demand()
+    for demand in (old, new):
+        demand.update(state, durations, now_ms)
+    assert old.size_by_organisation == new.size_by_organisation
+    assert old.mean_work_by_queue == new.mean_work_by_queue
+    assert old.entitlements({"a", "b"}) == {"a": 0.5, "b": 0.5}
+    mean_work = old.mean_work_by_queue[first.queue]
+    assert old.shape(first, durations).work == mean_work
+
+
 def test_forgotten_jobs_do_not_count_as_demand():
     state = PlannerState()
     state.add_job(a_run("a", 1, 1000, 0, organisation="a"))
