Tell why a job failed and for how long the table has been silent

Both are logged now, with the run time of each end; filbertlb_failed_jobs_total counts failed jobs by cause. The decision whether a job fails has a module of its own, and the contact with the table too.

No decision changes.

--- a/filbertlb/batch/decider.py
+++ b/filbertlb/batch/decider.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from contextlib import contextmanager
 from secrets import token_hex
@@ -134,6 +135,8 @@
     ----------
     lost_core_s : dict of str to float
         Core-seconds lost by preemption that this process decided, by cause.
+    failed_jobs : Counter of str
+        Jobs that failed while this process decided, by cause.
     """
 
     def __init__(
@@ -153,6 +156,7 @@
         by_benefit: bool = False,
     ) -> None:
         self.lost_core_s: dict[str, float] = {}
+        self.failed_jobs: Counter[str] = Counter()
         self._checkpoints = checkpoints or CheckpointCosts()
         self._table = table
         self._mirror = mirror
@@ -389,6 +393,7 @@
         )
         planner.checkpoints = self._checkpoints
         planner.lost_core_s = self.lost_core_s
+        planner.failed_jobs = self.failed_jobs
         planner.demand = Demand() if self._by_benefit else None
         logger.info(
             "deciding with epoch {} from version {} after {:.2f} s: {} jobs, "
--- a/filbertlb/batch/forwarding.py
+++ b/filbertlb/batch/forwarding.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import TYPE_CHECKING
 from typing import TypeVar
 
@@ -24,8 +23,11 @@
 from filbertlb.typedserver import typed
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from filbertlb.batch.peers import Peers
     from filbertlb.batch.service import JobService
+    from filbertlb.table.contact import Contact
     from filbertlb.typedserver import Handler
 
 JOBS_PATH = "/jobs/"
@@ -81,13 +83,13 @@
     ----------
     service : JobService
         Serves calls from the table and from this entry's copy of it.
-    table_reachable : callable
-        Returns whether the table has answered this entry lately.
+    contact : Contact
+        Tells whether the table has answered this entry lately.
     """
 
     service: JobService
     peers: Peers
-    table_reachable: Callable[[], bool]
+    contact: Contact
 
     def submit(self, job: Job) -> None:
         """Store a job once, through this entry or another one.
@@ -126,7 +128,7 @@
         JobUnknownError
             If a read of the table finds no such job.
         """
-        if not self.table_reachable():
+        if not self.contact.reachable:
             try:
                 return self._forward(
                     STATE, job_id, JobCall(job_id), StateReply
@@ -170,8 +172,11 @@
         logger.info("{} of job {} for an entry", verb, job_id)
 
     def _require_table(self) -> None:
-        if not self.table_reachable():
-            raise UnavailableError("the table does not answer; try again")
+        if not self.contact.reachable:
+            raise UnavailableError(
+                "the table has not answered this entry for "
+                f"{self.contact.age_s:.1f} s; try again"
+            )
 
     def _local_or_forwarded(
         self, local: Callable[[], object], verb: str, job_id: str, body: object
--- /dev/null
+++ b/filbertlb/batch/job_outcome.py
@@ -0,0 +1,100 @@
+"""Whether a job is complete or has to fail, and why."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+import attrs
+
+from filbertlb.batch.crashes import crashes_workers
+from filbertlb.batch.model import task_group_of
+from filbertlb.batch.planner_state import TaskGroup
+
+if TYPE_CHECKING:
+    from filbertlb.batch.model import Job
+    from filbertlb.batch.planner_state import PlannerState
+
+
+class FailureCause(StrEnum):
+    """Why a job fails."""
+
+    ATTEMPTS = "attempts"
+    CRASHES = "crashes"
+    TOO_LARGE = "progress_too_large"
+
+
+@attrs.frozen
+class JobFailure:
+    """Why a job has to fail.
+
+    Parameters
+    ----------
+    unit : str
+        Task, or task group of a gang, that is given up.
+    count : int
+        Its failed runs, or the crashes that it is blamed for.
+    nodes : tuple of str
+        Nodes of the latest of these, as far as they are known.
+    """
+
+    cause: FailureCause
+    unit: str
+    count: int
+    nodes: tuple[str, ...]
+
+    def __str__(self) -> str:
+        """Return a short description for logs."""
+        return (
+            f"{self.unit} is given up after {self.count} {self.cause.value}, "
+            f"the latest on {','.join(self.nodes)}"
+        )
+
+
+def job_failure(state: PlannerState, job: Job) -> JobFailure | None:
+    """Return why a job has to fail, or None if it does not.
+
+    A task has failed, or crashed workers, too often. Tasks that run until
+    cancelled have no such limit.
+    """
+    return _exhausted_attempts(state, job) or _too_many_crashes(state, job)
+
+
+def is_complete(state: PlannerState, job: Job) -> bool:
+    """Return whether all tasks of all occurrences of a job are done."""
+    if any(step.long_running for step in job.steps):
+        return False
+    return all(
+        state.done(TaskGroup(job, occurrence, index))
+        for occurrence in range(max(1, job.times))
+        for index in range(len(job.steps))
+    )
+
+
+def _exhausted_attempts(state: PlannerState, job: Job) -> JobFailure | None:
+    failures_by_unit: dict[str, int] = {}
+    nodes_by_unit: dict[str, list[str]] = {}
+    for task, record in state.progress[job.job_id].tasks.items():
+        step = state.step_of(task)
+        if not record.failures or step.long_running:
+            continue
+        unit = task_group_of(task) if step.gang else task
+        count = failures_by_unit.get(unit, 0) + record.failures
+        failures_by_unit[unit] = count
+        nodes_by_unit.setdefault(unit, []).append(record.avoid)
+    for unit, count in failures_by_unit.items():
+        if count >= job.attempts:
+            nodes = tuple(nodes_by_unit[unit])
+            return JobFailure(FailureCause.ATTEMPTS, unit, count, nodes)
+    return None
+
+
+def _too_many_crashes(state: PlannerState, job: Job) -> JobFailure | None:
+    for task, record in state.progress[job.job_id].tasks.items():
+        if not record.crashes or not crashes_workers(record.crashes):
+            continue
+        if state.step_of(task).long_running:
+            continue
+        nodes = tuple(crash.node for crash in record.crashes)
+        return JobFailure(FailureCause.CRASHES, task, len(nodes), nodes)
+    return None
--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -22,6 +22,9 @@
 from filbertlb.batch.evacuation import Evacuations
 from filbertlb.batch.evacuation_log import EvacuationLog
 from filbertlb.batch.evacuation_log import MIN_LOGGED_WAIT_MS
+from filbertlb.batch.job_outcome import FailureCause
+from filbertlb.batch.job_outcome import is_complete
+from filbertlb.batch.job_outcome import job_failure
 from filbertlb.batch.model import Crash
 from filbertlb.batch.model import EndCause
 from filbertlb.batch.model import job_id_of
@@ -47,6 +50,7 @@
     from filbertlb.batch.demand import Demand
     from filbertlb.batch.durations import DurationModel
     from filbertlb.batch.durations import ObservedRun
+    from filbertlb.batch.job_outcome import JobFailure
     from filbertlb.batch.model import Job
     from filbertlb.batch.model import RunKey
     from filbertlb.batch.model import Step
@@ -81,6 +85,8 @@
         What a checkpointable run loses if it is stopped.
     lost_core_s : dict of str to float
         Core-seconds lost by preemption so far, by cause.
+    failed_jobs : Counter of str
+        Jobs that failed so far, by cause.
     evacuations : Evacuations
         Failure domains that get no new work, or not their full share.
     demand : Demand, optional
@@ -96,6 +102,7 @@
     durations: DurationModel = attrs.Factory(DeclaredDurations)
     checkpoints: CheckpointCosts = attrs.Factory(CheckpointCosts)
     lost_core_s: dict[str, float] = attrs.Factory(dict)
+    failed_jobs: Counter[str] = attrs.Factory(Counter)
     evacuations: Evacuations = attrs.Factory(Evacuations)
     _evacuation_log: EvacuationLog = attrs.Factory(EvacuationLog)
     demand: Demand | None = None
@@ -175,6 +182,7 @@
         )
         state.drop_records(job_id)
         state.set_job_state(job_id, JobState.FAILED, now_ms)
+        self.failed_jobs[FailureCause.TOO_LARGE] += 1
 
     def _process_report(
         self, view: WorkerView, now_s: float, now_ms: int
@@ -291,8 +299,9 @@
         refused = end.cause is EndCause.REFUSED
         avoids = failed or crashed or refused
         logger.info(
-            "end of {} attempt {} on {}: {}",
+            "end of {} attempt {} on {}: {} after {} ms",
             *(end.task, end.attempt, record.node, end.cause.value),
+            "unknown" if end.run_ms is None else end.run_ms,
         )
         state.set_record(
             end.task,
@@ -487,51 +496,29 @@
         for job, progress in self.state.unfinished_jobs():
             if job.job_id in self.state.cancelled:
                 continue
-            if self._must_fail(job):
-                self._stop_job(job.job_id, now_ms)
-                if not self.state.allocated_tasks(job.job_id):
-                    self.state.set_job_state(
-                        job.job_id, JobState.FAILED, now_ms
-                    )
-            elif progress.tasks and self._is_complete(job):
+            failure = job_failure(self.state, job)
+            if failure is not None:
+                self._fail_job(job, failure, now_ms)
+            elif progress.tasks and is_complete(self.state, job):
                 self.state.set_job_state(job.job_id, JobState.COMPLETE, now_ms)
 
-    def _must_fail(self, job: Job) -> bool:
-        """Return whether a task has failed, or crashed workers, too often.
-
-        Tasks that run until cancelled have no such limit.
-        """
-        tasks = self.state.progress[job.job_id].tasks
-        return self._attempts_exhausted(job) or any(
-            crashes_workers(record.crashes)
-            and not self.state.step_of(task).long_running
-            for task, record in tasks.items()
-            if record.crashes
-        )
-
-    def _attempts_exhausted(self, job: Job) -> bool:
-        failures: dict[str, int] = {}
-        for task, record in self.state.progress[job.job_id].tasks.items():
-            step = self.state.step_of(task)
-            if record.failures and not step.long_running:
-                name = task_group_of(task) if step.gang else task
-                failures[name] = failures.get(name, 0) + record.failures
-        return any(count >= job.attempts for count in failures.values())
-
-    def _is_complete(self, job: Job) -> bool:
-        if any(step.long_running for step in job.steps):
-            return False
-        return all(
-            self.state.done(TaskGroup(job, occurrence, index))
-            for occurrence in range(max(1, job.times))
-            for index in range(len(job.steps))
+    def _fail_job(self, job: Job, failure: JobFailure, now_ms: int) -> None:
+        """Stop the runs of a job, which fails once they have ended."""
+        self._stop_job(job.job_id, now_ms)
+        if self.state.allocated_tasks(job.job_id):
+            return
+        self.state.set_job_state(job.job_id, JobState.FAILED, now_ms)
+        self.failed_jobs[failure.cause] += 1
+        logger.warning(
+            "job {} failed: {} of {} allowed",
+            *(job.job_id, failure, job.attempts),
         )
 
     def _ready_groups(self, now_ms: int) -> Iterable[TaskGroup]:
         for job, _ in self.state.unfinished_jobs():
             if job.job_id in self.state.cancelled or job.advised:
                 continue
-            if self._must_fail(job):
+            if job_failure(self.state, job) is not None:
                 continue
             for occurrence in range(_due_count(job, now_ms)):
                 yield from self._ready_steps(job, occurrence)
--- a/filbertlb/batch/testing.py
+++ b/filbertlb/batch/testing.py
@@ -5,6 +5,8 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
+import attrs
+
 from filbertlb.batch.model import Job
 from filbertlb.batch.model import Order
 from filbertlb.batch.model import Orders
@@ -78,3 +80,11 @@
     """Return an orders row with a payload for each job."""
     payloads = {order.job_id: "payload" for order in orders}
     return Orders(1, orders, payloads)
+
+
+@attrs.define
+class StaticContact:
+    """Contact with the table service that a test sets."""
+
+    reachable: bool = True
+    age_s: float = 0.0
--- a/filbertlb/metrics.py
+++ b/filbertlb/metrics.py
@@ -99,6 +99,10 @@
     lost_core_seconds : Counter
         Work lost by preemption that this instance decided, by ``cause``:
         ``guarantee`` or ``deadline``. An accelerator counts as 8 cores.
+    failed_jobs : Counter
+        Jobs that failed while this instance decided, by ``cause``:
+        ``attempts``, ``crashes`` or
+        ``progress_too_large``.
     revision : Gauge
         Configuration revision in force.
     leader : Gauge
@@ -164,6 +168,7 @@
         self.waiting_groups = gauge("waiting_groups")
         self.guarantees_at_risk = gauge("guarantees_at_risk")
         self.lost_core_seconds = counter("lost_core_seconds")
+        self.failed_jobs = counter("failed_jobs")
         self.revision = gauge("revision")
         self.leader = gauge("leader")
         self.runs = gauge("runs")
--- a/filbertlb/metrics_page.py
+++ b/filbertlb/metrics_page.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from typing import TYPE_CHECKING
 
 from gevent import sleep
@@ -18,6 +17,8 @@
     from collections.abc import Mapping
     from typing import Any
 
+    from opentelemetry.metrics import Counter as CounterInstrument
+
     from filbertlb.admission import Admission
     from filbertlb.admission import AnswerBudget
     from filbertlb.metrics import Metrics
@@ -25,13 +26,36 @@
 LOAD_DELAY_S = 2.0
 
 
+class GrowthSampler:
+    """Adds to a counter what totals have grown by since the last sample.
+
+    Parameters
+    ----------
+    attribute : str
+        Attribute of the counter that tells the totals apart.
+    """
+
+    def __init__(self, attribute: str) -> None:
+        self._attribute = attribute
+        self._counted: dict[str, float] = {}
+
+    def sample(
+        self, counter: CounterInstrument, totals: Mapping[str, float]
+    ) -> None:
+        """Add the growth of each total."""
+        for value, total in totals.items():
+            growth = total - self._counted.get(value, 0)
+            counter.add(growth, {self._attribute: value})
+            self._counted[value] = total
+
+
 class AdmissionSampler:
     """Shows a process's connections, what they hold, and its refusals."""
 
     def __init__(self, admission: Admission, answers: AnswerBudget) -> None:
         self._admission = admission
         self._answers = answers
-        self._counted_by_kind: Counter[str] = Counter()
+        self._refusals = GrowthSampler("kind")
         self._counted_answers = 0
 
     def sample(self, metrics: Metrics) -> None:
@@ -39,10 +63,7 @@
         admission, answers = self._admission, self._answers
         metrics.connections.set(len(admission.connections))
         metrics.held_bytes.set(admission.held_bytes)
-        for kind, count in admission.refusals.items():
-            new = count - self._counted_by_kind[kind]
-            metrics.refusals.add(new, {"kind": kind})
-            self._counted_by_kind[kind] = count
+        self._refusals.sample(metrics.refusals, admission.refusals)
         metrics.answer_bytes.set(answers.held_bytes)
         metrics.answers_refused.add(answers.refused - self._counted_answers)
         self._counted_answers = answers.refused
--- a/filbertlb/platform/entry.py
+++ b/filbertlb/platform/entry.py
@@ -21,6 +21,7 @@
 from filbertlb.batch.service import JobService
 from filbertlb.core.clock import SystemClock
 from filbertlb.metrics_page import AdmissionSampler
+from filbertlb.metrics_page import GrowthSampler
 from filbertlb.metrics_page import MetricsPage
 from filbertlb.platform.configuration import ConfigurationReader
 from filbertlb.platform.configuration import OPERATOR_TABLE
@@ -37,6 +38,7 @@
 from filbertlb.platform.process import serve
 from filbertlb.platform.process import stop_event
 from filbertlb.platform.settings import QueueOrder
+from filbertlb.table.contact import FollowerContact
 from filbertlb.table.mirror import Follower
 from filbertlb.table.mirror import Mirror
 from filbertlb.tasks import running_all
@@ -50,13 +52,6 @@
     from filbertlb.metrics import Metrics
     from filbertlb.platform.settings import Settings
 
-UNREADY_AFTER_S = 1.0
-"""Time without a table reply after which a failed call makes an entry unready.
-
-An unready entry forwards submissions to other entries or rejects them at
-once, and the load balancer uses other entries. A single reset connection
-must not cause this.
-"""
 READINESS_DRAIN_S = 2.3
 """Time for which a stopping entry still serves while it reports unready.
 
@@ -79,6 +74,7 @@
     index, mirror, in_force = JobIndex(), Mirror(), CurrentConfiguration()
     mirror.add_listener(index.apply_row)
     state_follower = Follower(table, STATE_TABLE, mirror, clock)
+    contact = FollowerContact(state_follower)
     operator_mirror = Mirror()
     peers = Peers(
         settings.node,
@@ -108,17 +104,9 @@
         evacuations=evacuation_reader,
         by_benefit=settings.queue_order is QueueOrder.BENEFIT,
     )
-    counted_core_s: dict[str, float] = {}
+    lost_work, failed_jobs = GrowthSampler("cause"), GrowthSampler("cause")
     stopping = stop_event(settings)
 
-    def available() -> bool:
-        if not mirror.loaded:
-            return False
-        contact_age_s = clock.monotonic() - state_follower.contact_s
-        return (
-            state_follower.failure is None or contact_age_s < UNREADY_AFTER_S
-        )
-
     def sample(metrics: Metrics) -> None:
         counts = Counter(index.state(job_id) for job_id in index.jobs)
         metrics.queued_jobs.set(counts[JobState.QUEUED])
@@ -129,27 +117,24 @@
                 waiting.get(reason.value, 0), {"reason": reason.value}
             )
         metrics.leader.set(int(decider.deciding), {"scope": settings.region})
-        for cause, core_s in decider.lost_core_s.items():
-            metrics.lost_core_seconds.add(
-                core_s - counted_core_s.get(cause, 0.0), {"cause": cause}
-            )
-            counted_core_s[cause] = core_s
+        lost_work.sample(metrics.lost_core_seconds, decider.lost_core_s)
+        failed_jobs.sample(metrics.failed_jobs, decider.failed_jobs)
         decider.sample(metrics)
         metrics.revision.set(in_force.version)
         if evacuation_reader is not None:
             evacuations = evacuation_reader.current()
             metrics.evacuated_domains.set(len(evacuations.version_by_domain))
-        metrics.contact_age_s.set(clock.monotonic() - state_follower.contact_s)
+        metrics.contact_age_s.set(contact.age_s)
         sampler.sample(metrics)
 
     page = MetricsPage("entry", settings.node, sample)
     service = JobService(table, mirror, index, clock)
-    forwarder = JobForwarder(service, peers, available)
+    forwarder = JobForwarder(service, peers, contact)
     peer_service = Service({**peers.handlers(), **forwarder.handlers()})
     ingress = Ingress(forwarder, in_force, clock, page.observe)
 
     def handle_readiness(_: Mapping[str, Any]) -> JsonResponse:
-        ready = available() and in_force.version >= 0
+        ready = contact.reachable and in_force.version >= 0
         return JsonResponse(200 if ready and not stopping.is_set() else 503)
 
     tasks: list[Callable[[], None]] = [
--- a/tests/batch/test_forwarding.py
+++ b/tests/batch/test_forwarding.py
@@ -10,6 +10,7 @@
 from filbertlb.batch.peers import Peers
 from filbertlb.batch.service import JobService
 from filbertlb.batch.testing import a_job
+from filbertlb.batch.testing import StaticContact
 from filbertlb.core.clock import VirtualClock
 from filbertlb.errors import OutcomeUnknownError
 from filbertlb.errors import UnavailableError
@@ -23,16 +24,16 @@
 
 
 class Entry:
-    """One entry's jobs; ``table_up`` tells whether its table answers."""
+    """One entry's jobs; ``contact`` tells whether its table answers."""
 
     def __init__(self, table, stack):
-        self.table_up = True
+        self.contact = StaticContact()
         self.table = table
         self.index, self.mirror = JobIndex(), Mirror()
         self.mirror.add_listener(self.index.apply_row)
         service = JobService(table, self.mirror, self.index, VirtualClock())
         self.peers = Peers("self", "unused:1", self.mirror)
-        self.jobs = JobForwarder(service, self.peers, lambda: self.table_up)
+        self.jobs = JobForwarder(service, self.peers, self.contact)
         url = stack.enter_context(serving(self.application))
         self.address = url.removeprefix("http://")
 
@@ -70,7 +71,7 @@
     first, second = Entry(table, stack), Entry(table, stack)
     first.add_peers(UNREACHABLE, second.address)
     second.add_peers(first.address)
-    first.table_up = False
+    first.contact.reachable = False
     return first, second
 
 
@@ -91,7 +92,7 @@
 
 def test_job_that_no_entry_can_store_is_not_stored(entries, table):
     first, second = entries
-    second.table_up = False
+    second.contact.reachable = False
     with pytest.raises(UnavailableError):
         first.jobs.submit(a_job("a"))
     assert stored_keys(table) == []
@@ -99,7 +100,7 @@
 
 def test_call_is_forwarded_after_table_failure(entries, table, stack):
     first, second = entries
-    first.table_up = True
+    first.contact.reachable = True
     # The table fails for this entry only.
     first.jobs.service = JobService(
         MemoryTable(), first.mirror, first.index, VirtualClock()
@@ -112,7 +113,7 @@
 def test_unreadable_answer_of_other_entry_is_unknown_outcome(table, stack):
     first, other = Entry(table, stack), UnreadableAnswerEntry(table, stack)
     first.add_peers(other.address)
-    first.table_up = False
+    first.contact.reachable = False
     with pytest.raises(OutcomeUnknownError):
         first.jobs.submit(a_job("a"))
     assert stored_keys(table) == ["state/job/a"]
@@ -120,9 +121,9 @@
 
 def test_known_job_is_not_unknown_when_other_entry_lags(entries, stack):
     first, second = entries
-    first.table_up = True
+    first.contact.reachable = True
     first.jobs.submit(a_job("a"))
-    first.table_up = False
+    first.contact.reachable = False
     second.jobs.service = JobService(
         MemoryTable(), second.mirror, second.index, VirtualClock()
     )
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -10,6 +10,7 @@
 from filbertlb.batch.index import JobIndex
 from filbertlb.batch.peers import Peers
 from filbertlb.batch.service import JobService
+from filbertlb.batch.testing import StaticContact
 from filbertlb.core.clock import VirtualClock
 from filbertlb.platform.configuration import ConfigurationReader
 from filbertlb.platform.ingress import Ingress
@@ -30,7 +31,7 @@
         self.in_force = CurrentConfiguration()
         self.reader = ConfigurationReader(self.in_force)
         self.row_version = 0
-        self.table_reachable = True
+        self.contact = StaticContact()
         index, mirror = JobIndex(), Mirror()
         mirror.add_listener(index.apply_row)
         clock = VirtualClock()
@@ -38,9 +39,7 @@
         self.statuses = []
         self.ingress = Ingress(
             JobForwarder(
-                service,
-                Peers("a", "unused:1", mirror),
-                lambda: self.table_reachable,
+                service, Peers("a", "unused:1", mirror), self.contact
             ),
             self.in_force,
             clock,
@@ -113,7 +112,7 @@
 
 
 def test_unreachable_table_rejects_job_without_storing_it(harness):
-    harness.table_reachable = False
+    harness.contact.reachable = False
     response = harness.call("POST")
     assert (response.status, response.retry_after_s) == (503, 1.0)
     assert harness.table.scan("state/") == []
--- a/tests/table/test_mirror.py
+++ b/tests/table/test_mirror.py
@@ -1,14 +1,18 @@
 from __future__ import annotations
 
+import pytest
 from gevent import sleep
 from gevent import spawn
 from gevent import Timeout
 
 from filbertlb.core.clock import SystemClock
+from filbertlb.core.clock import VirtualClock
+from filbertlb.errors import FilbertlbError
 from filbertlb.table.base import Changes
 from filbertlb.table.base import Row
 from filbertlb.table.base import Snapshot
 from filbertlb.table.base import Write
+from filbertlb.table.contact import FollowerContact
 from filbertlb.table.memory import MemoryTable
 from filbertlb.table.mirror import Follower
 from filbertlb.table.mirror import Mirror
@@ -77,3 +81,22 @@
                 sleep(0.01)
     finally:
         following.kill()
+
+
+@pytest.mark.parametrize(
+    ("loaded", "failure", "age_s", "reachable"),
+    [
+        (True, None, 60.0, True),
+        (True, FilbertlbError("reset"), 0.5, True),
+        (True, FilbertlbError("silent"), 1.0, False),
+        (False, None, 0.0, False),
+    ],
+)
+def test_contact_is_lost_by_a_failure_that_lasts(
+    loaded, failure, age_s, reachable
+):
+    clock = VirtualClock()
+    follower = Follower(MemoryTable(), "t", Mirror(loaded=loaded), clock)
+    follower.contact_s = clock.monotonic() - age_s
+    follower.failure = failure
+    assert FollowerContact(follower).reachable is reachable
