Keep work off workers that fail what they start

Cause: a worker that fails all it starts has room again at once, so it got the next tasks, and the retries of those that had failed on another such worker, until both attempts of a task were used up. A worker was put aside only after runs of two jobs had failed there, and a retry avoided only the node of its last failure.

Now a run that fails within a second of its start puts its worker on probation: it gets one single task at a time, after a back-off, and no gang, until a run has gone on there. Retries avoid it for 15 s and prefer workers that have started runs lately. A retry that finds no worker no longer keeps the other tasks of its step waiting.

Why it works: the second failure of a task can only come from a worker that has not failed anything yet.

What an end changes has a module of its own (run_ends).

--- a/filbertlb/batch/decider.py
+++ b/filbertlb/batch/decider.py
@@ -196,12 +196,14 @@
         return self._term is not None and self._term.planner is not None
 
     def sample(self, metrics: Metrics) -> None:
-        """Set the gauges of learned run times, or clear them.
-
-        They are those of the entry that decides.
-        """
+        """Set the gauges of the entry that decides, or clear them."""
         term = self._term
         planner = None if term is None else term.planner
+        now_s = self._clock.monotonic()
+        views = () if planner is None else planner.workers.values()
+        metrics.probation_workers.set(
+            sum(view.starts.on_probation(now_s) for view in views)
+        )
         durations = None if planner is None else planner.durations
         if isinstance(durations, LearnedDurations):
             sample_run_times(metrics, durations)
--- a/filbertlb/batch/placing.py
+++ b/filbertlb/batch/placing.py
@@ -17,6 +17,7 @@
 from filbertlb.batch.planner_state import ALLOCATED_PHASES
 from filbertlb.batch.preemption import GUARANTEE_PREEMPTION_DELAY_MS
 from filbertlb.batch.preemption import Preemption
+from filbertlb.batch.probation import Probation
 from filbertlb.batch.reservations import Reservations
 from filbertlb.batch.worker_speeds import parts_of_equal_speed
 from filbertlb.batch.worker_speeds import preference_by_node
@@ -59,6 +60,7 @@
     locality: Locality = attrs.field(init=False)
     reservations: Reservations = attrs.field(init=False)
     separation: Separation = attrs.field(init=False)
+    probation: Probation = attrs.field(init=False)
     band_by_node: dict[str, int] = attrs.field(init=False)
     _preferences: dict[bool, dict[str, int]] = attrs.Factory(dict)
     waiting: list[TaskGroup] = attrs.field(init=False, factory=list)
@@ -72,6 +74,7 @@
         self.reservations = Reservations(context)
         self.locality = Locality(context, self.reservations)
         self.separation = Separation(context.state, context.now_ms)
+        self.probation = Probation(context)
         self.band_by_node = {
             node: context.durations.speed_band(node)
             for node in context.available.workers
@@ -119,21 +122,49 @@
             if placement is not None:
                 self._order(group, waiting, placement)
             return
-        for task in sorted(waiting, key=self.separation.is_held):
+        self._place_tasks(group, sorted(waiting, key=self.separation.is_held))
+
+    def _place_tasks(self, group: TaskGroup, tasks: Iterable[str]) -> None:
+        """Place single tasks until one does not fit.
+
+        A retry that does not fit keeps only other retries waiting, as those
+        have fewer workers to choose from.
+        """
+        retries_wait = False
+        for task in tasks:
+            is_retry = self.probation.is_retry([task])
+            if is_retry and retries_wait:
+                continue
             placement = self._find_placement(group, 1, [task])
-            if placement is None:
+            if placement is not None:
+                self._order(group, [task], placement)
+            elif is_retry:
+                retries_wait = True
+            else:
                 return
-            self._order(group, [task], placement)
 
     def _find_placement(
         self, group: TaskGroup, count: int, tasks: list[str]
     ) -> Placement | None:
-        for nodes in self._node_choices(group, tasks):
+        choices = self._node_choices(group, tasks)
+        if self.probation.is_retry(tasks):
+            placement = self._place_on_proven(group, choices[0], count)
+            if placement is not None:
+                return placement
+        for nodes in choices:
             placement = self._place_on(group, nodes, count)
             if placement is not None:
                 return placement
         return None
 
+    def _place_on_proven(
+        self, group: TaskGroup, nodes: Sequence[str], count: int
+    ) -> Placement | None:
+        """Place a retry on free resources of workers that start runs."""
+        proven = self.probation.proven(nodes)
+        racks = self.locality.local_groups(group, proven)
+        return self._place_on_free(group, racks or [proven], count)
+
     def _node_choices(
         self, group: TaskGroup, tasks: list[str]
     ) -> list[list[str]]:
@@ -151,17 +182,33 @@
         )
         if restarts or not self.preemption.may_claim_guarantee(group):
             nodes = self.separation.filter(nodes, tasks)
+        allowed = self.probation.filter(group, nodes, tasks)
         avoided = {self.state.record(task).avoid for task in tasks}
-        preferred = [node for node in nodes if node not in avoided]
-        choices = [nodes]
-        if len(preferred) < len(nodes):
+        preferred = [node for node in allowed if node not in avoided]
+        choices = [allowed]
+        if len(preferred) < len(allowed):
             choices.insert(0, preferred)
+        if len(allowed) < len(nodes) and self._must_start_anywhere(group):
+            choices.append(nodes)
         if not self.state.suspects.isdisjoint(tasks):
             occupied = set(self.state.occupied_nodes())
             idle = [node for node in preferred if node not in occupied]
             choices.insert(0, idle)
         return choices
 
+    def _must_start_anywhere(self, group: TaskGroup) -> bool:
+        """Return whether a group can't wait for a better worker.
+
+        A claim of a guarantee has a time limit, and work that does not run
+        while most of the service is idle would count as lost.
+        """
+        if self.preemption.may_claim_guarantee(group):
+            return self.preemption.has_time_limit(group)
+        waited_ms = self.context.now_ms - self.state.ready_ms(group)
+        return waited_ms >= IDLE_WAIT_MS and self.locality.is_service_idle(
+            group
+        )
+
     def _place_on(
         self, group: TaskGroup, nodes: Sequence[str], count: int
     ) -> Placement | None:
@@ -388,7 +435,9 @@
 
     def _reserve(self, group: TaskGroup) -> None:
         """Hold resources where a group can start soonest."""
-        nodes = self.context.candidates(group)
+        nodes = self.probation.filter(
+            group, self.context.candidates(group), self.state.waiting(group)
+        )
         sets = self.locality.sets_to_reserve(group, nodes)
         self.reservations.reserve(group, sets)
 
@@ -431,6 +480,7 @@
                 ),
             )
             self.separation.record_order(task, node)
+            self.probation.record_order(node)
             self.reservations.record_order(task, group, node)
             self.context.record_order(node)
             room = self.available.room[node]
--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -14,10 +14,8 @@
 import attrs
 from loguru import logger
 
-from filbertlb.batch.crashes import backoff_ms
 from filbertlb.batch.crashes import crashes_workers
 from filbertlb.batch.crashes import MAX_BLAME_MS
-from filbertlb.batch.crashes import with_crash
 from filbertlb.batch.durations import DeclaredDurations
 from filbertlb.batch.evacuation import Evacuations
 from filbertlb.batch.evacuation_log import EvacuationLog
@@ -25,7 +23,6 @@
 from filbertlb.batch.job_outcome import FailureCause
 from filbertlb.batch.job_outcome import is_complete
 from filbertlb.batch.job_outcome import job_failure
-from filbertlb.batch.model import Crash
 from filbertlb.batch.model import EndCause
 from filbertlb.batch.model import job_id_of
 from filbertlb.batch.model import JobState
@@ -39,7 +36,9 @@
 from filbertlb.batch.planner_state import PlannerState
 from filbertlb.batch.planner_state import TaskGroup
 from filbertlb.batch.queue_report import QueueReport
+from filbertlb.batch.run_ends import apply_end
 from filbertlb.batch.run_observation import observed_run
+from filbertlb.batch.start_health import SURVIVAL_MS
 from filbertlb.batch.workers import is_eligible
 from filbertlb.batch.workers import WorkerView
 
@@ -53,7 +52,6 @@
     from filbertlb.batch.job_outcome import JobFailure
     from filbertlb.batch.model import Job
     from filbertlb.batch.model import RunKey
-    from filbertlb.batch.model import Step
     from filbertlb.batch.model import TaskRecord
     from filbertlb.batch.model import WorkerReport
 
@@ -202,12 +200,13 @@
                 continue
             if record.phase in (TaskPhase.ORDERED, TaskPhase.STOPPING):
                 self._count_outcome(view, end, now_s)
+                self._update_start_health(view, end, record, now_s)
                 if culprits and end.task not in culprits:
                     end = attrs.evolve(end, crashed_after_ms=None)
                 self.durations.record_end(
                     end, self._observing(end.task), now_ms
                 )
-                self._apply_end(end, now_ms)
+                apply_end(self.state, end, now_ms)
         for run in report.running:
             progress = self.state.progress.get(job_id_of(run.task))
             if progress is not None and not progress.started:
@@ -267,11 +266,12 @@
                 record.attempt,
                 record.node,
             ) == (run.attempt, view.report.node):
+                run_ms = max(0, seen_ms - record.since_ms)
                 self.durations.record_progress(
-                    run,
-                    max(0, seen_ms - record.since_ms),
-                    self._observing(run.task),
+                    run, run_ms, self._observing(run.task)
                 )
+                if run_ms >= SURVIVAL_MS:
+                    view.starts.record_survival(record.since_ms)
 
     def _observing(self, task: str) -> Callable[[], ObservedRun]:
         """Return a function that tells the circumstances of a run."""
@@ -289,53 +289,24 @@
                 view.report.node,
             )
 
-    def _apply_end(self, end: RunEnd, now_ms: int) -> None:
-        state = self.state
-        record = state.record(end.task)
-        step = state.step_of(end.task)
-        done = end.cause is EndCause.DONE and not step.long_running
-        failed = end.cause is EndCause.FAILED
-        crashed = end.crashed_after_ms is not None
-        refused = end.cause is EndCause.REFUSED
-        avoids = failed or crashed or refused
-        logger.info(
-            "end of {} attempt {} on {}: {} after {} ms",
-            *(end.task, end.attempt, record.node, end.cause.value),
-            "unknown" if end.run_ms is None else end.run_ms,
-        )
-        state.set_record(
-            end.task,
-            attrs.evolve(
-                record,
-                phase=TaskPhase.DONE if done else TaskPhase.WAITING,
-                failures=record.failures + failed,
-                saved=end.saved or record.saved,
-                since_ms=now_ms,
-                avoid=record.node if avoids else record.avoid,
-                crashes=_crashes_after(record, end, step),
-            ),
-        )
+    def _update_start_health(
+        self, view: WorkerView, end: RunEnd, record: TaskRecord, now_s: float
+    ) -> None:
+        """Learn from the end of a run whether its worker starts runs."""
+        if record.phase is not TaskPhase.ORDERED:
+            return
+        starts, order_ms = view.starts, record.since_ms
         if end.cause is EndCause.DONE:
-            state.preempted.discard(
-                task_group_of(end.task) if step.gang else end.task
-            )
-        if step.gang:
-            self._end_gang(end.task, done, now_ms)
-
-    def _end_gang(self, task: str, done: bool, now_ms: int) -> None:
-        """End or stop the other members after one member of a gang ended.
-
-        If that member is done, the whole gang is done. Otherwise all members
-        restart from the checkpoint of that member, if it has one.
-        """
-        saved = self.state.record(task).saved
-        for other, record in self.state.members(task_group_of(task)).items():
-            if done and record.phase is not TaskPhase.DONE:
-                self.state.set_phase(other, TaskPhase.DONE, now_ms)
-            elif record.phase is TaskPhase.ORDERED:
-                self.state.set_phase(other, TaskPhase.STOPPING, now_ms)
-            if saved and not done:
-                self.state.record(other).saved = saved
+            starts.record_survival(order_ms)
+        elif end.cause is EndCause.FAILED:
+            before = starts.on_probation(now_s)
+            early = starts.record_failure(order_ms, end.run_ms, now_s)
+            if early and not before and starts.on_probation(now_s):
+                logger.warning(
+                    "worker {} on probation: {} attempt {} failed {} ms "
+                    "after its start",
+                    *(view.report.node, end.task, end.attempt, end.run_ms),
+                )
 
     def _end_runs_of_dead_workers(self, known_s: float, now_ms: int) -> None:
         """End the runs whose leases ran out before a monotonic time."""
@@ -356,7 +327,7 @@
                 saved = _reported_checkpoint(view.report, task, attempt)
                 end = RunEnd(task, attempt, EndCause.LOST, saved)
                 self.durations.record_end(end, self._observing(task), now_ms)
-                self._apply_end(end, now_ms)
+                apply_end(self.state, end, now_ms)
 
     def _log_silence(self, view: WorkerView, now_s: float) -> None:
         """Log once that tasks wait for a worker that may be gone."""
@@ -554,28 +525,6 @@
         return within_guarantee
 
 
-def _crashes_after(
-    record: TaskRecord, end: RunEnd, step: Step
-) -> tuple[Crash, ...]:
-    """Return the crashes that a task is blamed for after the end of a run."""
-    if end.crashed_after_ms is None:
-        return record.crashes
-    crash = Crash(record.node, end.crashed_after_ms)
-    crashes = with_crash(record.crashes, crash)
-    outcome = ""
-    if step.long_running:
-        outcome = f" and restarts after {backoff_ms(crashes)} ms"
-    elif crashes_workers(crashes):
-        outcome = " and given up"
-    logger.warning(
-        "worker on {} crashed {} ms after the start of {} attempt {}; the "
-        "task is blamed for {} crashes{}",
-        *(crash.node, crash.run_ms, end.task, end.attempt, len(crashes)),
-        outcome,
-    )
-    return crashes
-
-
 def _reported_checkpoint(report: WorkerReport, task: str, attempt: int) -> str:
     """Return the checkpoint of a run in a report, or an empty string."""
     for run in report.running:
--- /dev/null
+++ b/filbertlb/batch/run_ends.py
@@ -0,0 +1,94 @@
+"""What the end of a run changes in the state of its task or gang."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+from loguru import logger
+
+from filbertlb.batch.crashes import backoff_ms
+from filbertlb.batch.crashes import crashes_workers
+from filbertlb.batch.crashes import with_crash
+from filbertlb.batch.model import Crash
+from filbertlb.batch.model import EndCause
+from filbertlb.batch.model import task_group_of
+from filbertlb.batch.model import TaskPhase
+
+if TYPE_CHECKING:
+    from filbertlb.batch.model import RunEnd
+    from filbertlb.batch.model import Step
+    from filbertlb.batch.model import TaskRecord
+    from filbertlb.batch.planner_state import PlannerState
+
+
+def apply_end(state: PlannerState, end: RunEnd, now_ms: int) -> None:
+    """Apply the end of a run that was ordered to its task and gang."""
+    record = state.record(end.task)
+    step = state.step_of(end.task)
+    done = end.cause is EndCause.DONE and not step.long_running
+    failed = end.cause is EndCause.FAILED
+    crashed = end.crashed_after_ms is not None
+    refused = end.cause is EndCause.REFUSED
+    avoids = failed or crashed or refused
+    logger.info(
+        "end of {} attempt {} on {}: {} after {} ms",
+        *(end.task, end.attempt, record.node, end.cause.value),
+        "unknown" if end.run_ms is None else end.run_ms,
+    )
+    state.set_record(
+        end.task,
+        attrs.evolve(
+            record,
+            phase=TaskPhase.DONE if done else TaskPhase.WAITING,
+            failures=record.failures + failed,
+            saved=end.saved or record.saved,
+            since_ms=now_ms,
+            avoid=record.node if avoids else record.avoid,
+            crashes=_crashes_after(record, end, step),
+        ),
+    )
+    if end.cause is EndCause.DONE:
+        state.preempted.discard(
+            task_group_of(end.task) if step.gang else end.task
+        )
+    if step.gang:
+        _end_gang(state, end.task, done, now_ms)
+
+
+def _end_gang(state: PlannerState, task: str, done: bool, now_ms: int) -> None:
+    """End or stop the other members after one member of a gang ended.
+
+    If that member is done, the whole gang is done. Otherwise all members
+    restart from the checkpoint of that member, if it has one.
+    """
+    saved = state.record(task).saved
+    for other, record in state.members(task_group_of(task)).items():
+        if done and record.phase is not TaskPhase.DONE:
+            state.set_phase(other, TaskPhase.DONE, now_ms)
+        elif record.phase is TaskPhase.ORDERED:
+            state.set_phase(other, TaskPhase.STOPPING, now_ms)
+        if saved and not done:
+            state.record(other).saved = saved
+
+
+def _crashes_after(
+    record: TaskRecord, end: RunEnd, step: Step
+) -> tuple[Crash, ...]:
+    """Return the crashes that a task is blamed for after the end of a run."""
+    if end.crashed_after_ms is None:
+        return record.crashes
+    crash = Crash(record.node, end.crashed_after_ms)
+    crashes = with_crash(record.crashes, crash)
+    outcome = ""
+    if step.long_running:
+        outcome = f" and restarts after {backoff_ms(crashes)} ms"
+    elif crashes_workers(crashes):
+        outcome = " and given up"
+    logger.warning(
+        "worker on {} crashed {} ms after the start of {} attempt {}; the "
+        "task is blamed for {} crashes{}",
+        *(crash.node, crash.run_ms, end.task, end.attempt, len(crashes)),
+        outcome,
+    )
+    return crashes
--- a/filbertlb/batch/workers.py
+++ b/filbertlb/batch/workers.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from filbertlb.batch.start_health import StartHealth
 from filbertlb.batch.worker_link import CLOCK_DRIFT
 from filbertlb.batch.worker_link import LEASE_S
 
@@ -80,6 +81,8 @@
     ----------
     seen_s : float
         Monotonic time at which the newest report was read.
+    starts : StartHealth
+        What its runs tell about its ability to start runs.
     recent : bool
         Whether the newest report is known to be no older than ``seen_s``
         says. Otherwise it may be of any age.
@@ -103,6 +106,7 @@
     report: WorkerReport
     seen_s: float
     recent: bool = True
+    starts: StartHealth = attrs.Factory(StartHealth)
     quarantined_until_s: float = 0.0
     stalled: bool = False
     silence_logged: bool = False
--- a/filbertlb/metrics.py
+++ b/filbertlb/metrics.py
@@ -94,6 +94,9 @@
     waiting_groups : Gauge
         Groups of tasks that are ready and wait, by ``reason``, while this
         instance decides.
+    probation_workers : Gauge
+        Workers that get one run at a time after runs that failed as soon as
+        they started, while this instance decides.
     guarantees_at_risk : Gauge
         Guaranteed shapes without a placement, by ``organisation``.
     lost_core_seconds : Counter
@@ -166,6 +169,7 @@
         self.running_jobs = gauge("running_jobs")
         self.evacuated_domains = gauge("evacuated_domains")
         self.waiting_groups = gauge("waiting_groups")
+        self.probation_workers = gauge("probation_workers")
         self.guarantees_at_risk = gauge("guarantees_at_risk")
         self.lost_core_seconds = counter("lost_core_seconds")
         self.failed_jobs = counter("failed_jobs")
--- a/tests/batch/test_probation.py
+++ b/tests/batch/test_probation.py
@@ -80,3 +80,25 @@
     assert replay.ordered("a") == ["n1"]
     replay.play(20_000)
     assert state_of(replay, "a") is JobState.COMPLETE
+
+
+def test_failing_worker_used_up_an_attempt_of_one_task_after_the_other():
+    # No other worker has room.
+    replay = replay_on(8, failure=failing_on("n7"))
+    replay.submit("rest", a_step(7, needs=ALL_ACCELERATORS, estimate_ms=60000))
+    replay.play(0)
+    replay.submit("wide", a_step(60), attempts=9)
+    replay.play(6000)
+    # All that fit before anything is known, then probes after 1, 2 and 4 s.
+    assert 8 < failures_of(replay, "wide") <= 8 + 3
+
+
+def test_probation_of_most_workers_stopped_all_work():
+    replay = replay_on(4, failure=failing_on("n0", "n1", "n2", "n3"))
+    replay.submit("bad", a_step(32), 1000, attempts=2)
+    replay.play(300)
+    replay.failure = None
+    gang = a_step(4, needs=ALL_ACCELERATORS, gang=True, estimate_ms=1000)
+    replay.submit("gang", gang, 1000)
+    replay.play(600)
+    assert len(replay.ordered("gang")) == 4
