Learn at once that the table answers again

What callers saw: after the store had been silent for 4.2 s, submissions got 503 for another 1.6 s, though the same entry had written to the store a second earlier.

Cause: an entry takes the table for unreachable until the follower of its state copy gets an answer. Its last call of the outage has a timeout of 1.8 s and gets no answer even when the store is back; only then it called again.

After a failure the follower now sends small reads, four a second and four beside each other at most, until one is answered. This holds for all copies, those of the agents' orders too.

--- a/filbertlb/table/mirror.py
+++ b/filbertlb/table/mirror.py
@@ -7,6 +7,7 @@
 import attrs
 from gevent import sleep
 from gevent.event import Event
+from gevent.pool import Pool
 from loguru import logger
 
 from filbertlb.errors import FilbertlbError
@@ -28,6 +29,9 @@
 Short, so that a connection that stopped answering is noticed soon.
 """
 RETRY_DELAY_S = 0.25
+"""Time between the reads that find out whether the table answers again."""
+MAX_PROBES = 4
+"""Reads without an answer yet up to which another one is sent."""
 BATCH_DELAY_S = 0.02
 """Pause before the next call, so that it returns a batch of changes."""
 
@@ -168,13 +172,35 @@
                 self._step()
             except FilbertlbError as error:
                 self._record_failure(error)
-                sleep(RETRY_DELAY_S)
+                self._wait_for_answer()
             except Exception as error:
                 # Without this task the copy would look up to date for ever.
                 logger.exception("following of {} failed", self.name)
                 self._record_failure(FilbertlbError(repr(error)))
                 sleep(RETRY_DELAY_S)
 
+    def _wait_for_answer(self) -> None:
+        """Wait until the table answers a small read.
+
+        Reads are sent beside each other, as one that was sent while the
+        table was silent gets no answer once it is back.
+        """
+        answered = Event()
+        probes = Pool(MAX_PROBES)
+        while not answered.wait(RETRY_DELAY_S):
+            if probes.free_count():
+                probes.spawn(self._probe, answered)
+
+    def _probe(self, answered: Event) -> None:
+        """Read one row; its contents don't matter."""
+        sent_s = self.clock.monotonic()
+        try:
+            self.table.get(f"{self.name}/")
+        except FilbertlbError:
+            return
+        self.contact_s = max(self.contact_s, sent_s)
+        answered.set()
+
     def _step(self) -> None:
         sent_s = self.clock.monotonic()
         if not self.mirror.loaded:
