--- a/filbertlb/batch/agent.py
+++ b/filbertlb/batch/agent.py
@@ -274,7 +274,7 @@
             if extend_lease:
                 self._reconciler.record_extension(sent_s)
             fence = self._fence
-            wait_s = LONG_POLL_S if self._reconciler.runs_known else 0.0
+            wait_s = self._long_poll_s()
             try:
                 listing = self._link.list_runs(
                     fence,
@@ -290,6 +290,17 @@
                 # Otherwise starts that come after it are still accepted.
                 self._process_listing(listing, sent_s)
 
+    def _long_poll_s(self) -> float:
+        """Return for how long the worker may wait for an end of a run.
+
+        A listing of a silent worker is needed at once. A call that waits
+        also takes longer to time out, and one from the time of the silence
+        gets no answer after it.
+        """
+        if self._silent or not self._reconciler.runs_known:
+            return 0.0
+        return LONG_POLL_S
+
     def _number_to_acknowledge(self) -> int:
         """Return the number up to which the worker may drop its ends.
 
--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -553,3 +553,29 @@
         return FailingLink.list_runs(
             self, fence, acked_number, extend_lease, wait_s
         )
+
+
+@attrs.define
+class SilentLink(FailingLink):
+    """Worker link whose worker answers the first listing, not the next."""
+
+    waits_s: list = attrs.Factory(list)
+
+    def list_runs(self, fence, acked_number, extend_lease, wait_s):
+        self.waits_s.append(wait_s)
+        if len(self.waits_s) in (2, 3):
+            raise WorkerSilentError("no answer")
+        return super().list_runs(fence, acked_number, extend_lease, wait_s)
+
+
+def test_worker_that_answered_again_was_taken_for_silent():
+    link = SilentLink("none")
+    agent = Agent(MemoryTable(), link, SystemClock(), "n")
+    agent.update_worker(a_worker())
+    with running(agent):
+        while len(link.waits_s) < 5:
+            sleep(0.01)
+    # Listings that wait for an end take that much longer to time out.
+    assert [wait_s > 0 for wait_s in link.waits_s[:5]] == [
+        *(False, True, False, False, True),
+    ]
