--- a/filbertlb/batch/learned_durations.py
+++ b/filbertlb/batch/learned_durations.py
@@ -25,6 +25,8 @@
 from filbertlb.batch.log_normal import LogNormal
 from filbertlb.batch.log_normal import LogStatistics
 from filbertlb.batch.model import EndCause
+from filbertlb.batch.run_track import observed_last
+from filbertlb.batch.run_track import RunTrack
 from filbertlb.batch.worker_speeds import MIN_SIBLINGS
 from filbertlb.batch.worker_speeds import Siblings
 from filbertlb.batch.worker_speeds import TimedRun
@@ -76,18 +78,6 @@
 """Change of the logarithm of a queue's median that is logged."""
 LOG_PERIOD_MS = 5000
 """Time between two lines on one queue, which bounds the log."""
-COMPLETE_PERCENT = 100
-ANCHOR_ERROR_MS = 500
-"""Deviation of the time at which a share of work was seen.
-
-Reports come every second.
-"""
-SPEED_PERCENT = 50
-"""Work seen after which a run in progress tells its worker's speed."""
-EARLY_SPEED_PERCENT = 15
-"""The same if the pace was observed for long enough to be exact."""
-MAX_PACE_VARIANCE = 0.2**2
-"""Variance of the logarithm of the pace that is exact enough for that."""
 ALL_CALLERS = ""
 QUEUES, KINDS, ERRORS = range(3)
 """Positions of the tables of statistics."""
@@ -140,65 +130,6 @@
     speeds: dict[str, WorkerSpeed] = attrs.Factory(dict)
 
 
-@attrs.define
-class _Track:
-    """Progress of one run; times are counted from its order.
-
-    Attributes
-    ----------
-    first_percent, first_ms : int
-        Progress from which the pace is measured.
-    speed_counted : bool
-        The run has told its worker's speed.
-    """
-
-    attempt: int
-    observed: ObservedRun
-    first_percent: int
-    first_ms: int
-    percent: int
-    at_ms: int
-    speed_counted: bool = False
-
-    def update(self, percent: int, run_ms: int) -> None:
-        if run_ms < self.at_ms or percent < self.percent:
-            return
-        if not self.percent and not percent:
-            self.first_ms = run_ms
-        self.percent = percent
-        self.at_ms = run_ms
-
-    @property
-    def known(self) -> bool:
-        """Whether the worker and the slowdown of the run are known."""
-        observed = self.observed
-        return observed.worker is not None and observed.slowdown is not None
-
-    @property
-    def tells_speed(self) -> bool:
-        """Whether enough of the work was seen to compare the run."""
-        seen = self.percent - self.first_percent
-        if seen >= SPEED_PERCENT:
-            return True
-        total = self.total()
-        return (
-            seen >= EARLY_SPEED_PERCENT
-            and total is not None
-            and total.variance <= MAX_PACE_VARIANCE
-        )
-
-    def total(self) -> LogNormal | None:
-        """Return the time of the whole work at the observed pace."""
-        done = self.percent - self.first_percent
-        elapsed_ms = self.at_ms - self.first_ms
-        if done <= 0 or elapsed_ms <= 0:
-            return None
-        variance = (1 / done) ** 2 + (ANCHOR_ERROR_MS / elapsed_ms) ** 2
-        return LogNormal(
-            log_ms(COMPLETE_PERCENT * elapsed_ms / done), variance
-        )
-
-
 @attrs.define
 class LearnedDurations:
     """Predicts run times from observed runs and corrected estimates.
@@ -214,7 +145,7 @@
     _declared: DeclaredDurations = attrs.Factory(DeclaredDurations)
     _speeds: WorkerSpeeds = attrs.field(init=False)
     _siblings: Siblings = attrs.Factory(Siblings)
-    _tracks: dict[str, _Track] = attrs.Factory(dict)
+    _tracks: dict[str, RunTrack] = attrs.Factory(dict)
     _latest_ms: int = attrs.field(init=False)
     _logged: dict[str, tuple[float, int]] = attrs.Factory(dict)
     _refreshed_ms: int = 0
@@ -331,7 +262,7 @@
             if len(self._tracks) >= MAX_TRACKED_RUNS:
                 self._tracks.clear()
             observed = observe()
-            track = _Track(
+            track = RunTrack(
                 *(run.attempt, observed, run.percent, run_ms),
                 *(run.percent, run_ms),
             )
@@ -362,7 +293,7 @@
         done = end.cause is EndCause.DONE
         if end.run_ms is None or not (done or end.cause in LOWER_BOUND_CAUSES):
             return
-        observed = _observed_last(track, end, observe)
+        observed = observed_last(track, end, observe)
         if observed.step.long_running or observed.slowdown is None:
             return
         self._latest_ms = max(self._latest_ms, now_ms)
@@ -467,9 +398,10 @@
             observed = track.total()
             if observed is not None:
                 total = expected.combined(observed)
-                left = (COMPLETE_PERCENT - track.percent) / COMPLETE_PERCENT
                 since_ms = run_ms - track.at_ms
-                left_ms = round(left * total.median_ms()) - since_ms
+                left_ms = (
+                    round(track.left_share * total.median_ms()) - since_ms
+                )
                 return max(MIN_REMAINING_MS, left_ms)
         ended = expected.share_within(log_ms(run_ms))
         if ended > 1 - 1e-6:
@@ -631,19 +563,6 @@
             del self._tables()[number][key]
 
 
-def _observed_last(
-    track: _Track | None, end: RunEnd, observe: Callable[[], ObservedRun]
-) -> ObservedRun:
-    """Return the circumstances of a run that has ended.
-
-    Those while it was listed count: at its end the worker may be unknown,
-    or another one on the same node.
-    """
-    if track is not None and track.attempt == end.attempt and track.known:
-        return track.observed
-    return observe()
-
-
 def _weight(step: Step) -> float:
     """Return the weight of one run; members of a gang end as one."""
     others = 0 if step.gang else step.count - 1
--- /dev/null
+++ b/filbertlb/batch/run_track.py
@@ -0,0 +1,107 @@
+"""Progress of a run in the reports, and what it tells of its run time."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from filbertlb.batch.log_normal import log_ms
+from filbertlb.batch.log_normal import LogNormal
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from filbertlb.batch.durations import ObservedRun
+    from filbertlb.batch.model import RunEnd
+
+COMPLETE_PERCENT = 100
+ANCHOR_ERROR_MS = 500
+"""Deviation of the time at which a share of work was seen.
+
+Reports come every second.
+"""
+SPEED_PERCENT = 50
+"""Work seen after which a run in progress tells its worker's speed."""
+EARLY_SPEED_PERCENT = 15
+"""The same if the pace was observed for long enough to be exact."""
+MAX_PACE_VARIANCE = 0.2**2
+"""Variance of the logarithm of the pace that is exact enough for that."""
+
+
+@attrs.define
+class RunTrack:
+    """Progress of one run; times are counted from its order.
+
+    Attributes
+    ----------
+    first_percent, first_ms : int
+        Progress from which the pace is measured.
+    speed_counted : bool
+        The run has told its worker's speed.
+    """
+
+    attempt: int
+    observed: ObservedRun
+    first_percent: int
+    first_ms: int
+    percent: int
+    at_ms: int
+    speed_counted: bool = False
+
+    def update(self, percent: int, run_ms: int) -> None:
+        """Record a report of the run, unless a later one is known."""
+        if run_ms < self.at_ms or percent < self.percent:
+            return
+        if not self.percent and not percent:
+            self.first_ms = run_ms
+        self.percent = percent
+        self.at_ms = run_ms
+
+    @property
+    def left_share(self) -> float:
+        """Share of the work that was not done at the latest report."""
+        return (COMPLETE_PERCENT - self.percent) / COMPLETE_PERCENT
+
+    @property
+    def known(self) -> bool:
+        """Whether the worker and the slowdown of the run are known."""
+        observed = self.observed
+        return observed.worker is not None and observed.slowdown is not None
+
+    @property
+    def tells_speed(self) -> bool:
+        """Whether enough of the work was seen to compare the run."""
+        seen = self.percent - self.first_percent
+        if seen >= SPEED_PERCENT:
+            return True
+        total = self.total()
+        return (
+            seen >= EARLY_SPEED_PERCENT
+            and total is not None
+            and total.variance <= MAX_PACE_VARIANCE
+        )
+
+    def total(self) -> LogNormal | None:
+        """Return the time of the whole work at the observed pace."""
+        done = self.percent - self.first_percent
+        elapsed_ms = self.at_ms - self.first_ms
+        if done <= 0 or elapsed_ms <= 0:
+            return None
+        variance = (1 / done) ** 2 + (ANCHOR_ERROR_MS / elapsed_ms) ** 2
+        return LogNormal(
+            log_ms(COMPLETE_PERCENT * elapsed_ms / done), variance
+        )
+
+
+def observed_last(
+    track: RunTrack | None, end: RunEnd, observe: Callable[[], ObservedRun]
+) -> ObservedRun:
+    """Return the circumstances of a run that has ended.
+
+    Those while it was listed count: at its end the worker may be unknown,
+    or another one on the same node.
+    """
+    if track is not None and track.attempt == end.attempt and track.known:
+        return track.observed
+    return observe()
