--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -481,8 +481,8 @@
         self.state.set_job_state(job.job_id, JobState.FAILED, now_ms)
         self.failed_jobs[failure.cause] += 1
         logger.warning(
-            "job {} failed: {} of {} allowed",
-            *(job.job_id, failure, job.attempts),
+            "job {} with {} attempts a task failed: {}",
+            *(job.job_id, job.attempts, failure),
         )
 
     def _ready_groups(self, now_ms: int) -> Iterable[TaskGroup]:
