Ask for changes, not for a row, to learn that the table answers

Cause: after a failure a follower waited until a read of one row was answered. While the store's reads are stale, which it may be for many seconds after it has dropped its history, each such read counts as failed, so the copy was not updated although the change feed worked.

The follower now asks for changes without waiting. test_follower_did_not_ask_ for_changes_while_reads_were_stale failed before (10 s timeout).

--- a/filbertlb/table/mirror.py
+++ b/filbertlb/table/mirror.py
@@ -29,9 +29,9 @@
 Short, so that a connection that stopped answering is noticed soon.
 """
 RETRY_DELAY_S = 0.25
-"""Time between the reads that find out whether the table answers again."""
+"""Time between the calls that find out whether the table answers again."""
 MAX_PROBES = 4
-"""Reads without an answer yet up to which another one is sent."""
+"""Calls without an answer yet up to which another one is sent."""
 BATCH_DELAY_S = 0.02
 """Pause before the next call, so that it returns a batch of changes."""
 
@@ -180,11 +180,14 @@
                 sleep(RETRY_DELAY_S)
 
     def _wait_for_answer(self) -> None:
-        """Wait until the table answers a small read.
+        """Wait until the table answers a call for changes.
 
-        Reads are sent beside each other, as one that was sent while the
+        Calls are sent beside each other, as one that was sent while the
         table was silent gets no answer once it is back.
         """
+        if not self.mirror.loaded:
+            sleep(RETRY_DELAY_S)
+            return
         answered = Event()
         probes = Pool(MAX_PROBES)
         while not answered.wait(RETRY_DELAY_S):
@@ -192,10 +195,12 @@
                 probes.spawn(self._probe, answered)
 
     def _probe(self, answered: Event) -> None:
-        """Read one row; its contents don't matter."""
+        """Ask for changes once; the next step reads them again."""
         sent_s = self.clock.monotonic()
         try:
-            self.table.get(f"{self.name}/")
+            self.table.changes(self.name, self.mirror.version, 0.0)
+        except HistoryLostError:
+            logger.debug("changes of table {} are no longer kept", self.name)
         except FilbertlbError:
             return
         self.contact_s = max(self.contact_s, sent_s)
--- a/tests/table/test_mirror.py
+++ b/tests/table/test_mirror.py
@@ -118,6 +118,35 @@
         following.kill()
 
 
+class StaleTable(MemoryTable):
+    """Table whose change feed is cut once, and whose reads are stale."""
+
+    def __init__(self):
+        super().__init__()
+        self.cut = True
+
+    def get(self, key):
+        raise TableUnavailableError("stale read")
+
+    def changes(self, table, after, wait_s):
+        if self.cut:
+            self.cut = False
+            raise TableUnavailableError("cut")
+        return super().changes(table, after, wait_s)
+
+
+def test_follower_did_not_ask_for_changes_while_reads_were_stale():
+    mirror, table = loaded_mirror(version=0), StaleTable()
+    following = spawn(Follower(table, "t", mirror, SystemClock()).run)
+    try:
+        table.commit([Write("t/a", b"1")])
+        with Timeout(10.0):
+            while "t/a" not in mirror.row_by_key:
+                sleep(0.01)
+    finally:
+        following.kill()
+
+
 @pytest.mark.parametrize(
     ("loaded", "failure", "age_s", "reachable"),
     [
