Take the first share of a resumed run for what was saved

Callers saw urgent work on workers that were not fast, and claims on workers whose runs were expected to end far too early.

Cause: a run that resumes from a checkpoint shows 0% while the checkpoint is loaded, then the share that earlier runs saved. The pace was measured from the 0%, so the saved share counted as work of the first second.

A resumed run is measured from the first share above 0% now. One that a decider saw first with a share was measured so before.

Not mended: a report can show shares that are up to a second old, which is the same error in all runs that one report shows; they count as independent.

--- a/filbertlb/batch/run_track.py
+++ b/filbertlb/batch/run_track.py
@@ -57,7 +57,9 @@
         """Record a report of the run, unless a later one is known."""
         if run_ms < self.at_ms or percent < self.percent:
             return
-        if not self.percent and not percent:
+        if not self.percent and (not percent or self.observed.resumed):
+            # The first share of a resumed run is what earlier ones saved.
+            self.first_percent = percent
             self.first_ms = run_ms
         self.percent = percent
         self.at_ms = run_ms
--- a/tests/batch/test_worker_speeds.py
+++ b/tests/batch/test_worker_speeds.py
@@ -102,6 +102,34 @@
     assert learned.speeds.speed("n0") == faster
 
 
+@pytest.mark.parametrize("loading_ms", [50, 400])
+@pytest.mark.parametrize("saved", [10, 30, 45, 60])
+def test_saved_share_of_resumed_runs_counted_as_their_pace(saved, loading_ms):
+    # All workers need 10 s; a run shows 0% until its checkpoint is loaded.
+    learned, step = LearnedDurations(), a_step(estimate_ms=10_000)
+    for node in SPEEDS:
+        for number in range(4):
+            job = a_job(f"{node}-{number}", step)
+            end = RunEnd(
+                f"{job.job_id}.0.0.0", 1, EndCause.DONE, run_ms=10_000
+            )
+            learned.record_end(end, observe(job, node), 1000 * number)
+    for number in range(4):
+        job = a_job(f"resumed-{number}", step)
+        observed = ObservedRun(job, step, "n0", worker_on("n0"), resumed=True)
+        task = f"{job.job_id}.0.0.0"
+        for run_ms in (50, loading_ms, 1_400, 2_400, 3_400):
+            percent = saved + (run_ms - loading_ms) // 100
+            run = Run(task, 2, percent=percent if run_ms > 400 else 0)
+            learned.record_progress(run, run_ms, lambda seen=observed: seen)
+        left_ms = 100 * (100 - percent)
+        assert learned.remaining_ms(job, step, task, run_ms) == pytest.approx(
+            left_ms, rel=0.2
+        )
+    assert learned.speed_band("n0") == 0
+    assert learned.speed("n0") == pytest.approx(1.0)
+
+
 @pytest.mark.parametrize(
     ("changes", "kept"),
     [
