Store why a job failed, and tell it at each entry that shows it

An entry that doesn't decide logged GET ... {'state': 'failed'} and no reason, and those are the only lines on the outcome in the users' record, so that counted attempts, counted crashes and an outgrown row looked alike in it. The reason is stored with the job's progress and status now, and logged whenever a caller is told that the job has failed.

--- a/filbertlb/batch/index.py
+++ b/filbertlb/batch/index.py
@@ -54,6 +54,10 @@
             return JobState.CANCELLED
         return state
 
+    def failure(self, job_id: str) -> str:
+        """Return why a job has failed, or an empty string."""
+        return self.status_by_job_id.get(job_id, JobStatus()).failure
+
     def pending(self, queue: str) -> int:
         """Return the number of jobs in a queue that have not started."""
         count = 0
--- a/filbertlb/batch/job_outcome.py
+++ b/filbertlb/batch/job_outcome.py
@@ -48,13 +48,18 @@
     runs: int
     nodes: tuple[str, ...]
 
-    def __str__(self) -> str:
-        """Return a short description for logs."""
+    @property
+    def summary(self) -> str:
+        """What is given up and why, without the nodes."""
         return (
             f"{self.unit} is given up after {self.count} {self.cause.value} "
-            f"in {self.runs} runs, the latest on {','.join(self.nodes)}"
+            f"in {self.runs} runs"
         )
 
+    def __str__(self) -> str:
+        """Return a short description for logs."""
+        return f"{self.summary}, the latest on {','.join(self.nodes)}"
+
 
 def job_failure(state: PlannerState, job: Job) -> JobFailure | None:
     """Return why a job has to fail, or None if it does not.
--- a/filbertlb/batch/model.py
+++ b/filbertlb/batch/model.py
@@ -256,6 +256,8 @@
 
     Attributes
     ----------
+    failure : str
+        Why the job has failed, for logs; empty if it has not.
     failures_by_gang : dict of str to GangFailures
         Failed runs by task group, of gangs that have had any.
     """
@@ -266,14 +268,22 @@
     tasks: dict[str, TaskRecord] = attrs.Factory(dict)
     ended_ms: Int64 = 0
     failures_by_gang: dict[str, GangFailures] = attrs.Factory(dict)
+    failure: str = ""
 
 
 @attrs.frozen
 class JobStatus:
-    """What callers are told about a job; written by the decider."""
+    """What callers are told about a job; written by the decider.
+
+    Parameters
+    ----------
+    failure : str
+        Why the job has failed, for the logs of the process that tells it.
+    """
 
     state: JobState = JobState.QUEUED
     started: bool = False
+    failure: str = ""
 
 
 @attrs.frozen
--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -186,7 +186,7 @@
             *(job_id, len(state.progress[job_id].tasks)),
         )
         state.drop_records(job_id)
-        state.set_job_state(job_id, JobState.FAILED, now_ms)
+        state.fail_job(job_id, FailureCause.TOO_LARGE.value, now_ms)
         self.failed_jobs[FailureCause.TOO_LARGE] += 1
 
     def _process_report(
@@ -499,7 +499,7 @@
         self._stop_job(job.job_id, now_ms)
         if self.state.allocated_tasks(job.job_id):
             return
-        self.state.set_job_state(job.job_id, JobState.FAILED, now_ms)
+        self.state.fail_job(job.job_id, failure.summary, now_ms)
         self.failed_jobs[failure.cause] += 1
         logger.warning(
             "job {} with {} attempts a task failed: {}",
--- a/filbertlb/batch/planner_state.py
+++ b/filbertlb/batch/planner_state.py
@@ -269,6 +269,11 @@
                 self._forget_preemptions(job_id)
             self._mark_status(job_id)
 
+    def fail_job(self, job_id: str, failure: str, now_ms: int) -> None:
+        """Set a job to failed, for a reason that callers' logs will tell."""
+        self.progress[job_id].failure = failure
+        self.set_job_state(job_id, JobState.FAILED, now_ms)
+
     def unfinished_jobs(self) -> Iterator[tuple[Job, Progress]]:
         """Yield the jobs that are in no final state."""
         for job_id, job in list(self.jobs.items()):
--- a/filbertlb/batch/service.py
+++ b/filbertlb/batch/service.py
@@ -93,6 +93,11 @@
         """
         self._require_stored(job_id)
         state = self.index.state(job_id)
+        if state is JobState.FAILED:
+            logger.info(
+                "job {} is shown as failed: {}",
+                *(job_id, self.index.failure(job_id) or "no reason stored"),
+            )
         return JobState.QUEUED if state is None else state
 
     def cancel(self, job_id: str) -> None:
--- a/filbertlb/batch/write_plan.py
+++ b/filbertlb/batch/write_plan.py
@@ -176,7 +176,7 @@
     progress = state.progress[job_id]
     writes = [Write(PROGRESS_PREFIX + job_id, encode_value(progress))]
     if job_id in state.changed_statuses:
-        status = JobStatus(progress.state, progress.started)
+        status = JobStatus(progress.state, progress.started, progress.failure)
         writes.append(Write(STATUS_PREFIX + job_id, encode_value(status)))
     return WriteUnit(tuple(writes), jobs=frozenset((job_id,)))
 
