--- a/filbertlb/batch/learned_durations.py
+++ b/filbertlb/batch/learned_durations.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 from contextlib import contextmanager
-from hashlib import blake2b
 from math import exp
 from math import log
 from typing import TYPE_CHECKING
@@ -21,9 +20,16 @@
 from filbertlb.batch.durations import DeclaredDurations
 from filbertlb.batch.durations import longest_chain_ms
 from filbertlb.batch.durations import MIN_REMAINING_MS
+from filbertlb.batch.learned_statistics import kind_key
+from filbertlb.batch.learned_statistics import KindKey
+from filbertlb.batch.learned_statistics import LearnedRunTimes
+from filbertlb.batch.learned_statistics import MAX_KEYS
+from filbertlb.batch.learned_statistics import QUEUE_VARIANCE
+from filbertlb.batch.learned_statistics import run_weight
+from filbertlb.batch.learned_statistics import RunTimeStatistics
+from filbertlb.batch.learned_statistics import short_name
 from filbertlb.batch.log_normal import log_ms
 from filbertlb.batch.log_normal import LogNormal
-from filbertlb.batch.log_normal import LogStatistics
 from filbertlb.batch.model import EndCause
 from filbertlb.batch.run_track import CountedRuns
 from filbertlb.batch.run_track import observed_last
@@ -31,13 +37,11 @@
 from filbertlb.batch.worker_speeds import MIN_SIBLINGS
 from filbertlb.batch.worker_speeds import Siblings
 from filbertlb.batch.worker_speeds import TimedRun
-from filbertlb.batch.worker_speeds import WorkerSpeed
 from filbertlb.batch.worker_speeds import WorkerSpeeds
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Generator
-    from collections.abc import Set
 
     from filbertlb.batch.durations import ObservedRun
     from filbertlb.batch.model import Job
@@ -48,27 +52,8 @@
 
 UPPER_QUANTILE = 0.95
 """Share of the tasks that end within the upper run time."""
-ESTIMATE_VARIANCE = 0.7**2
-"""Variance of the logarithmic error of estimates, until it is learned.
-
-Callers' estimates are often wrong by a factor of two.
-"""
-QUEUE_VARIANCE = 0.5**2
-"""Variance of the logarithm of run times of a queue, until it is learned.
-
-It is less than that of estimates, as the tasks of one queue are alike.
-"""
-TASK_CORRELATION = 0.5
-"""Correlation of the run times of tasks of one step.
-
-Any number of them counts for at most two independent runs.
-"""
 MIN_WEIGHT = 0.05
 """Weight below which a lower bound tells nothing, so it is left out."""
-MAX_KEYS = 64
-"""Statistics that are kept: of queues, kinds of task and organisations."""
-MAX_NAME_CHARS = 48
-"""Longer names are shortened by a digest, which bounds the row."""
 MAX_TRACKED_RUNS = 20_000
 """Runs whose progress is known; more than a site has at a time."""
 MAX_PREDICTIONS = 4096
@@ -79,11 +64,6 @@
 """Change of the logarithm of a queue's median that is logged."""
 LOG_PERIOD_MS = 5000
 """Time between two lines on one queue, which bounds the log."""
-ALL_CALLERS = ""
-QUEUES, KINDS, ERRORS = range(3)
-"""Positions of the tables of statistics."""
-_NOTHING = LogStatistics()
-_KindKey = tuple[str, str, str, int, int]
 LOWER_BOUND_CAUSES = frozenset(
     (EndCause.STOPPED, EndCause.FAILED, EndCause.LOST)
 )
@@ -112,25 +92,6 @@
     estimate_share: float = 0.0
 
 
-@attrs.define
-class LearnedRunTimes:
-    """What was learned; value of the row that the decider hands on.
-
-    Parameters
-    ----------
-    queues, kinds, errors : dict of str to LogStatistics
-        Run times by queue and by kind of task, and ratios of run times to
-        estimates by organisation, all on a worker of usual speed.
-    speeds : dict of str to WorkerSpeed
-        Speeds of workers by node.
-    """
-
-    queues: dict[str, LogStatistics] = attrs.Factory(dict)
-    kinds: dict[str, LogStatistics] = attrs.Factory(dict)
-    errors: dict[str, LogStatistics] = attrs.Factory(dict)
-    speeds: dict[str, WorkerSpeed] = attrs.Factory(dict)
-
-
 @attrs.define
 class LearnedDurations:
     """Predicts run times from observed runs and corrected estimates.
@@ -144,6 +105,7 @@
     learned: LearnedRunTimes = attrs.Factory(LearnedRunTimes)
     changed: bool = False
     _declared: DeclaredDurations = attrs.Factory(DeclaredDurations)
+    _statistics: RunTimeStatistics = attrs.field(init=False)
     _speeds: WorkerSpeeds = attrs.field(init=False)
     _siblings: Siblings = attrs.Factory(Siblings)
     _tracks: dict[str, RunTrack] = attrs.Factory(dict)
@@ -152,22 +114,17 @@
     _latest_ms: int = attrs.field(init=False)
     _logged: dict[str, tuple[float, int]] = attrs.Factory(dict)
     _refreshed_ms: int = 0
-    _predictions: dict[str, dict[tuple[_KindKey, int], Prediction]] = (
+    _predictions: dict[str, dict[tuple[KindKey, int], Prediction]] = (
         attrs.Factory(dict)
     )
-    _observed_by_kind: dict[_KindKey, tuple[LogNormal | None, int, int]] = (
-        attrs.Factory(dict)
-    )
-    _error_by_caller: dict[str, LogNormal] = attrs.Factory(dict)
     _remaining: dict[str, tuple[int, int]] = attrs.Factory(dict)
     _chain_ms: dict[str, int] = attrs.Factory(dict)
 
     def __attrs_post_init__(self) -> None:
         """Use the stored speeds and the time of the latest observation."""
+        self._statistics = RunTimeStatistics(self.learned)
         self._speeds = WorkerSpeeds(self.learned.speeds)
-        self._latest_ms = max(
-            (known.at_ms for known in self._all_statistics()), default=0
-        )
+        self._latest_ms = self._statistics.latest_ms()
 
     @property
     def speeds(self) -> WorkerSpeeds:
@@ -244,7 +201,7 @@
         of_queue = self._predictions.get(job.queue)
         if of_queue is None:
             of_queue = self._predictions[job.queue] = {}
-        key = (_kind_key(job, step), step.estimate_ms)
+        key = (kind_key(job, step), step.estimate_ms)
         found = of_queue.get(key)
         if found is None:
             if len(of_queue) >= MAX_PREDICTIONS:
@@ -305,7 +262,7 @@
             return
         self._latest_ms = max(self._latest_ms, now_ms)
         value = log_ms(end.run_ms) + self._log_pace(observed)
-        weight = _weight(observed.step)
+        weight = run_weight(observed.step)
         if not done or observed.resumed:
             self._learn_bound(observed, value, weight, now_ms)
             return
@@ -316,83 +273,40 @@
 
     def queue_times_ms(self) -> dict[str, tuple[int, int]]:
         """Return the median and the upper run time by queue."""
-        distributions = {
-            queue: statistics.alone(QUEUE_VARIANCE, self._latest_ms)
-            for queue, statistics in self.learned.queues.items()
-        }
         return {
             queue: (found.median_ms(), found.quantile_ms(UPPER_QUANTILE))
-            for queue, found in distributions.items()
-            if found is not None
+            for queue, found in self._statistics.of_queues(
+                self._latest_ms
+            ).items()
         }
 
     def snapshot(self) -> LearnedRunTimes:
         """Return what is worth storing."""
         return attrs.evolve(self.learned, speeds=self._speeds.best_known())
 
-    def _tables(self) -> tuple[dict[str, LogStatistics], ...]:
-        """Return the statistics in the order of QUEUES, KINDS and ERRORS."""
-        learned = self.learned
-        return (learned.queues, learned.kinds, learned.errors)
-
-    def _all_statistics(self) -> list[LogStatistics]:
-        return [
-            statistics
-            for by_key in self._tables()
-            for statistics in by_key.values()
-        ]
-
     def _predict(self, job: Job, step: Step) -> Prediction:
-        observed, runs, queue_runs = self._observed(job, step)
+        known = self._statistics.observed(job, step, self._latest_ms)
+        observed, runs = known.distribution, known.runs
         declared, correction = None, 1.0
         if step.estimate_ms > 0:
-            error = self._estimate_error(job)
+            error = self._statistics.estimate_error(
+                job.organisation, self._latest_ms
+            )
             correction = exp(error.mean)
             declared = LogNormal(
                 log_ms(step.estimate_ms) + error.mean, error.variance
             )
         if observed is None or declared is None:
             return Prediction(
-                *(observed or declared, runs, queue_runs, correction),
+                *(observed or declared, runs, known.queue_runs, correction),
                 float(observed is None and declared is not None),
             )
         return Prediction(
             observed.combined(declared),
-            *(runs, queue_runs, correction),
+            *(runs, known.queue_runs, correction),
             observed.variance / (observed.variance + declared.variance),
         )
 
-    def _estimate_error(self, job: Job) -> LogNormal:
-        """Return the ratio of run times to the estimates of a caller."""
-        error = self._error_by_caller.get(job.organisation)
-        if error is None:
-            errors, now_ms = self.learned.errors, self._latest_ms
-            error = LogNormal(0.0, ESTIMATE_VARIANCE)
-            for key in (ALL_CALLERS, _short(job.organisation)):
-                error = errors.get(key, _NOTHING).refined(error, now_ms)
-            self._error_by_caller[job.organisation] = error
-        return error
-
-    def _observed(
-        self, job: Job, step: Step
-    ) -> tuple[LogNormal | None, int, int]:
-        """Return the distribution of observed run times and their numbers."""
-        key = _kind_key(job, step)
-        found = self._observed_by_kind.get(key)
-        if found is None:
-            if len(self._observed_by_kind) >= MAX_PREDICTIONS:
-                self._observed_by_kind.clear()
-            learned, now_ms = self.learned, self._latest_ms
-            queue = learned.queues.get(_short(job.queue), _NOTHING)
-            kind = learned.kinds.get(_kind_name(key), _NOTHING)
-            observed = queue.alone(QUEUE_VARIANCE, now_ms)
-            if observed is not None:
-                observed = kind.refined(observed, now_ms)
-            found = self._observed_by_kind[key] = (
-                *(observed, kind.runs, queue.runs),
-            )
-        return found
-
     def _remaining_ms(
         self, job: Job, step: Step, task: str, run_ms: int
     ) -> int:
@@ -456,7 +370,7 @@
                 self._speeds.record(
                     *(run.node, run.worker),
                     expected.mean - total.mean,
-                    (expected.variance + total.variance) / _weight(step),
+                    (expected.variance + total.variance) / run_weight(step),
                 )
         self.changed = True
 
@@ -494,22 +408,10 @@
         self, observed: ObservedRun, value: float, weight: float, now_ms: int
     ) -> None:
         job, step = observed.job, observed.step
-        value_by_key = {
-            (QUEUES, _short(job.queue)): value,
-            (KINDS, _kind_name(_kind_key(job, step))): value,
-        }
-        if step.estimate_ms > 0:
-            error = value - log_ms(step.estimate_ms)
-            for caller in (ALL_CALLERS, _short(job.organisation)):
-                value_by_key[ERRORS, caller] = error
-        tables = self._tables()
-        for (table, key), new in value_by_key.items():
-            statistics = tables[table].setdefault(key, LogStatistics())
-            statistics.add(new, weight, now_ms)
-        self._evict(value_by_key.keys(), now_ms)
+        self._statistics.add(job, step, value, weight, now_ms)
         self._forget_predictions(job.queue, now_ms)
         self.changed = True
-        self._log_change(_short(job.queue), now_ms)
+        self._log_change(short_name(job.queue), now_ms)
 
     def _log_change(self, queue: str, now_ms: int) -> None:
         """Log what is expected of a queue if it has changed much."""
@@ -544,55 +446,5 @@
         if now_ms - self._refreshed_ms >= REFRESH_MS:
             self._refreshed_ms = now_ms
             self._predictions.clear()
-        self._observed_by_kind.clear()
-        self._error_by_caller.clear()
         self._remaining.clear()
         self._chain_ms.clear()
-
-    def _evict(self, current: Set[tuple[int, str]], now_ms: int) -> None:
-        """Drop the statistics with the least weight until few are left.
-
-        Parameters
-        ----------
-        current : set of tuple
-            Table and key of what the present observation has updated, which
-            stays.
-        """
-        excess = len(self._all_statistics()) - MAX_KEYS
-        if excess <= 0:
-            return
-        others = [
-            (statistics.weight_at(now_ms), number, key)
-            for number, by_key in enumerate(self._tables())
-            for key, statistics in by_key.items()
-            if (number, key) not in current
-        ]
-        for _, number, key in sorted(others)[:excess]:
-            del self._tables()[number][key]
-
-
-def _weight(step: Step) -> float:
-    """Return the weight of one run; members of a gang end as one."""
-    others = 0 if step.gang else step.count - 1
-    return 1 / (1 + TASK_CORRELATION * others)
-
-
-def _kind_key(job: Job, step: Step) -> _KindKey:
-    accelerators, millicores, _ = step.needs
-    return (
-        *(job.organisation, job.queue, _short(step.image)),
-        *(accelerators, millicores),
-    )
-
-
-def _kind_name(key: _KindKey) -> str:
-    """Return the name under which a kind of task is stored."""
-    *names, accelerators, millicores = key
-    return "/".join((*map(_short, names), f"{accelerators}x{millicores}"))
-
-
-def _short(name: str) -> str:
-    if len(name) <= MAX_NAME_CHARS:
-        return name
-    digest = blake2b(name.encode(), digest_size=8).hexdigest()
-    return name[: MAX_NAME_CHARS - len(digest)] + digest
--- a/filbertlb/batch/learned_row.py
+++ b/filbertlb/batch/learned_row.py
@@ -10,7 +10,7 @@
 from loguru import logger
 
 from filbertlb.batch.learned_durations import LearnedDurations
-from filbertlb.batch.learned_durations import LearnedRunTimes
+from filbertlb.batch.learned_statistics import LearnedRunTimes
 from filbertlb.table.base import Write
 from filbertlb.table.rows import decode_row
 from filbertlb.table.rows import encode_value
--- a/tests/batch/test_decider_learning.py
+++ b/tests/batch/test_decider_learning.py
@@ -6,8 +6,8 @@
 
 from filbertlb.batch import decider as decider_module
 from filbertlb.batch.durations import RunTimes
-from filbertlb.batch.learned_durations import LearnedRunTimes
 from filbertlb.batch.learned_row import LEARNED_KEY
+from filbertlb.batch.learned_statistics import LearnedRunTimes
 from filbertlb.batch.model import EndCause
 from filbertlb.batch.model import JOB_PREFIX
 from filbertlb.batch.model import JobState
--- a/tests/batch/test_learned_durations.py
+++ b/tests/batch/test_learned_durations.py
@@ -15,9 +15,9 @@
 from filbertlb.batch.durations import longest_chain_ms
 from filbertlb.batch.durations import ObservedRun
 from filbertlb.batch.learned_durations import LearnedDurations
-from filbertlb.batch.learned_durations import MAX_KEYS
 from filbertlb.batch.learned_row import learned_write
 from filbertlb.batch.learned_row import read_learned
+from filbertlb.batch.learned_statistics import MAX_KEYS
 from filbertlb.batch.model import EndCause
 from filbertlb.batch.model import Run
 from filbertlb.batch.model import RunEnd
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -18,8 +18,8 @@
 
 from filbertlb.addresses import split_address
 from filbertlb.batch.durations import RunTimes
-from filbertlb.batch.learned_durations import LearnedRunTimes
 from filbertlb.batch.learned_row import LEARNED_KEY
+from filbertlb.batch.learned_statistics import LearnedRunTimes
 from filbertlb.core.clock import SystemClock
 from filbertlb.httpcall import CallNotSentError
 from filbertlb.httpcall import HttpCaller
