Split the transitions of a job's record from the record

job_record and job_outcome imported each other. The record's types and its encoding stay in job_record.py, the transitions, which need the outcome, are job_transitions.py.

--- a/filbertlb/entry/job_writer.py
+++ b/filbertlb/entry/job_writer.py
@@ -8,7 +8,7 @@
 from gevent.pool import Pool
 from loguru import logger
 
-from filbertlb.core import job_record
+from filbertlb.core import job_transitions
 from filbertlb.core.gang_plan import WriteStatus
 from filbertlb.core.job_record import AttemptReplacedError
 from filbertlb.core.job_record import JobStateError
@@ -104,7 +104,7 @@
         """Record that every member of a gang runs; posts nothing."""
 
         def transition(record: JobRecord) -> JobRecord:
-            return job_record.started(record, plan)
+            return job_transitions.started(record, plan)
 
         self._write_pool.spawn(
             self._update_with_retry, _job_reference(plan), transition
@@ -114,7 +114,7 @@
         """Record that a gang is being stopped; posts nothing."""
 
         def transition(record: JobRecord) -> JobRecord:
-            return job_record.stopping(record, plan)
+            return job_transitions.stopping(record, plan)
 
         self._write_pool.spawn(
             self._update_with_retry, _job_reference(plan), transition
@@ -178,7 +178,7 @@
 
     def _write_decision(self, plan: GangPlan) -> None:
         def transition(record: JobRecord) -> JobRecord:
-            return job_record.decided(record, plan)
+            return job_transitions.decided(record, plan)
 
         try:
             found = self._update(_job_reference(plan), transition)
@@ -196,7 +196,7 @@
         self, plan: GangPlan, outcome: GangOutcome, max_failures: int
     ) -> None:
         def transition(record: JobRecord) -> JobRecord:
-            return job_record.closed(
+            return job_transitions.closed(
                 record, outcome, plan.epoch, max_failures=max_failures
             )
 
--- a/filbertlb/entry/jobs.py
+++ b/filbertlb/entry/jobs.py
@@ -9,8 +9,8 @@
 from gevent import Timeout
 from gevent.event import Event
 
-from filbertlb.core.job_record import cancelled
 from filbertlb.core.job_record import JobRecord
+from filbertlb.core.job_transitions import cancelled
 from filbertlb.core.model import JobClass
 from filbertlb.core.model import JobSpec
 from filbertlb.core.model import Shape
