Soak: gangs like the recorded ones, whose members all fail at once

Users saw jobs shown as failed after one run of a gang. The soak's gangs had two to four members, at most two on one worker, and a queue with two attempts, so neither the recorded shapes nor alternating runs came up.

A second queue has four attempts, as those of the users. Its jobs are gangs of five or four that fit on two workers as three and two, four and one or three and one, or on one: all members fail within 3 ms after 350 to 950 ms, in the first run, in each, or in alternate runs between which one of them fails. One job in ten is of this kind; all kinds before stay. What a job's queue allows is asked for each job; the judgement is otherwise unchanged.

--- a/tests/soak/jobs.py
+++ b/tests/soak/jobs.py
@@ -8,12 +8,20 @@
 from gevent import spawn
 
 from tests.soak.site import ATTEMPTS
+from tests.soak.site import FEW_ATTEMPTS
+from tests.soak.site import MORE_ATTEMPTS
 
 RUN_AFTER_FAILURE_MS = 500
 FIRST_FAILURES_MS = ((50, 900), (1000, 1600), (1000, 1600))
 """Ranges of the time until a run fails; the first counts as early."""
 FAILURE_SPREADS_MS = ((0, 0), (1, 50), (200, 600))
 """Ranges of the time from one member's failure to the next one's."""
+SPLITS = ((5, 3), (5, 4), (4, 3), (4, 4))
+"""Members of gangs that fail whole, and how many of them a worker takes."""
+WHOLE_FAILURE_MS = (350, 950)
+WHOLE_FAILURE_SPREAD_MS = 3
+WHOLE_FAILURES = ((True,), (True,) * 4, (True, False) * 2, (False, True) * 2)
+"""Whether all members fail in a run, or one of them only."""
 
 
 def plain_job(random):
@@ -44,6 +52,26 @@
     return _job(random, spec, count, gang=True, maxPerServer=2)
 
 
+def whole_gang_job(random):
+    """Return a gang on one or two workers whose members fail together."""
+    count, per_worker = random.choice(SPLITS)
+    failures = [
+        _failing_together(random, count if whole else 1, count)
+        for whole in random.choice(WHOLE_FAILURES)
+    ]
+    break_ms = WHOLE_FAILURE_SPREAD_MS + random.randint(5, 50)
+    spec = _plan(random, failures, members=count, break_ms=break_ms)
+    return _job(random, spec, count, gang=True, maxPerServer=per_worker)
+
+
+def _failing_together(random, failing, count):
+    after_ms = random.randint(*WHOLE_FAILURE_MS)
+    return {
+        index: after_ms + random.randint(0, WHOLE_FAILURE_SPREAD_MS)
+        for index in random.sample(range(count), failing)
+    }
+
+
 def _failing_members(random, count, low_ms, high_ms):
     """Return the times after which members fail, the first one at once."""
     failing = random.sample(range(count), random.randint(1, count))
@@ -67,7 +95,12 @@
     return {"spec": spec, "steps": [step]}
 
 
-KINDS = (*[plain_job] * 4, failing_job, *[gang_job] * 4)
+KINDS = (
+    *[(FEW_ATTEMPTS, plain_job)] * 4,
+    (FEW_ATTEMPTS, failing_job),
+    *[(FEW_ATTEMPTS, gang_job)] * 4,
+    (MORE_ATTEMPTS, whole_gang_job),
+)
 
 
 def submit_at_random(site, random, period_s):
@@ -75,6 +108,6 @@
     number = 0
     while True:
         number += 1
-        body = random.choice(KINDS)(random)
-        spawn(site.submit, f"{number:016x}", body, number)
+        queue, job = random.choice(KINDS)
+        spawn(site.submit, f"{number:016x}", queue, job(random), number)
         sleep(random.uniform(0.0, 2 * period_s))
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -34,8 +34,31 @@
 ENTRIES = 2
 NOT_ACCEPTED = (429, 503)
 REGION = "coast"
-CONFIGURATION = configuration(7)
-ATTEMPTS = loads(CONFIGURATION)["routes"][0]["attempts"]
+(ROUTE,) = loads(configuration())["routes"]
+ATTEMPTS = ROUTE["attempts"]
+
+
+@attrs.frozen
+class Queue:
+    """A queue of the site, and the failed runs that it allows."""
+
+    name: str
+    attempts: int
+
+    def route(self):
+        """Return its route in the configuration."""
+        return ROUTE | {
+            "name": self.name,
+            "prefix": f"/{self.name}/",
+            "attempts": self.attempts,
+        }
+
+
+FEW_ATTEMPTS = Queue("render", ATTEMPTS)
+MORE_ATTEMPTS = Queue("press", 4)
+CONFIGURATION = configuration(
+    7, routes=[FEW_ATTEMPTS.route(), MORE_ATTEMPTS.route()]
+)
 
 
 @attrs.define
@@ -73,7 +96,8 @@
     """Entries, and an agent beside the worker of each machine."""
 
     def __init__(self, folder, store, store_url):
-        self.history = History(ATTEMPTS)
+        self.queue_by_job_id = {}
+        self.history = History(self.attempts)
         self.machines = []
         self.entries = []
         self.agents = []
@@ -127,9 +151,14 @@
         path.write_text(dumps(settings))
         return Process(role, str(path), str(self._folder / f"{name}.log"))
 
-    def submit(self, job_id, body, entry):
+    def attempts(self, job_id):
+        """Return the failed runs that the queue of a job allows."""
+        return self.queue_by_job_id[job_id].attempts
+
+    def submit(self, job_id, queue, body, entry):
         """Submit a job until it is accepted or refused."""
-        path = f"/render/{job_id}"
+        self.queue_by_job_id[job_id] = queue
+        path = self._path(job_id)
         while True:
             caller = self.callers[entry % ENTRIES]
             entry += 1
@@ -174,9 +203,12 @@
                     yield f"{job_id} was {final}, entry-{number}: {state}"
 
     def _state(self, job_id, caller):
-        status, body = self._call(caller.get, f"/render/{job_id}")
+        status, body = self._call(caller.get, self._path(job_id))
         return loads(body)["state"] if status == 200 else ""
 
+    def _path(self, job_id):
+        return f"/{self.queue_by_job_id[job_id].name}/{job_id}"
+
     def units(self, job_id):
         """Return the tasks of a job, or its gang."""
         (step,) = self.accepted[job_id]["steps"]
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -48,16 +48,17 @@
     for job_id, state in sorted(site.final_states.items()):
         runs = history.of_job(job_id)
         failed, crashes = history.failed_runs(job_id), history.crashes(job_id)
+        attempts = site.attempts(job_id)
         if state == JobState.COMPLETE:
             done = {run.unit for run in runs if run.how == EndCause.DONE}
             justified = done == site.units(job_id)
         else:
-            justified = failed >= ATTEMPTS or crashes >= CRASHES_TO_FAIL
+            justified = failed >= attempts or crashes >= CRASHES_TO_FAIL
         if not justified:
             told = "; ".join(map(str, runs))
             yield (
                 f"{job_id} is {state} after {failed} failed runs of "
-                f"{ATTEMPTS} and {crashes} crashes: {told}"
+                f"{attempts} and {crashes} crashes: {told}"
             )
 
 
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from collections import defaultdict
+from collections.abc import Callable
 from contextlib import ExitStack
 from contextlib import suppress
 from json import dumps
@@ -63,8 +64,9 @@
 
     Attributes
     ----------
-    attempts : int
-        Failed runs after which a task, or a gang, is given up.
+    attempts : callable
+        Returns, by the id of its job, the failed runs after which a task, or
+        a gang, is given up.
     done : set of str
         Tasks and gangs whose end as done was acknowledged.
     failed : dict of str to set of int
@@ -75,7 +77,7 @@
         Set when one of several members that fail has ended.
     """
 
-    attempts: int
+    attempts: Callable[[str], int]
     intervals: list[Interval] = attrs.Factory(list)
     done: set[str] = attrs.Factory(set)
     failed: dict[str, set[int]] = attrs.Factory(lambda: defaultdict(set))
@@ -89,7 +91,7 @@
         unit = task_group_of(task) if in_gang else task
         if unit in self.done:
             self.broken.append(f"{task} begins again after it was done")
-        if len(self.failed[unit]) >= self.attempts:
+        if len(self.failed[unit]) >= self.attempts(job_id_of(task)):
             self.broken.append(
                 f"{task} run {attempt} begins after runs "
                 f"{sorted(self.failed[unit])} failed"
