Give a job up for crashes only if its task causes them

Cause: four crashes within 10 s of a start, of whichever cause, gave a task up. A fixed count can't tell a task that ends its workers from workers that crash by themselves.

May a crash end a job at all? So a task that ends its workers has to stop, and only that one.

Now a sequential probability ratio test decides: how likely a crash at this age of the run is if the task ends its workers, against the rate at which workers crash that don't run it. The rate at the time is stored with each crash, so that the next decider weighs it alike.

--- /dev/null
+++ b/filbertlb/batch/crash_evidence.py
@@ -0,0 +1,159 @@
+"""Weighs whether a task ends its workers or workers crash by themselves.
+
+A sequential probability ratio test: each crash under a task is so many times
+as likely if the task ends its workers as if they crash at the rate that is
+seen on workers that don't run it. The product of these ratios over the
+crashes of a sound task reaches ``CONVICTING_ODDS`` with a probability of at
+most its inverse, however often one looks.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from math import prod
+from typing import TYPE_CHECKING
+
+import attrs
+
+from filbertlb.batch.crashes import MAX_BLAME_MS
+from filbertlb.batch.crashes import MAX_RECORDED_CRASHES
+from filbertlb.batch.model import job_id_of
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from filbertlb.batch.model import Crash
+    from filbertlb.batch.planner_state import PlannerState
+
+PROMPT_CRASH_MS = 1000
+"""Time after a start within which a crash is most likely due to the run."""
+MIN_CULPRIT_CRASHES = 2
+"""Prompt crashes on different nodes that make a task a likely culprit."""
+MIN_CULPRIT_CRASHES_ON_ONE_NODE = 3
+"""The same if all were on one node, which may be at fault itself."""
+MAX_CRASHES = 4
+"""Crashes before which no task is given up, on whichever workers.
+
+A task with more attempts is given up after as many, as far as its record
+keeps them.
+"""
+CONVICTING_ODDS = 1e6
+"""Odds from which a task is given up: one sound task in a million."""
+LIKELY_ODDS = 100.0
+"""Odds from which a task that has crashed often is a likely culprit."""
+DENSITY_BY_MAX_AGE_MS = (
+    (500, 1.4),
+    (PROMPT_CRASH_MS, 0.2),
+    (MAX_BLAME_MS, 0.02),
+)
+"""Crashes per second by the age of a run, if its task ends its workers.
+
+Seven of ten such tasks do so as they begin, one a little later, and two at
+any time until their run shows that they don't.
+"""
+WINDOW_S = 30.0
+"""Time over which crashes of other workers count."""
+PRIOR_WORKER_S = 60.0
+"""Time in which one crash of one worker is assumed before any is seen."""
+S_PER_H = 3600
+
+
+def odds(crashes: tuple[Crash, ...]) -> float:
+    """Return how many times as likely these crashes are if a task causes them.
+
+    1 if there are none.
+    """
+    return prod(map(_ratio, crashes))
+
+
+def _ratio(crash: Crash) -> float:
+    for max_age_ms, per_s in DENSITY_BY_MAX_AGE_MS:
+        if crash.run_ms <= max_age_ms:
+            return per_s * S_PER_H / max(1, crash.others_per_h)
+    return 0.0
+
+
+def is_likely_culprit(crashes: tuple[Crash, ...]) -> bool:
+    """Return whether a crash is due to this task and not to others."""
+    prompt = [
+        crash.node for crash in crashes if crash.run_ms <= PROMPT_CRASH_MS
+    ]
+    enough = (
+        len(set(prompt)) >= MIN_CULPRIT_CRASHES
+        or len(prompt) >= MIN_CULPRIT_CRASHES_ON_ONE_NODE
+        or len(crashes) >= MAX_CRASHES
+    )
+    return enough and odds(crashes) >= LIKELY_ODDS
+
+
+def must_give_up(crashes: tuple[Crash, ...], attempts: int) -> bool:
+    """Return whether a task must be given up for these crashes.
+
+    Parameters
+    ----------
+    attempts : int
+        Failed runs after which the task is given up.
+    """
+    limit = min(max(MAX_CRASHES, attempts), MAX_RECORDED_CRASHES)
+    return len(crashes) >= limit and odds(crashes) >= CONVICTING_ODDS
+
+
+def culprits_among(state: PlannerState, tasks: Iterable[str]) -> set[str]:
+    """Return those of some tasks that most likely ended their workers."""
+    return {
+        task
+        for task in tasks
+        if job_id_of(task) in state.jobs
+        and task in state.suspects
+        and is_likely_culprit(state.record(task).crashes)
+    }
+
+
+@attrs.frozen
+class _SeenCrash:
+    at_s: float
+    tasks: frozenset[str]
+
+
+@attrs.define
+class CrashRate:
+    """How often workers crash that don't run a given task.
+
+    It is not stored: the next decider counts anew, and each crash keeps the
+    rate that was known when it was seen.
+    """
+
+    _crashes: deque[_SeenCrash] = attrs.Factory(deque)
+    _begun_s: float | None = None
+
+    def record_time(self, now_s: float) -> None:
+        """Record that workers are watched from now on."""
+        if self._begun_s is None:
+            self._begun_s = now_s
+
+    def record_crash(
+        self, state: PlannerState, node: str, now_s: float
+    ) -> None:
+        """Record that a worker went down, or came back as another.
+
+        One that ran a task which most likely ended it tells nothing of the
+        others.
+        """
+        tasks = [
+            task
+            for task in state.tasks_on(node)
+            if job_id_of(task) in state.jobs
+        ]
+        if culprits_among(state, tasks):
+            return
+        self._crashes.append(_SeenCrash(now_s, frozenset(tasks)))
+
+    def others_per_h(self, task: str, workers: int, now_s: float) -> int:
+        """Return the crashes an hour of each worker without a task."""
+        while self._crashes and self._crashes[0].at_s < now_s - WINDOW_S:
+            self._crashes.popleft()
+        seen = sum(task not in crash.tasks for crash in self._crashes)
+        begun_s = now_s if self._begun_s is None else self._begun_s
+        watched_s = min(WINDOW_S, max(0.0, now_s - begun_s))
+        per_s = (seen + 1) / (workers * watched_s + PRIOR_WORKER_S)
+        return max(1, round(per_s * S_PER_H))
--- a/filbertlb/batch/crashes.py
+++ b/filbertlb/batch/crashes.py
@@ -3,11 +3,10 @@
 A worker may also crash by itself, and then says nothing about its runs. A
 run is blamed for a crash that follows its start within a limited time. A
 blamed task is a suspect: it runs on, but apart from runs that start at the
-same time, so that the next crash blames it alone. Once it is a likely culprit,
-runs beside it are not blamed any more. A task with enough blame is given up,
-as each further run would cost another worker and its runs. A crash is no
-failed run, so a task gets as many starts as its attempts allow, up to the
-number of crashes that its record keeps.
+same time, so that the next crash blames it alone. ``crash_evidence`` weighs
+the crashes: beside a likely culprit no other run is blamed, and a task is
+given up once there is hardly a doubt, as each further run would cost another
+worker and its runs.
 
 Tasks that run until cancelled have no limit on restarts and are never given
 up. They restart after a back-off that grows with each crash, which limits
@@ -29,24 +28,13 @@
     from filbertlb.batch.planner_state import PlannerState
     from filbertlb.batch.planner_state import TaskGroup
 
-PROMPT_CRASH_MS = 1000
-"""Time after a start within which a crash is most likely due to the run."""
 MAX_BLAME_MS = 10_000
 """Age from which a run has shown that its task does not crash workers."""
-MIN_CULPRIT_CRASHES = 2
-"""Prompt crashes on different nodes that make a task a likely culprit."""
-MIN_CULPRIT_CRASHES_ON_ONE_NODE = 3
-"""The same if all were on one node, which may be at fault itself."""
-MAX_CRASHES = 4
-"""Crashes after which a task is given up, on whichever nodes.
-
-A task with more attempts is given up after as many. Workers that crash by
-themselves hit sound tasks a few times as well.
-"""
 SETTLING_MS = 1500
 """Time from an order after which its run is no longer apart from others.
 
-It covers ``PROMPT_CRASH_MS`` and the time until the worker has the run.
+Most tasks that crash workers do so within a second of their start; the rest
+is the time until the worker has the run.
 """
 MAX_SEPARATION_MS = 5000
 """Time that a suspect waits, at most, for a node of its own."""
@@ -76,30 +64,6 @@
     return min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2 ** (len(crashes) - 1))
 
 
-def is_likely_culprit(crashes: tuple[Crash, ...]) -> bool:
-    """Return whether a crash is due to this task and not to others."""
-    prompt = [
-        crash.node for crash in crashes if crash.run_ms <= PROMPT_CRASH_MS
-    ]
-    return (
-        len(set(prompt)) >= MIN_CULPRIT_CRASHES
-        or len(prompt) >= MIN_CULPRIT_CRASHES_ON_ONE_NODE
-        or len(crashes) >= MAX_CRASHES
-    )
-
-
-def must_give_up(crashes: tuple[Crash, ...], attempts: int) -> bool:
-    """Return whether a task must be given up for these crashes.
-
-    Parameters
-    ----------
-    attempts : int
-        Failed runs after which the task is given up.
-    """
-    limit = max(MAX_CRASHES, attempts)
-    return len(crashes) >= min(limit, MAX_RECORDED_CRASHES)
-
-
 @attrs.define
 class Separation:
     """Keeps starts of suspects apart from other starts in one decision.
--- a/filbertlb/batch/job_outcome.py
+++ b/filbertlb/batch/job_outcome.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from filbertlb.batch.crashes import must_give_up
+from filbertlb.batch.crash_evidence import must_give_up
 from filbertlb.batch.gang_failures import failed_runs
 from filbertlb.batch.model import task_group_of
 from filbertlb.batch.model import TaskPhase
@@ -59,9 +59,9 @@
 def job_failure(state: PlannerState, job: Job) -> JobFailure | None:
     """Return why a job has to fail, or None if it does not.
 
-    A task that is not done has failed, or crashed workers, too often. Tasks
-    that run until cancelled have no such limit. A gang is done with its first
-    member that is, also if others fail in the same run.
+    A task that is not done has failed too often, or has ended its workers
+    beyond doubt. Tasks that run until cancelled have no such limit. A gang is
+    done with its first member that is, also if others fail in the same run.
     """
     return _exhausted_attempts(state, job) or _too_many_crashes(state, job)
 
@@ -107,11 +107,12 @@
     for task, record in state.progress[job.job_id].tasks.items():
         if not record.crashes or record.phase is TaskPhase.DONE:
             continue
-        if not must_give_up(record.crashes, job.attempts):
-            continue
         if state.step_of(task).long_running:
             continue
-        nodes = tuple(crash.node for crash in record.crashes)
+        crashes = record.crashes
+        if not must_give_up(crashes, job.attempts):
+            continue
+        nodes = tuple(crash.node for crash in crashes)
         return JobFailure(
             FailureCause.CRASHES, task, len(nodes), record.attempt, nodes
         )
--- a/filbertlb/batch/model.py
+++ b/filbertlb/batch/model.py
@@ -41,6 +41,9 @@
 """
 
 
+UNKNOWN_CRASHES_PER_H = 60
+"""Crashes of a worker an hour that are assumed if none were counted."""
+
 Quantities = tuple[Count, Count, Count]
 """Accelerators, millicores and MiB of memory; never negative."""
 
@@ -193,10 +196,13 @@
     ----------
     run_ms : int
         Time from the start of the run until the crash.
+    others_per_h : int
+        Crashes of a worker an hour that were to be expected without the task.
     """
 
     node: str
     run_ms: Int64
+    others_per_h: Count = UNKNOWN_CRASHES_PER_H
 
 
 @attrs.define
--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -14,7 +14,8 @@
 import attrs
 from loguru import logger
 
-from filbertlb.batch.crashes import is_likely_culprit
+from filbertlb.batch.crash_evidence import CrashRate
+from filbertlb.batch.crash_evidence import culprits_among
 from filbertlb.batch.crashes import MAX_BLAME_MS
 from filbertlb.batch.durations import DeclaredDurations
 from filbertlb.batch.evacuation import Evacuations
@@ -39,6 +40,7 @@
 from filbertlb.batch.run_ends import apply_end
 from filbertlb.batch.run_observation import observed_run
 from filbertlb.batch.start_health import SURVIVAL_MS
+from filbertlb.batch.workers import has_crashed
 from filbertlb.batch.workers import is_eligible
 from filbertlb.batch.workers import may_quarantine_one
 from filbertlb.batch.workers import WorkerView
@@ -113,6 +115,7 @@
     demand: Demand | None = None
     queue_report: QueueReport = attrs.Factory(QueueReport)
     _unprocessed_nodes: set[str] = attrs.Factory(set)
+    _crash_rate: CrashRate = attrs.Factory(CrashRate)
 
     def record_report(
         self, report: WorkerReport, now_s: float, recent: bool = True
@@ -125,6 +128,8 @@
             The report is known to be no older than ``now_s`` says.
         """
         view = self.workers.get(report.node)
+        if view is not None and has_crashed(view.report, report):
+            self._crash_rate.record_crash(self.state, report.node, now_s)
         if view is None:
             view = WorkerView(report, now_s, recent)
             self.workers[report.node] = view
@@ -140,6 +145,7 @@
 
     def decide(self, now_s: float, now_ms: int) -> None:
         """Process new reports, then stop, finish and place tasks."""
+        self._crash_rate.record_time(now_s)
         for node in sorted(self._unprocessed_nodes):
             self._process_report(self.workers[node], now_s, now_ms)
         self._unprocessed_nodes.clear()
@@ -213,7 +219,7 @@
                 self.durations.record_end(
                     end, self._observing(end.task), now_ms
                 )
-                self._apply_end(end, now_ms)
+                self._apply_end(end, now_ms, now_s)
         for run in report.running:
             progress = self.state.progress.get(job_id_of(run.task))
             if progress is not None and not progress.started:
@@ -223,9 +229,14 @@
                         progress.job_id, JobState.ACTIVE, now_ms
                     )
 
-    def _apply_end(self, end: RunEnd, now_ms: int) -> None:
+    def _apply_end(self, end: RunEnd, now_ms: int, now_s: float) -> None:
         self.run_ends[end.cause] += 1
-        if apply_end(self.state, end, now_ms):
+        others_per_h = 0
+        if end.crashed_after_ms is not None:
+            others_per_h = self._crash_rate.others_per_h(
+                end.task, len(self.workers), now_s
+            )
+        if apply_end(self.state, end, now_ms, others_per_h):
             gang = self.state.step_of(end.task).gang
             self.failed_runs["gang" if gang else "task"] += 1
 
@@ -235,15 +246,13 @@
         Nothing else is blamed for that crash. Otherwise one such task would,
         over time, get all tasks given up that run beside it.
         """
-        return {
+        blamed = (
             end.task
             for end in report.ended
-            if end.task in self.state.suspects
-            and job_id_of(end.task) in self.state.jobs
-            and end.crashed_after_ms is not None
+            if end.crashed_after_ms is not None
             and end.crashed_after_ms <= MAX_BLAME_MS
-            and is_likely_culprit(self.state.record(end.task).crashes)
-        }
+        )
+        return culprits_among(self.state, blamed)
 
     def _check_progress(self, view: WorkerView) -> None:
         """Update from a report whether the runs of a worker progress.
@@ -348,7 +357,7 @@
                 saved = _reported_checkpoint(view.report, task, attempt)
                 end = RunEnd(task, attempt, EndCause.LOST, saved)
                 self.durations.record_end(end, self._observing(task), now_ms)
-                self._apply_end(end, now_ms)
+                self._apply_end(end, now_ms, known_s)
 
     def _log_silence(self, view: WorkerView, now_s: float) -> None:
         """Log once that tasks wait for a worker that may be gone."""
--- a/filbertlb/batch/run_ends.py
+++ b/filbertlb/batch/run_ends.py
@@ -7,8 +7,8 @@
 import attrs
 from loguru import logger
 
+from filbertlb.batch.crash_evidence import odds
 from filbertlb.batch.crashes import backoff_ms
-from filbertlb.batch.crashes import must_give_up
 from filbertlb.batch.crashes import with_crash
 from filbertlb.batch.gang_failures import count_failed_run
 from filbertlb.batch.gang_failures import failed_runs
@@ -19,14 +19,21 @@
 
 if TYPE_CHECKING:
     from filbertlb.batch.model import RunEnd
-    from filbertlb.batch.model import Step
     from filbertlb.batch.model import TaskRecord
     from filbertlb.batch.planner_state import PlannerState
 
 
-def apply_end(state: PlannerState, end: RunEnd, now_ms: int) -> bool:
+def apply_end(
+    state: PlannerState, end: RunEnd, now_ms: int, others_per_h: int = 0
+) -> bool:
     """Apply the end of a run that was ordered to its task and gang.
 
+    Parameters
+    ----------
+    others_per_h : int
+        If the worker crashed, the crashes an hour that were to be expected
+        without the task.
+
     Returns
     -------
     bool
@@ -57,11 +64,11 @@
             saved=end.saved or record.saved,
             since_ms=now_ms,
             avoid=record.node if avoids else record.avoid,
-            crashes=_crashes_after(
-                record, end, step, state.job_of(end.task).attempts
-            ),
+            crashes=_crashes_after(record, end, others_per_h),
         ),
     )
+    if crashed:
+        _record_crash(state, end)
     if end.cause is EndCause.DONE:
         state.preempted.discard(
             task_group_of(end.task) if step.gang else end.task
@@ -101,22 +108,26 @@
 
 
 def _crashes_after(
-    record: TaskRecord, end: RunEnd, step: Step, attempts: int
+    record: TaskRecord, end: RunEnd, others_per_h: int
 ) -> tuple[Crash, ...]:
     """Return the crashes that a task is blamed for after the end of a run."""
     if end.crashed_after_ms is None:
         return record.crashes
-    crash = Crash(record.node, end.crashed_after_ms)
-    crashes = with_crash(record.crashes, crash)
-    outcome = ""
+    crash = Crash(record.node, end.crashed_after_ms, others_per_h)
+    return with_crash(record.crashes, crash)
+
+
+def _record_crash(state: PlannerState, end: RunEnd) -> None:
+    """Log a crash."""
+    step = state.step_of(end.task)
+    record = state.record(end.task)
+    crashes = record.crashes
+    restart = ""
     if step.long_running:
-        outcome = f" and restarts after {backoff_ms(crashes)} ms"
-    elif must_give_up(crashes, attempts):
-        outcome = " and given up"
+        restart = f" and restarts after {backoff_ms(record.crashes)} ms"
     logger.warning(
         "worker on {} crashed {} ms after the start of {} attempt {}; the "
-        "task is blamed for {} crashes{}",
-        *(crash.node, crash.run_ms, end.task, end.attempt, len(crashes)),
-        outcome,
+        "task is blamed for {} crashes, odds {:.3g}{}",
+        *(record.node, end.crashed_after_ms, end.task, end.attempt),
+        *(len(crashes), odds(crashes), restart),
     )
-    return crashes
--- a/filbertlb/batch/workers.py
+++ b/filbertlb/batch/workers.py
@@ -242,6 +242,21 @@
     return quarantined + 1 <= MAX_QUARANTINE_SHARE * len(live)
 
 
+def has_crashed(before: WorkerReport, after: WorkerReport) -> bool:
+    """Return whether a worker seems to have crashed between two reports.
+
+    One that answered no longer does, or is another incarnation. One that
+    drains leaves as planned, and an agent that has restarted knows nothing
+    of its worker yet.
+    """
+    worker = before.worker
+    if worker is None or worker.draining or not before.answers:
+        return False
+    if not after.answers or after.worker is None:
+        return after.registration == before.registration
+    return after.worker.incarnation != worker.incarnation
+
+
 def is_eligible(worker: Worker, service: str, required_label: str) -> bool:
     """Return whether a step of a service may run on a worker."""
     return worker.service == service and (
