Count the crashes of a gang once for each of its runs

Cause: crashes were weighed member by member, though one run of a gang is one event. Each crash now holds the attempt number of its run, and those of all members count, one for each attempt, in crash_evidence.crashes_of. The rate that they are weighed against is that of all workers that the run is on, since any of them would have ended it. A member that had run for 10 s when its worker crashed clears the whole gang.

Rows of earlier versions don't tell the run; of them the member with the most crashes counts, as before. Ruled out: adding up the members' crashes, as four workers that crash in one run would then give the gang up at once.

--- a/filbertlb/batch/crash_evidence.py
+++ b/filbertlb/batch/crash_evidence.py
@@ -5,6 +5,9 @@
 seen on workers that don't run it. The product of these ratios over the
 crashes of a sound task reaches ``CONVICTING_ODDS`` with a probability of at
 most its inverse, however often one looks.
+
+A gang crashes as a whole: its evidence is that of one task, with one crash
+for each run.
 """
 
 from __future__ import annotations
@@ -18,6 +21,7 @@
 from filbertlb.batch.crashes import MAX_BLAME_MS
 from filbertlb.batch.crashes import MAX_RECORDED_CRASHES
 from filbertlb.batch.model import job_id_of
+from filbertlb.batch.model import task_group_of
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -98,21 +102,48 @@
     return len(crashes) >= limit and odds(crashes) >= CONVICTING_ODDS
 
 
+def crashes_of(state: PlannerState, task: str) -> tuple[Crash, ...]:
+    """Return the crashes that a task, or the gang it is of, is blamed for.
+
+    Those of a gang are one for each run. Rows of earlier versions don't tell
+    the runs; of them, those of the member with the most count.
+    """
+    if not state.step_of(task).gang:
+        return state.record(task).crashes
+    members = state.members(task_group_of(task)).values()
+    lists = [record.crashes for record in members]
+    unnumbered = max(
+        (
+            [crash for crash in crashes if not crash.attempt]
+            for crashes in lists
+        ),
+        key=len,
+        default=[],
+    )
+    by_attempt: dict[int, Crash] = {}
+    for crash in (crash for crashes in lists for crash in crashes):
+        known = by_attempt.get(crash.attempt)
+        if crash.attempt and (known is None or crash.run_ms < known.run_ms):
+            by_attempt[crash.attempt] = crash
+    numbered = [by_attempt[attempt] for attempt in sorted(by_attempt)]
+    return tuple((*unnumbered, *numbered)[-MAX_RECORDED_CRASHES:])
+
+
 def culprits_among(state: PlannerState, tasks: Iterable[str]) -> set[str]:
     """Return those of some tasks that most likely ended their workers."""
     return {
         task
         for task in tasks
         if job_id_of(task) in state.jobs
-        and task in state.suspects
-        and is_likely_culprit(state.record(task).crashes)
+        and (task in state.suspects or state.step_of(task).gang)
+        and is_likely_culprit(crashes_of(state, task))
     }
 
 
 @attrs.frozen
 class _SeenCrash:
     at_s: float
-    tasks: frozenset[str]
+    units: frozenset[str]
 
 
 @attrs.define
@@ -146,14 +177,38 @@
         ]
         if culprits_among(state, tasks):
             return
-        self._crashes.append(_SeenCrash(now_s, frozenset(tasks)))
+        units = frozenset(_unit(state, task) for task in tasks)
+        self._crashes.append(_SeenCrash(now_s, units))
+
+    def others_per_h(
+        self, state: PlannerState, task: str, workers: int, now_s: float
+    ) -> int:
+        """Return the crashes an hour of each worker without a task.
 
-    def others_per_h(self, task: str, workers: int, now_s: float) -> int:
-        """Return the crashes an hour of each worker without a task."""
+        For a gang it is that of as many workers as its members run on, since
+        any of them ends its run.
+        """
         while self._crashes and self._crashes[0].at_s < now_s - WINDOW_S:
             self._crashes.popleft()
-        seen = sum(task not in crash.tasks for crash in self._crashes)
+        unit = _unit(state, task)
+        seen = sum(unit not in crash.units for crash in self._crashes)
         begun_s = now_s if self._begun_s is None else self._begun_s
         watched_s = min(WINDOW_S, max(0.0, now_s - begun_s))
         per_s = (seen + 1) / (workers * watched_s + PRIOR_WORKER_S)
-        return max(1, round(per_s * S_PER_H))
+        return max(1, round(per_s * _nodes_of(state, task) * S_PER_H))
+
+
+def _unit(state: PlannerState, task: str) -> str:
+    """Return what ends as a whole: a task, or the group of a gang."""
+    return task_group_of(task) if state.step_of(task).gang else task
+
+
+def _nodes_of(state: PlannerState, task: str) -> int:
+    """Return the number of nodes that the latest run of a task is on."""
+    if not state.step_of(task).gang:
+        return 1
+    attempt = state.record(task).attempt
+    members = state.members(task_group_of(task)).values()
+    return len(
+        {record.node for record in members if record.attempt == attempt}
+    )
--- a/filbertlb/batch/job_outcome.py
+++ b/filbertlb/batch/job_outcome.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from filbertlb.batch.crash_evidence import crashes_of
 from filbertlb.batch.crash_evidence import must_give_up
 from filbertlb.batch.gang_failures import failed_runs
 from filbertlb.batch.model import task_group_of
@@ -107,13 +108,15 @@
     for task, record in state.progress[job.job_id].tasks.items():
         if not record.crashes or record.phase is TaskPhase.DONE:
             continue
-        if state.step_of(task).long_running:
+        step = state.step_of(task)
+        if step.long_running:
             continue
-        crashes = record.crashes
+        crashes = crashes_of(state, task)
         if not must_give_up(crashes, job.attempts):
             continue
+        unit = task_group_of(task) if step.gang else task
         nodes = tuple(crash.node for crash in crashes)
         return JobFailure(
-            FailureCause.CRASHES, task, len(nodes), record.attempt, nodes
+            FailureCause.CRASHES, unit, len(nodes), record.attempt, nodes
         )
     return None
--- a/filbertlb/batch/model.py
+++ b/filbertlb/batch/model.py
@@ -196,12 +196,16 @@
     ----------
     run_ms : int
         Time from the start of the run until the crash.
+    attempt : int
+        Number of that run; 0 in rows of earlier versions.
     others_per_h : int
-        Crashes of a worker an hour that were to be expected without the task.
+        Crashes an hour that were to be expected without the task, on as many
+        workers as its run, or that of its gang, was on.
     """
 
     node: str
     run_ms: Int64
+    attempt: Count = 0
     others_per_h: Count = UNKNOWN_CRASHES_PER_H
 
 
--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -234,7 +234,7 @@
         others_per_h = 0
         if end.crashed_after_ms is not None:
             others_per_h = self._crash_rate.others_per_h(
-                end.task, len(self.workers), now_s
+                self.state, end.task, len(self.workers), now_s
             )
         if apply_end(self.state, end, now_ms, others_per_h):
             gang = self.state.step_of(end.task).gang
--- a/filbertlb/batch/run_ends.py
+++ b/filbertlb/batch/run_ends.py
@@ -7,8 +7,10 @@
 import attrs
 from loguru import logger
 
+from filbertlb.batch.crash_evidence import crashes_of
 from filbertlb.batch.crash_evidence import odds
 from filbertlb.batch.crashes import backoff_ms
+from filbertlb.batch.crashes import MAX_BLAME_MS
 from filbertlb.batch.crashes import with_crash
 from filbertlb.batch.gang_failures import count_failed_run
 from filbertlb.batch.gang_failures import failed_runs
@@ -113,15 +115,18 @@
     """Return the crashes that a task is blamed for after the end of a run."""
     if end.crashed_after_ms is None:
         return record.crashes
-    crash = Crash(record.node, end.crashed_after_ms, others_per_h)
+    crash = Crash(record.node, end.crashed_after_ms, end.attempt, others_per_h)
     return with_crash(record.crashes, crash)
 
 
 def _record_crash(state: PlannerState, end: RunEnd) -> None:
-    """Log a crash."""
+    """Log a crash; a gang that has run for long is no suspect any more."""
     step = state.step_of(end.task)
+    if step.gang and (end.crashed_after_ms or 0) > MAX_BLAME_MS:
+        for member, record in state.members(task_group_of(end.task)).items():
+            state.set_record(member, attrs.evolve(record, crashes=()))
     record = state.record(end.task)
-    crashes = record.crashes
+    crashes = crashes_of(state, end.task)
     restart = ""
     if step.long_running:
         restart = f" and restarts after {backoff_ms(record.crashes)} ms"
--- a/tests/batch/test_crashes.py
+++ b/tests/batch/test_crashes.py
@@ -46,7 +46,10 @@
 
 
 def some_crashes(*crashes, others_per_h=QUIET):
-    return tuple(Crash(node, run_ms, others_per_h) for node, run_ms in crashes)
+    return tuple(
+        Crash(node, run_ms, attempt, others_per_h)
+        for attempt, (node, run_ms) in enumerate(crashes, 1)
+    )
 
 
 def crashes_after(*ages_ms, others_per_h=QUIET):
--- a/tests/batch/test_crashing_workers.py
+++ b/tests/batch/test_crashing_workers.py
@@ -7,6 +7,7 @@
 import pytest
 
 from filbertlb.batch.crash_evidence import MAX_CRASHES
+from filbertlb.batch.crashes import MAX_SEPARATION_MS
 from filbertlb.batch.model import Crash
 from filbertlb.batch.model import EndCause
 from filbertlb.batch.model import JobState
@@ -162,6 +163,73 @@
     assert site.most_down <= min(deadly, nodes)
 
 
+def crash_member(site, index):
+    """Crash the worker of a member as it begins; the others end broken."""
+    node = site.node_of(f"g.0.0.{index}")
+    site.crash(node, DEADLY_MS)
+    for other in set(site.nodes) - {node}:
+        ended = tuple(
+            RunEnd(task, site.record(task).attempt, EndCause.BROKEN)
+            for task in site.planner.state.tasks_on(other)
+        )
+        site.report(other, ended=ended)
+    site.decide(after_ms=0)
+
+
+@pytest.mark.parametrize("takeovers", [False, True])
+@pytest.mark.parametrize("rotates", [False, True])
+def test_gang_was_given_up_after_the_crashes_of_each_of_its_members(
+    rotates, takeovers
+):
+    step = a_step(4, gang=True, needs=WHOLE_WORKER)
+    site = Site(a_job("g", step, attempts=2), nodes=NODES)
+    # Deciders that know nothing of other workers need one crash more.
+    for crash in range(MAX_CRASHES + takeovers):
+        assert site.state("g") is not JobState.FAILED
+        site.decide(after_ms=MAX_SEPARATION_MS)
+        while site.node_of("g.0.0.0") is None:
+            site.decide()
+        crash_member(site, crash % 4 if rotates else 0)
+        if takeovers:
+            site.new_decider()
+    site.decide()
+    assert site.state("g") is JobState.FAILED
+
+
+def test_one_run_of_a_gang_counted_once_for_each_worker_that_crashed():
+    step = a_step(4, gang=True, needs=WHOLE_WORKER)
+    site = CrashingSite(a_job("g", step, attempts=2), nodes=8)
+    for _ in range(MAX_CRASHES - 1):
+        site.decide(after_ms=MAX_SEPARATION_MS)
+        nodes = [site.node_of(f"g.0.0.{index}") for index in range(4)]
+        site.now_ms += START_MS + DEADLY_MS
+        for node in nodes:
+            site.take_down(node, 0)
+        for node in nodes:
+            site.bring_up(node)
+        site.decide()
+    assert site.state("g") is not JobState.FAILED
+
+
+def test_gang_that_had_run_for_long_kept_the_crashes_of_other_members():
+    step = a_step(2, gang=True, needs=WHOLE_WORKER)
+    site = Site(a_job("g", step), nodes=4)
+    site.decide()
+    for task, run_ms in (("g.0.0.0", 10), ("g.0.0.1", 10_001)):
+        site.decide(after_ms=MAX_SEPARATION_MS)
+        site.crash(site.node_of(task), run_ms)
+        site.decide()
+        for node in site.nodes:
+            tasks = site.planner.state.tasks_on(node)
+            ended = tuple(
+                RunEnd(task, site.record(task).attempt, EndCause.BROKEN)
+                for task in tasks
+            )
+            site.report(node, ended=ended)
+        site.decide()
+    assert site.record("g.0.0.0").crashes == ()
+
+
 def test_crashes_of_an_earlier_version_are_read():
     row = Row(
         "k",
