--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -19,7 +19,6 @@
 from filbertlb.batch.model import JobState
 from tests.soak.faults import inject
 from tests.soak.jobs import submit_at_random
-from tests.soak.site import ATTEMPTS
 from tests.soak.site import running_site
 
 CI_SEEDS = "1-3"
@@ -45,17 +44,18 @@
     for job_id, state in sorted(site.final_states.items()):
         runs = history.of_job(job_id)
         failed, crashes = history.failed_runs(job_id), history.crashes(job_id)
+        attempts = site.attempts(job_id)
         if state == JobState.COMPLETE:
             done = {run.unit for run in runs if run.how == EndCause.DONE}
             justified = done == site.units(job_id)
         else:
             # No task here crashes its workers.
-            justified = failed >= ATTEMPTS
+            justified = failed >= attempts
         if not justified:
             told = "; ".join(map(str, runs))
             yield (
                 f"{job_id} is {state} after {failed} failed runs of "
-                f"{ATTEMPTS} and {crashes} crashes: {told}"
+                f"{attempts} and {crashes} crashes: {told}"
             )
 
 
