Soak: strike deciders that know the ends of one worker only

Half of the strikes stop the other workers' agents now as the first member fails, wait up to 0.5 s until a decision on its job is written, and then kill or pause the decider, so that the next one reads the rest.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import signal
+from contextlib import contextmanager
 from random import Random
+from time import monotonic
 
 import attrs
 from gevent import sleep
 from gevent import spawn
 
 MAX_STRIKE_DELAY_S = 0.15
+MAX_DECISION_S = 0.5
 STRIKES_ALONE_S = 6.0
 
 
@@ -95,6 +98,26 @@
     strike(process, time_s)
 
 
+def strike_decider_between_reports(site, random):
+    """Kill or pause the decider once it knows one worker's ends of a run."""
+    number = site.leader()
+    if number is None:
+        return
+    process = site.entries[number]
+    number_sent, strike, time_s = random.choice(
+        [
+            (signal.SIGKILL, _kill, random.uniform(0.0, 1.0)),
+            (signal.SIGSTOP, _pause, random.uniform(0.3, 3.5)),
+        ]
+    )
+    job_id, instance_id = site.history.first_failed
+    yield process.role, number
+    with _other_agents_stopped(site, instance_id):
+        _wait_for_decision(site, job_id)
+        process.send(number_sent)
+    strike(process, time_s)
+
+
 FAULTS = (
     restart_worker,
     restart_worker_at_its_next_start,
@@ -104,6 +127,7 @@
     pause_process,
     replace_entry,
 )
+STRIKES = (strike_decider, strike_decider_between_reports)
 
 
 def _kill(process, down_s):
@@ -119,6 +143,31 @@
     process.send(signal.SIGCONT)
 
 
+@contextmanager
+def _other_agents_stopped(site, instance_id):
+    """Let only the agent of one worker report."""
+    others = [
+        agent
+        for agent, machine in zip(site.agents, site.machines, strict=True)
+        if machine.worker.instance_id != instance_id
+    ]
+    for agent in others:
+        agent.send(signal.SIGSTOP)
+    try:
+        yield
+    finally:
+        for agent in others:
+            agent.send(signal.SIGCONT)
+
+
+def _wait_for_decision(site, job_id):
+    """Wait, for a limited time, until a decision on a job is written."""
+    before = site.progress(job_id)
+    until_s = monotonic() + MAX_DECISION_S
+    while site.progress(job_id) == before and monotonic() < until_s:
+        sleep(0.005)
+
+
 def _any_process(site, random):
     group = random.choice([site.entries, site.agents])
     number = random.randrange(len(group))
@@ -146,7 +195,7 @@
         while True:
             failed.wait()
             failed.clear()
-            self.launch(strike_decider, random)
+            self.launch(random.choice(STRIKES), random)
 
     def wait(self):
         """Wait until all faults are over."""
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -178,6 +178,10 @@
                 return number
         return None
 
+    def progress(self, job_id):
+        """Return the stored progress of a job as bytes, or None."""
+        return self._store.read("progress", job_id)
+
     def poll(self):
         """Ask an entry, another one each time, for all unfinished jobs.
 
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -75,6 +75,8 @@
         Tasks whose start got no answer as the worker ended.
     on_failed : Event
         Set when one of several members that fail has ended.
+    first_failed : tuple of str
+        Its job and worker.
     """
 
     attempts: Callable[[str], int]
@@ -84,6 +86,7 @@
     cut_off: list[str] = attrs.Factory(list)
     broken: list[str] = attrs.Factory(list)
     on_failed: Event = attrs.Factory(Event)
+    first_failed: tuple[str, str] = ("", "")
     _unit_by_task: dict[str, str] = attrs.Factory(dict)
 
     def begin(self, task, attempt, incarnation, in_gang):
@@ -236,6 +239,8 @@
         failing = self._runs[task].plan.failing(interval.attempt)
         LeasedWorker._end(self, task, how, ended_ms)
         if how is EndCause.FAILED and len(failing) > 1:
+            if not self.history.on_failed.is_set():
+                self.history.first_failed = (job_id_of(task), self.instance_id)
             self.history.on_failed.set()
 
     def advance_until_ended(self):
