--- a/filbertlb/batch/job_outcome.py
+++ b/filbertlb/batch/job_outcome.py
@@ -7,7 +7,8 @@
 
 import attrs
 
-from filbertlb.batch.crashes import must_give_up
+from filbertlb.batch.crash_evidence import crashes_of
+from filbertlb.batch.crash_evidence import must_give_up
 from filbertlb.batch.gang_failures import failed_runs
 from filbertlb.batch.model import task_group_of
 from filbertlb.batch.model import TaskPhase
@@ -64,9 +65,9 @@
 def job_failure(state: PlannerState, job: Job) -> JobFailure | None:
     """Return why a job has to fail, or None if it does not.
 
-    A task that is not done has failed, or crashed workers, too often. Tasks
-    that run until cancelled have no such limit. A gang is done with its first
-    member that is, also if others fail in the same run.
+    A task that is not done has failed too often, or has ended its workers
+    beyond doubt. Tasks that run until cancelled have no such limit. A gang is
+    done with its first member that is, also if others fail in the same run.
     """
     return _exhausted_attempts(state, job) or _too_many_crashes(state, job)
 
@@ -112,12 +113,15 @@
     for task, record in state.progress[job.job_id].tasks.items():
         if not record.crashes or record.phase is TaskPhase.DONE:
             continue
-        if not must_give_up(record.crashes, job.attempts):
+        step = state.step_of(task)
+        if step.long_running:
             continue
-        if state.step_of(task).long_running:
+        crashes = crashes_of(state, task)
+        if not must_give_up(crashes, job.attempts):
             continue
-        nodes = tuple(crash.node for crash in record.crashes)
+        unit = task_group_of(task) if step.gang else task
+        nodes = tuple(crash.node for crash in crashes)
         return JobFailure(
-            FailureCause.CRASHES, task, len(nodes), record.attempt, nodes
+            FailureCause.CRASHES, unit, len(nodes), record.attempt, nodes
         )
     return None
