Divide the progress of a job that outgrows a row of the store

Callers saw: an accepted job of 2,000 tasks that resume from checkpoints was shown as `failed` without a failed run (`job_progress_too_large`).

Cause: the progress of a job was one row of 64 KiB, whatever the job; nothing that accepts jobs bounds what their tasks' records grow to.

Why this works: once the row is too large, `progress/JOB` becomes a head and `progress/JOB/N` hold 32 tasks each. Changed parts are written with the head in one transaction; where that is too small, parts come first, those of a gang together, those of tasks that left a silent worker with its orders. Longer checkpoints aren't kept by the agent. Deletion after the retention period covers the parts, and goes on after a decider that died in between. Earlier versions can't read a head and leave the job alone.

Ruled out: refusing such jobs (docs/design/transactions.md), parts of 112 tasks (up to 110,688 bytes at worst).

--- a/filbertlb/batch/decider.py
+++ b/filbertlb/batch/decider.py
@@ -22,10 +22,9 @@
 from filbertlb.batch.learned_row import read_learned
 from filbertlb.batch.model import CANCEL_PREFIX
 from filbertlb.batch.model import JOB_PREFIX
-from filbertlb.batch.model import PROGRESS_PREFIX
-from filbertlb.batch.model import STATUS_PREFIX
 from filbertlb.batch.model import WORKER_TABLE
 from filbertlb.batch.placing_context import CheckpointCosts
+from filbertlb.batch.retention import expired_job_units
 from filbertlb.batch.run_time_metrics import clear_run_times
 from filbertlb.batch.run_time_metrics import sample_run_times
 from filbertlb.batch.takeover import apply_report
@@ -38,7 +37,6 @@
 from filbertlb.table.base import TableRejectedError
 from filbertlb.table.base import TableUnavailableError
 from filbertlb.table.base import TransactionLimits
-from filbertlb.table.base import Write
 from filbertlb.table.lease import LeaseManager
 from filbertlb.table.mirror import Follower
 from filbertlb.table.mirror import Mirror
@@ -82,10 +80,6 @@
 STAND_ASIDE_S = 2.0
 """Time for which a decider that gave the lease up lets others take it."""
 CLEANUP_PERIOD_S = 10.0
-CLEANUP_JOBS = 20
-"""Maximum number of jobs whose rows are deleted at a time."""
-ENDED_JOB_RETENTION_MS = 180_000
-"""Callers may query ended jobs for 120 s; the other 60 s are a margin."""
 
 
 @attrs.define
@@ -486,7 +480,7 @@
         durations.changed = False
 
     def _plan_writes(self, planner: Planner, epoch: int) -> WritePlan:
-        units = changed_units(planner.state, epoch)
+        units = changed_units(planner.state, epoch, self._limits)
         return divide(units, self._limits, self._batch_entries)
 
     def _commit(self, unit: WriteUnit, epoch: int) -> None:
@@ -505,25 +499,13 @@
         if now_s < self._next_cleanup_s:
             return
         self._next_cleanup_s = now_s + CLEANUP_PERIOD_S
-        expired = [
-            job_id
-            for job_id, progress in planner.state.progress.items()
-            if 0 < progress.ended_ms < now_ms - ENDED_JOB_RETENTION_MS
-        ][:CLEANUP_JOBS]
-        if not expired:
-            return
-        prefixes = (JOB_PREFIX, STATUS_PREFIX, PROGRESS_PREFIX, CANCEL_PREFIX)
-        self._keeper.commit(
-            [
-                Write(prefix + job_id, None)
-                for job_id in expired
-                for prefix in prefixes
-            ],
-            epoch=epoch,
-        )
-        for job_id in expired:
-            planner.state.forget(job_id)
-        logger.info("rows of {} ended jobs deleted", len(expired))
+        units = expired_job_units(planner.state, now_ms)
+        plan = divide(units, self._limits, self._batch_entries)
+        for unit in plan.transactions:
+            self._keeper.commit(unit.writes, epoch=epoch)
+            for job_id in unit.jobs:
+                planner.state.forget(job_id)
+            logger.info("rows of {} ended jobs deleted", len(unit.jobs))
 
 
 def _without_lease(limits: TransactionLimits) -> TransactionLimits:
--- a/filbertlb/batch/job_check.py
+++ b/filbertlb/batch/job_check.py
@@ -17,7 +17,7 @@
     from filbertlb.batch.model import Job
 
 MAX_JOB_TASKS = 10_000
-"""Tasks due in the first minute; the progress of more fits no row."""
+"""Tasks due in the first minute; a decision may be about all of them."""
 FIRST_MINUTE_MS = 60_000
 MAX_JOB_PAYLOAD_BYTES = 8_000
 """An orders row must hold the payloads of several jobs."""
--- a/filbertlb/batch/local_listings.py
+++ b/filbertlb/batch/local_listings.py
@@ -10,6 +10,7 @@
 from filbertlb.batch.local_run import LocalRun
 from filbertlb.batch.local_run import RunPhase
 from filbertlb.batch.model import EndCause
+from filbertlb.batch.model import MAX_SAVED_BYTES
 
 if TYPE_CHECKING:
     from collections.abc import Container
@@ -39,7 +40,13 @@
     run_ms = None
     if run is not None and received_s is not None:
         run_ms = run.run_ms(received_s)
-    runs.ended[end.key] = attrs.evolve(end, run_ms=run_ms)
+    saved = _storable(end.saved)
+    if saved != end.saved:
+        logger.error(
+            "checkpoint of {} attempt {} not kept: over {} bytes",
+            *(end.task, end.attempt, MAX_SAVED_BYTES),
+        )
+    runs.ended[end.key] = attrs.evolve(end, run_ms=run_ms, saved=saved)
     runs.report_changed = True
     logger.info(
         "run {} attempt {} ended {} after {} ms",
@@ -83,9 +90,9 @@
         runs.report_changed = True
     if run.phase is RunPhase.RUNNING:
         run.acked_s = max(run.acked_s, sent_s)
-    run.saved = listed.saved
-    if listed.saved:
-        runs.checkpoint_by_run[listed.key] = listed.saved
+    run.saved = _storable(listed.saved)
+    if run.saved:
+        runs.checkpoint_by_run[listed.key] = run.saved
     run.percent = listed.percent
 
 
@@ -112,3 +119,9 @@
             # It was in progress when the worker last acknowledged it.
             run_ms = run.run_ms(run.acked_s)
             runs.end(key, cause, "not listed by the worker", run_ms)
+
+
+def _storable(saved: str) -> str:
+    """Return a checkpoint, or none if it is too long to be stored."""
+    size_bytes = len(saved.encode(errors="replace"))
+    return saved if size_bytes <= MAX_SAVED_BYTES else ""
--- a/filbertlb/batch/model.py
+++ b/filbertlb/batch/model.py
@@ -20,6 +20,9 @@
     r"(?P<job_id>[^.]+)\.[0-9]{1,18}\.(?P<step>[0-9]{1,18})\.[0-9]{1,18}"
 )
 
+MAX_SAVED_BYTES = 256
+"""Length of a checkpoint; rows hold those of many tasks."""
+
 STATE_TABLE = "state"
 """What every entry follows: jobs, their states and cancellations."""
 JOB_PREFIX = "state/job/"
@@ -268,6 +271,52 @@
     failures_by_gang: dict[str, GangFailures] = attrs.Factory(dict)
 
 
+@attrs.frozen
+class ProgressHead:
+    """Progress of a job whose tasks are stored in rows of their own.
+
+    Parameters
+    ----------
+    tasks : int
+        Number of tasks in the parts. An earlier version expects the tasks
+        themselves here: it cannot read the row and leaves the job alone.
+    """
+
+    job_id: str
+    state: JobState
+    started: bool
+    tasks: Count
+    ended_ms: Int64 = 0
+
+
+@attrs.frozen
+class ProgressPart:
+    """Tasks of a job that are stored in one row.
+
+    Parameters
+    ----------
+    failures_by_gang : dict of str to GangFailures
+        Failed runs of the gangs that these tasks belong to.
+    """
+
+    job_id: str
+    number: Count
+    tasks: dict[str, TaskRecord]
+    failures_by_gang: dict[str, GangFailures]
+
+
+@attrs.frozen
+class ProgressRow:
+    """What a row of progress may hold: all tasks, or their number."""
+
+    job_id: str
+    state: JobState = JobState.QUEUED
+    started: bool = False
+    tasks: dict[str, TaskRecord] | Count = attrs.Factory(dict)
+    ended_ms: Int64 = 0
+    failures_by_gang: dict[str, GangFailures] = attrs.Factory(dict)
+
+
 @attrs.frozen
 class JobStatus:
     """What callers are told about a job; written by the decider."""
--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -175,14 +175,15 @@
             self._log_waiting_jobs(now_s, now_ms)
 
     def fail_oversized_job(self, job_id: str, now_ms: int) -> None:
-        """Fail a job whose progress is too large to be stored.
+        """Fail a job of which a part of the progress is too large for a row.
 
-        Its records are dropped, so agents stop its runs as not ordered.
+        With rows of 64 KiB no job that is accepted gets there. Its records
+        are dropped, so agents stop its runs as not ordered.
         """
         state = self.state
         logger.error(
-            "job {} failed, code job_progress_too_large: the progress of its "
-            "{} tasks exceeds a row of the table; submit smaller jobs",
+            "job {} failed, code job_progress_too_large: the progress of some "
+            "of its {} tasks exceeds a row of the table",
             *(job_id, len(state.progress[job_id].tasks)),
         )
         state.drop_records(job_id)
--- a/filbertlb/batch/planner_state.py
+++ b/filbertlb/batch/planner_state.py
@@ -79,9 +79,15 @@
     ----------
     changed_jobs, changed_statuses, changed_nodes : set of str
         Jobs and nodes whose rows in the table are out of date.
-    jobs_lost_by_node : dict of str to set of str
-        Jobs with tasks that left a silent node without its agent's report,
-        by node; not yet written.
+    changed_tasks_by_job : dict of str to set of str
+        Tasks whose records in the table are out of date.
+    tasks_lost_by_node : dict of str to set of str
+        Tasks that left a silent node without its agent's report, by node;
+        not yet written.
+    split_jobs : set of str
+        Jobs whose tasks are stored in rows of their own.
+    part_count_by_job : dict of str to int
+        Number of these rows that may be stored, also of other jobs.
     ignored_jobs : set of str
         Jobs whose progress is unreadable; nothing is decided about them.
     suspects : set of str
@@ -103,7 +109,10 @@
     changed_jobs: set[str] = attrs.Factory(set)
     changed_statuses: set[str] = attrs.Factory(set)
     changed_nodes: set[str] = attrs.Factory(set)
-    jobs_lost_by_node: dict[str, set[str]] = attrs.Factory(dict)
+    changed_tasks_by_job: dict[str, set[str]] = attrs.Factory(dict)
+    tasks_lost_by_node: dict[str, set[str]] = attrs.Factory(dict)
+    split_jobs: set[str] = attrs.Factory(set)
+    part_count_by_job: dict[str, int] = attrs.Factory(dict)
     ignored_jobs: set[str] = attrs.Factory(set)
     suspects: set[str] = attrs.Factory(set)
     preempted: set[str] = attrs.Factory(set)
@@ -131,6 +140,9 @@
         """Remove a job whose rows were deleted."""
         self.jobs.pop(job_id, None)
         self.progress.pop(job_id, None)
+        self.changed_tasks_by_job.pop(job_id, None)
+        self.split_jobs.discard(job_id)
+        self.part_count_by_job.pop(job_id, None)
         self.cancelled.discard(job_id)
         self.suspects = {
             task for task in self.suspects if job_id_of(task) != job_id
@@ -152,8 +164,12 @@
 
     def mark_lost(self, task: str, node: str) -> None:
         """Record that a task leaves a silent node."""
-        lost_jobs = self.jobs_lost_by_node.setdefault(node, set())
-        lost_jobs.add(job_id_of(task))
+        self.tasks_lost_by_node.setdefault(node, set()).add(task)
+
+    def split(self, job_id: str) -> None:
+        """Store the tasks of a job in rows of their own from now on."""
+        self.split_jobs.add(job_id)
+        self.changed_tasks_by_job[job_id] = set(self.progress[job_id].tasks)
 
     def mark_started(self, job_id: str) -> None:
         """Record that a task of a job has started."""
@@ -167,8 +183,10 @@
         self.changed_jobs -= jobs
         self.changed_statuses -= jobs
         self.changed_nodes -= nodes
+        for job_id in jobs:
+            self.changed_tasks_by_job.pop(job_id, None)
         for node in nodes:
-            self.jobs_lost_by_node.pop(node, None)
+            self.tasks_lost_by_node.pop(node, None)
 
     def _mark_status(self, job_id: str) -> None:
         self.changed_jobs.add(job_id)
@@ -209,7 +227,17 @@
             self._tasks_by_node.setdefault(record.node, set()).add(task)
             self.changed_nodes.add(record.node)
         self._update_suspect(task, record)
+        self._mark_task(task)
+
+    def set_saved(self, task: str, saved: str) -> None:
+        """Set the checkpoint from which the next run of a task resumes."""
+        self.progress[job_id_of(task)].tasks[task].saved = saved
+        self._mark_task(task)
+
+    def _mark_task(self, task: str) -> None:
+        job_id = job_id_of(task)
         self.changed_jobs.add(job_id)
+        self.changed_tasks_by_job.setdefault(job_id, set()).add(task)
 
     def _update_suspect(self, task: str, record: TaskRecord) -> None:
         if record.crashes and record.phase is not TaskPhase.DONE:
@@ -225,6 +253,7 @@
             self.changed_nodes.add(node)
         self.suspects.difference_update(self.progress[job_id].tasks)
         self.progress[job_id].tasks.clear()
+        self.changed_tasks_by_job.pop(job_id, None)
         self.progress[job_id].failures_by_gang.clear()
 
     def set_phase(self, task: str, phase: TaskPhase, now_ms: int) -> None:
@@ -350,6 +379,8 @@
         job_id = job_id_of(group)
         self.progress[job_id].failures_by_gang[group] = failures
         self.changed_jobs.add(job_id)
+        for task in self.members(group):
+            self._mark_task(task)
 
     def ready_ms(self, group: TaskGroup) -> int:
         """Return when the waiting tasks of a group could first be placed.
--- a/filbertlb/batch/run_ends.py
+++ b/filbertlb/batch/run_ends.py
@@ -97,7 +97,7 @@
         elif record.phase is TaskPhase.ORDERED:
             state.set_phase(other, TaskPhase.STOPPING, now_ms)
         if saved and not done:
-            state.record(other).saved = saved
+            state.set_saved(other, saved)
 
 
 def _crashes_after(
--- a/filbertlb/batch/stored.py
+++ b/filbertlb/batch/stored.py
@@ -9,11 +9,8 @@
 from typing import TYPE_CHECKING
 
 from filbertlb.batch.job_check import structural_faults
-from filbertlb.batch.model import has_step
 from filbertlb.batch.model import Job
 from filbertlb.batch.model import JOB_PREFIX
-from filbertlb.batch.model import Progress
-from filbertlb.batch.model import PROGRESS_PREFIX
 from filbertlb.batch.model import WORKER_PREFIX
 from filbertlb.batch.model import WorkerReport
 from filbertlb.table.rows import decode_row
@@ -32,18 +29,6 @@
     return job
 
 
-def decode_progress_row(row: Row, job: Job | None) -> Progress:
-    """Decode the progress of a job, if that is known."""
-    progress = decode_row(row, Progress)
-    _require_key(row, PROGRESS_PREFIX + progress.job_id)
-    for task in progress.tasks:
-        if job is not None and not has_step(job, task):
-            raise UnreadableRowError(
-                f"row {row.key!r}: task {task[:80]!r} is none of its job"
-            )
-    return progress
-
-
 def decode_report_row(row: Row) -> WorkerReport:
     """Decode the report of an agent."""
     report = decode_row(row, WorkerReport)
--- a/filbertlb/batch/takeover.py
+++ b/filbertlb/batch/takeover.py
@@ -8,13 +8,15 @@
 from gevent import sleep
 from loguru import logger
 
-from filbertlb.batch.model import PROGRESS_PREFIX
 from filbertlb.batch.model import PROGRESS_TABLE
 from filbertlb.batch.model import STATE_TABLE
 from filbertlb.batch.model import WORKER_PREFIX
 from filbertlb.batch.model import WorkerReport
 from filbertlb.batch.planner import Planner
-from filbertlb.batch.stored import decode_progress_row
+from filbertlb.batch.progress_rows import decode_progress
+from filbertlb.batch.progress_rows import is_part
+from filbertlb.batch.progress_rows import part_count
+from filbertlb.batch.progress_rows import progress_job_id
 from filbertlb.batch.stored import decode_report_row
 from filbertlb.batch.version_marks import restore_marks
 from filbertlb.table.base import HistoryLostError
@@ -22,8 +24,14 @@
 from filbertlb.table.rows import UnreadableRowError
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+
     from filbertlb.batch.durations import DurationModel
     from filbertlb.batch.index import JobIndex
+    from filbertlb.batch.model import Job
+    from filbertlb.batch.planner_state import PlannerState
     from filbertlb.core.clock import Clock
     from filbertlb.table.base import Row
     from filbertlb.table.base import WatchedTable
@@ -58,9 +66,7 @@
     snapshot = table.snapshot(f"{PROGRESS_TABLE}/")
     _catch_up(table, state_mirror, clock, snapshot.version)
     restore_marks(state_mirror)
-    for number, row in enumerate(snapshot.rows):
-        _add_progress(planner, index, row)
-        _yield_sometimes(number)
+    add_progress_rows(planner.state, index.jobs, snapshot.rows)
     for job in index.jobs.values():
         planner.state.add_job(job)
     planner.state.cancelled.update(index.cancelled)
@@ -78,6 +84,24 @@
     return planner
 
 
+def add_progress_rows(
+    state: PlannerState, job_by_id: Mapping[str, Job], rows: Iterable[Row]
+) -> None:
+    """Add the progress of all jobs from its rows."""
+    parts_by_job: dict[str, list[Row]] = {}
+    heads = []
+    for row in rows:
+        if is_part(row.key):
+            parts_by_job.setdefault(progress_job_id(row.key), []).append(row)
+        else:
+            heads.append(row)
+    for number, head in enumerate(heads):
+        job_id = progress_job_id(head.key)
+        parts = parts_by_job.get(job_id, ())
+        _add_progress(state, job_by_id.get(job_id), head, parts)
+        _yield_sometimes(number)
+
+
 def apply_report(
     planner: Planner, worker_mirror: Mirror, state_mirror: Mirror, key: str
 ) -> None:
@@ -133,20 +157,29 @@
         )
 
 
-def _add_progress(planner: Planner, index: JobIndex, row: Row) -> None:
+def _add_progress(
+    state: PlannerState, job: Job | None, head: Row, parts: Sequence[Row]
+) -> None:
     """Add the progress of a job; without it the job is left alone.
 
     A job that seemed to have no progress would run again.
     """
+    job_id = progress_job_id(head.key)
     try:
-        job_id = row.key.removeprefix(PROGRESS_PREFIX)
-        progress = decode_progress_row(row, index.jobs.get(job_id))
+        progress, divided = decode_progress(head, parts, job)
     except UnreadableRowError as error:
         logger.error("job left alone: {}", error)
-        planner.state.ignored_jobs.add(row.key.removeprefix(PROGRESS_PREFIX))
+        state.ignored_jobs.add(job_id)
         return
-    if progress.job_id in index.jobs:
-        planner.state.add_progress(progress)
+    if job is None:
+        return
+    state.add_progress(progress)
+    if parts:
+        state.part_count_by_job[job_id] = max(
+            len(parts), part_count(len(progress.tasks))
+        )
+    if divided:
+        state.split_jobs.add(job_id)
 
 
 def _yield_sometimes(number: int) -> None:
--- a/filbertlb/batch/write_plan.py
+++ b/filbertlb/batch/write_plan.py
@@ -9,6 +9,10 @@
   its orders row, so that a worker that comes back finds no order for a task
   that has been placed elsewhere since.
 
+A job whose changed rows take more than a transaction is written in several:
+parts of its progress first, each of which tells of its own tasks, then its
+head with the parts of tasks that left a silent worker.
+
 Jobs are written by urgency, so that under a burst urgent work does not wait
 for the rows of the rest.
 """
@@ -19,20 +23,28 @@
 
 import attrs
 
+from filbertlb.batch.model import job_id_of
 from filbertlb.batch.model import JobStatus
 from filbertlb.batch.model import orders_key
 from filbertlb.batch.model import PROGRESS_PREFIX
 from filbertlb.batch.model import STATUS_PREFIX
+from filbertlb.batch.progress_rows import gang_continues
+from filbertlb.batch.progress_rows import part_numbers
+from filbertlb.batch.progress_rows import progress_job_id
+from filbertlb.batch.progress_rows import progress_writes
+from filbertlb.table.base import stored_bytes
+from filbertlb.table.base import TransactionLimits
 from filbertlb.table.base import Write
 from filbertlb.table.rows import encode_value
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from collections.abc import Iterable
     from collections.abc import Iterator
     from collections.abc import Sequence
 
     from filbertlb.batch.planner_state import PlannerState
-    from filbertlb.table.base import TransactionLimits
+    from filbertlb.batch.progress_rows import ProgressWrites
 
 KEY_OVERHEAD_BYTES = 160
 """Size of an entry of a transaction besides its key and value."""
@@ -63,18 +75,18 @@
     def total_bytes(self) -> int:
         """Size in a transaction."""
         return sum(
-            _stored_bytes(write) + len(write.key) + KEY_OVERHEAD_BYTES
+            stored_bytes(write.value) + len(write.key) + KEY_OVERHEAD_BYTES
             for write in self.writes
         )
 
-    def largest_job(self) -> str | None:
-        """Return the job with the largest progress row, if there is one."""
-        size_by_job = {
-            write.key.removeprefix(PROGRESS_PREFIX): _stored_bytes(write)
+    def jobs_over(self, row_bytes: int) -> frozenset[str]:
+        """Return the jobs with a row of progress that is too large."""
+        return frozenset(
+            progress_job_id(write.key)
             for write in self.writes
             if write.key.startswith(PROGRESS_PREFIX)
-        }
-        return max(size_by_job, key=size_by_job.__getitem__, default=None)
+            and stored_bytes(write.value) > row_bytes
+        )
 
 
 @attrs.frozen
@@ -85,37 +97,94 @@
     ----------
     oversized : tuple of WriteUnit
         Units that alone exceed the table's limits; in no transaction.
+    row_bytes : int
+        Size of a row, at most.
     """
 
     transactions: tuple[WriteUnit, ...]
     oversized: tuple[WriteUnit, ...] = ()
+    row_bytes: int = TransactionLimits().row_bytes
 
     def oversized_jobs(self) -> frozenset[str]:
-        """Return the jobs that must get smaller for the rest to be written.
-
-        It is the one with the largest row of each unit: a unit of several
-        jobs does not fit because of that row.
-        """
-        jobs = (unit.largest_job() for unit in self.oversized)
-        return frozenset(job_id for job_id in jobs if job_id is not None)
+        """Return the jobs that must get smaller for the rest to be written."""
+        jobs = (unit.jobs_over(self.row_bytes) for unit in self.oversized)
+        return frozenset().union(*jobs)
 
 
-def changed_units(state: PlannerState, epoch: int) -> Iterator[WriteUnit]:
+def changed_units(
+    state: PlannerState, epoch: int, limits: TransactionLimits | None = None
+) -> Iterator[WriteUnit]:
     """Yield the changed rows of a planner in the order of writing."""
+    limits = limits or TransactionLimits()
     jobs = set(state.changed_jobs)
     nodes = set(state.changed_nodes)
-    for node, left_jobs in sorted(state.jobs_lost_by_node.items()):
-        left = sorted(left_jobs & jobs)
-        units = [_job_unit(state, job_id) for job_id in left]
+    for node, tasks in sorted(state.tasks_lost_by_node.items()):
+        left = sorted(jobs & set(map(job_id_of, tasks)))
         jobs.difference_update(left)
         nodes.discard(node)
-        yield _join([_orders_unit(state, node, epoch), *units])
+        orders = _orders_unit(state, node, epoch)
+        rows = [progress_writes(state, job, limits.row_bytes) for job in left]
+        yield from _units_with_orders(state, orders, rows, tasks, limits)
     for job_id in sorted(jobs, key=lambda job_id: _job_rank(state, job_id)):
-        yield _job_unit(state, job_id)
+        rows = [progress_writes(state, job_id, limits.row_bytes)]
+        yield from _units_with_orders(state, None, rows, (), limits)
     for node in sorted(nodes, key=lambda node: _node_rank(state, node)):
         yield _orders_unit(state, node, epoch)
 
 
+def _units_with_orders(
+    state: PlannerState,
+    orders: WriteUnit | None,
+    rows: Sequence[ProgressWrites],
+    lost: Collection[str],
+    limits: TransactionLimits,
+) -> Iterator[WriteUnit]:
+    """Yield the rows of jobs, in one unit if it fits a transaction.
+
+    Otherwise the parts without lost tasks are written before.
+    """
+    first = [] if orders is None else [orders]
+    whole = _join([*first, *(_job_unit(state, row) for row in rows)])
+    if _fits(whole, limits):
+        yield whole
+        return
+    last = first
+    for row in rows:
+        progress = state.progress[row.job_id]
+        kept = part_numbers(progress, lost) if lost else set()
+        for unit in _part_units(state, row, kept):
+            if _fits(unit, limits):
+                yield unit
+            else:
+                yield from (WriteUnit((write,)) for write in unit.writes)
+        last.append(_job_unit(state, row, kept))
+    yield _join(last)
+
+
+def _part_units(
+    state: PlannerState, rows: ProgressWrites, kept: Collection[int]
+) -> Iterator[WriteUnit]:
+    """Yield the parts but those kept; a gang's are in one unit.
+
+    If some members were stored as done and the runs of the others were
+    lost, the gang could never start again.
+    """
+    tasks = list(state.progress[rows.job_id].tasks)
+    writes: list[Write] = []
+    previous = -1
+    for number, write in sorted(rows.part_by_number.items()):
+        if number in kept:
+            continue
+        joins = number == previous + 1 > 0
+        if writes and not (joins and gang_continues(state, tasks, number)):
+            yield WriteUnit(tuple(writes))
+            writes = []
+        writes.append(write)
+        previous = number
+    if writes:
+        yield WriteUnit(tuple(writes))
+
+
 def divide(
     units: Iterable[WriteUnit],
     limits: TransactionLimits,
@@ -145,7 +214,7 @@
             entries, total_bytes = unit.entries, unit.total_bytes
         batches[-1].append(unit)
     transactions = tuple(_join(batch) for batch in batches)
-    return WritePlan(transactions, tuple(oversized))
+    return WritePlan(transactions, tuple(oversized), limits.row_bytes)
 
 
 def _join(units: Sequence[WriteUnit]) -> WriteUnit:
@@ -162,20 +231,27 @@
         unit.entries <= limits.entries
         and unit.total_bytes <= limits.total_bytes
         and all(
-            _stored_bytes(write) <= limits.row_bytes for write in unit.writes
+            stored_bytes(write.value) <= limits.row_bytes
+            for write in unit.writes
         )
     )
 
 
-def _stored_bytes(write: Write) -> int:
-    """Return the size of a value in base64."""
-    return 0 if write.value is None else (len(write.value) + 2) // 3 * 4
-
-
-def _job_unit(state: PlannerState, job_id: str) -> WriteUnit:
-    progress = state.progress[job_id]
-    writes = [Write(PROGRESS_PREFIX + job_id, encode_value(progress))]
+def _job_unit(
+    state: PlannerState,
+    rows: ProgressWrites,
+    numbers: Collection[int] | None = None,
+) -> WriteUnit:
+    """Return the rows of a job, of its parts only those numbered so."""
+    job_id = rows.job_id
+    writes = [
+        write
+        for number, write in rows.part_by_number.items()
+        if numbers is None or number in numbers
+    ]
+    writes.append(rows.head)
     if job_id in state.changed_statuses:
+        progress = state.progress[job_id]
         status = JobStatus(progress.state, progress.started)
         writes.append(Write(STATUS_PREFIX + job_id, encode_value(status)))
     return WriteUnit(tuple(writes), jobs=frozenset((job_id,)))
--- a/filbertlb/table/base.py
+++ b/filbertlb/table/base.py
@@ -111,6 +111,11 @@
     row_bytes: int = 65_536
 
 
+def stored_bytes(value: bytes | None) -> int:
+    """Return the size of a stored value, which is in base64."""
+    return 0 if value is None else (len(value) + 2) // 3 * 4
+
+
 class TableService(Protocol):
     """Operations that this system uses of the platform's table service."""
 
--- a/tests/batch/deciding.py
+++ b/tests/batch/deciding.py
@@ -135,6 +135,7 @@
     slow=False,
     run_times=RunTimes.DECLARED,
     by_benefit=False,
+    limits=None,
 ):
     """Run the tasks of one entry's decider while the agents report."""
     index, mirror, clock = JobIndex(), Mirror(), SystemClock()
@@ -144,6 +145,7 @@
         slow=slow,
         run_times=run_times,
         by_benefit=by_benefit,
+        limits=limits,
     )
     follower = Follower(table, STATE_TABLE, mirror, clock)
     tasks = [
@@ -220,7 +222,7 @@
 
 
 @contextmanager
-def machines(table, nodes, incarnation, *, finishing):
+def machines(table, nodes, incarnation, *, finishing, limits=None):
     """Run an entry, agents and workers that all end at once.
 
     Parameters
@@ -237,7 +239,7 @@
 
     agents = spawn(report_runs)
     try:
-        with deciding(table, f"entry of {incarnation}"):
+        with deciding(table, f"entry of {incarnation}", limits=limits):
             yield
     finally:
         agents.kill()
--- a/tests/batch/simulated_system.py
+++ b/tests/batch/simulated_system.py
@@ -17,13 +17,13 @@
 from filbertlb.batch.model import Order
 from filbertlb.batch.model import Orders
 from filbertlb.batch.model import orders_key
-from filbertlb.batch.model import Progress
 from filbertlb.batch.model import PROGRESS_PREFIX
 from filbertlb.batch.model import Run
 from filbertlb.batch.model import WORKER_PREFIX
 from filbertlb.batch.model import WorkerReport
 from filbertlb.batch.planner import Planner
 from filbertlb.batch.reconciler import WorkerReconciler
+from filbertlb.batch.takeover import add_progress_rows
 from filbertlb.batch.takeover import apply_report
 from filbertlb.batch.testing import a_job
 from filbertlb.batch.testing import a_worker
@@ -37,6 +37,7 @@
 from filbertlb.table.base import Changes
 from filbertlb.table.base import Row
 from filbertlb.table.base import Snapshot
+from filbertlb.table.base import TransactionLimits
 from filbertlb.table.mirror import Mirror
 from filbertlb.table.rows import decode_row
 from filbertlb.table.rows import encode_value
@@ -57,6 +58,8 @@
 class SimulatedSystem:
     """Two entries and three agents with workers, connected by rows."""
 
+    limits = TransactionLimits()
+
     def __init__(self):
         super().__init__()
         self.now_s = 100.0
@@ -141,14 +144,14 @@
 
     def new_decider(self):
         self.planner = Planner(guaranteed={"divers": 8})
+        rows = self.progress.values()
+        add_progress_rows(self.planner.state, self.jobs, rows)
         for job in self.jobs.values():
             self.planner.state.add_job(job)
-        for row in self.progress.values():
-            self.planner.state.add_progress(decode_row(row, Progress))
         self.planner.state.cancelled.update(self.cancelled)
         self.report_copy = Mirror()
-        rows = tuple(self.report_rows.values())
-        self.report_copy.replace(Snapshot(rows, self.version), self.now_s)
+        reports = tuple(self.report_rows.values())
+        self.report_copy.replace(Snapshot(reports, self.version), self.now_s)
         for key in self.report_rows:
             self.apply_report(key)
         self.planner.state.changed_nodes.update(self.nodes)
@@ -428,7 +431,7 @@
         """Write transaction by transaction, perhaps dying in between."""
         state = self.planner.state
         left, self.written_before_death = self.written_before_death, None
-        for unit in list(changed_units(state, 1)):
+        for unit in list(changed_units(state, 1, self.limits)):
             if left == 0:
                 self.new_decider()
                 return
@@ -440,8 +443,7 @@
         for write in unit.writes:
             row = Row(write.key, write.value, 1)
             if write.key.startswith(PROGRESS_PREFIX):
-                job_id = write.key.removeprefix(PROGRESS_PREFIX)
-                self.progress[job_id] = row
+                self.progress[write.key] = row
             for node in self.nodes:
                 if write.key == orders_key(node):
                     self.orders[node] = decode_row(row, Orders)
--- a/tests/batch/test_decider_rows.py
+++ b/tests/batch/test_decider_rows.py
@@ -8,6 +8,7 @@
 from filbertlb.batch.model import CANCEL_PREFIX
 from filbertlb.batch.model import JOB_PREFIX
 from filbertlb.batch.model import JobState
+from filbertlb.batch.model import JobStatus
 from filbertlb.batch.model import orders_key
 from filbertlb.batch.model import Progress
 from filbertlb.batch.model import PROGRESS_PREFIX
@@ -23,11 +24,13 @@
 from filbertlb.batch.testing import a_worker
 from filbertlb.batch.version_marks import VersionMarks
 from filbertlb.batch.version_marks import VERSIONS_KEY
+from filbertlb.table.base import TransactionLimits
 from filbertlb.table.base import Write
 from filbertlb.table.memory import MemoryTable
 from filbertlb.table.rows import decode_row
 from tests.batch.deciding import deciding
 from tests.batch.deciding import LimitedTable
+from tests.batch.deciding import machines
 from tests.batch.deciding import orders_on
 from tests.batch.deciding import put
 from tests.batch.deciding import put_running_jobs
@@ -185,3 +188,21 @@
     put(table, JOB_PREFIX + "j", a_job("j"))
     with deciding(table):
         wait_until(lambda: orders_on(table, "n0") == ["j.0.0.0"])
+
+
+def test_divided_job_of_many_tasks_failed_at_the_next_decider():
+    # Its progress outgrew a row; now it outlives a loss of all machines.
+    table, nodes = LimitedTable(), [f"n{number}" for number in range(8)]
+    limits = TransactionLimits(row_bytes=1_200)
+    step = a_step(300, needs=(0, 800, 10))
+    with machines(table, nodes, "w@1", finishing=False, limits=limits):
+        put(table, JOB_PREFIX + "j", a_job("j", step))
+        wait_until(lambda: all(orders_on(table, node) for node in nodes))
+    assert len(table.snapshot(PROGRESS_PREFIX).rows) > 1
+    with machines(table, nodes, "w@2", finishing=True, limits=limits):
+        wait_until(lambda: status_of(table, "j") is JobState.COMPLETE)
+
+
+def status_of(table, job_id):
+    row = table.get(STATUS_PREFIX + job_id)
+    return None if row is None else decode_row(row, JobStatus).state
--- a/tests/batch/test_local_listings.py
+++ b/tests/batch/test_local_listings.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import attrs
+
 from filbertlb.batch.model import EndCause
+from filbertlb.batch.model import MAX_SAVED_BYTES
 from filbertlb.batch.model import Run
 from filbertlb.batch.model import RunEnd
 from filbertlb.batch.reconciler import WorkerReconciler
@@ -147,3 +150,15 @@
 def test_end_in_a_row_of_an_earlier_agent_has_no_run_time():
     value = b'{"task":"j.0.0.0","attempt":1,"cause":"done"}'
     assert decode_row(Row("workers/n", value, 1), RunEnd).run_ms is None
+
+
+def test_checkpoint_that_no_row_holds_is_not_kept():
+    reconciler = reconciler_with(an_order("j.0.0.0"))
+    start_all(reconciler)
+    list_running(reconciler, "early")
+    list_running(reconciler, "é" * (MAX_SAVED_BYTES // 2 + 1))
+    assert reconciler.running()[0].saved == ""
+    end = RunEnd("j.0.0.0", 1, EndCause.STOPPED, "x" * (MAX_SAVED_BYTES + 1))
+    listed = ListedEnd(1, end)
+    reconciler.record_listing(0.6, [], [listed], ends_complete=True)
+    assert reconciler.ended() == (attrs.evolve(end, saved=""),)
