Write the tasks of a silent worker in bounded transactions after refusals

Callers could see: a job shown as `failed` without a failed run, because the worker of one of its tasks was silent while the store refused writes.

Cause: a decision ends at most 12 tasks of a silent worker, as their jobs and its orders are written in one transaction; but a refused write is kept, and the next decision added 12 more. Past the limits of a transaction the job with the largest progress was failed to make it fit.

Why this works: tasks that wait to be written count towards the 12. The rest follows once they are written, as before.

--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -60,7 +60,7 @@
 """Maximum time by which an occurrence starts before it is due."""
 
 MAX_LOST_TASKS = 12
-"""Tasks of one silent worker that a decision ends; others follow.
+"""Ended tasks of one silent worker that are not written; others follow.
 
 Their jobs and the worker's orders are written in one transaction, which
 holds 1 MB: as many rows of 64 KiB.
@@ -343,7 +343,9 @@
                 "worker {} is silent for {:.1f} s: its leases have run out",
                 *(node, known_s - view.seen_s),
             )
-            for task in self.state.tasks_on(node)[:MAX_LOST_TASKS]:
+            unwritten = self.state.tasks_lost_by_node.get(node, ())
+            count = max(0, MAX_LOST_TASKS - len(unwritten))
+            for task in self.state.tasks_on(node)[:count]:
                 attempt = self.state.record(task).attempt
                 self.state.mark_lost(task, node)
                 saved = _reported_checkpoint(view.report, task, attempt)
--- a/tests/batch/test_write_plan.py
+++ b/tests/batch/test_write_plan.py
@@ -12,6 +12,7 @@
 from filbertlb.batch.model import STATUS_PREFIX
 from filbertlb.batch.model import TaskPhase
 from filbertlb.batch.model import TaskRecord
+from filbertlb.batch.planner import MAX_LOST_TASKS
 from filbertlb.batch.planner import Planner
 from filbertlb.batch.planner_state import MAX_PAYLOAD_BYTES
 from filbertlb.batch.testing import a_job
@@ -204,3 +205,25 @@
     assert len(row.orders) == MAX_PAYLOAD_BYTES // 4000
     oldest = planner.state.tasks_on("n1")[: len(row.orders)]
     assert [order.task for order in row.orders] == oldest
+
+
+def test_jobs_of_a_silent_worker_failed_while_writes_were_refused():
+    # Decision after decision added to what is written in one transaction.
+    planner = Planner()
+    planner.record_report(a_report("n1"), 0.0)
+    for number in range(200):
+        job_id = f"j{number:03d}"
+        planner.state.add_job(a_job(job_id))
+        record = TaskRecord(TaskPhase.ORDERED, 1, node="n1")
+        planner.state.set_record(f"{job_id}.0.0.0", record)
+    jobs = frozenset(planner.state.jobs)
+    planner.state.mark_written(jobs, frozenset(("n1",)))
+    for refused in range(10):
+        now_s = DEAD_AFTER_S + 1 + refused
+        planner.decide(now_s, int(now_s * 1000))
+        plan = divide(changed_units(planner.state, 1), TransactionLimits())
+        assert not plan.oversized
+    for unit in plan.transactions:
+        planner.state.mark_written(unit.jobs, unit.nodes)
+    planner.decide(now_s, int(now_s * 1000))
+    assert len(planner.state.tasks_on("n1")) == 200 - 2 * MAX_LOST_TASKS
