Leave the newest orders out of a row that is too large

Callers could see: a job shown as `failed` without a failed run, because the orders of its silent worker took more than a row of 64 KiB.

Cause: tasks leave a silent worker in one transaction with its orders row. If that row was too large, the job of the transaction with the most progress was failed, although its progress fitted. Without a silent worker such a row was not written at all (`rows exceed the table's limits`), so none of the worker's new orders or stops reached it.

Why this works: an orders row always fits, by leaving out its newest orders as it does for long payloads, but no stops.

--- a/filbertlb/batch/model.py
+++ b/filbertlb/batch/model.py
@@ -359,6 +359,21 @@
     orders: tuple[Order, ...] = ()
     payload_by_job_id: dict[str, str] = attrs.Factory(dict)
 
+    def without_newest(self, count: int) -> Orders:
+        """Return the row without its last orders, which are the newest.
+
+        Runs that are being stopped are kept: their ends would be lost.
+        """
+        stops_first = sorted(self.orders, key=lambda order: not order.stop)
+        orders = tuple(stops_first[:-count])
+        job_ids = {order.job_id for order in orders}
+        payloads = {
+            job_id: payload
+            for job_id, payload in self.payload_by_job_id.items()
+            if job_id in job_ids
+        }
+        return Orders(self.epoch, orders, payloads)
+
 
 @attrs.frozen
 class Run:
--- a/filbertlb/batch/write_plan.py
+++ b/filbertlb/batch/write_plan.py
@@ -122,14 +122,14 @@
         left = sorted(jobs & set(map(job_id_of, tasks)))
         jobs.difference_update(left)
         nodes.discard(node)
-        orders = _orders_unit(state, node, epoch)
+        orders = _orders_unit(state, node, epoch, limits)
         rows = [progress_writes(state, job, limits.row_bytes) for job in left]
         yield from _units_with_orders(state, orders, rows, tasks, limits)
     for job_id in sorted(jobs, key=lambda job_id: _job_rank(state, job_id)):
         rows = [progress_writes(state, job_id, limits.row_bytes)]
         yield from _units_with_orders(state, None, rows, (), limits)
     for node in sorted(nodes, key=lambda node: _node_rank(state, node)):
-        yield _orders_unit(state, node, epoch)
+        yield _orders_unit(state, node, epoch, limits)
 
 
 def _units_with_orders(
@@ -257,8 +257,15 @@
     return WriteUnit(tuple(writes), jobs=frozenset((job_id,)))
 
 
-def _orders_unit(state: PlannerState, node: str, epoch: int) -> WriteUnit:
-    value = encode_value(state.orders_of(node, epoch))
+def _orders_unit(
+    state: PlannerState, node: str, epoch: int, limits: TransactionLimits
+) -> WriteUnit:
+    """Return the orders row of a node, with as many orders as it holds."""
+    row = state.orders_of(node, epoch)
+    value = encode_value(row)
+    while row.orders and stored_bytes(value) > limits.row_bytes:
+        row = row.without_newest(max(1, len(row.orders) // 4))
+        value = encode_value(row)
     write = Write(orders_key(node), value)
     return WriteUnit((write,), nodes=frozenset((node,)))
 
--- a/tests/batch/test_write_plan.py
+++ b/tests/batch/test_write_plan.py
@@ -7,6 +7,7 @@
 import pytest
 
 from filbertlb.batch.job_check import check_job
+from filbertlb.batch.model import Orders
 from filbertlb.batch.model import orders_key
 from filbertlb.batch.model import PROGRESS_PREFIX
 from filbertlb.batch.model import STATUS_PREFIX
@@ -18,12 +19,16 @@
 from filbertlb.batch.testing import a_job
 from filbertlb.batch.testing import a_report
 from filbertlb.batch.testing import a_step
+from filbertlb.batch.testing import an_order
+from filbertlb.batch.testing import some_orders
 from filbertlb.batch.workers import DEAD_AFTER_S
 from filbertlb.batch.write_plan import changed_units
 from filbertlb.batch.write_plan import divide
 from filbertlb.batch.write_plan import WriteUnit
+from filbertlb.table.base import Row
 from filbertlb.table.base import TransactionLimits
 from filbertlb.table.base import Write
+from filbertlb.table.rows import decode_row
 from filbertlb.table.rows import encode_value
 
 
@@ -227,3 +232,36 @@
         planner.state.mark_written(unit.jobs, unit.nodes)
     planner.decide(now_s, int(now_s * 1000))
     assert len(planner.state.tasks_on("n1")) == 200 - 2 * MAX_LOST_TASKS
+
+
+def test_job_failed_as_the_orders_of_its_silent_worker_outgrew_a_row():
+    # The row of all orders was blamed on the job with the most progress.
+    planner, random = Planner(), Random(1)
+    planner.record_report(a_report("n1"), 0.0)
+    planner.state.add_job(a_job("j", a_step(2_500)))
+    for number in range(2_500):
+        saved = f"{random.getrandbits(128):032x}"
+        record = TaskRecord(TaskPhase.ORDERED, 1, node="n1", saved=saved)
+        planner.state.set_record(f"j.0.0.{number}", record)
+    now_s = DEAD_AFTER_S + 1
+    planner.decide(now_s, int(now_s * 1000))
+    plan = divide(changed_units(planner.state, 1), TransactionLimits())
+    assert not plan.oversized and not plan.oversized_jobs()
+    (orders,) = (
+        decode_row(Row(write.key, write.value, 1), Orders)
+        for unit in plan.transactions
+        for write in unit.writes
+        if write.key == orders_key("n1")
+    )
+    oldest = planner.state.tasks_on("n1")[: len(orders.orders)]
+    assert [order.task for order in orders.orders] == oldest
+    assert len(oldest) > 1_000 and orders.payload_by_job_id.keys() == {"j"}
+
+
+def test_newest_orders_are_left_out_but_no_stops():
+    orders = [
+        an_order(f"{job_id}.0.0.0", stop=job_id == "d") for job_id in "abcd"
+    ]
+    row = some_orders(*orders).without_newest(2)
+    assert [order.job_id for order in row.orders] == ["d", "a"]
+    assert row.payload_by_job_id.keys() == {"a", "d"}
