--- a/filbertlb/batch/progress_rows.py
+++ b/filbertlb/batch/progress_rows.py
@@ -97,6 +97,7 @@
         progress.started,
         len(progress.tasks),
         progress.ended_ms,
+        progress.failure,
     )
     parts = _changed_parts(state, progress)
     count = part_count(len(progress.tasks))
@@ -174,8 +175,13 @@
                 f"row {head.key!r}: task {task[:80]!r} is none of its job"
             )
     progress = Progress(
-        *(row.job_id, row.state, row.started),
-        *(tasks, row.ended_ms, failures),
+        row.job_id,
+        row.state,
+        row.started,
+        tasks,
+        row.ended_ms,
+        failures,
+        row.failure,
     )
     return progress, divided
 
--- a/filbertlb/batch/write_plan.py
+++ b/filbertlb/batch/write_plan.py
@@ -252,7 +252,7 @@
     writes.append(rows.head)
     if job_id in state.changed_statuses:
         progress = state.progress[job_id]
-        status = JobStatus(progress.state, progress.started)
+        status = JobStatus(progress.state, progress.started, progress.failure)
         writes.append(Write(STATUS_PREFIX + job_id, encode_value(status)))
     return WriteUnit(tuple(writes), jobs=frozenset((job_id,)))
 
--- a/tests/batch/test_progress_rows.py
+++ b/tests/batch/test_progress_rows.py
@@ -97,7 +97,7 @@
 
 def test_divided_progress_is_read_back_whole():
     planner, table = a_planner(), MemoryTable()
-    planner.state.set_job_state("j", JobState.ACTIVE, 0)
+    planner.state.fail_job("j", "3 attempts of j.0.0.4", 7)
     planner.state.mark_started("j")
     write(planner.state, table)
     state = read(table)
