Refuse jobs whose steps come after each other in a circle

Callers saw: a job with such steps was accepted and then neither ended nor failed; its other steps ran.

Cause: PROTOCOL lets `after` list earlier steps only, but any step of the job was accepted. Steps in a circle, and those after one, are never ready.

A later step that can run is still accepted, as it can be served. Jobs that are stored already are read as before: their rows aren't checked for circles, since a row that can't be read would be shown as gone.

--- a/filbertlb/batch/job_check.py
+++ b/filbertlb/batch/job_check.py
@@ -9,6 +9,7 @@
 from re import compile as compile_pattern
 from typing import TYPE_CHECKING
 
+from filbertlb.batch.step_chains import in_order
 from filbertlb.errors import InvalidInputError
 
 if TYPE_CHECKING:
@@ -56,13 +57,24 @@
             f"its payload of {payload_bytes} bytes is longer than "
             f"{MAX_JOB_PAYLOAD_BYTES}"
         )
-    yield from structural_faults(job)
+    faults = list(structural_faults(job))
+    yield from faults
+    if not faults:
+        yield from _circle_faults(job)
     if any(min(*step.needs, step.estimate_ms) < 0 for step in job.steps):
         yield "a step has a negative requirement or estimate"
     if job.times < 0 or job.interval_ms < 0:
         yield "its number of occurrences or their interval is negative"
 
 
+def _circle_faults(job: Job) -> Iterator[str]:
+    """Yield which steps can never run, as they wait for each other."""
+    runnable = set(in_order([step.after for step in job.steps]))
+    stuck = [index for index in range(len(job.steps)) if index not in runnable]
+    if stuck:
+        yield f"steps {stuck[:10]!r} come after each other or themselves"
+
+
 def structural_faults(job: Job) -> Iterator[str]:
     """Yield what would make decisions fail, also for a job that is stored."""
     if not job.steps:
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -176,9 +176,31 @@
     assert harness.table.scan("state/") == []
 
 
+def after(*numbers):
+    return {"count": 1, "gpu": 1, "after": numbers}
+
+
+@pytest.mark.parametrize(
+    "steps",
+    [
+        [after(0)],
+        [STEP, after(1)],
+        [after(1), after(0)],
+        [STEP, after(0, 3), after(1), after(2), STEP],
+    ],
+)
+def test_job_of_steps_that_need_each_other_was_accepted(harness, steps):
+    # It never ended, and never failed.
+    response = harness.call("POST", body={"steps": steps})
+    assert response.status == 400
+    assert response.body["code"] == "invalid_job"
+    assert harness.table.scan("state/") == []
+
+
 @pytest.mark.parametrize(
     "job",
     [
+        {"steps": [after(2), after(0, 0), STEP]},
         {"steps": [{"count": 2000, "gpu": 1}]},
         {"steps": [STEP], "times": 10**6, "startAtMs": 1, "intervalMs": 500},
         {"steps": [STEP], "spec": "x" * 4000},
