Place the tasks of a wide step without a look at all the others each time

Callers could see: nothing is scheduled any more after a job with a wide step was accepted. Nothing is failed, but no decision is ever written.

Why this works: while nothing is held, all room may be used; and what is cheap to know is asked first. The same values decide, in another order.

Left: tasks of unknown length beside held workers still look at each other.

--- a/filbertlb/batch/placing.py
+++ b/filbertlb/batch/placing.py
@@ -317,16 +317,19 @@
         is idle would count as lost, and disregards those that are not firm.
         Other work waits until the reserved start at most.
         """
-        if self.preemption.may_claim_guarantee(group):
+        if self.reservations.empty or self.preemption.may_claim_guarantee(
+            group
+        ):
             return self.available.room
         return self.reservations.room_for(group, self._idles_too_long(group))
 
     def _idles_too_long(self, group: TaskGroup) -> bool:
         """Return whether a group waits while most of the service is idle."""
+        if self.reservations.ends_in_known_time(group):
+            return False
         waited_ms = self.context.now_ms - self.state.ready_ms(group)
         return (
             waited_ms >= IDLE_WAIT_MS
-            and not self.reservations.ends_in_known_time(group)
             and self.locality.is_service_idle(group)
             and not any(
                 record.phase in ALLOCATED_PHASES
--- a/filbertlb/batch/reservations.py
+++ b/filbertlb/batch/reservations.py
@@ -123,6 +123,11 @@
             for part, whole in zip(held, total, strict=True)
         )
 
+    @property
+    def empty(self) -> bool:
+        """Whether no resources are held for others."""
+        return not self._holds
+
     def room_for(
         self, group: TaskGroup, firm_only: bool = False
     ) -> Mapping[str, Amount]:
--- a/tests/batch/test_placing.py
+++ b/tests/batch/test_placing.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 import attrs
 import pytest
 from loguru import logger
@@ -11,11 +13,13 @@
 from filbertlb.batch.model import Run
 from filbertlb.batch.model import TaskPhase
 from filbertlb.batch.placing_context import CheckpointCosts
+from filbertlb.batch.planner import Planner
 from filbertlb.batch.planner_state import PlannerState
 from filbertlb.batch.preemption import GUARANTEE_PREEMPTION_DELAY_MS
 from filbertlb.batch.preemption import LATER_CLAIM_DELAY_MS
 from filbertlb.batch.preemption import LATEST_CLAIM_MS
 from filbertlb.batch.testing import a_job
+from filbertlb.batch.testing import a_report
 from filbertlb.batch.testing import a_step
 from tests.batch.replay import replay_on
 from tests.batch.replay import ROUND_MS
@@ -595,3 +599,23 @@
         {"r1"},
         {"r2"},
     )
+
+
+def test_placing_a_wide_step_took_longer_than_the_lease(monkeypatch):
+    # Each task looked at all others: 8 s for 2,000, again at each decider.
+    looks = Counter()
+    record = PlannerState.record
+    for count in (100, 400):
+        planner = Planner()
+        for number in range(count // 8 + 1):
+            planner.record_report(a_report(f"n{number:02d}"), 0.0)
+        planner.state.add_job(a_job("wide", a_step(count)))
+
+        def counted(state, task, count=count):
+            looks[count] += 1
+            return record(state, task)
+
+        monkeypatch.setattr(PlannerState, "record", counted)
+        planner.decide(1.0, 1_000)
+        assert len(planner.state.allocated_tasks("wide")) == count
+    assert looks[400] < 5 * looks[100]
