--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -62,7 +62,7 @@
 """Maximum time by which an occurrence starts before it is due."""
 
 MAX_LOST_TASKS = 12
-"""Tasks of one silent worker that a decision ends; others follow.
+"""Ended tasks of one silent worker that are not written; others follow.
 
 Their jobs and the worker's orders are written in one transaction, which
 holds 1 MB: as many rows of 64 KiB.
@@ -181,14 +181,15 @@
             self._log_waiting_jobs(now_s, now_ms)
 
     def fail_oversized_job(self, job_id: str, now_ms: int) -> None:
-        """Fail a job whose progress is too large to be stored.
+        """Fail a job of which a part of the progress is too large for a row.
 
-        Its records are dropped, so agents stop its runs as not ordered.
+        With rows of 64 KiB no job that is accepted gets there. Its records
+        are dropped, so agents stop its runs as not ordered.
         """
         state = self.state
         logger.error(
-            "job {} failed, code job_progress_too_large: the progress of its "
-            "{} tasks exceeds a row of the table; submit smaller jobs",
+            "job {} failed, code job_progress_too_large: the progress of some "
+            "of its {} tasks exceeds a row of the table",
             *(job_id, len(state.progress[job_id].tasks)),
         )
         state.drop_records(job_id)
@@ -351,7 +352,9 @@
                 "worker {} is silent for {:.1f} s: its leases have run out",
                 *(node, known_s - view.seen_s),
             )
-            for task in self.state.tasks_on(node)[:MAX_LOST_TASKS]:
+            unwritten = self.state.tasks_lost_by_node.get(node, ())
+            count = max(0, MAX_LOST_TASKS - len(unwritten))
+            for task in self.state.tasks_on(node)[:count]:
                 attempt = self.state.record(task).attempt
                 self.state.mark_lost(task, node)
                 saved = _reported_checkpoint(view.report, task, attempt)
