Stop tasks that crash their workers later than a second after the start

Callers could see: one task takes workers down without end; its job never ends.

Cause: each crash was weighed by one density over all ages, 0.02 a second after the first second. Eight such crashes, all that are kept, didn't reach the odds on seven quiet workers or fewer, nor beside a second such task.

Why this works: a task is of one kind in all its runs, so the odds are a mean over kinds of products, no longer a product of means. It stays a likelihood ratio.

So it counts those that are down in the first reports that it reads.

Not mended: one faulty worker, and workers that crash soon after they return.

--- a/filbertlb/batch/crash_evidence.py
+++ b/filbertlb/batch/crash_evidence.py
@@ -45,15 +45,16 @@
 """Odds from which a task is given up: one sound task in a million."""
 LIKELY_ODDS = 100.0
 """Odds from which a task that has crashed often is a likely culprit."""
-DENSITY_BY_MAX_AGE_MS = (
-    (500, 1.4),
-    (PROMPT_CRASH_MS, 0.2),
-    (MAX_BLAME_MS, 0.02),
+DENSITIES_BY_KIND = (
+    (0.6, ((500, 2.0),)),
+    (0.1, ((PROMPT_CRASH_MS, 1.0),)),
+    (0.1, ((MAX_BLAME_MS, 0.1),)),
+    (0.2, ((500, 1.4), (PROMPT_CRASH_MS, 0.2), (MAX_BLAME_MS, 0.02))),
 )
-"""Crashes per second by the age of a run, if its task ends its workers.
+"""Kinds of tasks that end their workers: share, crashes per second by age.
 
-Seven of ten such tasks do so as they begin, one a little later, and two at
-any time until their run shows that they don't.
+Most do so as they begin, others at any time until their run shows that they
+don't; a few do both.
 """
 WINDOW_S = 30.0
 """Time over which crashes of other workers count."""
@@ -67,11 +68,16 @@
 
     1 if there are none.
     """
-    return prod(map(_ratio, crashes))
+    if not crashes:
+        return 1.0
+    return sum(
+        share * prod(_ratio(crash, densities) for crash in crashes)
+        for share, densities in DENSITIES_BY_KIND
+    )
 
 
-def _ratio(crash: Crash) -> float:
-    for max_age_ms, per_s in DENSITY_BY_MAX_AGE_MS:
+def _ratio(crash: Crash, densities: tuple[tuple[int, float], ...]) -> float:
+    for max_age_ms, per_s in densities:
         if crash.run_ms <= max_age_ms:
             return per_s * S_PER_H / max(1, crash.others_per_h)
     return 0.0
--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -128,7 +128,8 @@
             The report is known to be no older than ``now_s`` says.
         """
         view = self.workers.get(report.node)
-        if view is not None and has_crashed(view.report, report):
+        before = None if view is None else view.report
+        if has_crashed(before, report):
             self._crash_rate.record_crash(self.state, report.node, now_s)
         if view is None:
             view = WorkerView(report, now_s, recent)
--- a/filbertlb/batch/workers.py
+++ b/filbertlb/batch/workers.py
@@ -242,13 +242,17 @@
     return quarantined + 1 <= MAX_QUARANTINE_SHARE * len(live)
 
 
-def has_crashed(before: WorkerReport, after: WorkerReport) -> bool:
+def has_crashed(before: WorkerReport | None, after: WorkerReport) -> bool:
     """Return whether a worker seems to have crashed between two reports.
 
     One that answered no longer does, or is another incarnation. One that
     drains leaves as planned, and an agent that has restarted knows nothing
-    of its worker yet.
+    of its worker yet. Without an earlier report, one that doesn't answer
+    seems to have crashed.
     """
+    if before is None:
+        worker = after.worker
+        return worker is not None and not (after.answers or worker.draining)
     worker = before.worker
     if worker is None or worker.draining or not before.answers:
         return False
