Let a task wait for another worker after two crashes on one

Callers could see: a sound job shown as failed without a failed run, because the only free worker ended whatever began there. Its restarts went back to that worker, the last resort of the placement, until its crashes proved it guilty.

Cause: nothing limited how often a task starts on one worker, and the rate that its crashes are weighed against is the mean of all workers, which hides one.

Why this works: after two crashes on a worker a task may start on others only, if one that it is eligible for is large enough; so it can't prove itself guilty on one. Gangs need several workers and tasks that run until cancelled must restart at once: neither waits.

Ruled out: taking no crash for evidence while all were on one worker.

--- a/filbertlb/batch/crashes.py
+++ b/filbertlb/batch/crashes.py
@@ -15,6 +15,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import attrs
@@ -25,11 +26,17 @@
     from collections.abc import Iterable
 
     from filbertlb.batch.model import Crash
+    from filbertlb.batch.model import TaskRecord
     from filbertlb.batch.planner_state import PlannerState
     from filbertlb.batch.planner_state import TaskGroup
 
 MAX_BLAME_MS = 10_000
 """Age from which a run has shown that its task does not crash workers."""
+MAX_CRASHES_ON_ONE_NODE = 2
+"""Crashes after which a task waits for another node, if it may have any.
+
+A node that ends whatever runs on it may be the only free one.
+"""
 SETTLING_MS = 1500
 """Time from an order after which its run is no longer apart from others.
 
@@ -64,6 +71,20 @@
     return min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2 ** (len(crashes) - 1))
 
 
+def not_crashed_often(
+    nodes: list[str], records: Iterable[TaskRecord]
+) -> list[str]:
+    """Return the nodes that have not crashed repeatedly under a task."""
+    crashes_by_node = Counter(
+        crash.node for record in records for crash in record.crashes
+    )
+    return [
+        node
+        for node in nodes
+        if crashes_by_node[node] < MAX_CRASHES_ON_ONE_NODE
+    ]
+
+
 @attrs.define
 class Separation:
     """Keeps starts of suspects apart from other starts in one decision.
--- a/filbertlb/batch/placing.py
+++ b/filbertlb/batch/placing.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from operator import le
 from typing import TYPE_CHECKING
 
 import attrs
 from loguru import logger
 
+from filbertlb.batch.crashes import not_crashed_often
 from filbertlb.batch.crashes import Separation
 from filbertlb.batch.fitting import may_hold
 from filbertlb.batch.fitting import place_in_best_group
@@ -175,7 +177,9 @@
         others, as their time limit is shorter; restarts of tasks that run
         until cancelled have begun before and are.
         """
-        nodes = self.context.candidates(group)
+        nodes = self._without_repeated_crashes(
+            group, self.context.candidates(group), tasks
+        )
         restarts = group.step.long_running and any(
             self.separation.is_held(task) for task in tasks
         )
@@ -192,6 +196,25 @@
             choices.insert(0, idle)
         return choices
 
+    def _without_repeated_crashes(
+        self, group: TaskGroup, nodes: list[str], tasks: list[str]
+    ) -> list[str]:
+        """Return the nodes that have not crashed repeatedly under a task.
+
+        It waits for one of these, if any is large enough. Tasks that run
+        until cancelled restart at once, and a gang needs several nodes.
+        """
+        step = group.step
+        if step.long_running or step.gang:
+            return nodes
+        others = not_crashed_often(nodes, map(self.state.record, tasks))
+        if any(
+            all(map(le, step.needs, self.available.workers[node].capacity))
+            for node in others
+        ):
+            return others
+        return nodes
+
     def _by_past_runs(
         self, nodes: list[str], tasks: list[str]
     ) -> list[list[str]]:
--- a/tests/batch/test_crash_odds.py
+++ b/tests/batch/test_crash_odds.py
@@ -6,9 +6,15 @@
 
 import pytest
 
+from filbertlb.batch.model import Crash
 from filbertlb.batch.model import JobState
+from filbertlb.batch.model import TaskPhase
+from filbertlb.batch.model import TaskRecord
+from filbertlb.batch.planner import Planner
 from filbertlb.batch.testing import a_job
+from filbertlb.batch.testing import a_report
 from filbertlb.batch.testing import a_step
+from filbertlb.batch.testing import a_worker
 from tests.batch import test_crashing_workers
 from tests.batch.test_crashing_workers import CrashingSite
 from tests.batch.test_crashing_workers import DEADLY_MS
@@ -108,3 +114,37 @@
     assert all(
         site.state(job.job_id) is not JobState.FAILED for job in site.jobs
     )
+
+
+@pytest.mark.parametrize(
+    ("other_capacity", "starts"),
+    [
+        (None, True),
+        ((4, 32_000, 131_072), True),
+        ((8, 32_000, 131_072), False),
+    ],
+)
+def test_task_waited_for_another_worker_that_could_never_hold_it(
+    other_capacity, starts
+):
+    # The other worker, if there is one, is full of something else.
+    planner = Planner()
+    capacity_by_node = {"n0": (8, 32_000, 131_072)}
+    if other_capacity is not None:
+        capacity_by_node["n1"] = other_capacity
+        planner.state.add_job(a_job("b", a_step(needs=other_capacity)))
+        ordered = TaskRecord(
+            TaskPhase.ORDERED, attempt=1, node="n1", incarnation="n1@1"
+        )
+        planner.state.set_record("b.0.0.0", ordered)
+    for node, capacity in capacity_by_node.items():
+        worker = a_worker(incarnation=f"{node}@1", capacity=capacity)
+        planner.record_report(a_report(node, worker=worker), 0.0)
+    planner.state.add_job(a_job("a", a_step(needs=WHOLE_WORKER)))
+    crashes = (Crash("n0", 261, 1), Crash("n0", 261, 2))
+    planner.state.set_record(
+        "a.0.0.0", TaskRecord(attempt=2, crashes=crashes, avoid="n0")
+    )
+    planner.decide(0.1, 100_000)
+    started = planner.state.record("a.0.0.0").phase is TaskPhase.ORDERED
+    assert started is starts
