--- a/filbertlb/batch/crash_evidence.py
+++ b/filbertlb/batch/crash_evidence.py
@@ -45,17 +45,6 @@
 """Odds from which a task is given up: one sound task in a million."""
 LIKELY_ODDS = 100.0
 """Odds from which a task that has crashed often is a likely culprit."""
-DENSITIES_BY_KIND = (
-    (0.6, ((500, 2.0),)),
-    (0.1, ((PROMPT_CRASH_MS, 1.0),)),
-    (0.1, ((MAX_BLAME_MS, 0.1),)),
-    (0.2, ((500, 1.4), (PROMPT_CRASH_MS, 0.2), (MAX_BLAME_MS, 0.02))),
-)
-"""Kinds of tasks that end their workers: share, crashes per second by age.
-
-Most do so as they begin, others at any time until their run shows that they
-don't; a few do both.
-"""
 WINDOW_S = 30.0
 """Time over which crashes of other workers count."""
 PRIOR_WORKER_S = 60.0
@@ -63,6 +52,63 @@
 S_PER_H = 3600
 
 
+@attrs.frozen
+class CrashDensity:
+    """How likely a crash is at an age of the run.
+
+    Parameters
+    ----------
+    max_age_ms : int
+        Age up to which it holds.
+    per_s : float
+        Probability density, per second.
+    """
+
+    max_age_ms: int
+    per_s: float
+
+
+@attrs.frozen
+class CulpritKind:
+    """When tasks of one kind end their workers.
+
+    Parameters
+    ----------
+    share : float
+        Share of the tasks that end their workers.
+    densities : tuple of CrashDensity
+        In the order of age.
+    """
+
+    share: float
+    densities: tuple[CrashDensity, ...]
+
+    def ratio(self, crash: Crash) -> float:
+        """Return how many times as likely a crash is if a task causes it."""
+        for density in self.densities:
+            if crash.run_ms <= density.max_age_ms:
+                others_per_s = max(1, crash.others_per_h) / S_PER_H
+                return density.per_s / others_per_s
+        return 0.0
+
+
+CULPRIT_KINDS = (
+    CulpritKind(0.6, (CrashDensity(500, 2.0),)),
+    CulpritKind(0.1, (CrashDensity(PROMPT_CRASH_MS, 1.0),)),
+    CulpritKind(0.1, (CrashDensity(MAX_BLAME_MS, 0.1),)),
+    CulpritKind(
+        0.2,
+        (
+            CrashDensity(500, 1.4),
+            CrashDensity(PROMPT_CRASH_MS, 0.2),
+            CrashDensity(MAX_BLAME_MS, 0.02),
+        ),
+    ),
+)
+"""Most such tasks end their workers as they begin, others at any time until
+their run shows that they don't; a few do both."""
+
+
 def odds(crashes: tuple[Crash, ...]) -> float:
     """Return how many times as likely these crashes are if a task causes them.
 
@@ -71,18 +117,10 @@
     if not crashes:
         return 1.0
     return sum(
-        share * prod(_ratio(crash, densities) for crash in crashes)
-        for share, densities in DENSITIES_BY_KIND
+        kind.share * prod(map(kind.ratio, crashes)) for kind in CULPRIT_KINDS
     )
 
 
-def _ratio(crash: Crash, densities: tuple[tuple[int, float], ...]) -> float:
-    for max_age_ms, per_s in densities:
-        if crash.run_ms <= max_age_ms:
-            return per_s * S_PER_H / max(1, crash.others_per_h)
-    return 0.0
-
-
 def is_likely_culprit(crashes: tuple[Crash, ...]) -> bool:
     """Return whether a crash is due to this task and not to others."""
     prompt = [
@@ -148,6 +186,8 @@
 
 @attrs.frozen
 class _SeenCrash:
+    """Crash of a worker, and the tasks and gangs that ran on it."""
+
     at_s: float
     units: frozenset[str]
 
--- a/filbertlb/batch/decider.py
+++ b/filbertlb/batch/decider.py
@@ -505,7 +505,8 @@
             self._keeper.commit(unit.writes, epoch=epoch)
             for job_id in unit.jobs:
                 planner.state.forget(job_id)
-            logger.info("rows of {} ended jobs deleted", len(unit.jobs))
+            if unit.jobs:
+                logger.info("rows of {} ended jobs deleted", len(unit.jobs))
 
 
 def _without_lease(limits: TransactionLimits) -> TransactionLimits:
--- a/filbertlb/batch/write_plan.py
+++ b/filbertlb/batch/write_plan.py
@@ -142,6 +142,13 @@
     """Yield the rows of jobs, in one unit if it fits a transaction.
 
     Otherwise the parts without lost tasks are written before.
+
+    Parameters
+    ----------
+    orders : WriteUnit, optional
+        Orders of a silent node, written together with its lost tasks.
+    lost : collection of str
+        Tasks that left that node.
     """
     first = [] if orders is None else [orders]
     whole = _join([*first, *(_job_unit(state, row) for row in rows)])
@@ -164,7 +171,7 @@
 def _part_units(
     state: PlannerState, rows: ProgressWrites, kept: Collection[int]
 ) -> Iterator[WriteUnit]:
-    """Yield the parts but those kept; a gang's are in one unit.
+    """Yield the parts, without those kept for later; a gang's together.
 
     If some members were stored as done and the runs of the others were
     lost, the gang could never start again.
@@ -242,7 +249,13 @@
     rows: ProgressWrites,
     numbers: Collection[int] | None = None,
 ) -> WriteUnit:
-    """Return the rows of a job, of its parts only those numbered so."""
+    """Return the rows of a job: head, status and parts.
+
+    Parameters
+    ----------
+    numbers : collection of int, optional
+        Parts to include; by default all that have changed.
+    """
     job_id = rows.job_id
     writes = [
         write
