Look at crashed nodes for suspects only

Since each task that is placed had its nodes searched for repeated crashes, also while no task had crashed any: work for every task of a wide step. Only suspects have crashes in their records, so the answer is the same for all others. The tests of placing and of crashing tasks pass unchanged.

--- a/filbertlb/batch/placing.py
+++ b/filbertlb/batch/placing.py
@@ -207,6 +207,8 @@
         step = group.step
         if step.long_running or step.gang:
             return nodes
+        if self.state.suspects.isdisjoint(tasks):
+            return nodes
         others = not_crashed_often(nodes, map(self.state.record, tasks))
         if any(
             all(map(le, step.needs, self.available.workers[node].capacity))
