--- a/tests/batch/test_evacuation.py
+++ b/tests/batch/test_evacuation.py
@@ -4,7 +4,6 @@
 
 import attrs
 import pytest
-from loguru import logger
 
 from filbertlb.batch.evacuation import Evacuations
 from filbertlb.batch.evacuation import MAX_RETURN_S
@@ -29,15 +28,6 @@
 WHOLE_WORKER = CAPACITY
 
 
-@pytest.fixture
-def lines():
-    """Collect the log lines of a test."""
-    found = []
-    sink = logger.add(lambda message: found.append(message.record["message"]))
-    yield found
-    logger.remove(sink)
-
-
 class Site:
     """A planner and the workers that report to it, by domain."""
 
--- a/tests/batch/test_failure_reasons.py
+++ b/tests/batch/test_failure_reasons.py
@@ -1,7 +1,6 @@
 from __future__ import annotations
 
 import pytest
-from loguru import logger
 
 from filbertlb.batch.index import JobIndex
 from filbertlb.batch.model import JobState
@@ -19,14 +18,6 @@
 FAILED = TaskRecord(attempt=3, failures=2, avoid="n0")
 
 
-@pytest.fixture
-def messages():
-    found = []
-    sink = logger.add(lambda message: found.append(message.record["message"]))
-    yield found
-    logger.remove(sink)
-
-
 def exhausted(planner):
     planner.state.set_record("a.0.0.0", FAILED)
     planner.decide(0.0, 0)
@@ -56,7 +47,7 @@
     ],
 )
 def test_entry_that_did_not_decide_told_no_reason_of_a_failed_job(
-    messages, fail, gang, reason
+    lines, fail, gang, reason
 ):
     planner = Planner()
     planner.state.add_job(a_job("a", a_step(gang=gang), attempts=2))
@@ -65,4 +56,4 @@
         MemoryTable(), Mirror(), index_of(planner), VirtualClock()
     )
     assert service.state("a") is JobState.FAILED
-    assert messages[-1] == f"job a is shown as failed: {reason}"
+    assert lines[-1] == f"job a is shown as failed: {reason}"
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 import pytest
+from loguru import logger
 
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
 
@@ -31,3 +32,12 @@
 def pytest_terminal_summary(terminalreporter):
     for node_id in sorted(_known_red()):
         terminalreporter.write_line(f"known red: {node_id}")
+
+
+@pytest.fixture
+def lines():
+    """Collect the log lines of a test."""
+    found = []
+    sink = logger.add(lambda message: found.append(message.record["message"]))
+    yield found
+    logger.remove(sink)
--- a/tests/platform/test_evacuation.py
+++ b/tests/platform/test_evacuation.py
@@ -9,7 +9,6 @@
 from gevent import sleep
 from gevent import spawn
 from gevent import Timeout
-from loguru import logger
 
 from filbertlb.batch.decider import Decider
 from filbertlb.batch.index import JobIndex
@@ -71,15 +70,6 @@
     MemoryTable.commit(table, [Write(EVACUATION_PREFIX + domain, None)])
 
 
-@pytest.fixture
-def lines():
-    """Collect the log lines of a test."""
-    found = []
-    sink = logger.add(lambda message: found.append(message.record["message"]))
-    yield found
-    logger.remove(sink)
-
-
 @pytest.mark.parametrize("way", [feed, EvacuationReader.refresh])
 @pytest.mark.parametrize("value", [b"", b"null", b"\xff\x00", b"[" * 1000])
 def test_row_requests_an_evacuation_whatever_its_value(way, value):
