Log what is known of the speeds of the workers of an order

An order told the expected run time, but not whether the speeds of its workers were known, so that gangs placed without knowledge and gangs placed against it looked alike (docs/incidents/2026-12-07-late-urgent-gangs.md).

--- a/filbertlb/batch/durations.py
+++ b/filbertlb/batch/durations.py
@@ -23,6 +23,8 @@
 """Assumed maximum duration of a task, as a multiple of its estimate."""
 MIN_REMAINING_MS = 500
 """Assumed remaining time of runs that exceed their estimate."""
+UNKNOWN_SPEED = "not seen"
+"""What log lines tell of a worker that was never seen at work."""
 
 
 class RunTimes(StrEnum):
@@ -92,6 +94,9 @@
     def explain(self, job: Job, step: Step) -> str:
         """Return the expected run time and its origin, for log lines."""
 
+    def explain_speed(self, node: str) -> str:
+        """Return what is known of a worker's speed, for log lines."""
+
     def record_worker(self, node: str, worker: Worker) -> None:
         """Record what a worker announces about itself."""
 
@@ -148,6 +153,10 @@
         """Return the declared run time."""
         return f"{step.estimate_ms} ms as declared"
 
+    def explain_speed(self, node: str) -> str:
+        """Return that no speed is known."""
+        return UNKNOWN_SPEED
+
     def record_worker(self, node: str, worker: Worker) -> None:
         """Ignore the worker."""
 
--- a/filbertlb/batch/learned_durations.py
+++ b/filbertlb/batch/learned_durations.py
@@ -20,6 +20,7 @@
 from filbertlb.batch.durations import DeclaredDurations
 from filbertlb.batch.durations import longest_chain_ms
 from filbertlb.batch.durations import MIN_REMAINING_MS
+from filbertlb.batch.durations import UNKNOWN_SPEED
 from filbertlb.batch.learned_statistics import kind_key
 from filbertlb.batch.learned_statistics import KindKey
 from filbertlb.batch.learned_statistics import LearnedRunTimes
@@ -194,6 +195,13 @@
             f"{found.correction:.2f} counts {found.estimate_share:.2f}"
         )
 
+    def explain_speed(self, node: str) -> str:
+        """Return the speed of a worker and its error, for log lines."""
+        known = self._speeds.by_node.get(node)
+        if known is None:
+            return UNKNOWN_SPEED
+        return f"{self._speeds.speed(node):.2f}+-{known.deviation:.2f}"
+
     def prediction(self, job: Job, step: Step) -> Prediction:
         """Return what is expected of the tasks of a step."""
         if step.long_running:
--- a/filbertlb/batch/placing.py
+++ b/filbertlb/batch/placing.py
@@ -532,7 +532,8 @@
         self.state.with_reservation.discard(group.name)
         self.state.rack_wait_since_ms.pop(group.name, None)
         logger.info(
-            "order {} attempt {} on {} (waited {} ms, stops {}, expects {})",
+            "order {} attempt {} on {} (waited {} ms, stops {}, expects {}, "
+            "speeds {})",
             *(group.name if group.step.gang else tasks[0], attempt),
             *(
                 ",".join(placement.nodes),
@@ -540,8 +541,14 @@
             ),
             sorted(placement.victims),
             self.context.durations.explain(group.job, group.step),
+            self._explain_speeds(placement.nodes),
         )
 
+    def _explain_speeds(self, nodes: Sequence[str]) -> str:
+        """Return what is known of the speeds of nodes, for logs."""
+        distinct = dict.fromkeys(nodes)
+        return " ".join(map(self.context.durations.explain_speed, distinct))
+
     def _preempt(self, victim: str, group: TaskGroup) -> None:
         """Stop a gang or a single task for a more urgent group."""
         lost_core_s = self.preemption.lost_core_s(victim)
