Learn the speeds of workers from the members of gangs

Cause: one member stood for its whole gang. The progress of a run was taken from one member of a gang (CountedRuns) and dropped if the gang was on several workers, on the belief that members advance alike.

Reports tell how old the listed shares are, as a second more or less is most of a pace; the pace of a member is measured from its first listed share, since members wait for each other to begin, and not from its 100%. Workers that were never seen at work count as usual for the median. Learning moves to speed_learning.py.

--- a/filbertlb/batch/agent.py
+++ b/filbertlb/batch/agent.py
@@ -158,8 +158,9 @@
 
     def sample(self, metrics: Metrics) -> None:
         """Set the gauges of this agent."""
-        metrics.runs.set(len(self._reconciler.running()))
-        age_s = self._clock.monotonic() - self._last_contact_s
+        now_s = self._clock.monotonic()
+        metrics.runs.set(len(self._reconciler.running(now_s)))
+        age_s = now_s - self._last_contact_s
         metrics.contact_age_s.set(age_s)
 
     def run(self) -> None:
@@ -463,7 +464,7 @@
             self._sequence,
             worker,
             self._worker_responds(sent_s),
-            self._reconciler.running(),
+            self._reconciler.running(sent_s),
             self._reconciler.ended(),
         )
         try:
--- /dev/null
+++ b/filbertlb/batch/gang_speeds.py
@@ -0,0 +1,107 @@
+"""Speeds of workers, told by gangs that run on several of them.
+
+The members of a gang do equal work and begin together, but each at the pace
+of its own worker; those that are done wait for the others. So their paces
+tell how the speeds of their workers compare, long before the gang ends.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from filbertlb.batch.log_normal import LogNormal
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from filbertlb.batch.worker_speeds import TimedRun
+
+MAX_GANGS = 1024
+"""Gangs in progress whose members are compared."""
+
+GangRun = tuple[str, int]
+"""Task group and attempt."""
+
+
+@attrs.define
+class GangPaces:
+    """Times of the whole work, at the pace of each member.
+
+    Parameters
+    ----------
+    expected : LogNormal
+        Expected logarithm of the time on a worker of usual speed.
+    run_by_node : dict of str to TimedRun
+        One member on each node, as those on one node have the same pace.
+    """
+
+    expected: LogNormal
+    run_by_node: dict[str, TimedRun] = attrs.Factory(dict)
+
+
+@attrs.define
+class GangsInProgress:
+    """Paces of the gangs that run on several workers."""
+
+    paces_by_run: dict[GangRun, GangPaces] = attrs.Factory(dict)
+
+    def add(
+        self, run: GangRun, member: TimedRun, expected: LogNormal
+    ) -> GangPaces | None:
+        """Add the pace of a member.
+
+        Returns
+        -------
+        GangPaces or None
+            Those of the gang if the pace is new and not the only one.
+        """
+        paces = self.paces_by_run.get(run)
+        if paces is None:
+            paces = self.paces_by_run[run] = GangPaces(expected)
+        if member.node in paces.run_by_node:
+            return None
+        paces.run_by_node[member.node] = member
+        return paces if len(paces.run_by_node) > 1 else None
+
+    def pop_oldest(self) -> GangRun | None:
+        """Forget the oldest gang if there are too many; return it."""
+        if len(self.paces_by_run) <= MAX_GANGS:
+            return None
+        run = next(iter(self.paces_by_run))
+        del self.paces_by_run[run]
+        return run
+
+
+def compare_members(
+    times: Sequence[LogNormal],
+    speeds: Sequence[LogNormal],
+    expected: LogNormal,
+) -> list[LogNormal]:
+    """Return the speed that each member shows beside the others.
+
+    Parameters
+    ----------
+    times : sequence of LogNormal
+        Time of the whole work by member.
+    speeds : sequence of LogNormal
+        What is known otherwise of the speed of each member's worker.
+    expected : LogNormal
+        Time of the work on a worker of usual speed.
+    """
+    works = [
+        LogNormal(time.mean + speed.mean, time.variance + speed.variance)
+        for time, speed in zip(times, speeds, strict=True)
+    ]
+    weight = sum(1 / work.variance for work in works) + 1 / expected.variance
+    total = sum(work.mean / work.variance for work in works)
+    total += expected.mean / expected.variance
+    observed = []
+    for time, work in zip(times, works, strict=True):
+        others = weight - 1 / work.variance
+        mean = (total - work.mean / work.variance) / others
+        observed.append(
+            LogNormal(mean - time.mean, time.variance + 1 / others)
+        )
+    return observed
--- a/filbertlb/batch/learned_durations.py
+++ b/filbertlb/batch/learned_durations.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-from contextlib import contextmanager
 from math import exp
 from math import log
 from typing import TYPE_CHECKING
@@ -35,14 +34,11 @@
 from filbertlb.batch.run_track import CountedRuns
 from filbertlb.batch.run_track import observed_last
 from filbertlb.batch.run_track import RunTrack
-from filbertlb.batch.worker_speeds import MIN_SIBLINGS
-from filbertlb.batch.worker_speeds import Siblings
-from filbertlb.batch.worker_speeds import TimedRun
+from filbertlb.batch.speed_learning import SpeedLearner
 from filbertlb.batch.worker_speeds import WorkerSpeeds
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Generator
 
     from filbertlb.batch.durations import ObservedRun
     from filbertlb.batch.model import Job
@@ -107,11 +103,9 @@
     changed: bool = False
     _declared: DeclaredDurations = attrs.Factory(DeclaredDurations)
     _statistics: RunTimeStatistics = attrs.field(init=False)
-    _speeds: WorkerSpeeds = attrs.field(init=False)
-    _siblings: Siblings = attrs.Factory(Siblings)
+    _speed_learner: SpeedLearner = attrs.field(init=False)
     _tracks: dict[str, RunTrack] = attrs.Factory(dict)
     _times_counted: CountedRuns = attrs.Factory(CountedRuns)
-    _speeds_counted: CountedRuns = attrs.Factory(CountedRuns)
     _latest_ms: int = attrs.field(init=False)
     _logged: dict[str, tuple[float, int]] = attrs.Factory(dict)
     _refreshed_ms: int = 0
@@ -124,13 +118,14 @@
     def __attrs_post_init__(self) -> None:
         """Use the stored speeds and the time of the latest observation."""
         self._statistics = RunTimeStatistics(self.learned)
-        self._speeds = WorkerSpeeds(self.learned.speeds)
+        speeds = WorkerSpeeds(self.learned.speeds)
+        self._speed_learner = SpeedLearner(speeds)
         self._latest_ms = self._statistics.latest_ms()
 
     @property
     def speeds(self) -> WorkerSpeeds:
         """Speeds of the workers."""
-        return self._speeds
+        return self._speed_learner.speeds
 
     def expected_ms(self, job: Job, step: Step) -> int:
         """Return the median run time on a worker of usual speed."""
@@ -176,11 +171,11 @@
 
     def speed_band(self, node: str) -> int:
         """Return 1 for a fast worker, -1 for a slow one, 0 for others."""
-        return self._speeds.band(node)
+        return self.speeds.band(node)
 
     def speed(self, node: str) -> float:
         """Return the speed of a slow or fast worker; 1 for others."""
-        return self._speeds.speed(node) if self._speeds.band(node) else 1.0
+        return self.speeds.speed(node) if self.speeds.band(node) else 1.0
 
     def explain(self, job: Job, step: Step) -> str:
         """Return the expected run time and its origin, for log lines."""
@@ -197,10 +192,10 @@
 
     def explain_speed(self, node: str) -> str:
         """Return the speed of a worker and its error, for log lines."""
-        known = self._speeds.by_node.get(node)
-        if known is None:
+        if node not in self.speeds.by_node:
             return UNKNOWN_SPEED
-        return f"{self._speeds.speed(node):.2f}+-{known.deviation:.2f}"
+        speed, deviation = self.speeds.speed(node), self.speeds.deviation(node)
+        return f"{speed:.2f}+-{deviation:.2f}"
 
     def prediction(self, job: Job, step: Step) -> Prediction:
         """Return what is expected of the tasks of a step."""
@@ -219,7 +214,7 @@
 
     def record_worker(self, node: str, worker: Worker) -> None:
         """Forget the speed of a node whose machine was replaced."""
-        self._speeds.record_worker(node, worker)
+        self.speeds.record_worker(node, worker)
 
     def record_progress(
         self, run: Run, run_ms: int, observe: Callable[[], ObservedRun]
@@ -244,10 +239,10 @@
             track.update(run.percent, run_ms)
         self._remaining.pop(run.task, None)
         if track.tells_speed and not track.speed_counted:
-            step = track.observed.step
-            if self._speeds_counted.count(run.task, run.attempt, step):
-                self._learn_speed(track.observed, track.total())
-            track.speed_counted = True
+            job, step = track.observed.job, track.observed.step
+            expected = self.prediction(job, step).distribution
+            if self._speed_learner.record_progress(run.task, track, expected):
+                self.changed = True
 
     def record_end(
         self, end: RunEnd, observe: Callable[[], ObservedRun], now_ms: int
@@ -260,6 +255,7 @@
         """
         track = self._tracks.pop(end.task, None)
         self._remaining.pop(end.task, None)
+        self._speed_learner.settle(end)
         done = end.cause is EndCause.DONE
         if end.run_ms is None or not (done or end.cause in LOWER_BOUND_CAUSES):
             return
@@ -275,8 +271,11 @@
             self._learn_bound(observed, value, weight, now_ms)
             return
         counted = track is not None and track.speed_counted
-        if not counted and self._speeds_counted.count(*end.key, observed.step):
-            self._learn_speed(observed, LogNormal(log_ms(end.run_ms), 0.0))
+        if not counted:
+            expected = self.prediction(
+                observed.job, observed.step
+            ).distribution
+            self._speed_learner.record_end(end, observed, expected)
         self._learn(observed, value, weight, now_ms)
 
     def queue_times_ms(self) -> dict[str, tuple[int, int]]:
@@ -290,7 +289,7 @@
 
     def snapshot(self) -> LearnedRunTimes:
         """Return what is worth storing."""
-        return attrs.evolve(self.learned, speeds=self._speeds.best_known())
+        return attrs.evolve(self.learned, speeds=self.speeds.best_known())
 
     def _predict(self, job: Job, step: Step) -> Prediction:
         known = self._statistics.observed(job, step, self._latest_ms)
@@ -342,60 +341,10 @@
     def _log_pace(self, observed: ObservedRun) -> float:
         """Return the logarithm of a run's pace relative to a usual one."""
         log_speed = min(
-            map(self._speeds.log_speed, (observed.node, *observed.other_nodes))
+            map(self.speeds.log_speed, (observed.node, *observed.other_nodes))
         )
         return log_speed - log(observed.slowdown or 1.0)
 
-    def _learn_speed(
-        self, observed: ObservedRun, total: LogNormal | None
-    ) -> None:
-        """Learn a worker's speed from the time of one run's whole work.
-
-        The time of a gang on several workers is that of the slowest.
-        """
-        expected = self.prediction(observed.job, observed.step).distribution
-        if (
-            observed.worker is None
-            or total is None
-            or expected is None
-            or observed.slowdown != 1.0
-            or observed.other_nodes
-        ):
-            return
-        job, step = observed.job, observed.step
-        run = TimedRun(
-            *(observed.node, observed.worker),
-            *(total.mean, total.variance),
-        )
-        if step.count >= MIN_SIBLINGS:
-            key = (job.job_id, job.steps.index(step))
-            for ready in self._siblings.add(key, run):
-                others = self._siblings.others(key, ready)
-                with self._logging_speed(ready):
-                    self._speeds.compare(ready, others)
-        else:
-            with self._logging_speed(run):
-                self._speeds.record(
-                    *(run.node, run.worker),
-                    expected.mean - total.mean,
-                    (expected.variance + total.variance) / run_weight(step),
-                )
-        self.changed = True
-
-    @contextmanager
-    def _logging_speed(self, run: TimedRun) -> Generator[None]:
-        """Log if the worker of a run is in another class afterwards."""
-        band = self._speeds.band(run.node)
-        yield
-        if self._speeds.band(run.node) != band:
-            logger.info(
-                "worker {} of incarnation {} runs at {:.2f} of the usual "
-                "speed, class {} was {}",
-                *(run.node, run.worker.incarnation),
-                *(self._speeds.speed(run.node), self._speeds.band(run.node)),
-                band,
-            )
-
     def _learn_bound(
         self, observed: ObservedRun, bound: float, weight: float, now_ms: int
     ) -> None:
--- a/filbertlb/batch/local_listings.py
+++ b/filbertlb/batch/local_listings.py
@@ -69,7 +69,11 @@
 
 
 def record_listed_run(
-    runs: LocalRuns, listed: Run, orders: Iterable[Order], sent_s: float
+    runs: LocalRuns,
+    listed: Run,
+    orders: Iterable[Order],
+    sent_s: float,
+    received_s: float | None = None,
 ) -> None:
     """Record a run that the worker has.
 
@@ -79,6 +83,8 @@
         They state what the run needs if this process did not start it.
     sent_s : float
         Monotonic time at which the listing was requested.
+    received_s : float, optional
+        Monotonic time at which it was received; None if unknown.
     """
     if listed.key not in runs.by_key:
         adopt_listed_run(runs, listed, orders)
@@ -94,6 +100,7 @@
     if run.saved:
         runs.checkpoint_by_run[listed.key] = run.saved
     run.percent = listed.percent
+    run.listed_s = received_s
 
 
 def end_unlisted(
--- a/filbertlb/batch/local_run.py
+++ b/filbertlb/batch/local_run.py
@@ -53,6 +53,8 @@
         Last checkpoint that the worker listed.
     percent : int
         Share of the work that is done, as the worker listed it.
+    listed_s : float, optional
+        Monotonic time of the listing with that share.
     running_since_s : float, optional
         Monotonic time from which this agent process knows the run to be in
         progress; None if it began under an earlier process.
@@ -68,6 +70,7 @@
     start_unanswered: bool = False
     saved: str = ""
     percent: int = 0
+    listed_s: float | None = None
     running_since_s: float | None = None
 
     def run_ms(self, until_s: float) -> int | None:
@@ -76,6 +79,12 @@
             return None
         return round(1000 * (until_s - self.running_since_s))
 
+    def age_ms(self, now_s: float) -> int:
+        """Return the time since the worker listed the run; 0 if unknown."""
+        if self.listed_s is None:
+            return 0
+        return max(0, round(1000 * (now_s - self.listed_s)))
+
     def call_sent(self, now_s: float) -> None:
         """Record that a call for the run is sent."""
         self.answer_due_s = now_s + MAX_CALL_S
--- a/filbertlb/batch/local_runs.py
+++ b/filbertlb/batch/local_runs.py
@@ -88,10 +88,10 @@
             for key in entries.keys() - wanted.keys():
                 del entries[key]
 
-    def running(self) -> tuple[Run, ...]:
+    def running(self, now_s: float) -> tuple[Run, ...]:
         """Return the runs that the worker is known to have."""
         return tuple(
-            Run(task, attempt, run.saved, run.percent)
+            Run(task, attempt, run.saved, run.percent, run.age_ms(now_s))
             for (task, attempt), run in self.by_key.items()
             if run.phase is not RunPhase.STARTING
         )
--- a/filbertlb/batch/model.py
+++ b/filbertlb/batch/model.py
@@ -405,12 +405,15 @@
     ----------
     percent : int
         Completed share of the work.
+    age_ms : int
+        Time since the worker listed that share; 0 if it is not known.
     """
 
     task: str
     attempt: Count
     saved: str = ""
     percent: Percent = 0
+    age_ms: Count = 0
 
     @property
     def key(self) -> RunKey:
--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -288,7 +288,8 @@
                 record.attempt,
                 record.node,
             ) == (run.attempt, view.report.node):
-                run_ms = max(0, seen_ms - record.since_ms)
+                listed_ms = seen_ms - run.age_ms
+                run_ms = max(0, listed_ms - record.since_ms)
                 self.durations.record_progress(
                     run, run_ms, self._observing(run.task)
                 )
--- a/filbertlb/batch/reconciler.py
+++ b/filbertlb/batch/reconciler.py
@@ -251,13 +251,13 @@
             record_listed_end(self._runs, listed_end, received_s)
         for run in running:
             listed.add(run.key)
-            record_listed_run(self._runs, run, orders, sent_s)
+            record_listed_run(self._runs, run, orders, sent_s, received_s)
         if ends_complete:
             end_unlisted(self._runs, sent_s, listed)
 
-    def running(self) -> tuple[Run, ...]:
+    def running(self, now_s: float) -> tuple[Run, ...]:
         """Return the runs that the worker is known to have."""
-        return self._runs.running()
+        return self._runs.running(now_s)
 
     def ended(self) -> tuple[RunEnd, ...]:
         """Return the ends that the decider has not processed yet."""
--- a/filbertlb/batch/run_track.py
+++ b/filbertlb/batch/run_track.py
@@ -18,11 +18,13 @@
     from filbertlb.batch.model import Step
 
 COMPLETE_PERCENT = 100
-ANCHOR_ERROR_MS = 500
-"""Deviation of the time at which a share of work was seen.
+START_ERROR_MS = 500
+"""Deviation of the time from the order of a run until it begins.
 
-Reports come every second.
+A run may wait for others on its worker to stop.
 """
+LISTING_ERROR_MS = 100
+"""Deviation of the time at which a worker listed a share of work."""
 SPEED_PERCENT = 50
 """Work seen after which a run in progress tells its worker's speed."""
 EARLY_SPEED_PERCENT = 15
@@ -40,7 +42,8 @@
     Attributes
     ----------
     first_percent, first_ms : int
-        Progress from which the pace is measured.
+        Progress from which the pace is measured: that at the order, or the
+        first that the worker listed above 0%.
     speed_counted : bool
         The worker's speed has been learned from the run.
     """
@@ -57,13 +60,24 @@
         """Record a report of the run, unless a later one is known."""
         if run_ms < self.at_ms or percent < self.percent:
             return
-        if not self.percent and (not percent or self.observed.resumed):
-            # The first share of a resumed run is what earlier ones saved.
+        if percent >= COMPLETE_PERCENT and self.total() is not None:
+            # A member that is done waits for the others of its gang.
+            return
+        if not self.percent and (not percent or not self.begins_at_order):
             self.first_percent = percent
             self.first_ms = run_ms
         self.percent = percent
         self.at_ms = run_ms
 
+    @property
+    def begins_at_order(self) -> bool:
+        """Whether the pace is measured from the order of the run.
+
+        The first share of a resumed run is what earlier ones saved, and the
+        members of a gang wait for each other before they begin.
+        """
+        return not (self.observed.resumed or self.observed.other_nodes)
+
     @property
     def left_share(self) -> float:
         """Share of the work that was not done at the latest report."""
@@ -94,7 +108,8 @@
         elapsed_ms = self.at_ms - self.first_ms
         if done <= 0 or elapsed_ms <= 0:
             return None
-        variance = (1 / done) ** 2 + (ANCHOR_ERROR_MS / elapsed_ms) ** 2
+        error_ms = LISTING_ERROR_MS if self.first_percent else START_ERROR_MS
+        variance = (1 / done) ** 2 + (error_ms / elapsed_ms) ** 2
         return LogNormal(
             log_ms(COMPLETE_PERCENT * elapsed_ms / done), variance
         )
--- a/filbertlb/batch/worker_speeds.py
+++ b/filbertlb/batch/worker_speeds.py
@@ -11,16 +11,20 @@
 from hashlib import blake2b
 from math import exp
 from statistics import median
+from statistics import NormalDist
 from typing import Annotated
 from typing import TYPE_CHECKING
 
 import attrs
 from msgspec import Meta
 
+from filbertlb.batch.log_normal import LogNormal
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
     from collections.abc import Sequence
 
+    from filbertlb.batch.gang_speeds import GangRun
     from filbertlb.batch.model import Worker
 
 PRIOR_WEIGHT = 1 / 0.3**2
@@ -44,6 +48,11 @@
 """
 MIN_DEVIATIONS = 2.5
 """The same in standard deviations: 1 of 80 usual workers exceeds it."""
+PRIOR_WORKERS = 4
+"""Workers of assumed speeds among which the known ones are counted.
+
+Few known workers tell little of those that were never seen at work.
+"""
 MIN_SIBLINGS = 4
 """Runs of one step from which they are compared with each other."""
 SIBLING_VARIANCE = 0.25**2
@@ -83,15 +92,14 @@
     weight: SpeedWeight = 0.0
     total: SpeedSum = 0.0
 
-    @property
-    def log_speed(self) -> float:
-        """Logarithm of the speed, not yet relative to other workers."""
-        return self.total / (PRIOR_WEIGHT + self.weight)
-
-    @property
-    def deviation(self) -> float:
-        """Standard deviation of ``log_speed``."""
-        return float((PRIOR_WEIGHT + self.weight) ** -0.5)
+    def add(self, log_speed: float, weight: float) -> None:
+        """Add an observation; earlier ones lose weight beyond a limit."""
+        kept = max(0.0, MAX_WEIGHT - weight)
+        if self.weight > kept:
+            self.total *= kept / self.weight
+            self.weight = kept
+        self.weight += weight
+        self.total += weight * log_speed
 
 
 @attrs.frozen
@@ -139,16 +147,31 @@
 
 @attrs.define
 class WorkerSpeeds:
-    """Speeds by node."""
+    """Speeds by node.
+
+    Attributes
+    ----------
+    by_node : dict of str to WorkerSpeed
+        What finished observations tell.
+    """
 
     by_node: dict[str, WorkerSpeed] = attrs.Factory(dict)
+    _announced: set[str] = attrs.Factory(set)
+    _in_progress: dict[str, dict[GangRun, LogNormal]] = attrs.Factory(dict)
     _median: float | None = None
+    _bounds_by_chance: dict[float, dict[str, float]] = attrs.Factory(dict)
+    _unseen_bounds: dict[float, float] = attrs.Factory(dict)
 
     def record_worker(self, node: str, worker: Worker) -> None:
         """Forget the speed if another kind of machine has taken the node.
 
         Capacity may change during a lifetime, which says nothing on speed.
         """
+        if node not in self._announced:
+            if len(self._announced) >= 2 * MAX_WORKERS:
+                self._announced.clear()
+            self._announced.add(node)
+            self._forget_derived()
         known = self.by_node.get(node)
         if known is None or known.incarnation == worker.incarnation:
             return
@@ -157,7 +180,8 @@
             known.incarnation = worker.incarnation
         else:
             del self.by_node[node]
-            self._median = None
+            self._in_progress.pop(node, None)
+            self._forget_derived()
 
     def record(
         self, node: str, worker: Worker, log_speed: float, variance: float
@@ -171,21 +195,66 @@
         variance : float
             Variance of that logarithm if the speed were known.
         """
+        known = self._known(node, worker)
+        known.add(log_speed, 1 / max(MIN_VARIANCE, variance))
+        self._forget_derived()
+
+    def record_in_progress(
+        self, gang: GangRun, run: TimedRun, speed: LogNormal
+    ) -> None:
+        """Replace the speed that the progress of a gang shows so far."""
+        self._known(run.node, run.worker)
+        variance = max(MIN_VARIANCE, speed.variance)
+        self._in_progress.setdefault(run.node, {})[gang] = LogNormal(
+            speed.mean, variance
+        )
+        self._forget_derived()
+
+    def settle(self, gang: GangRun) -> None:
+        """Keep what a gang has shown, as it shows nothing more."""
+        for node, speed_by_gang in list(self._in_progress.items()):
+            speed = speed_by_gang.pop(gang, None)
+            if not speed_by_gang:
+                del self._in_progress[node]
+            if speed is not None:
+                self.by_node[node].add(speed.mean, 1 / speed.variance)
+        self._forget_derived()
+
+    def belief(self, node: str, without: GangRun | None = None) -> LogNormal:
+        """Return the logarithm of a speed, not relative to other workers.
+
+        Parameters
+        ----------
+        without : GangRun, optional
+            Gang whose progress is left out.
+        """
+        known = self.by_node.get(node)
+        if known is None:
+            return LogNormal(0.0, 1 / PRIOR_WEIGHT)
+        weight, total = PRIOR_WEIGHT + known.weight, known.total
+        for gang, speed in self._in_progress.get(node, {}).items():
+            if gang != without:
+                weight += 1 / speed.variance
+                total += speed.mean / speed.variance
+        return LogNormal(total / weight, 1 / weight)
+
+    def _known(self, node: str, worker: Worker) -> WorkerSpeed:
+        """Return the figures of a worker, new ones if it has none."""
         self.record_worker(node, worker)
         known = self.by_node.get(node)
         if known is None:
             if len(self.by_node) >= 2 * MAX_WORKERS:
                 self.by_node = self.best_known()
+                self._in_progress.clear()
             known = WorkerSpeed(worker.incarnation, worker_kind(worker))
             self.by_node[node] = known
-        weight = 1 / max(MIN_VARIANCE, variance)
-        kept = max(0.0, MAX_WEIGHT - weight)
-        if known.weight > kept:
-            known.total *= kept / known.weight
-            known.weight = kept
-        known.weight += weight
-        known.total += weight * log_speed
+        return known
+
+    def _forget_derived(self) -> None:
+        """Drop the figures that depend on all workers."""
         self._median = None
+        self._bounds_by_chance.clear()
+        self._unseen_bounds.clear()
 
     def compare(self, run: TimedRun, others: Sequence[TimedRun]) -> None:
         """Record the speed that a run shows beside others of its step."""
@@ -202,14 +271,26 @@
 
     def log_speed(self, node: str) -> float:
         """Return the logarithm of a worker's speed; 0 if it is unknown."""
-        known = self.by_node.get(node)
-        if known is None:
+        if node not in self.by_node:
             return 0.0
+        return self.belief(node).mean - self._usual()
+
+    def relative(self, node: str, without: GangRun | None = None) -> LogNormal:
+        """Return :meth:`belief` relative to the median worker."""
+        known = self.belief(node, without)
+        return LogNormal(known.mean - self._usual(), known.variance)
+
+    def deviation(self, node: str) -> float:
+        """Return the standard deviation of the logarithm of a speed."""
+        return self.belief(node).deviation
+
+    def _usual(self) -> float:
+        """Return the median; workers without any run count as usual."""
         if self._median is None:
-            self._median = median(
-                speed.log_speed for speed in self.by_node.values()
-            )
-        return known.log_speed - self._median
+            unseen = len(self._announced - self.by_node.keys())
+            beliefs = [self.belief(node).mean for node in self.by_node]
+            self._median = median(beliefs + [0.0] * unseen)
+        return self._median
 
     def speed(self, node: str) -> float:
         """Return the speed relative to the median worker."""
@@ -221,32 +302,83 @@
         A difference within the error of the figure does not count, as it
         would scatter work without a gain.
         """
-        known = self.by_node.get(node)
-        if known is None:
+        if node not in self.by_node:
             return 0
         log_speed = self.log_speed(node)
-        certain = MIN_DEVIATIONS * known.deviation
+        certain = MIN_DEVIATIONS * self.deviation(node)
         if abs(log_speed) < max(MIN_DIFFERENCE, certain):
             return 0
         return 1 if log_speed > 0 else -1
 
+    def log_speed_bound(self, node: str, chance: float) -> float:
+        """Return the logarithm of a speed that a worker exceeds by chance.
+
+        A worker that was never seen at work is as fast as the known ones
+        are, in the same shares.
+
+        Parameters
+        ----------
+        chance : float
+            Probability with which the worker is faster.
+        """
+        bounds = self._bounds_by_chance.setdefault(chance, {})
+        if node not in bounds:
+            bounds[node] = (
+                self._known_bound(node, chance)
+                if node in self.by_node
+                else self._unseen_bound(chance)
+            )
+        return bounds[node]
+
+    def _known_bound(self, node: str, chance: float) -> float:
+        return self.log_speed(node) + self.deviation(node) * _quantile(chance)
+
+    def _unseen_bound(self, chance: float) -> float:
+        if chance not in self._unseen_bounds:
+            assumed = PRIOR_WEIGHT**-0.5 * _quantile(chance)
+            bounds = sorted(
+                self._known_bound(node, chance) for node in self.by_node
+            )
+            known = assumed
+            if bounds:
+                known = bounds[int((1 - chance) * len(bounds))]
+            total = len(bounds) * known + PRIOR_WORKERS * assumed
+            count = len(bounds) + PRIOR_WORKERS
+            self._unseen_bounds[chance] = total / count
+        return self._unseen_bounds[chance]
+
     def best_known(self) -> dict[str, WorkerSpeed]:
         """Return the speeds that are worth keeping, at most MAX_WORKERS.
 
         Rounded figures keep the row small.
         """
+        known_by_node = {
+            node: self._with_progress(node) for node in self.by_node
+        }
         nodes = sorted(
-            self.by_node, key=lambda node: -self.by_node[node].weight
+            known_by_node, key=lambda node: -known_by_node[node].weight
         )
         return {
             node: attrs.evolve(
-                self.by_node[node],
-                weight=round(self.by_node[node].weight, 3),
-                total=round(self.by_node[node].total, 3),
+                known_by_node[node],
+                weight=round(known_by_node[node].weight, 3),
+                total=round(known_by_node[node].total, 3),
             )
             for node in nodes[:MAX_WORKERS]
         }
 
+    def _with_progress(self, node: str) -> WorkerSpeed:
+        """Return the figures of a worker with those of gangs in progress."""
+        known = attrs.evolve(self.by_node[node])
+        for speed in self._in_progress.get(node, {}).values():
+            known.add(speed.mean, 1 / speed.variance)
+        return known
+
+
+def _quantile(chance: float) -> float:
+    """Return the standard deviation that is exceeded by chance."""
+    return NormalDist().inv_cdf(1 - chance)
+
 
 def worker_kind(worker: Worker) -> str:
     """Return a digest of what tells a machine's hardware."""
--- a/tests/batch/simulated_system.py
+++ b/tests/batch/simulated_system.py
@@ -419,7 +419,7 @@
             0,
             reconciler.worker,
             answers,
-            reconciler.running(),
+            reconciler.running(self.now_s),
             reconciler.ended(),
         )
         for end in report.ended:
--- a/tests/batch/test_local_expiry.py
+++ b/tests/batch/test_local_expiry.py
@@ -62,7 +62,7 @@
         running = [Run("j.0.0.0", 1)]
         reconciler.record_listing(now_s, running, [], ends_complete=True)
         assert reconciler.due_calls(now_s) == []
-        assert reconciler.running() == (Run("j.0.0.0", 1),)
+        assert reconciler.running(0.0) == (Run("j.0.0.0", 1),)
     assert cause_by_task(reconciler) == {}
     reconciler.record_down(10.3)
     assert reconciler.due_calls(10.3) == []
--- a/tests/batch/test_local_listings.py
+++ b/tests/batch/test_local_listings.py
@@ -43,7 +43,7 @@
         0.1, [Run("j.0.0.0", 1, "", 30)], [], ends_complete=True
     )
     assert reconciler.due_calls(0.2) == []
-    assert reconciler.running() == (Run("j.0.0.0", 1, "", 30),)
+    assert reconciler.running(0.0) == (Run("j.0.0.0", 1, "", 30),)
 
 
 def test_adopted_run_listed_before_its_order_kept_its_worker_from_starts():
@@ -157,7 +157,7 @@
     start_all(reconciler)
     list_running(reconciler, "early")
     list_running(reconciler, "é" * (MAX_SAVED_BYTES // 2 + 1))
-    assert reconciler.running()[0].saved == ""
+    assert reconciler.running(0.0)[0].saved == ""
     end = RunEnd("j.0.0.0", 1, EndCause.STOPPED, "x" * (MAX_SAVED_BYTES + 1))
     listed = ListedEnd(1, end)
     reconciler.record_listing(0.6, [], [listed], ends_complete=True)
--- a/tests/batch/test_local_starts.py
+++ b/tests/batch/test_local_starts.py
@@ -32,7 +32,7 @@
     reconciler.record_start(call.order, StartResult.UNHEALTHY, 2.2)
     reconciler.due_calls(2.3)
     assert cause_by_task(reconciler) == {}
-    assert reconciler.running() == (Run("j.0.0.0", 1),)
+    assert reconciler.running(0.0) == (Run("j.0.0.0", 1),)
 
 
 @pytest.mark.parametrize(
