Place groups by the speed that workers likely have

Cause: what is not known counted as usual. Placement compared the deadline with the expected time on each worker, 1.0 for one without any run, and looked at speeds only beyond 2.5 deviations.

A group now takes workers that are fast enough with a chance of 0.9, then of 0.5, then any. A worker that was never seen is as fast as the known ones are, in the same shares; no speed of a site stands in the code. The choice by speed moves from placing.py to speed_choice.py.

--- a/filbertlb/batch/durations.py
+++ b/filbertlb/batch/durations.py
@@ -88,8 +88,14 @@
     def speed_band(self, node: str) -> int:
         """Return 1 for a fast worker, -1 for a slow one, 0 for others."""
 
-    def speed(self, node: str) -> float:
-        """Return the speed of a worker relative to the usual one."""
+    def log_speed_bound(self, node: str, chance: float) -> float:
+        """Return the logarithm of a speed that a worker has by chance.
+
+        Parameters
+        ----------
+        chance : float
+            Probability with which the worker is at least as fast.
+        """
 
     def explain(self, job: Job, step: Step) -> str:
         """Return the expected run time and its origin, for log lines."""
@@ -145,9 +151,9 @@
         """Return the same class for all workers."""
         return 0
 
-    def speed(self, node: str) -> float:
-        """Return the same speed for all workers."""
-        return 1.0
+    def log_speed_bound(self, node: str, chance: float) -> float:
+        """Return the same bound for all workers."""
+        return 0.0
 
     def explain(self, job: Job, step: Step) -> str:
         """Return the declared run time."""
--- a/filbertlb/batch/learned_durations.py
+++ b/filbertlb/batch/learned_durations.py
@@ -177,6 +177,10 @@
         """Return the speed of a slow or fast worker; 1 for others."""
         return self.speeds.speed(node) if self.speeds.band(node) else 1.0
 
+    def log_speed_bound(self, node: str, chance: float) -> float:
+        """Return the logarithm of a speed that a worker has by chance."""
+        return self.speeds.log_speed_bound(node, chance)
+
     def explain(self, job: Job, step: Step) -> str:
         """Return the expected run time and its origin, for log lines."""
         found = self.prediction(job, step)
--- a/filbertlb/batch/placing.py
+++ b/filbertlb/batch/placing.py
@@ -21,8 +21,7 @@
 from filbertlb.batch.preemption import Preemption
 from filbertlb.batch.probation import Probation
 from filbertlb.batch.reservations import Reservations
-from filbertlb.batch.worker_speeds import parts_of_equal_speed
-from filbertlb.batch.worker_speeds import preference_by_node
+from filbertlb.batch.speed_choice import SpeedChoice
 from filbertlb.core.amounts import minus
 
 if TYPE_CHECKING:
@@ -63,8 +62,7 @@
     reservations: Reservations = attrs.field(init=False)
     separation: Separation = attrs.field(init=False)
     probation: Probation = attrs.field(init=False)
-    band_by_node: dict[str, int] = attrs.field(init=False)
-    _preferences: dict[bool, dict[str, int]] = attrs.Factory(dict)
+    speeds: SpeedChoice = attrs.field(init=False)
     waiting: list[TaskGroup] = attrs.field(init=False, factory=list)
     untried: list[TaskGroup] = attrs.field(init=False, factory=list)
 
@@ -77,12 +75,7 @@
         self.locality = Locality(context, self.reservations)
         self.separation = Separation(context.state, context.now_ms)
         self.probation = Probation(context)
-        self.band_by_node = {
-            node: context.durations.speed_band(node)
-            for node in context.available.workers
-        }
-        if len(set(self.band_by_node.values())) < 2:
-            self.band_by_node = {}
+        self.speeds = SpeedChoice(context, self.order)
 
     @property
     def state(self) -> PlannerState:
@@ -379,31 +372,21 @@
     def _place_in_time(
         self, group: TaskGroup, nodes: Sequence[str], count: int
     ) -> Placement | None:
-        """Place a group without the workers on which it would be late.
+        """Place a group on workers on which it is likely on time.
 
         Returns None if that does not matter or if they are needed.
         """
-        if not self.band_by_node or self.order.is_late(group):
-            return None
-        fast_enough = [
-            node for node in nodes if self._ends_in_time(group, node)
-        ]
-        if len(fast_enough) == len(nodes):
-            return None
-        racks = self.locality.local_groups(group, fast_enough)
-        node_groups = racks or [fast_enough]
-        placement = self._place_on_free(group, node_groups, count)
-        if placement is None and self._preemptible_runs(group):
-            placement = self.preemption.if_loss_acceptable(
-                self._preempting(group, node_groups, count), group
-            )
-        return placement
-
-    def _ends_in_time(self, group: TaskGroup, node: str) -> bool:
-        """Return whether a group started now on a node meets its deadline."""
-        speed = self.context.durations.speed(node)
-        run_ms = self.context.expected_ms(group) / speed
-        return self.context.now_ms + run_ms <= self.order.deadline_ms(group)
+        for likely in self.speeds.likely_in_time(group, nodes):
+            racks = self.locality.local_groups(group, likely)
+            node_groups = racks or [likely]
+            placement = self._place_on_free(group, node_groups, count)
+            if placement is None and self._preemptible_runs(group):
+                placement = self.preemption.if_loss_acceptable(
+                    self._preempting(group, node_groups, count), group
+                )
+            if placement is not None:
+                return placement
+        return None
 
     def _place_on_free(
         self,
@@ -424,32 +407,14 @@
         count: int,
     ) -> Placement | None:
         """Place a gang on workers of equal speed if they have room."""
-        if not (self.band_by_node and group.step.gang and count > 1):
-            return None
         room, needs = self._room_for(group), group.step.needs
         parts = [
             part
-            for part in parts_of_equal_speed(node_groups, self.band_by_node)
+            for part in self.speeds.equal_parts(group, node_groups)
             if may_hold(room, part, needs, count)
         ]
         return self._best_placement(group, parts, count, ())
 
-    def _speed_preference(self, group: TaskGroup) -> dict[str, int] | None:
-        """Return the order of nodes by speed; None if all are alike.
-
-        Urgent work and chains of steps take fast workers, since their
-        objectives leave the least time for waiting.
-        """
-        if not self.band_by_node:
-            return None
-        job = group.job
-        prefers_fast = job.priority == 0 or len(job.steps) > 1
-        preference = self._preferences.get(prefers_fast)
-        if preference is None:
-            preference = preference_by_node(self.band_by_node, prefers_fast)
-            self._preferences[prefers_fast] = preference
-        return preference
-
     def _best_placement(
         self,
         group: TaskGroup,
@@ -466,7 +431,7 @@
             step.max_per_worker,
             preemptible,
             self._tasks_by_node(group) if step.max_per_worker else None,
-            self._speed_preference(group),
+            self.speeds.preference(group),
         )
 
     def _tasks_by_node(self, group: TaskGroup) -> dict[str, int]:
--- a/tests/batch/test_gang_speeds.py
+++ b/tests/batch/test_gang_speeds.py
@@ -1,4 +1,4 @@
-"""Speeds told by the members of gangs."""
+"""Speeds told by gangs, and urgent gangs on workers of unlike speeds."""
 
 from __future__ import annotations
 
@@ -11,10 +11,22 @@
 from filbertlb.batch.log_normal import LogNormal
 from filbertlb.batch.testing import a_step
 from tests.batch.unlike_speeds import replay_on_speeds
+from tests.batch.unlike_speeds import UrgentBurst
 
+CLASS_FLOOR = 0.41
+"""Share of its worth that a class has to earn."""
+LATEST_MS = 60_000
 WHOLE_WORKER = (8, 7_500, 20_000)
 
 
+@pytest.mark.parametrize("seed", [0, 5, 6, 10, 13])
+def test_urgent_gangs_were_late_on_workers_of_unlike_speeds(seed):
+    # Their workers had run other gangs before, and counted as unknown.
+    burst = UrgentBurst(seed)
+    burst.play(LATEST_MS)
+    assert burst.worth() >= CLASS_FLOOR
+
+
 def gang_on(speeds, work_ms=8_000, estimate_ms=8_000):
     """Return a replay in which one gang runs on workers of some speeds."""
     replay = replay_on_speeds(
@@ -64,6 +76,25 @@
     assert known.speed("n0") > 1.5 * known.speed("n1")
 
 
+def test_urgent_gang_takes_workers_that_were_seen_at_work():
+    # Of workers never seen at work some are likely too slow for it.
+    speeds = [1.0, 1.0, 0.6, 1.6, 0.6, 1.0, 1.0, 0.6, 1.6, 0.6] * 2
+    replay = gang_on(speeds[:10])
+    for number, speed in enumerate(speeds[10:], 10):
+        replay.speed_by_node[f"n{number}"] = speed
+    replay.play(16_000)
+    seen = replay_on_speeds(replay.speed_by_node)
+    seen.planner.durations = replay.planner.durations
+    urgent = a_step(4, needs=WHOLE_WORKER, gang=True, estimate_ms=4_000)
+    seen.submit(
+        *("u", urgent, 4_000), priority=0, slack_factor=1.5, target_ms=300
+    )
+    seen.play(0)
+    nodes = seen.ordered("u")
+    assert all(int(node[1:]) < 10 for node in nodes)
+    assert min(seen.speed_by_node[node] for node in nodes) >= 1.0
+
+
 @pytest.mark.parametrize("deviation", [0.1, 0.3])
 def test_speeds_of_members_follow_from_their_times(deviation):
     speeds = (0.6, 1.0, 1.6)
