Expect a gang to end with its slowest member

Claims and reservations waited for workers of gangs that ended much later than expected: each member's own share told when its worker would be free, and one on a fast worker that was done counted as free within half a second while the slowest was at 40%.

The remaining time of a gang is that of its slowest member.

--- a/filbertlb/batch/learned_durations.py
+++ b/filbertlb/batch/learned_durations.py
@@ -31,6 +31,7 @@
 from filbertlb.batch.log_normal import log_ms
 from filbertlb.batch.log_normal import LogNormal
 from filbertlb.batch.model import EndCause
+from filbertlb.batch.model import task_group_of
 from filbertlb.batch.run_track import CountedRuns
 from filbertlb.batch.run_track import observed_last
 from filbertlb.batch.run_track import RunTrack
@@ -148,13 +149,18 @@
 
         It follows from the share of work that is left and the pace so far,
         which counts the more, the more of the work was seen. Without it,
-        from the run times of those that lasted as long.
+        from the run times of those that lasted as long. A gang ends with
+        its slowest member.
         """
-        known = self._remaining.get(task)
+        unit = _unit_of(task, step)
+        known = self._remaining.get(unit)
         if known is not None and known[0] == run_ms:
             return known[1]
-        remaining_ms = self._remaining_ms(job, step, task, run_ms)
-        self._remaining[task] = (run_ms, remaining_ms)
+        remaining_ms = max(
+            self._remaining_ms(job, step, member, run_ms)
+            for member in self._tracked_members(task, step)
+        )
+        self._remaining[unit] = (run_ms, remaining_ms)
         return remaining_ms
 
     def chain_ms(self, job: Job) -> int:
@@ -241,7 +247,7 @@
             if not track.known:
                 track.observed = observe()
             track.update(run.percent, run_ms)
-        self._remaining.pop(run.task, None)
+        self._remaining.pop(_unit_of(run.task, track.observed.step), None)
         if track.tells_speed and not track.speed_counted:
             job, step = track.observed.job, track.observed.step
             expected = self.prediction(job, step).distribution
@@ -258,7 +264,8 @@
         known shows nothing.
         """
         track = self._tracks.pop(end.task, None)
-        self._remaining.pop(end.task, None)
+        if track is not None:
+            self._remaining.pop(_unit_of(end.task, track.observed.step), None)
         self._speed_learner.settle(end)
         done = end.cause is EndCause.DONE
         if end.run_ms is None or not (done or end.cause in LOWER_BOUND_CAUSES):
@@ -342,6 +349,17 @@
         total_ms = expected.quantile_ms((1 + ended) / 2)
         return max(MIN_REMAINING_MS, total_ms - run_ms)
 
+    def _tracked_members(self, task: str, step: Step) -> list[str]:
+        """Return the members of a task's gang whose progress is known.
+
+        Without any, or without a gang, it is the task alone.
+        """
+        if not step.gang:
+            return [task]
+        group = task_group_of(task)
+        members = (f"{group}.{index}" for index in range(step.count))
+        return [name for name in members if name in self._tracks] or [task]
+
     def _log_pace(self, observed: ObservedRun) -> float:
         """Return the logarithm of a run's pace relative to a usual one."""
         log_speed = min(
@@ -409,3 +427,8 @@
             self._predictions.clear()
         self._remaining.clear()
         self._chain_ms.clear()
+
+
+def _unit_of(task: str, step: Step) -> str:
+    """Return what ends as one: the gang of a task, or the task itself."""
+    return task_group_of(task) if step.gang else task
--- a/tests/batch/test_gang_speeds.py
+++ b/tests/batch/test_gang_speeds.py
@@ -76,6 +76,19 @@
     assert known.speed("n0") > 1.5 * known.speed("n1")
 
 
+def test_gang_was_expected_to_end_with_its_fastest_member():
+    replay = gang_on((1.6, 1.6, 0.4), work_ms=8_000)
+    replay.play(4_000)
+    job = replay.planner.state.jobs["g"]
+    left_ms = {
+        replay.planner.durations.remaining_ms(
+            job, job.steps[0], f"g.0.0.{index}", 4_000
+        )
+        for index in range(3)
+    }
+    assert min(left_ms) == pytest.approx(16_000, rel=0.2)
+
+
 def test_urgent_gang_takes_workers_that_were_seen_at_work():
     # Of workers never seen at work some are likely too slow for it.
     speeds = [1.0, 1.0, 0.6, 1.6, 0.6, 1.0, 1.0, 0.6, 1.6, 0.6] * 2
