Keep fast workers free from work that is in no hurry

Urgent gangs found the workers that are known to be fast enough taken by work that would have been on time on slow ones, which stayed idle.

Cause: work in no hurry took workers of usual speed, then fast ones, and slow ones last. It now takes the slowest on which it is likely on time, then those that were never seen at work, then usual and fast ones. Late work avoids slow ones as before. What is known of a worker is kept until an observation changes it, as the choice asks for all workers in each decision.

--- a/filbertlb/batch/durations.py
+++ b/filbertlb/batch/durations.py
@@ -88,6 +88,9 @@
     def speed_band(self, node: str) -> int:
         """Return 1 for a fast worker, -1 for a slow one, 0 for others."""
 
+    def was_seen(self, node: str) -> bool:
+        """Return whether a run has told anything of a worker's speed."""
+
     def log_speed_bound(self, node: str, chance: float) -> float:
         """Return the logarithm of a speed that a worker has by chance.
 
@@ -151,6 +154,10 @@
         """Return the same class for all workers."""
         return 0
 
+    def was_seen(self, node: str) -> bool:
+        """Return that no speed is learned."""
+        return False
+
     def log_speed_bound(self, node: str, chance: float) -> float:
         """Return the same bound for all workers."""
         return 0.0
--- a/filbertlb/batch/learned_durations.py
+++ b/filbertlb/batch/learned_durations.py
@@ -183,6 +183,10 @@
         """Return the speed of a slow or fast worker; 1 for others."""
         return self.speeds.speed(node) if self.speeds.band(node) else 1.0
 
+    def was_seen(self, node: str) -> bool:
+        """Return whether a run has told anything of a worker's speed."""
+        return node in self.speeds.by_node
+
     def log_speed_bound(self, node: str, chance: float) -> float:
         """Return the logarithm of a speed that a worker has by chance."""
         return self.speeds.log_speed_bound(node, chance)
@@ -202,7 +206,7 @@
 
     def explain_speed(self, node: str) -> str:
         """Return the speed of a worker and its error, for log lines."""
-        if node not in self.speeds.by_node:
+        if not self.was_seen(node):
             return UNKNOWN_SPEED
         speed, deviation = self.speeds.speed(node), self.speeds.deviation(node)
         return f"{speed:.2f}+-{deviation:.2f}"
--- a/filbertlb/batch/placing.py
+++ b/filbertlb/batch/placing.py
@@ -408,12 +408,14 @@
     ) -> Placement | None:
         """Place a gang on workers of equal speed if they have room."""
         room, needs = self._room_for(group), group.step.needs
-        parts = [
-            part
-            for part in self.speeds.equal_parts(group, node_groups)
-            if may_hold(room, part, needs, count)
-        ]
-        return self._best_placement(group, parts, count, ())
+        for parts in self.speeds.equal_parts(group, node_groups):
+            large = [
+                part for part in parts if may_hold(room, part, needs, count)
+            ]
+            placement = self._best_placement(group, large, count, ())
+            if placement is not None:
+                return placement
+        return None
 
     def _best_placement(
         self,
--- a/filbertlb/batch/worker_speeds.py
+++ b/filbertlb/batch/worker_speeds.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from functools import cache
 from hashlib import blake2b
 from math import exp
 from statistics import median
@@ -21,7 +22,7 @@
 from filbertlb.batch.log_normal import LogNormal
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Iterable
     from collections.abc import Sequence
 
     from filbertlb.batch.gang_speeds import GangRun
@@ -59,8 +60,6 @@
 """Variance of the logarithm of run times of the tasks of one step."""
 MAX_STEPS = 1024
 """Steps whose runs are remembered for comparison."""
-SLOWEST_PREFERENCE = 100
-"""Higher than the class of any speed."""
 MAX_WORKERS = 800
 """Workers in the row: the design size. Others are learned again.
 
@@ -158,6 +157,7 @@
     by_node: dict[str, WorkerSpeed] = attrs.Factory(dict)
     _announced: set[str] = attrs.Factory(set)
     _in_progress: dict[str, dict[GangRun, LogNormal]] = attrs.Factory(dict)
+    _beliefs: dict[str, LogNormal] = attrs.Factory(dict)
     _median: float | None = None
     _bounds_by_chance: dict[float, dict[str, float]] = attrs.Factory(dict)
     _unseen_bounds: dict[float, float] = attrs.Factory(dict)
@@ -171,7 +171,7 @@
             if len(self._announced) >= 2 * MAX_WORKERS:
                 self._announced.clear()
             self._announced.add(node)
-            self._forget_derived()
+            self._forget_derived(node)
         known = self.by_node.get(node)
         if known is None or known.incarnation == worker.incarnation:
             return
@@ -181,7 +181,7 @@
         else:
             del self.by_node[node]
             self._in_progress.pop(node, None)
-            self._forget_derived()
+            self._forget_derived(node)
 
     def record(
         self, node: str, worker: Worker, log_speed: float, variance: float
@@ -197,7 +197,7 @@
         """
         known = self._known(node, worker)
         known.add(log_speed, 1 / max(MIN_VARIANCE, variance))
-        self._forget_derived()
+        self._forget_derived(node)
 
     def record_in_progress(
         self, gang: GangRun, run: TimedRun, speed: LogNormal
@@ -208,7 +208,7 @@
         self._in_progress.setdefault(run.node, {})[gang] = LogNormal(
             speed.mean, variance
         )
-        self._forget_derived()
+        self._forget_derived(run.node)
 
     def settle(self, gang: GangRun) -> None:
         """Keep what a gang has shown, as it shows nothing more."""
@@ -218,7 +218,7 @@
                 del self._in_progress[node]
             if speed is not None:
                 self.by_node[node].add(speed.mean, 1 / speed.variance)
-        self._forget_derived()
+                self._forget_derived(node)
 
     def belief(self, node: str, without: GangRun | None = None) -> LogNormal:
         """Return the logarithm of a speed, not relative to other workers.
@@ -228,14 +228,32 @@
         without : GangRun, optional
             Gang whose progress is left out.
         """
+        speed_by_gang = self._in_progress.get(node, {})
+        if without in speed_by_gang:
+            others = [
+                speed
+                for gang, speed in speed_by_gang.items()
+                if gang != without
+            ]
+            return self._combined(node, others)
+        belief = self._beliefs.get(node)
+        if belief is None:
+            belief = self._combined(node, speed_by_gang.values())
+            self._beliefs[node] = belief
+        return belief
+
+    def _combined(
+        self, node: str, in_progress: Iterable[LogNormal]
+    ) -> LogNormal:
+        """Return what finished observations and some others tell."""
+        weight, total = PRIOR_WEIGHT, 0.0
         known = self.by_node.get(node)
-        if known is None:
-            return LogNormal(0.0, 1 / PRIOR_WEIGHT)
-        weight, total = PRIOR_WEIGHT + known.weight, known.total
-        for gang, speed in self._in_progress.get(node, {}).items():
-            if gang != without:
-                weight += 1 / speed.variance
-                total += speed.mean / speed.variance
+        if known is not None:
+            weight += known.weight
+            total += known.total
+        for speed in in_progress:
+            weight += 1 / speed.variance
+            total += speed.mean / speed.variance
         return LogNormal(total / weight, 1 / weight)
 
     def _known(self, node: str, worker: Worker) -> WorkerSpeed:
@@ -246,12 +264,14 @@
             if len(self.by_node) >= 2 * MAX_WORKERS:
                 self.by_node = self.best_known()
                 self._in_progress.clear()
+                self._beliefs.clear()
             known = WorkerSpeed(worker.incarnation, worker_kind(worker))
             self.by_node[node] = known
         return known
 
-    def _forget_derived(self) -> None:
-        """Drop the figures that depend on all workers."""
+    def _forget_derived(self, node: str) -> None:
+        """Drop the figures that depend on what is known of a worker."""
+        self._beliefs.pop(node, None)
         self._median = None
         self._bounds_by_chance.clear()
         self._unseen_bounds.clear()
@@ -375,6 +395,7 @@
         return known
 
 
+@cache
 def _quantile(chance: float) -> float:
     """Return the standard deviation that is exceeded by chance."""
     return NormalDist().inv_cdf(1 - chance)
@@ -384,34 +405,3 @@
     """Return a digest of what tells a machine's hardware."""
     text = repr((worker.service, worker.capacity, sorted(worker.labels)))
     return blake2b(text.encode(), digest_size=6).hexdigest()
-
-
-def preference_by_node(
-    band_by_node: Mapping[str, int], prefers_fast: bool
-) -> dict[str, int]:
-    """Return the order of nodes that fit equally well; lower is better.
-
-    Work that is in no hurry takes workers of usual speed, so that fast ones
-    stay free, and slow ones last.
-    """
-    if prefers_fast:
-        return {node: -band for node, band in band_by_node.items()}
-    return {
-        node: band if band >= 0 else SLOWEST_PREFERENCE
-        for node, band in band_by_node.items()
-    }
-
-
-def parts_of_equal_speed(
-    node_groups: Sequence[Sequence[str]], band_by_node: Mapping[str, int]
-) -> list[Sequence[str]]:
-    """Return the parts of groups of nodes, the fastest first.
-
-    A gang runs at the pace of its slowest member.
-    """
-    parts: dict[tuple[int, int], list[str]] = {}
-    for number, nodes in enumerate(node_groups):
-        for node in nodes:
-            key = (-band_by_node[node], number)
-            parts.setdefault(key, []).append(node)
-    return [parts[key] for key in sorted(parts)]
