--- a/filbertlb/batch/gang_speeds.py
+++ b/filbertlb/batch/gang_speeds.py
@@ -20,6 +20,11 @@
 
 MAX_GANGS = 1024
 """Gangs in progress whose members are compared."""
+COMPARED_GROWTH = 1.25
+"""Growth of the number of known members from which they are compared again.
+
+Comparing large gangs with each further member would take seconds.
+"""
 
 GangRun = tuple[str, int]
 """Task group and attempt."""
@@ -33,12 +38,25 @@
     ----------
     expected : LogNormal
         Expected logarithm of the time on a worker of usual speed.
+    nodes : int
+        Number of nodes that the gang runs on.
     run_by_node : dict of str to TimedRun
         One member on each node, as those on one node have the same pace.
     """
 
     expected: LogNormal
+    nodes: int
     run_by_node: dict[str, TimedRun] = attrs.Factory(dict)
+    _compared: int = 1
+
+    def is_comparison_due(self) -> bool:
+        """Return whether to compare the members, and take note of it."""
+        known = len(self.run_by_node)
+        enough = self._compared * COMPARED_GROWTH
+        if known <= self._compared or known < min(self.nodes, enough):
+            return False
+        self._compared = known
+        return True
 
 
 @attrs.define
@@ -48,22 +66,20 @@
     paces_by_run: dict[GangRun, GangPaces] = attrs.Factory(dict)
 
     def add(
-        self, run: GangRun, member: TimedRun, expected: LogNormal
-    ) -> GangPaces | None:
-        """Add the pace of a member.
-
-        Returns
-        -------
-        GangPaces or None
-            Those of the gang if the pace is new and not the only one.
+        self, run: GangRun, member: TimedRun, expected: LogNormal, nodes: int
+    ) -> GangPaces:
+        """Add the pace of a member, unless one on its node is known.
+
+        Parameters
+        ----------
+        nodes : int
+            Number of nodes that the gang runs on.
         """
         paces = self.paces_by_run.get(run)
         if paces is None:
-            paces = self.paces_by_run[run] = GangPaces(expected)
-        if member.node in paces.run_by_node:
-            return None
-        paces.run_by_node[member.node] = member
-        return paces if len(paces.run_by_node) > 1 else None
+            paces = self.paces_by_run[run] = GangPaces(expected, nodes)
+        paces.run_by_node.setdefault(member.node, member)
+        return paces
 
     def pop_oldest(self) -> GangRun | None:
         """Forget the oldest gang if there are too many; return it."""
--- a/filbertlb/batch/speed_learning.py
+++ b/filbertlb/batch/speed_learning.py
@@ -22,6 +22,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Generator
+    from collections.abc import Sequence
 
     from filbertlb.batch.durations import ObservedRun
     from filbertlb.batch.gang_speeds import GangPaces
@@ -101,11 +102,13 @@
         total: LogNormal,
         expected: LogNormal,
     ) -> bool:
-        paces = self._gangs.add(gang, _timed_run(observed, total), expected)
+        nodes = 1 + len(observed.other_nodes)
+        run = _timed_run(observed, total)
+        paces = self._gangs.add(gang, run, expected, nodes)
         oldest = self._gangs.pop_oldest()
         if oldest is not None:
             self.speeds.settle(oldest)
-        if paces is None:
+        if not paces.is_comparison_due():
             return False
         self._compare(gang, paces)
         return True
@@ -118,8 +121,8 @@
             [self.speeds.relative(run.node, without=gang) for run in runs],
             paces.expected,
         )
-        for run, speed in zip(runs, shown, strict=True):
-            with self._logging(run):
+        with self._logging(runs):
+            for run, speed in zip(runs, shown, strict=True):
                 self.speeds.record_in_progress(gang, run, speed)
 
     def _learn(
@@ -130,7 +133,7 @@
         run = _timed_run(observed, total)
         if step.count < MIN_SIBLINGS:
             variance = (expected.variance + total.variance) / run_weight(step)
-            with self._logging(run):
+            with self._logging([run]):
                 self.speeds.record(
                     *(run.node, run.worker),
                     expected.mean - total.mean,
@@ -140,23 +143,24 @@
         key = (job.job_id, job.steps.index(step))
         for ready in self._siblings.add(key, run):
             others = self._siblings.others(key, ready)
-            with self._logging(ready):
+            with self._logging([ready]):
                 self.speeds.compare(ready, others)
         return True
 
     @contextmanager
-    def _logging(self, run: TimedRun) -> Generator[None]:
-        """Log if the worker of a run is in another class afterwards."""
-        band = self.speeds.band(run.node)
+    def _logging(self, runs: Sequence[TimedRun]) -> Generator[None]:
+        """Log which workers of some runs are in another class afterwards."""
+        bands = [self.speeds.band(run.node) for run in runs]
         yield
-        if self.speeds.band(run.node) != band:
-            logger.info(
-                "worker {} of incarnation {} runs at {:.2f} of the usual "
-                "speed, class {} was {}",
-                *(run.node, run.worker.incarnation),
-                *(self.speeds.speed(run.node), self.speeds.band(run.node)),
-                band,
-            )
+        for run, before in zip(runs, bands, strict=True):
+            band = self.speeds.band(run.node)
+            if band != before:
+                logger.info(
+                    "worker {} of incarnation {} runs at {:.2f} of the usual "
+                    "speed, class {} was {}",
+                    *(run.node, run.worker.incarnation),
+                    *(self.speeds.speed(run.node), band, before),
+                )
 
 
 def _is_comparable(observed: ObservedRun) -> bool:
--- a/tests/batch/test_gang_speeds.py
+++ b/tests/batch/test_gang_speeds.py
@@ -8,8 +8,11 @@
 import pytest
 
 from filbertlb.batch.gang_speeds import compare_members
+from filbertlb.batch.gang_speeds import GangsInProgress
 from filbertlb.batch.log_normal import LogNormal
 from filbertlb.batch.testing import a_step
+from filbertlb.batch.testing import a_worker
+from filbertlb.batch.worker_speeds import TimedRun
 from tests.batch.unlike_speeds import replay_on_speeds
 from tests.batch.unlike_speeds import UrgentBurst
 
@@ -108,6 +111,30 @@
     assert min(seen.speed_by_node[node] for node in nodes) >= 1.0
 
 
+@pytest.mark.parametrize(
+    ("nodes", "compared_with"),
+    [
+        (2, [2]),
+        (5, [2, 3, 4, 5]),
+        (16, [2, 3, 4, 5, 7, 9, 12, 15, 16]),
+    ],
+)
+def test_large_gang_was_compared_with_each_further_member(
+    nodes, compared_with
+):
+    # 64 comparisons of 64 members took longer than the gang's first second.
+    gangs, expected = GangsInProgress(), LogNormal(9.0, 0.2)
+    compared = []
+    for number in range(nodes):
+        node = f"n{number}"
+        member = TimedRun(node, a_worker(incarnation=f"{node}@1"), 9.0, 0.01)
+        for _ in range(2):
+            paces = gangs.add(("g.0.0", 1), member, expected, nodes)
+            if paces.is_comparison_due():
+                compared.append(len(paces.run_by_node))
+    assert compared == compared_with
+
+
 @pytest.mark.parametrize("deviation", [0.1, 0.3])
 def test_speeds_of_members_follow_from_their_times(deviation):
     speeds = (0.6, 1.0, 1.6)
