--- a/filbertlb/batch/placing.py
+++ b/filbertlb/batch/placing.py
@@ -2,19 +2,18 @@
 
 from __future__ import annotations
 
-from operator import le
 from typing import TYPE_CHECKING
 
 import attrs
 from loguru import logger
 
-from filbertlb.batch.crashes import not_crashed_often
 from filbertlb.batch.crashes import Separation
 from filbertlb.batch.fitting import may_hold
 from filbertlb.batch.fitting import place_in_best_group
 from filbertlb.batch.locality import IDLE_WAIT_MS
 from filbertlb.batch.locality import Locality
 from filbertlb.batch.model import TaskPhase
+from filbertlb.batch.node_choices import NodeChoices
 from filbertlb.batch.ordering import placing_order
 from filbertlb.batch.planner_state import ALLOCATED_PHASES
 from filbertlb.batch.preemption import GUARANTEE_PREEMPTION_DELAY_MS
@@ -62,6 +61,7 @@
     reservations: Reservations = attrs.field(init=False)
     separation: Separation = attrs.field(init=False)
     probation: Probation = attrs.field(init=False)
+    node_choices: NodeChoices = attrs.field(init=False)
     speeds: SpeedChoice = attrs.field(init=False)
     waiting: list[TaskGroup] = attrs.field(init=False, factory=list)
     untried: list[TaskGroup] = attrs.field(init=False, factory=list)
@@ -75,6 +75,10 @@
         self.locality = Locality(context, self.reservations)
         self.separation = Separation(context.state, context.now_ms)
         self.probation = Probation(context)
+        self.node_choices = NodeChoices(
+            *(context, self.preemption, self.locality),
+            *(self.separation, self.probation),
+        )
         self.speeds = SpeedChoice(context, self.order)
 
     @property
@@ -141,7 +145,7 @@
     def _find_placement(
         self, group: TaskGroup, count: int, tasks: list[str]
     ) -> Placement | None:
-        choices = self._node_choices(group, tasks)
+        choices = self.node_choices.of(group, tasks)
         if self.probation.is_retry(tasks):
             placement = self._place_on_proven(group, choices[0], count)
             if placement is not None:
@@ -160,89 +164,6 @@
         racks = self.locality.local_groups(group, proven)
         return self._place_on_free(group, racks or [proven], count)
 
-    def _node_choices(
-        self, group: TaskGroup, tasks: list[str]
-    ) -> list[list[str]]:
-        """Return the nodes to place tasks on, the most preferred first.
-
-        Tasks that may have crashed a worker prefer idle nodes, where the next
-        crash harms nobody else. Claims of guarantees are not kept apart from
-        others, as their time limit is shorter; restarts of tasks that run
-        until cancelled have begun before and are.
-        """
-        nodes = self._without_repeated_crashes(
-            group, self.context.candidates(group), tasks
-        )
-        restarts = group.step.long_running and any(
-            self.separation.is_held(task) for task in tasks
-        )
-        if restarts or not self.preemption.may_claim_guarantee(group):
-            nodes = self.separation.filter(nodes, tasks)
-        allowed = self.probation.filter(group, nodes, tasks)
-        choices = self._by_past_runs(allowed, tasks)
-        if len(allowed) < len(nodes) and self._must_start_anywhere(group):
-            choices.append(nodes)
-        if not self.state.suspects.isdisjoint(tasks):
-            occupied = set(self.state.occupied_nodes())
-            preferred = next(filter(None, choices), [])
-            idle = [node for node in preferred if node not in occupied]
-            choices.insert(0, idle)
-        return choices
-
-    def _without_repeated_crashes(
-        self, group: TaskGroup, nodes: list[str], tasks: list[str]
-    ) -> list[str]:
-        """Return the nodes that have not crashed repeatedly under a task.
-
-        It waits for one of these, if any is large enough. Tasks that run
-        until cancelled restart at once, and a gang needs several nodes.
-        """
-        step = group.step
-        if step.long_running or step.gang:
-            return nodes
-        if self.state.suspects.isdisjoint(tasks):
-            return nodes
-        others = not_crashed_often(nodes, map(self.state.record, tasks))
-        if any(
-            all(map(le, step.needs, self.available.workers[node].capacity))
-            for node in others
-        ):
-            return others
-        return nodes
-
-    def _by_past_runs(
-        self, nodes: list[str], tasks: list[str]
-    ) -> list[list[str]]:
-        """Return the nodes to place tasks on by what happened there.
-
-        The last resort is the node of the last failure or crash, the one
-        before it those of all crashes.
-        """
-        records = [self.state.record(task) for task in tasks]
-        last = {record.avoid for record in records}
-        crashed = {
-            crash.node for record in records for crash in record.crashes
-        }
-        choices = [nodes]
-        for avoided in (last, last | crashed) if crashed else (last,):
-            preferred = [node for node in nodes if node not in avoided]
-            if len(preferred) < len(choices[0]):
-                choices.insert(0, preferred)
-        return choices
-
-    def _must_start_anywhere(self, group: TaskGroup) -> bool:
-        """Return whether a group can't wait for a better worker.
-
-        A claim of a guarantee has a time limit, and work that does not run
-        while most of the service is idle would count as lost.
-        """
-        if self.preemption.may_claim_guarantee(group):
-            return self.preemption.has_time_limit(group)
-        waited_ms = self.context.now_ms - self.state.ready_ms(group)
-        return waited_ms >= IDLE_WAIT_MS and self.locality.is_service_idle(
-            group
-        )
-
     def _place_on(
         self, group: TaskGroup, nodes: Sequence[str], count: int
     ) -> Placement | None:
