Place gangs of one member by best fit again

Since an urgent gang of one member took an idle fast worker where a part of a usual one would do, which leaves fewer whole workers for large gangs: the parts of equal speed were tried for it too. The new case of test_speed_does_not_outweigh_the_best_fit failed before.

The order of workers is also kept for each group within a round, as each search for a placement asks for it.

--- a/filbertlb/batch/durations.py
+++ b/filbertlb/batch/durations.py
@@ -92,12 +92,12 @@
         """Return whether a run has told anything of a worker's speed."""
 
     def log_speed_bound(self, node: str, chance: float) -> float:
-        """Return the logarithm of a speed that a worker has by chance.
+        """Return the logarithm of a speed that a worker likely reaches.
 
         Parameters
         ----------
         chance : float
-            Probability with which the worker is at least as fast.
+            Probability that the worker is at least as fast.
         """
 
     def explain(self, job: Job, step: Step) -> str:
--- a/filbertlb/batch/learned_durations.py
+++ b/filbertlb/batch/learned_durations.py
@@ -188,7 +188,7 @@
         return node in self.speeds.by_node
 
     def log_speed_bound(self, node: str, chance: float) -> float:
-        """Return the logarithm of a speed that a worker has by chance."""
+        """Return the logarithm of a speed that a worker likely reaches."""
         return self.speeds.log_speed_bound(node, chance)
 
     def explain(self, job: Job, step: Step) -> str:
--- a/filbertlb/batch/placing.py
+++ b/filbertlb/batch/placing.py
@@ -328,6 +328,8 @@
         count: int,
     ) -> Placement | None:
         """Place a gang on workers of equal speed if they have room."""
+        if count < 2:
+            return None
         room, needs = self._room_for(group), group.step.needs
         for parts in self.speeds.equal_parts(group, node_groups):
             large = [
--- a/filbertlb/batch/speed_choice.py
+++ b/filbertlb/batch/speed_choice.py
@@ -51,6 +51,7 @@
     _class_by_node: dict[str, SpeedClass] = attrs.field(init=False)
     _bounds: dict[float, dict[str, float]] = attrs.field(init=False)
     _fastest_first: dict[str, int] = attrs.Factory(dict)
+    _slowest_first_by_group: dict[str, dict[str, int]] = attrs.Factory(dict)
 
     def __attrs_post_init__(self) -> None:
         """Look up what is known of the workers."""
@@ -134,6 +135,13 @@
                     node: -band for node, band in self.band_by_node.items()
                 }
             return self._fastest_first
+        ranks = self._slowest_first_by_group.get(group.name)
+        if ranks is None:
+            ranks = self._slowest_suitable_first(group)
+            self._slowest_first_by_group[group.name] = ranks
+        return ranks
+
+    def _slowest_suitable_first(self, group: TaskGroup) -> dict[str, int]:
         needed = self._needed_log_speed(group)
         sure = self._bounds[LEAST_CHANCES[0]]
         return {
--- a/filbertlb/batch/worker_speeds.py
+++ b/filbertlb/batch/worker_speeds.py
@@ -331,7 +331,7 @@
         return 1 if log_speed > 0 else -1
 
     def log_speed_bound(self, node: str, chance: float) -> float:
-        """Return the logarithm of a speed that a worker exceeds by chance.
+        """Return the logarithm of a speed that a worker likely reaches.
 
         A worker that was never seen at work is as fast as the known ones
         are, in the same shares.
@@ -339,7 +339,7 @@
         Parameters
         ----------
         chance : float
-            Probability with which the worker is faster.
+            Probability that the worker is at least as fast.
         """
         bounds = self._bounds_by_chance.setdefault(chance, {})
         if node not in bounds:
@@ -397,7 +397,7 @@
 
 @cache
 def _quantile(chance: float) -> float:
-    """Return the standard deviation that is exceeded by chance."""
+    """Return the standard score that is exceeded with a probability."""
     return NormalDist().inv_cdf(1 - chance)
 
 
--- a/tests/batch/test_worker_speeds.py
+++ b/tests/batch/test_worker_speeds.py
@@ -201,11 +201,13 @@
     assert len(nodes_of(planner, a_job("g", gang))) == 5
 
 
-def test_speed_does_not_outweigh_the_best_fit():
+@pytest.mark.parametrize("gang", [False, True])
+def test_speed_does_not_outweigh_the_best_fit(gang):
     # A partly used worker is taken first, so that whole ones stay free.
     planner = planner_with(learned_from_runs())
     (first,) = nodes_of(planner, a_job("first"))
-    assert nodes_of(planner, a_job("urgent", priority=0)) == {first}
+    urgent = a_job("urgent", a_step(gang=gang), priority=0)
+    assert nodes_of(planner, urgent) == {first}
 
 
 def test_gang_prefers_equal_speed_to_one_fast_worker():
