--- a/tests/batch/unlike_speeds.py
+++ b/tests/batch/unlike_speeds.py
@@ -26,10 +26,58 @@
 WORKERS = 61
 WORKERS_PER_RACK = 8
 SPEEDS = (0.6, 1.0, 1.6)
-LEAD_MS = 8_000
-"""Time for which other work runs before the first urgent job."""
-URGENT_SLACK = 1.5
-URGENT_TARGET_MS = 306
+
+
+@attrs.frozen
+class Load:
+    """Jobs of one queue; an urgent one is late if it waits or runs slowly."""
+
+    queue: str
+    mean_ms: int
+    priority: int
+    slack_factor: float
+    target_ms: int
+    gang: bool = True
+
+
+BULK = Load("bulk", 13_000, 2, 3.0, 3_000, gang=False)
+GANG = Load("gang", 11_600, 1, 3.0, 1_000)
+URGENT = Load("urgent", 4_200, 0, 1.5, 306)
+LOAD_BY_QUEUE = {load.queue: load for load in (BULK, GANG, URGENT)}
+
+
+@attrs.frozen(order=True)
+class Arrival:
+    """A job of some tasks, each with some accelerators, and its time."""
+
+    at_ms: int
+    queue: str
+    count: int
+    accelerators: int
+
+
+OTHER_ARRIVALS = (
+    Arrival(0, "bulk", 4, 1),
+    Arrival(0, "bulk", 21, 1),
+    Arrival(0, "bulk", 17, 1),
+    Arrival(0, "bulk", 55, 1),
+    Arrival(0, "gang", 2, 2),
+    Arrival(0, "gang", 5, 8),
+    Arrival(0, "gang", 10, 8),
+    Arrival(6_000, "gang", 5, 8),
+    Arrival(6_000, "gang", 4, 4),
+)
+URGENT_ARRIVALS = (
+    Arrival(9_600, "urgent", 5, 8),
+    Arrival(10_900, "urgent", 5, 8),
+    Arrival(10_900, "urgent", 8, 4),
+    Arrival(11_300, "urgent", 2, 8),
+    Arrival(12_300, "urgent", 6, 2),
+    Arrival(22_500, "urgent", 5, 8),
+    Arrival(22_900, "urgent", 10, 8),
+    Arrival(23_500, "urgent", 4, 1),
+    Arrival(29_400, "urgent", 7, 8),
+)
 
 
 @attrs.define
@@ -99,7 +147,7 @@
     replay: UnlikeSpeeds = attrs.field(init=False)
     due_ms: dict[str, int] = attrs.Factory(dict)
     _random: Random = attrs.field(init=False)
-    _arrivals: list[tuple[int, str, dict]] = attrs.field(init=False)
+    _arrivals: list[Arrival] = attrs.field(init=False)
     _submitted: int = 0
 
     def __attrs_post_init__(self):
@@ -109,20 +157,8 @@
         self.replay = replay_on_speeds(
             {f"n{number:02}": speed for number, speed in enumerate(speeds)}
         )
-        others = [
-            *[(0, "bulk", (count, 1)) for count in (4, 21, 17, 55)],
-            *[(0, "gang", shape) for shape in ((2, 2), (5, 8), (10, 8))],
-            *[(6_000, "gang", shape) for shape in ((5, 8), (4, 4))],
-        ]
-        urgent = [
-            (LEAD_MS + at_ms, "urgent", shape)
-            for at_ms, shape in (
-                *((1_600, (5, 8)), (2_900, (5, 8)), (2_900, (8, 4))),
-                *((3_300, (2, 8)), (4_300, (6, 2)), (14_500, (5, 8))),
-                *((14_900, (10, 8)), (15_500, (4, 1)), (21_400, (7, 8))),
-            )
-        ]
-        self._arrivals = sorted([*others, *urgent], reverse=True)
+        arrivals = OTHER_ARRIVALS + URGENT_ARRIVALS
+        self._arrivals = sorted(arrivals, reverse=True)
 
     def play(self, until_ms):
         self.replay.play(until_ms, self._arrive)
@@ -137,32 +173,27 @@
         return sum(1.0 if ok else LATE_WORTH for ok in on_time) / len(on_time)
 
     def _arrive(self, now_ms):
-        while self._arrivals and self._arrivals[-1][0] <= now_ms:
-            _, kind, (count, accelerators) = self._arrivals.pop()
-            self._submit(kind, count, accelerators)
-
-    def _submit(self, kind, count, accelerators):
-        mean_ms, priority, slack, target_ms = {
-            "bulk": (13_000, 2, 3.0, 3_000),
-            "gang": (11_600, 1, 3.0, 1_000),
-            "urgent": (4_200, 0, URGENT_SLACK, URGENT_TARGET_MS),
-        }[kind]
-        work_ms = round(mean_ms * exp(self._random.gauss(0, 0.4)))
+        while self._arrivals and self._arrivals[-1].at_ms <= now_ms:
+            self._submit(self._arrivals.pop())
+
+    def _submit(self, arrival):
+        load = LOAD_BY_QUEUE[arrival.queue]
+        work_ms = round(load.mean_ms * exp(self._random.gauss(0, 0.4)))
         step = a_step(
-            count,
-            needs=(accelerators, 7_500, 20_000),
+            arrival.count,
+            needs=(arrival.accelerators, 7_500, 20_000),
             estimate_ms=round(work_ms * exp(self._random.gauss(0, 0.2))),
-            gang=kind != "bulk",
+            gang=load.gang,
         )
         self._submitted += 1
-        job_id = f"{kind}{self._submitted}"
+        job_id = f"{load.queue}{self._submitted}"
         self.replay.submit(
             *(job_id, step, work_ms),
-            queue=kind,
-            priority=priority,
-            slack_factor=slack,
-            target_ms=target_ms,
+            queue=load.queue,
+            priority=load.priority,
+            slack_factor=load.slack_factor,
+            target_ms=load.target_ms,
         )
-        if kind == "urgent":
-            now_ms = self.replay.now_ms
-            self.due_ms[job_id] = now_ms + target_ms + round(slack * work_ms)
+        if load is URGENT:
+            objective_ms = load.target_ms + round(load.slack_factor * work_ms)
+            self.due_ms[job_id] = self.replay.now_ms + objective_ms
