Count and log the reads of an entry by kind of call

Which reads share a thin link, how large they are and how long they take could not be told from logs or metrics, so the hypotheses about entries that stay behind a large configuration could not be told apart.

--- a/filbertlb/batch/peers.py
+++ b/filbertlb/batch/peers.py
@@ -25,6 +25,7 @@
 from filbertlb.httpcall import HttpCaller
 from filbertlb.table.base import Write
 from filbertlb.table.wire import GetReply
+from filbertlb.transfers import Transfers
 from filbertlb.typedcall import TypedCaller
 from filbertlb.typedserver import typed
 
@@ -42,6 +43,8 @@
 CONFIGURATION_PATH = "/configuration"
 FETCH_TIMEOUT_S = 0.5
 ANNOUNCE_RETRY_S = 0.5
+PEER = "peer"
+"""Kind of reads from other entries in logs and metrics."""
 _T = TypeVar("_T")
 
 
@@ -64,6 +67,8 @@
         Bounds of the other entries' answers.
     newest_row : Row or None
         Newest configuration row that this entry has read.
+    transfers : Transfers
+        Counts and logs the reads of rows.
     """
 
     node: str
@@ -71,6 +76,7 @@
     mirror: Mirror
     answers: AnswerBudget | None = None
     newest_row: Row | None = None
+    transfers: Transfers = attrs.Factory(Transfers)
     _failed_addresses: dict[str, None] = attrs.Factory(dict)
 
     def announce(self, table: TableService) -> None:
@@ -161,13 +167,16 @@
 
     def _fetch_row(self, address: str) -> Row | None:
         try:
-            reply = self.call(
-                address,
-                CONFIGURATION_PATH,
-                NewestRowCall(),
-                GetReply,
-                FETCH_TIMEOUT_S,
-            )
+            with self.transfers.reading(PEER, address) as transfer:
+                reply = self.call(
+                    address,
+                    CONFIGURATION_PATH,
+                    NewestRowCall(),
+                    GetReply,
+                    FETCH_TIMEOUT_S,
+                )
+                if reply.row is not None:
+                    transfer.size_bytes = len(reply.row.value)
         except FilbertlbError as error:
             logger.info("entry at {} gave no answer: {}", address, error)
             return None
--- a/filbertlb/httpcall.py
+++ b/filbertlb/httpcall.py
@@ -316,9 +316,15 @@
 
 
 def _next_part(
-    response: HTTPSocketPoolResponse, count: int, timeout_s: float
+    response: HTTPSocketPoolResponse,
+    count: int,
+    timeout_s: float,
+    held_bytes: int,
 ) -> bytes | bytearray:
-    expired = TimeoutError(f"no part of the body within {timeout_s!r} s")
+    expired = TimeoutError(
+        f"no part of the body within {timeout_s!r} s after {held_bytes!r} "
+        f"of {response.content_length!r} bytes"
+    )
     with Timeout(timeout_s, expired):
         return response.read(count)
 
@@ -378,7 +384,7 @@
                 )
             if held + count > SMALL_BYTES:
                 reserved += count
-            part = _next_part(response, count, timeout_s)
+            part = _next_part(response, count, timeout_s, held)
             if not part:
                 break
             held += body.write(part)
--- a/filbertlb/metrics.py
+++ b/filbertlb/metrics.py
@@ -142,6 +142,13 @@
         Memory held for answers to calls while they are read.
     answers_refused : Counter
         Answers to calls that were too large or found no memory.
+    reads_in_flight : Gauge
+        Reads from the table and from other entries without a whole answer
+        yet, by ``call``.
+    read_bytes : Counter
+        Bytes that they have brought, by ``call``.
+    failed_reads : Counter
+        Reads that got no whole answer, by ``call``.
     """
 
     def __init__(self, role: str, instance_id: str) -> None:
@@ -194,6 +201,9 @@
         self.refusals = counter("refusals")
         self.answer_bytes = gauge("answer_bytes")
         self.answers_refused = counter("answers_refused")
+        self.reads_in_flight = gauge("reads_in_flight")
+        self.read_bytes = counter("read_bytes")
+        self.failed_reads = counter("failed_reads")
 
     def render(self) -> bytes:
         """Return all values in the text format of Prometheus."""
--- a/filbertlb/metrics_page.py
+++ b/filbertlb/metrics_page.py
@@ -22,6 +22,7 @@
     from filbertlb.admission import Admission
     from filbertlb.admission import AnswerBudget
     from filbertlb.metrics import Metrics
+    from filbertlb.transfers import Transfers
 
 LOAD_DELAY_S = 2.0
 
@@ -69,6 +70,23 @@
         self._counted_answers = answers.refused
 
 
+class TransferSampler:
+    """Shows what a process reads from the table and from other entries."""
+
+    def __init__(self, transfers: Transfers) -> None:
+        self._transfers = transfers
+        self._bytes = GrowthSampler("call")
+        self._failed = GrowthSampler("call")
+
+    def sample(self, metrics: Metrics) -> None:
+        """Set the gauges, and add to the counters what is new."""
+        transfers = self._transfers
+        for kind, count in transfers.in_flight_by_kind.items():
+            metrics.reads_in_flight.set(count, {"call": kind})
+        self._bytes.sample(metrics.read_bytes, transfers.bytes_by_kind)
+        self._failed.sample(metrics.failed_reads, transfers.failed_by_kind)
+
+
 class MetricsPage:
     """Metrics of one role, loaded late.
 
--- a/filbertlb/platform/entry.py
+++ b/filbertlb/platform/entry.py
@@ -23,6 +23,7 @@
 from filbertlb.metrics_page import AdmissionSampler
 from filbertlb.metrics_page import GrowthSampler
 from filbertlb.metrics_page import MetricsPage
+from filbertlb.metrics_page import TransferSampler
 from filbertlb.platform.configuration import ConfigurationReader
 from filbertlb.platform.configuration import OPERATOR_TABLE
 from filbertlb.platform.evacuation import EvacuationReader
@@ -71,6 +72,7 @@
     table = open_table(settings, answers)
     admission = open_admission(settings)
     sampler = AdmissionSampler(admission, answers)
+    transfers = TransferSampler(table.transfers)
     index, mirror, in_force = JobIndex(), Mirror(), CurrentConfiguration()
     mirror.add_listener(index.apply_row)
     state_follower = Follower(table, STATE_TABLE, mirror, clock)
@@ -81,6 +83,7 @@
         port_range_address(settings, PEER_OFFSET),
         mirror,
         answers,
+        transfers=table.transfers,
     )
     reader = ConfigurationReader(in_force, peers)
     operator_mirror.add_listener(reader.on_row)
@@ -129,6 +132,7 @@
             metrics.evacuated_domains.set(len(evacuations.version_by_domain))
         metrics.contact_age_s.set(contact.age_s)
         sampler.sample(metrics)
+        transfers.sample(metrics)
 
     page = MetricsPage("entry", settings.node, sample)
     service = JobService(table, mirror, index, clock)
--- a/filbertlb/platform/store.py
+++ b/filbertlb/platform/store.py
@@ -32,6 +32,7 @@
 from filbertlb.table.base import TableUnavailableError
 from filbertlb.table.base import TransactionLimits
 from filbertlb.table.base import WriteOutcomeUnknownError
+from filbertlb.transfers import Transfers
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -61,6 +62,11 @@
 CONCURRENT_READS = 8
 """Partitions of one table that are read at the same time."""
 
+FEED = "feed"
+PAGE = "page"
+ROW = "row"
+"""Kinds of reads in logs and metrics."""
+
 HTTP_OK = 200
 HTTP_GONE = 410
 HTTP_PRECONDITION_FAILED = 412
@@ -112,6 +118,8 @@
         Largest transaction that the store accepts.
     answers : AnswerBudget, optional
         Bounds of the store's answers.
+    transfers : Transfers, optional
+        Counts and logs the reads.
     """
 
     def __init__(
@@ -120,7 +128,9 @@
         partitions_by_table: Mapping[str, int] | None = None,
         limits: TransactionLimits | None = None,
         answers: AnswerBudget | None = None,
+        transfers: Transfers | None = None,
     ) -> None:
+        self.transfers = transfers or Transfers()
         self.limits = limits or TransactionLimits()
         self._partitions_by_table = dict(partitions_by_table or {})
         url = f"http://{address}"
@@ -233,11 +243,13 @@
             {"table": table, "after": after, "waitMs": int(wait_s * 1000)}
         )
         try:
-            reply = self._get(
-                self._feed_caller,
-                f"/filbertlb/rows-feed?{query}",
-                wait_s + FEED_TIMEOUT_MARGIN_S,
-            )
+            with self.transfers.reading(FEED, table, wait_s) as transfer:
+                reply = self._get(
+                    self._feed_caller,
+                    f"/filbertlb/rows-feed?{query}",
+                    wait_s + FEED_TIMEOUT_MARGIN_S,
+                )
+                transfer.size_bytes = len(reply.body)
         except TableUnavailableError as error:
             if isinstance(error.__cause__, AnswerTooLargeError):
                 # The same call would fail again; a snapshot is in pages.
@@ -333,9 +345,12 @@
             {"table": table, "part": partition, "from": name, "limit": limit}
         )
         newest_version = self._newest_version
-        reply = self._get(
-            self._caller, f"/filbertlb/rows-get?{query}", READ_TIMEOUT_S
-        )
+        kind = ROW if limit == 1 else PAGE
+        with self.transfers.reading(kind, f"{table}/{name}") as transfer:
+            reply = self._get(
+                self._caller, f"/filbertlb/rows-get?{query}", READ_TIMEOUT_S
+            )
+            transfer.size_bytes = len(reply.body)
         page = self._decode_reply(reply)
         if page.schema_version < newest_version:
             raise TableUnavailableError(
--- a/tests/test_logs_metrics.py
+++ b/tests/test_logs_metrics.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+from contextlib import suppress
 from io import StringIO
 from json import loads
 
@@ -9,12 +10,15 @@
 
 from filbertlb.admission import Admission
 from filbertlb.admission import AnswerBudget
+from filbertlb.errors import FilbertlbError
 from filbertlb.logs import LineBudget
 from filbertlb.logs import log_context
 from filbertlb.logs import logging_to
 from filbertlb.logs import LogSettings
 from filbertlb.metrics import metrics_of
 from filbertlb.metrics_page import AdmissionSampler
+from filbertlb.metrics_page import TransferSampler
+from filbertlb.transfers import Transfers
 
 SECRET = "s3cr3t-value"
 
@@ -94,6 +98,29 @@
     assert "# TYPE filbertlb_answers_refused_total counter" in lines
 
 
+def test_reads_are_counted_by_call(lines):
+    transfers = Transfers()
+    sampler = TransferSampler(transfers)
+    with metrics_of("entry", "e1") as metrics:
+        with transfers.reading("feed", "op") as transfer:
+            transfer.size_bytes = 70_000
+            with suppress(FilbertlbError), transfers.reading("page", "op/"):
+                raise FilbertlbError("no answer")
+            sampler.sample(metrics)
+            shown = metrics.render().decode().splitlines()
+        sampler.sample(metrics)
+        shown_after = metrics.render().decode().splitlines()
+    assert 'filbertlb_reads_in_flight{call="feed"} 1.0' in shown
+    assert 'filbertlb_failed_reads_total{call="page"} 1.0' in shown
+    assert 'filbertlb_reads_in_flight{call="feed"} 0.0' in shown_after
+    assert 'filbertlb_read_bytes_total{call="feed"} 70000.0' in shown_after
+    assert [line.partition(" bytes")[0] for line in lines] == [
+        "page of op/ failed: 0",
+        "feed of op done: 70000",
+    ]
+    assert lines[0].endswith("also in flight {'feed': 1}")
+
+
 def test_lines_over_the_budget_are_left_out_and_counted():
     budget = LineBudget(lines_per_s=2)
     assert [budget.admit(at_s) for at_s in (1.0, 1.1, 1.2, 1.9, 2.0)] == [
