--- a/filbertlb/standin/row_store.py
+++ b/filbertlb/standin/row_store.py
@@ -1,7 +1,8 @@
 """Stand-in of the platform's row store, speaking its protocol.
 
 Rows, conditional transactions and the feed of changes are kept in
-memory. :class:`StoreFaults` brings about what the real one shows.
+memory. The feed brings each version of a row that was written meanwhile.
+:class:`StoreFaults` brings about what the real one shows.
 """
 
 from __future__ import annotations
@@ -17,6 +18,7 @@
 from urllib.parse import parse_qs
 
 import attrs
+from gevent import sleep
 
 from filbertlb.platform.http import json_application
 from filbertlb.platform.http import JsonResponse
@@ -32,6 +34,8 @@
 """Entries of one transaction: conditions, puts and removals."""
 MAX_TRANSACTION_BYTES = 1_000_000
 MAX_VALUE_CHARACTERS = 65_536
+FEED_CHECK_S = 0.01
+"""Time between looks for a change that a call for the feed waits for."""
 
 
 @attrs.define
@@ -55,6 +59,8 @@
     missed_prefix : str
         Table and start of the keys whose changes the feed leaves out; empty
         for none.
+    delay_s : float
+        Time that each answer takes.
     """
 
     refuse: int = 0
@@ -63,6 +69,7 @@
     stale_by: int = 0
     longest_page: int = 0
     missed_prefix: str = ""
+    delay_s: float = 0.0
 
 
 @attrs.define
@@ -118,6 +125,7 @@
     def handle(self, environ: Mapping[str, Any]) -> JsonResponse:
         """Answer one call."""
         self.calls += 1
+        sleep(self.faults.delay_s)
         if self.faults.refuse:
             return JsonResponse(self.faults.refuse, {"code": "refused"})
         path = environ["PATH_INFO"]
@@ -194,17 +202,14 @@
 
     def _feed(self, query: Mapping[str, str]) -> JsonResponse:
         after = int(query["after"])
-        if after < self.history_from:
-            return JsonResponse(410, {"code": "gone"})
-        rows = []
-        for place, history in self._history.items():
-            newest = history[-1]
-            missed = self.faults.missed_prefix
-            if missed and f"{place[0]}/{place[2]}".startswith(missed):
-                continue
-            if place[0] == query["table"] and newest.version > after:
-                rows.append(_row(place, newest))
-        rows.sort(key=lambda row: row["schemaVersion"])
+        latest_s = monotonic() + int(query.get("waitMs", 0)) / 1000
+        while True:
+            if after < self.history_from:
+                return JsonResponse(410, {"code": "gone"})
+            rows = self._changed_rows(query["table"], after)
+            if rows or monotonic() >= latest_s:
+                break
+            sleep(FEED_CHECK_S)
         return JsonResponse(
             200,
             {
@@ -214,6 +219,23 @@
             },
         )
 
+    def _changed_rows(self, table: str, after: int) -> list[dict[str, Any]]:
+        """Return each version of the table's rows written since then."""
+        rows = []
+        for place, history in self._history.items():
+            missed = self.faults.missed_prefix
+            if missed and f"{place[0]}/{place[2]}".startswith(missed):
+                continue
+            if place[0] != table:
+                continue
+            rows += (
+                _row(place, stored)
+                for stored in history
+                if stored.version > after
+            )
+        rows.sort(key=lambda row: int(row["schemaVersion"]))
+        return rows
+
     def _at(self, place: Place, version: int) -> _Stored | None:
         for stored in reversed(self._history.get(place, ())):
             if stored.version <= version:
