Find out without rows whether the table answers again

Callers got 404 for routes that had been confirmed, and answers by older configurations, long after the store was well again. Cause: while a table gave no answer, an entry sent up to four calls for its changes beside each other. A timeout of 0.8 s to the first byte failed all calls to a store that took 1.24 s for each, so the search went on all the time.

These calls now ask for no rows. Timeouts of reads for copies follow the response time, between 0.8 s and 3.2 s; a large answer has time by its size. Reads that fail though the table answers are repeated after pauses that grow, with jitter.

--- a/filbertlb/httpcall.py
+++ b/filbertlb/httpcall.py
@@ -6,6 +6,7 @@
 from re import compile as compile_pattern
 from socket import IPPROTO_TCP
 from socket import TCP_NODELAY
+from time import monotonic
 from typing import TYPE_CHECKING
 
 import attrs
@@ -36,6 +37,8 @@
 READ_BLOCK_BYTES = 64 * 1024
 BODY_PART_BYTES = 16 * 1024
 """Part of an answer's body that must arrive within the call's timeout."""
+SLOWEST_BODY_BYTES_PER_S = 64 * 1024
+"""Rate below which a large answer is given up though parts of it arrive."""
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 MAX_HEAD_BYTES = 64 * 1024
 """Most bytes read while an answer's headers are incomplete."""
@@ -235,6 +238,7 @@
         timeout_s: float,
         headers: Mapping[str, str] | None = None,
         body_s: float = 0.0,
+        limit_bytes: int = MAX_ANSWER_BYTES,
     ) -> Reply:
         """Send a GET, again if needed, and return its whole answer.
 
@@ -243,7 +247,10 @@
         timeout_s : float
             Longest wait for the answer to begin, and for each part of it.
         body_s : float
-            Longest time for the whole answer, if it is over ``timeout_s``.
+            Longest time for the whole answer, if it is over ``timeout_s``;
+            a large answer has more, by ``SLOWEST_BODY_BYTES_PER_S``.
+        limit_bytes : int
+            Largest answer that is worth reading.
 
         Raises
         ------
@@ -254,7 +261,9 @@
         CallOutcomeUnknownError
             If the connection or the time ended before the whole answer.
         """
-        return self._call("GET", path, b"", timeout_s, headers, body_s)
+        return self._call(
+            "GET", path, b"", timeout_s, headers, body_s, limit_bytes
+        )
 
     def close(self) -> None:
         """Close the kept connections."""
@@ -274,6 +283,7 @@
         timeout_s: float,
         headers: Mapping[str, str] | None,
         body_s: float = 0.0,
+        limit_bytes: int = MAX_ANSWER_BYTES,
     ) -> Reply:
         target = self._base_path + path
         # The library would keep the connection on such a failure.
@@ -287,11 +297,15 @@
         expired = TimeoutError(f"no answer within {timeout_s!r} s")
         client = self._client
         try:
-            with Timeout(max(timeout_s, body_s), expired):
-                with Timeout(timeout_s, expired):
-                    response = client.request(
-                        method, target, body, dict(headers or {})
-                    )
+            started_s = monotonic()
+            with Timeout(timeout_s, expired):
+                response = client.request(
+                    method, target, body, dict(headers or {})
+                )
+            _check_length(response, limit_bytes)
+            whole_s = _whole_s(response, timeout_s, body_s)
+            left_s = max(0.0, started_s + whole_s - monotonic())
+            with Timeout(left_s, TimeoutError(f"not whole in {whole_s!r} s")):
                 return _whole(response, timeout_s, self._answers)
         except _NoConnectionError as error:
             refused = isinstance(error, _NoListenerError)
@@ -315,6 +329,26 @@
 }
 
 
+def _check_length(response: HTTPSocketPoolResponse, limit_bytes: int) -> None:
+    """Fail if an answer is larger than is worth reading."""
+    announced = response.content_length
+    if announced is not None and announced > limit_bytes:
+        response.release()
+        raise _LargeAnswerError(
+            f"answer of {announced!r} bytes is over {limit_bytes!r}"
+        )
+
+
+def _whole_s(
+    response: HTTPSocketPoolResponse, timeout_s: float, body_s: float
+) -> float:
+    """Return the longest time in seconds for a whole answer."""
+    if body_s <= timeout_s:
+        return timeout_s
+    announced = response.content_length or 0
+    return max(body_s, announced / SLOWEST_BODY_BYTES_PER_S)
+
+
 def _next_part(
     response: HTTPSocketPoolResponse,
     count: int,
--- a/filbertlb/platform/store.py
+++ b/filbertlb/platform/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from base64 import b64encode
+from contextlib import contextmanager
 from time import monotonic
 from typing import Any
 from typing import TYPE_CHECKING
@@ -14,6 +15,7 @@
 from gevent.pool import Pool
 from loguru import logger
 
+from filbertlb.core.response_timeout import ResponseTimeout
 from filbertlb.decoding import decode_entries
 from filbertlb.decoding import decode_json
 from filbertlb.decoding import MalformedDataError
@@ -21,10 +23,12 @@
 from filbertlb.httpcall import CallNotSentError
 from filbertlb.httpcall import CallOutcomeUnknownError
 from filbertlb.httpcall import HttpCaller
+from filbertlb.httpcall import MAX_ANSWER_BYTES
 from filbertlb.ranges import Count
 from filbertlb.table.base import ABSENT
 from filbertlb.table.base import Changes
 from filbertlb.table.base import HistoryLostError
+from filbertlb.table.base import MAX_CHANGES_BYTES
 from filbertlb.table.base import Row
 from filbertlb.table.base import RowConflictError
 from filbertlb.table.base import Snapshot
@@ -35,6 +39,7 @@
 from filbertlb.transfers import Transfers
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
     from collections.abc import Mapping
     from collections.abc import Sequence
 
@@ -44,12 +49,12 @@
 
 READ_TIMEOUT_S = 0.8
 """Longest wait for a reply to begin, and for each part of it."""
+MAX_READ_TIMEOUT_S = 3.2
+"""Longest wait while copies of tables are read from a slow store."""
 READ_BODY_S = 8.0
-"""Longest time for a whole reply to a read on a slow link."""
+"""Longest time for a whole reply of ordinary size on a slow link."""
 WRITE_TIMEOUT_S = 1.2
 """A slow store takes 0.6 s for a transaction."""
-FEED_TIMEOUT_MARGIN_S = 0.8
-"""Added to the long-poll wait of a feed call to get its timeout."""
 MAX_PAGE_ROWS = 500
 FIRST_PAGE_ROWS = 100
 SLOW_PAGE_S = 0.4
@@ -62,8 +67,12 @@
 CONCURRENT_READS = 8
 """Partitions of one table that are read at the same time."""
 
+BEHIND_ALL_KEYS = "~"
+"""Start of a range without rows; keys are lower case."""
+
 FEED = "feed"
 PAGE = "page"
+PROBE = "probe"
 ROW = "row"
 """Kinds of reads in logs and metrics."""
 
@@ -138,13 +147,15 @@
         # Separate connections, as feed calls wait for changes.
         self._feed_caller = HttpCaller(url, answers=answers)
         self._newest_version = 0
+        # Callers' calls keep to their own bounds; these follow the store.
+        self._timeout = ResponseTimeout(READ_TIMEOUT_S, MAX_READ_TIMEOUT_S)
         self._page_rows = FIRST_PAGE_ROWS
 
     def get(self, key: str) -> Row | None:
         """Return the row of a key, or None."""
         table, _, name = key.partition("/")
         partition = self._partition_of(table, name)
-        page = self._read_page(table, partition, name, limit=1)
+        page = self._read_page(table, partition, name, 1, READ_TIMEOUT_S)
         for row in _decode_rows(page):
             if row.key == name:
                 return _as_row(row)
@@ -229,7 +240,8 @@
     def _read_timed_page(self, table: str, partition: str, name: str) -> _Rows:
         limit = self._page_rows
         started_s = monotonic()
-        page = self._read_page(table, partition, name, limit)
+        with self._following_response_time() as timeout_s:
+            page = self._read_page(table, partition, name, limit, timeout_s)
         if monotonic() - started_s > SLOW_PAGE_S:
             self._page_rows = max(1, limit // 2)
         elif len(page.rows) >= limit:
@@ -237,17 +249,61 @@
             self._page_rows = min(MAX_PAGE_ROWS, larger)
         return page
 
-    def changes(self, table: str, after: int, wait_s: float) -> Changes:
+    @contextmanager
+    def _following_response_time(self, wait_s: float = 0.0) -> Iterator[float]:
+        """Yield the timeout of a read and learn from how long it took.
+
+        Parameters
+        ----------
+        wait_s : float
+            Time for which the store may hold the answer back.
+        """
+        timeout_s = self._timeout.current_s
+        started_s = monotonic()
+        try:
+            yield wait_s + timeout_s
+        except TableUnavailableError:
+            if monotonic() - started_s >= wait_s + timeout_s:
+                self._timeout.on_timeout(timeout_s)
+            raise
+        response_s = max(0.0, monotonic() - started_s - wait_s)
+        self._timeout.on_answer(response_s)
+
+    def newest_version(self, table: str) -> int:
+        """Return the newest version of all tables by a call without rows."""
+        query = urlencode(
+            {"table": table, "part": "", "from": BEHIND_ALL_KEYS, "limit": 1}
+        )
+        with (
+            self._following_response_time() as timeout_s,
+            self.transfers.counting(PROBE),
+        ):
+            reply = self._get(
+                self._caller, f"/filbertlb/rows-get?{query}", timeout_s
+            )
+        return self._decode_reply(reply).schema_version
+
+    def changes(
+        self,
+        table: str,
+        after: int,
+        wait_s: float,
+        limit_bytes: int = MAX_CHANGES_BYTES,
+    ) -> Changes:
         """Return changes after a version; wait up to ``wait_s`` for one."""
         query = urlencode(
             {"table": table, "after": after, "waitMs": int(wait_s * 1000)}
         )
         try:
-            with self.transfers.reading(FEED, table, wait_s) as transfer:
+            with (
+                self._following_response_time(wait_s) as timeout_s,
+                self.transfers.reading(FEED, table, wait_s) as transfer,
+            ):
                 reply = self._get(
                     self._feed_caller,
                     f"/filbertlb/rows-feed?{query}",
-                    wait_s + FEED_TIMEOUT_MARGIN_S,
+                    timeout_s,
+                    limit_bytes,
                 )
                 transfer.size_bytes = len(reply.body)
         except TableUnavailableError as error:
@@ -331,7 +387,12 @@
         return _partition_name(crc32(name.encode()) % count)
 
     def _read_page(
-        self, table: str, partition: str, name: str, limit: int
+        self,
+        table: str,
+        partition: str,
+        name: str,
+        limit: int,
+        timeout_s: float,
     ) -> _Rows:
         """Read rows of a table from a key on.
 
@@ -348,7 +409,7 @@
         kind = ROW if limit == 1 else PAGE
         with self.transfers.reading(kind, f"{table}/{name}") as transfer:
             reply = self._get(
-                self._caller, f"/filbertlb/rows-get?{query}", READ_TIMEOUT_S
+                self._caller, f"/filbertlb/rows-get?{query}", timeout_s
             )
             transfer.size_bytes = len(reply.body)
         page = self._decode_reply(reply)
@@ -360,9 +421,20 @@
         self._newest_version = max(self._newest_version, page.schema_version)
         return page
 
-    def _get(self, caller: HttpCaller, path: str, timeout_s: float) -> Reply:
+    def _get(
+        self,
+        caller: HttpCaller,
+        path: str,
+        timeout_s: float,
+        limit_bytes: int = MAX_ANSWER_BYTES,
+    ) -> Reply:
         try:
-            return caller.get(path, timeout_s, body_s=READ_BODY_S)
+            return caller.get(
+                path,
+                timeout_s,
+                body_s=READ_BODY_S,
+                limit_bytes=limit_bytes,
+            )
         except (CallNotSentError, CallOutcomeUnknownError) as error:
             raise TableUnavailableError(error.message) from error
 
--- a/filbertlb/standin/row_store.py
+++ b/filbertlb/standin/row_store.py
@@ -221,7 +221,7 @@
 
     def _changed_rows(self, table: str, after: int) -> list[dict[str, Any]]:
         """Return each version of the table's rows written since then."""
-        rows = []
+        rows: list[dict[str, Any]] = []
         for place, history in self._history.items():
             missed = self.faults.missed_prefix
             if missed and f"{place[0]}/{place[2]}".startswith(missed):
--- a/filbertlb/table/base.py
+++ b/filbertlb/table/base.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+MAX_CHANGES_BYTES = 64 * 1024 * 1024
 ABSENT = 0
 """Version of a key that holds no row."""
 
@@ -223,9 +224,27 @@
         """
         ...
 
-    def changes(self, table: str, after: int, wait_s: float) -> Changes:
+    def newest_version(self, table: str) -> int:
+        """Return the newest version of all tables by a call without rows.
+
+        Raises
+        ------
+        TableUnavailableError
+            If the service does not answer.
+        """
+        ...
+
+    def changes(
+        self,
+        table: str,
+        after: int,
+        wait_s: float,
+        limit_bytes: int = MAX_CHANGES_BYTES,
+    ) -> Changes:
         """Return the changes after a version, waiting for the first one.
 
+        They may hold several versions of one row.
+
         Parameters
         ----------
         table : str
@@ -234,11 +253,14 @@
             Version up to which the caller knows the table.
         wait_s : float
             Longest wait for a change in seconds.
+        limit_bytes : int
+            Size from which changes are not worth reading.
 
         Raises
         ------
         HistoryLostError
-            If changes since this version are no longer kept.
+            If changes since this version are no longer kept, or are larger
+            than ``limit_bytes``.
         TableUnavailableError
             If the service does not answer.
         """
--- a/filbertlb/table/memory.py
+++ b/filbertlb/table/memory.py
@@ -10,6 +10,7 @@
 from filbertlb.table.base import ABSENT
 from filbertlb.table.base import Changes
 from filbertlb.table.base import HistoryLostError
+from filbertlb.table.base import MAX_CHANGES_BYTES
 from filbertlb.table.base import Row
 from filbertlb.table.base import RowConflictError
 from filbertlb.table.base import Snapshot
@@ -103,7 +104,18 @@
         rows = self.scan(prefix, limit=len(self._row_by_key))
         return Snapshot(tuple(rows), self._last_version, self.clock_ms)
 
-    def changes(self, table: str, after: int, wait_s: float) -> Changes:
+    def newest_version(self, table: str) -> int:
+        """Return the newest version of all tables."""
+        self._simulate_faults()
+        return self._last_version
+
+    def changes(
+        self,
+        table: str,
+        after: int,
+        wait_s: float,
+        limit_bytes: int = MAX_CHANGES_BYTES,
+    ) -> Changes:
         """Return the changes after a version, without waiting."""
         self._simulate_faults()
         if after < self._history_start:
--- a/filbertlb/table/mirror.py
+++ b/filbertlb/table/mirror.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from random import Random
 from typing import TYPE_CHECKING
 
 import attrs
@@ -30,8 +31,16 @@
 """
 RETRY_DELAY_S = 0.25
 """Time between the calls that find out whether the table answers again."""
-MAX_PROBES = 4
+MAX_RETRY_DELAY_S = 1.0
+"""Longest pause between reads that fail though the table answers."""
+MAX_PROBES = 8
 """Calls without an answer yet up to which another one is sent."""
+MIN_CHANGES_BYTES = 512 * 1024
+"""Size up to which changes are read whatever the size of the table."""
+CHANGES_TO_TABLE = 2
+"""Size of changes, as a multiple of all values, above which the whole table
+is read instead; values are a third longer in an answer.
+"""
 BATCH_DELAY_S = 0.02
 """Pause before the next call, so that it returns a batch of changes."""
 
@@ -57,6 +66,8 @@
         Set on each change; the waiting task clears it.
     versions : VersionTimes
         Times by which versions of the table service had been reached.
+    value_bytes : int
+        Size of all values.
     """
 
     row_by_key: dict[str, Row] = attrs.Factory(dict)
@@ -65,6 +76,7 @@
     loaded: bool = False
     changed: Event = attrs.Factory(Event)
     versions: VersionTimes = attrs.Factory(VersionTimes)
+    value_bytes: int = 0
     _deletion_version_by_key: dict[str, int] = attrs.Factory(dict)
     _listeners: list[Callable[[str, Row | None], None]] = attrs.Factory(list)
 
@@ -106,6 +118,9 @@
         if row.version <= newest:
             return
         self._deletion_version_by_key.pop(row.key, None)
+        self.value_bytes += len(row.value)
+        if known is not None:
+            self.value_bytes -= len(known.value)
         self.row_by_key[row.key] = row
         self.seen_s_by_key[row.key] = now_s
         self._notify_listeners(row.key, row)
@@ -115,6 +130,7 @@
         known = self.row_by_key.get(key)
         if known is not None and known.version <= version:
             del self.row_by_key[key]
+            self.value_bytes -= len(known.value)
             self.seen_s_by_key.pop(key, None)
             self._deletion_version_by_key[key] = version
             self._notify_listeners(key, None)
@@ -153,6 +169,8 @@
         Monotonic time up to which the mirror has all changes.
     failure : FilbertlbError, optional
         Failure of the latest call; None if it succeeded.
+    random : Random
+        Source of the jitter of retries.
     """
 
     table: WatchedTable
@@ -164,6 +182,8 @@
     contact_s: float = float("-inf")
     complete_s: float = float("-inf")
     failure: FilbertlbError | None = None
+    random: Random = attrs.Factory(Random)
+    _failed_reads: int = 0
 
     def run(self) -> None:
         """Poll the table for changes until the task is killed."""
@@ -180,30 +200,34 @@
                 sleep(RETRY_DELAY_S)
 
     def _wait_for_answer(self) -> None:
-        """Wait until the table answers a call for changes.
+        """Wait until the table answers a call.
 
         Calls are sent beside each other, as one that was sent while the
-        table was silent gets no answer once it is back.
+        table was silent gets no answer once it is back. They ask for no
+        rows: a table that is slow, or behind a slow link, would become
+        slower by each of them.
         """
-        if not self.mirror.loaded:
-            sleep(RETRY_DELAY_S)
-            return
+        sleep(self._retry_delay_s())
         answered = Event()
         probes = Pool(MAX_PROBES)
+        probes.spawn(self._probe, answered)
         while not answered.wait(RETRY_DELAY_S):
             if probes.free_count():
                 probes.spawn(self._probe, answered)
 
+    def _retry_delay_s(self) -> float:
+        """Return the pause after a failed read, with jitter."""
+        self._failed_reads += 1
+        longest_s = RETRY_DELAY_S * 2 ** (self._failed_reads - 1)
+        jitter = self.random.uniform(0.5, 1.0)
+        return jitter * min(MAX_RETRY_DELAY_S, longest_s)
+
     def _probe(self, answered: Event) -> None:
-        """Ask for changes once; the next step reads them again."""
-        sent_s = self.clock.monotonic()
+        """Set the event if the table answers."""
         try:
-            self.table.changes(self.name, self.mirror.version, 0.0)
-        except HistoryLostError:
-            logger.debug("changes of table {} are no longer kept", self.name)
+            self.table.newest_version(self.name)
         except FilbertlbError:
             return
-        self.contact_s = max(self.contact_s, sent_s)
         answered.set()
 
     def _step(self) -> None:
@@ -220,23 +244,33 @@
         if self.failure is not None:
             logger.info("table {} answers again", self.name)
             self.failure = None
+            self._failed_reads = 0
         self.contact_s = max(self.contact_s, sent_s)
         sleep(self.batch_delay_s)
 
     def _read_changes(self) -> Changes | None:
         try:
             return self.table.changes(
-                self.name, self.mirror.version, CHANGES_WAIT_S
+                self.name,
+                self.mirror.version,
+                CHANGES_WAIT_S,
+                self._limit_bytes(),
             )
         except HistoryLostError as error:
             logger.info(
-                "changes of table {} after version {} are no longer kept, "
+                "changes of table {} after version {} cannot be read, "
                 "reading the whole table: {}",
                 *(self.name, self.mirror.version, error),
             )
             self.mirror.loaded = False
             return None
 
+    def _limit_bytes(self) -> int:
+        """Return the size of changes above which a snapshot is smaller."""
+        return max(
+            MIN_CHANGES_BYTES, CHANGES_TO_TABLE * self.mirror.value_bytes
+        )
+
     def _record_failure(self, error: FilbertlbError) -> None:
         if self.failure is None:
             logger.warning(
--- a/filbertlb/transfers.py
+++ b/filbertlb/transfers.py
@@ -56,6 +56,18 @@
     bytes_by_kind: Counter[str] = attrs.Factory(Counter)
     failed_by_kind: Counter[str] = attrs.Factory(Counter)
 
+    @contextmanager
+    def counting(self, kind: str) -> Iterator[None]:
+        """Count one call that is too small to be logged."""
+        self.in_flight_by_kind[kind] += 1
+        try:
+            yield
+        except FilbertlbError:
+            self.failed_by_kind[kind] += 1
+            raise
+        finally:
+            self.in_flight_by_kind[kind] -= 1
+
     @contextmanager
     def reading(
         self, kind: str, what: str, wait_s: float = 0.0
@@ -73,21 +85,18 @@
         """
         transfer = Transfer()
         started_s = monotonic()
-        self.in_flight_by_kind[kind] += 1
-        try:
-            yield transfer
-        except FilbertlbError:
-            self.failed_by_kind[kind] += 1
-            self._log("failed", kind, what, transfer, monotonic() - started_s)
-            raise
-        else:
+        with self.counting(kind):
+            try:
+                yield transfer
+            except FilbertlbError:
+                took_s = monotonic() - started_s
+                self._log("failed", kind, what, transfer, took_s)
+                raise
             self.bytes_by_kind[kind] += transfer.size_bytes
             took_s = monotonic() - started_s
             slow = took_s > wait_s + LOGGED_S
             if slow or transfer.size_bytes >= LOGGED_BYTES:
                 self._log("done", kind, what, transfer, took_s)
-        finally:
-            self.in_flight_by_kind[kind] -= 1
 
     def _log(
         self,
--- a/tests/batch/deciding.py
+++ b/tests/batch/deciding.py
@@ -98,11 +98,11 @@
         self.progress_reads += prefix == PROGRESS_PREFIX
         return MemoryTable.snapshot(self, prefix)
 
-    def changes(self, table, after, wait_s):
+    def changes(self, table, *call):
         if f"{table}/" in self.unreadable:
             self.unanswered += 1
             raise TableUnavailableError("no answer")
-        return MemoryTable.changes(self, table, after, wait_s)
+        return MemoryTable.changes(self, table, *call)
 
 
 class UnreadableTable:
--- a/tests/batch/test_decider_lease.py
+++ b/tests/batch/test_decider_lease.py
@@ -94,10 +94,10 @@
     def snapshot(self, prefix):
         return self._table.snapshot(prefix)
 
-    def changes(self, table, after, wait_s):
+    def changes(self, table, *call):
         if table == WORKER_TABLE:
             raise TableUnavailableError("no answer")
-        return self._table.changes(table, after, wait_s)
+        return self._table.changes(table, *call)
 
 
 def test_holder_without_reports_leaves_the_lease_to_others(monkeypatch):
--- a/tests/platform/test_evacuation.py
+++ b/tests/platform/test_evacuation.py
@@ -228,9 +228,9 @@
     refused: int = 0
     feeds_refused: int = 0
 
-    def changes(self, table, after, wait_s):
+    def changes(self, table, *call):
         self.feeds_refused += self.faults.down
-        return MemoryTable.changes(self, table, after, wait_s)
+        return MemoryTable.changes(self, table, *call)
 
     def snapshot(self, prefix):
         if self.unreadable and prefix == EVACUATION_PREFIX:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,6 +7,7 @@
 from filbertlb.admission import AnswerBudget
 from filbertlb.admission import SMALL_BYTES
 from filbertlb.platform.store import PlatformTable
+from filbertlb.platform.store import READ_TIMEOUT_S
 from filbertlb.standin.row_store import RowStore
 from filbertlb.standin.wsgi import serving
 from filbertlb.table.base import ABSENT
@@ -258,3 +259,31 @@
         table = PlatformTable(url.removeprefix("http://"))
         with pytest.raises(TableUnavailableError):
             table.snapshot("state/")
+
+
+def test_newest_version_is_told_without_rows(table, store):
+    (version,) = table.commit([Write("state/job/a", b"x" * 1000)])
+    assert table.newest_version("state") == version
+    assert table.transfers.bytes_by_kind["page"] == 0
+
+
+def test_several_versions_of_a_large_row_were_read_at_once(table, store):
+    # The feed brings each version; a snapshot brings the row once.
+    store.write("op", "config", b"x" * 1000)
+    version = store.write("op", "config", b"y" * 1000)
+    assert len(table.changes("op", 0, 0.0, 4000).rows) == 2
+    with pytest.raises(HistoryLostError):
+        table.changes("op", 0, 0.0, 2000)
+    assert table.changes("op", version, 0.0, 2000).rows == ()
+    snapshot = table.snapshot("op/")
+    assert [row.version for row in snapshot.rows] == [version]
+
+
+def test_store_that_takes_longer_than_the_timeout_was_never_read(store):
+    with serving(store.application()) as url:
+        table = PlatformTable(url.removeprefix("http://"))
+        store.faults.delay_s = READ_TIMEOUT_S * 1.5
+        with pytest.raises(TableUnavailableError):
+            table.newest_version("op")
+        assert table.newest_version("op") == 0
+        assert table.snapshot("op/").rows == ()
--- a/tests/table/test_mirror.py
+++ b/tests/table/test_mirror.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+from random import Random
+
 import pytest
 from gevent import sleep
 from gevent import spawn
@@ -17,6 +19,7 @@
 from filbertlb.table.contact import FollowerContact
 from filbertlb.table.memory import MemoryTable
 from filbertlb.table.mirror import Follower
+from filbertlb.table.mirror import MIN_CHANGES_BYTES
 from filbertlb.table.mirror import Mirror
 
 
@@ -128,11 +131,11 @@
     def get(self, key):
         raise TableUnavailableError("stale read")
 
-    def changes(self, table, after, wait_s):
+    def changes(self, table, *call):
         if self.cut:
             self.cut = False
             raise TableUnavailableError("cut")
-        return super().changes(table, after, wait_s)
+        return super().changes(table, *call)
 
 
 def test_follower_did_not_ask_for_changes_while_reads_were_stale():
@@ -164,3 +167,69 @@
     follower.contact_s = clock.monotonic() - age_s
     follower.failure = failure
     assert FollowerContact(follower).reachable is reachable
+
+
+def test_search_for_a_table_that_answers_asked_for_all_changes():
+    # Each call brought them over the link again, and they were not used.
+    class RefusingOnce(MemoryTable):
+        calls = 0
+
+        def changes(self, table, *call):
+            self.calls += 1
+            if self.calls == 1:
+                raise TableUnavailableError("refused")
+            return super().changes(table, *call)
+
+        def newest_version(self, table):
+            if self.calls == 1 and len(asked) < 4:
+                asked.append(table)
+                raise TableUnavailableError("refused")
+            return super().newest_version(table)
+
+    asked = []
+    table, mirror = RefusingOnce(), loaded_mirror(version=0)
+    table.commit([Write("t/a", b"1")])
+    following = spawn(Follower(table, "t", mirror, SystemClock()).run)
+    try:
+        with Timeout(10.0):
+            while "t/a" not in mirror.row_by_key:
+                sleep(0.01)
+    finally:
+        following.kill()
+    assert asked == ["t"] * 4
+    assert table.calls == 2
+
+
+@pytest.mark.parametrize(
+    ("table_bytes", "wanted"),
+    [(0, MIN_CHANGES_BYTES), (1_000_000, 2_000_000)],
+)
+def test_changes_are_read_up_to_the_size_of_the_table(table_bytes, wanted):
+    limits = []
+
+    class RecordingTable(MemoryTable):
+        def changes(self, table, after, wait_s, limit_bytes):
+            limits.append(limit_bytes)
+            return super().changes(table, after, wait_s)
+
+    mirror = loaded_mirror(
+        Row("t/a", b"x" * 9, 1), Row("t/b", b"x" * table_bytes, 2)
+    )
+    mirror.put(Row("t/a", b"", 3), 0.0)
+    table = RecordingTable()
+    following = spawn(Follower(table, "t", mirror, SystemClock()).run)
+    with Timeout(10.0):
+        while not limits:
+            sleep(0.01)
+    following.kill()
+    assert limits[0] == wanted
+
+
+def test_pauses_between_reads_that_fail_grow():
+    follower = Follower(
+        MemoryTable(), "t", Mirror(), SystemClock(), random=Random(5)
+    )
+    pauses = [follower._retry_delay_s() for _ in range(200)]
+    assert 0.125 <= pauses[0] <= 0.25
+    assert all(0.5 <= pause <= 1.0 for pause in pauses[2:])
+    assert len(set(pauses)) == len(pauses)
