Ask callers to try again where a newer configuration may allow a request

Callers got 404 or 401 for routes and keys that had been confirmed, from entries that could know that they were behind: their copy of the operators' table was not current, or another entry had offered a newer row. Such an entry now answers 503 configuration_behind with Retry-After, and nothing runs; a request that the configuration in force allows is served as before. The test fails without the change: 404 and 401.

--- a/filbertlb/platform/entry.py
+++ b/filbertlb/platform/entry.py
@@ -25,6 +25,7 @@
 from filbertlb.metrics_page import GrowthSampler
 from filbertlb.metrics_page import MetricsPage
 from filbertlb.metrics_page import TransferSampler
+from filbertlb.platform.configuration import ConfigurationCurrency
 from filbertlb.platform.configuration import ConfigurationReader
 from filbertlb.platform.configuration import OPERATOR_TABLE
 from filbertlb.platform.evacuation import EvacuationReader
@@ -88,6 +89,7 @@
     operator_mirror.add_listener(reader.on_row)
     operator_follower = Follower(table, OPERATOR_TABLE, operator_mirror, clock)
     operator_contact = FollowerContact(operator_follower)
+    currency = ConfigurationCurrency(operator_contact, exchange)
     evacuation_reader = _evacuation_reader(settings, operator_follower)
     decider = Decider(
         table,
@@ -140,7 +142,9 @@
     service = JobService(table, mirror, index, clock)
     forwarder = JobForwarder(service, peers, contact)
     peer_service = Service({**exchange.handlers(), **forwarder.handlers()})
-    ingress = Ingress(forwarder, in_force, clock, page.observe)
+    ingress = Ingress(
+        forwarder, in_force, currency.may_be_behind, clock, page.observe
+    )
     readiness = Readiness(contact, in_force, exchange, stopping)
 
     tasks: list[Callable[[], None]] = [
--- a/filbertlb/platform/ingress.py
+++ b/filbertlb/platform/ingress.py
@@ -7,8 +7,11 @@
 
 from loguru import logger
 
+from filbertlb.api.calls import UnauthenticatedError
+from filbertlb.batch.configuration import NoQueueError
 from filbertlb.errors import FilbertlbError
 from filbertlb.errors import NotFoundError
+from filbertlb.errors import UnavailableError
 from filbertlb.platform.http import error_response
 from filbertlb.platform.http import JsonResponse
 from filbertlb.platform.wire import decode_job
@@ -24,6 +27,14 @@
     from filbertlb.core.clock import Clock
 
 RETRY_AFTER_S = 1.0
+BEHIND_RETRY_AFTER_S = 1.0
+"""Time after which an entry usually has a newer configuration."""
+
+
+class ConfigurationBehindError(UnavailableError):
+    """A newer configuration, not read here yet, may allow the request."""
+
+    code = "configuration_behind"
 
 
 class Ingress:
@@ -33,6 +44,8 @@
     ----------
     jobs : Handover
         Executes the callers' requests.
+    may_be_behind : callable
+        Returns whether there may be a newer configuration.
     observe : callable
         Called with the status and duration in seconds of each request.
     """
@@ -41,11 +54,13 @@
         self,
         jobs: JobForwarder,
         in_force: CurrentConfiguration,
+        may_be_behind: Callable[[], bool],
         clock: Clock,
         observe: Callable[[str, float], None],
     ) -> None:
         self._jobs = jobs
         self._in_force = in_force
+        self._may_be_behind = may_be_behind
         self._clock = clock
         self._observe = observe
 
@@ -77,13 +92,8 @@
         return response
 
     def _route(self, environ: Mapping[str, Any]) -> JsonResponse:
-        configuration = self._in_force.get()
-        host = request_header(environ, "Host").partition(":")[0]
         path = environ["PATH_INFO"]
-        queue = configuration.queue_for(host, path)
-        organisation_id = configuration.organisation_of(
-            queue, request_header(environ, "X-Api-Key")
-        )
+        queue, organisation_id = self._queue_and_organisation(environ)
         job_id = path.removeprefix(queue.prefix)
         method = environ["REQUEST_METHOD"]
         if not job_id and method == "GET":
@@ -101,6 +111,25 @@
             return JsonResponse(200)
         return JsonResponse(405, {"code": "method_not_allowed"})
 
+    def _queue_and_organisation(
+        self, environ: Mapping[str, Any]
+    ) -> tuple[Queue, str]:
+        """Return the queue that a request is for, and whose request it is."""
+        configuration = self._in_force.get()
+        host = request_header(environ, "Host").partition(":")[0]
+        try:
+            queue = configuration.queue_for(host, environ["PATH_INFO"])
+            return queue, configuration.organisation_of(
+                queue, request_header(environ, "X-Api-Key")
+            )
+        except (NoQueueError, UnauthenticatedError) as error:
+            if not self._may_be_behind():
+                raise
+            raise ConfigurationBehindError(
+                f"{error.message}, and there may be a newer one; try again",
+                retry_after_s=BEHIND_RETRY_AFTER_S,
+            ) from error
+
     def _submit(
         self,
         environ: Mapping[str, Any],
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -32,6 +32,7 @@
         self.reader = ConfigurationReader(self.in_force)
         self.row_version = 0
         self.contact = StaticContact()
+        self.may_be_behind = False
         index, mirror = JobIndex(), Mirror()
         mirror.add_listener(index.apply_row)
         clock = VirtualClock()
@@ -42,6 +43,7 @@
                 service, Peers("a", "unused:1", mirror), self.contact
             ),
             self.in_force,
+            lambda: self.may_be_behind,
             clock,
             lambda status, _: self.statuses.append(status),
         )
@@ -106,6 +108,25 @@
     assert harness.call(method).status == 410
 
 
+@pytest.mark.parametrize(
+    ("behind", "status"), [(False, [404, 401]), (True, [503, 503])]
+)
+def test_entry_that_may_be_behind_said_that_a_route_or_key_was_not_there(
+    harness, behind, status
+):
+    harness.may_be_behind = behind
+    responses = [
+        harness.call("POST", "/new-route/00000000000000aa"),
+        harness.call("POST", key="new-key"),
+    ]
+    assert [response.status for response in responses] == status
+    assert all(
+        (response.retry_after_s is not None) == behind
+        for response in responses
+    )
+    assert harness.call("POST").status == 200
+
+
 def test_missing_configuration_asks_callers_to_retry():
     response = Harness().call("POST")
     assert (response.status, response.retry_after_s) == (503, 1.0)
