Divide run_entry: one source of the configuration, samplers of metrics

What reads the configuration is one object with its tasks, which the tests over thin links use too; what the metrics page shows is in samplers of one kind, for entries and agents.

--- a/filbertlb/metrics_page.py
+++ b/filbertlb/metrics_page.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from typing import Protocol
 from typing import TYPE_CHECKING
 
 from gevent import sleep
@@ -15,6 +16,7 @@
     from collections.abc import Callable
     from collections.abc import Iterable
     from collections.abc import Mapping
+    from collections.abc import Sequence
     from typing import Any
 
     from opentelemetry.metrics import Counter as CounterInstrument
@@ -22,11 +24,20 @@
     from filbertlb.admission import Admission
     from filbertlb.admission import AnswerBudget
     from filbertlb.metrics import Metrics
+    from filbertlb.table.contact import Contact
     from filbertlb.transfers import Transfers
 
 LOAD_DELAY_S = 2.0
 
 
+class Sampler(Protocol):
+    """Sets metrics before they are shown."""
+
+    def sample(self, metrics: Metrics) -> None:
+        """Set the gauges, and add to the counters what is new."""
+        ...
+
+
 class GrowthSampler:
     """Adds to a counter what totals have grown by since the last sample.
 
@@ -70,6 +81,17 @@
         self._counted_answers = answers.refused
 
 
+class ContactSampler:
+    """Shows when the table service has answered last."""
+
+    def __init__(self, contact: Contact) -> None:
+        self._contact = contact
+
+    def sample(self, metrics: Metrics) -> None:
+        """Set the gauge."""
+        metrics.contact_age_s.set(self._contact.age_s)
+
+
 class TransferSampler:
     """Shows what a process reads from the table and from other entries."""
 
@@ -94,8 +116,8 @@
     ----------
     role, instance_id : str
         Whose metrics they are.
-    sample : callable
-        Sets the gauges before they are shown.
+    samplers : sequence of Sampler
+        Set the metrics each time before they are shown.
 
     Attributes
     ----------
@@ -104,12 +126,12 @@
     """
 
     def __init__(
-        self, role: str, instance_id: str, sample: Callable[[Metrics], None]
+        self, role: str, instance_id: str, samplers: Sequence[Sampler]
     ) -> None:
         self.metrics: Metrics | None = None
         self._role = role
         self._instance_id = instance_id
-        self._sample = sample
+        self._samplers = samplers
 
     def load_soon(self) -> None:
         """Load the metrics once the process serves."""
@@ -129,7 +151,8 @@
         from filbertlb.metrics import METRICS_CONTENT_TYPE
 
         metrics = self._loaded()
-        self._sample(metrics)
+        for sampler in self._samplers:
+            sampler.sample(metrics)
         body = metrics.render()
         headers = [
             ("Content-Type", METRICS_CONTENT_TYPE),
--- a/filbertlb/platform/agent.py
+++ b/filbertlb/platform/agent.py
@@ -24,7 +24,6 @@
 from filbertlb.tasks import running_all
 
 if TYPE_CHECKING:
-    from filbertlb.metrics import Metrics
     from filbertlb.platform.settings import Settings
     from filbertlb.platform.wire import Heartbeat
 
@@ -35,7 +34,6 @@
     answers = open_answers(settings)
     table = open_table(settings, answers)
     admission = open_admission(settings)
-    sampler = AdmissionSampler(admission, answers)
     worker = PlatformWorkerClient(settings.worker_address, clock, answers)
     agent = Agent(
         table, worker, clock, settings.node, settings.heartbeat_period_s
@@ -59,11 +57,8 @@
         agent.run()
         stopping.set()
 
-    def sample(metrics: Metrics) -> None:
-        agent.sample(metrics)
-        sampler.sample(metrics)
-
-    page = MetricsPage("agent", settings.node, sample)
+    samplers = (agent, AdmissionSampler(admission, answers))
+    page = MetricsPage("agent", settings.node, samplers)
     with ExitStack() as stack:
         stack.enter_context(running_all((run_until_superseded,)))
         serve(
--- a/filbertlb/platform/configuration.py
+++ b/filbertlb/platform/configuration.py
@@ -124,21 +124,3 @@
                 *(self.in_force.version, exchange.heard_version),
             )
         return not exchange.behind
-
-
-@attrs.frozen
-class ConfigurationCurrency:
-    """Whether the configuration in force is the newest there may be.
-
-    Parameters
-    ----------
-    contact : Contact
-        Contact with the operators' table.
-    """
-
-    contact: Contact
-    exchange: RowExchange
-
-    def may_be_behind(self) -> bool:
-        """Return whether there may be a newer configuration."""
-        return self.exchange.behind or not self.contact.reachable
--- a/filbertlb/platform/readiness.py
+++ b/filbertlb/platform/readiness.py
@@ -15,8 +15,7 @@
 
     from gevent.event import Event
 
-    from filbertlb.batch.configuration import CurrentConfiguration
-    from filbertlb.batch.row_exchange import RowExchange
+    from filbertlb.platform.configuration_source import ConfigurationSource
     from filbertlb.table.contact import Contact
 
 
@@ -28,13 +27,14 @@
     ----------
     contact : Contact
         Contact with the table of jobs.
+    source : ConfigurationSource
+        Source of the configuration.
     stopping : Event
         Set once the process is told to stop.
     """
 
     contact: Contact
-    in_force: CurrentConfiguration
-    exchange: RowExchange
+    source: ConfigurationSource
     stopping: Event
     _logged: str | None = None
 
@@ -54,10 +54,11 @@
     def _waits_for(self) -> str | None:
         if self.stopping.is_set():
             return "the end of the process"
-        if self.in_force.version < 0:
+        if self.source.in_force.version < 0:
             return "a first configuration"
-        if self.exchange.behind:
-            return f"configuration row {self.exchange.heard_version}"
+        if self.source.behind:
+            heard_version = self.source.exchange.heard_version
+            return f"configuration row {heard_version}"
         if not self.contact.reachable:
             return "the table"
         return None
--- a/tests/platform/thin_links.py
+++ b/tests/platform/thin_links.py
@@ -30,12 +30,10 @@
 from filbertlb.batch.peers import Peers
 from filbertlb.batch.row_exchange import RowExchange
 from filbertlb.core.clock import SystemClock
-from filbertlb.platform.configuration import ConfigurationReader
+from filbertlb.platform.configuration_source import configuration_source
 from filbertlb.platform.store import PlatformTable
 from filbertlb.standin.wsgi import serving
 from filbertlb.table.base import Row
-from filbertlb.table.contact import FollowerContact
-from filbertlb.table.mirror import Follower
 from filbertlb.table.mirror import Mirror
 from filbertlb.typedserver import Service
 
@@ -181,15 +179,10 @@
 
 
 def start_reading(entry, table, exchange):
-    reader = ConfigurationReader(entry.in_force, exchange)
-    mirror = Mirror()
-    mirror.add_listener(reader.on_row)
-    follower = Follower(table, "op", mirror, SystemClock())
-    contact = FollowerContact(follower)
-    return [
-        spawn(follower.run),
-        spawn(reader.ask_entries, exchange, contact),
-    ]
+    source = configuration_source(
+        table, exchange, entry.in_force, SystemClock()
+    )
+    return [spawn(task) for task in source.tasks()]
 
 
 def large_configuration(version, routes):
