Refuse callers at once while the table is slower than their calls

What serves callers now counts as out of contact while the table takes longer than a caller's call may. The response time is known exactly from calls that are not held back; a change that comes early only bounds it, so it is no longer taken for fast answers.

--- a/filbertlb/batch/forwarding.py
+++ b/filbertlb/batch/forwarding.py
@@ -174,8 +174,8 @@
     def _require_table(self) -> None:
         if not self.contact.reachable:
             raise UnavailableError(
-                "the table has not answered this entry for "
-                f"{self.contact.age_s:.1f} s; try again"
+                "the table does not answer this entry in time, last call "
+                f"answered was sent {self.contact.age_s:.1f} s ago; try again"
             )
 
     def _local_or_forwarded(
--- a/filbertlb/core/response_timeout.py
+++ b/filbertlb/core/response_timeout.py
@@ -6,8 +6,6 @@
 
 MARGIN = 2.0
 """Timeout as a multiple of the latest response time."""
-DECAY = 0.75
-"""Least share of a timeout that is left after an answer."""
 
 
 @attrs.define
@@ -27,20 +25,30 @@
     ----------
     current_s : float
         Timeout of the next call.
+    response_s : float
+        Latest known response time.
     """
 
     shortest_s: float
     longest_s: float
     current_s: float = attrs.field(init=False)
+    response_s: float = attrs.field(init=False, default=0.0)
 
     def __attrs_post_init__(self) -> None:
         """Begin with the shortest timeout."""
         self.current_s = self.shortest_s
 
-    def on_answer(self, response_s: float) -> None:
-        """Follow the response time of a call that was answered."""
-        wanted_s = max(MARGIN * response_s, DECAY * self.current_s)
-        self.current_s = self._bounded(wanted_s)
+    def on_answer(self, lowest_s: float, highest_s: float) -> None:
+        """Follow the response time of a call that was answered.
+
+        Parameters
+        ----------
+        lowest_s, highest_s : float
+            What the response time can have been. They differ for a call that
+            the server held back for a time that it does not tell.
+        """
+        self.response_s = min(highest_s, max(lowest_s, self.response_s))
+        self.current_s = self._bounded(MARGIN * self.response_s)
 
     def on_timeout(self, timeout_s: float) -> None:
         """Wait longer than a call that was not answered in time.
--- a/filbertlb/platform/entry.py
+++ b/filbertlb/platform/entry.py
@@ -39,7 +39,9 @@
 from filbertlb.platform.process import stop_event
 from filbertlb.platform.readiness import Readiness
 from filbertlb.platform.settings import QueueOrder
+from filbertlb.platform.store import READ_TIMEOUT_S
 from filbertlb.table.contact import FollowerContact
+from filbertlb.table.contact import PromptContact
 from filbertlb.table.mirror import Follower
 from filbertlb.table.mirror import Mirror
 from filbertlb.tasks import running_all
@@ -73,7 +75,9 @@
     index, mirror = JobIndex(), Mirror()
     mirror.add_listener(index.apply_row)
     state_follower = Follower(table, STATE_TABLE, mirror, clock)
-    contact = FollowerContact(state_follower)
+    contact = PromptContact(
+        FollowerContact(state_follower), table.response, READ_TIMEOUT_S
+    )
     peers = Peers(
         settings.node,
         port_range_address(settings, PEER_OFFSET),
--- a/filbertlb/platform/store.py
+++ b/filbertlb/platform/store.py
@@ -10,6 +10,7 @@
 from urllib.parse import urlencode
 from zlib import crc32
 
+import attrs
 import msgspec
 from gevent import sleep
 from gevent.pool import Pool
@@ -107,6 +108,27 @@
     now_ms: Count = 0
 
 
+@attrs.define
+class _TimedRead:
+    """A read whose answer the store may hold back.
+
+    Parameters
+    ----------
+    wait_s : float
+        Time for which it may do so.
+    response_timeout_s : float
+        Time for the answer beyond that.
+    """
+
+    wait_s: float
+    response_timeout_s: float
+    took_s: float = 0.0
+
+    @property
+    def timeout_s(self) -> float:
+        return self.wait_s + self.response_timeout_s
+
+
 class PlatformTable:
     """Table service that maps path-like keys to rows of the store.
 
@@ -129,6 +151,11 @@
         Bounds of the store's answers.
     transfers : Transfers, optional
         Counts and logs the reads.
+
+    Attributes
+    ----------
+    response : ResponseTimeout
+        Response time of the store, and the timeout of reads for copies.
     """
 
     def __init__(
@@ -148,7 +175,7 @@
         self._feed_caller = HttpCaller(url, answers=answers)
         self._newest_version = 0
         # Callers' calls keep to their own bounds; these follow the store.
-        self._timeout = ResponseTimeout(READ_TIMEOUT_S, MAX_READ_TIMEOUT_S)
+        self.response = ResponseTimeout(READ_TIMEOUT_S, MAX_READ_TIMEOUT_S)
         self._page_rows = FIRST_PAGE_ROWS
 
     def get(self, key: str) -> Row | None:
@@ -240,8 +267,10 @@
     def _read_timed_page(self, table: str, partition: str, name: str) -> _Rows:
         limit = self._page_rows
         started_s = monotonic()
-        with self._following_response_time() as timeout_s:
-            page = self._read_page(table, partition, name, limit, timeout_s)
+        with self._timed() as read:
+            page = self._read_page(
+                table, partition, name, limit, read.timeout_s
+            )
         if monotonic() - started_s > SLOW_PAGE_S:
             self._page_rows = max(1, limit // 2)
         elif len(page.rows) >= limit:
@@ -250,37 +279,34 @@
         return page
 
     @contextmanager
-    def _following_response_time(self, wait_s: float = 0.0) -> Iterator[float]:
-        """Yield the timeout of a read and learn from how long it took.
+    def _timed(self, wait_s: float = 0.0) -> Iterator[_TimedRead]:
+        """Measure a read whose timeout follows the response time.
 
         Parameters
         ----------
         wait_s : float
             Time for which the store may hold the answer back.
         """
-        timeout_s = self._timeout.current_s
+        read = _TimedRead(wait_s, self.response.current_s)
         started_s = monotonic()
         try:
-            yield wait_s + timeout_s
+            yield read
         except TableUnavailableError:
-            if monotonic() - started_s >= wait_s + timeout_s:
-                self._timeout.on_timeout(timeout_s)
+            if monotonic() - started_s >= wait_s + read.response_timeout_s:
+                self.response.on_timeout(read.response_timeout_s)
             raise
-        response_s = max(0.0, monotonic() - started_s - wait_s)
-        self._timeout.on_answer(response_s)
+        read.took_s = monotonic() - started_s
 
     def newest_version(self, table: str) -> int:
         """Return the newest version of all tables by a call without rows."""
         query = urlencode(
             {"table": table, "part": "", "from": BEHIND_ALL_KEYS, "limit": 1}
         )
-        with (
-            self._following_response_time() as timeout_s,
-            self.transfers.counting(PROBE),
-        ):
+        with self._timed() as read, self.transfers.counting(PROBE):
             reply = self._get(
-                self._caller, f"/filbertlb/rows-get?{query}", timeout_s
+                self._caller, f"/filbertlb/rows-get?{query}", read.timeout_s
             )
+        self.response.on_answer(read.took_s, read.took_s)
         return self._decode_reply(reply).schema_version
 
     def changes(
@@ -296,13 +322,13 @@
         )
         try:
             with (
-                self._following_response_time(wait_s) as timeout_s,
+                self._timed(wait_s) as read,
                 self.transfers.reading(FEED, table, wait_s) as transfer,
             ):
                 reply = self._get(
                     self._feed_caller,
                     f"/filbertlb/rows-feed?{query}",
-                    timeout_s,
+                    read.timeout_s,
                     limit_bytes,
                 )
                 transfer.size_bytes = len(reply.body)
@@ -320,6 +346,12 @@
                 "stored; read a snapshot"
             )
         changed = self._decode_reply(reply)
+        if not changed.rows:
+            # The store has held the answer back for the whole time.
+            response_s = max(0.0, read.took_s - wait_s)
+            self.response.on_answer(response_s, response_s)
+        else:
+            self.response.on_answer(0.0, read.took_s)
         rows = []
         deleted = {}
         for row in _decode_rows(changed):
--- a/tests/table/test_mirror.py
+++ b/tests/table/test_mirror.py
@@ -8,8 +8,10 @@
 from gevent import Timeout
 from gevent.event import Event
 
+from filbertlb.batch.testing import StaticContact
 from filbertlb.core.clock import SystemClock
 from filbertlb.core.clock import VirtualClock
+from filbertlb.core.response_timeout import ResponseTimeout
 from filbertlb.errors import FilbertlbError
 from filbertlb.table.base import Changes
 from filbertlb.table.base import Row
@@ -17,6 +19,7 @@
 from filbertlb.table.base import TableUnavailableError
 from filbertlb.table.base import Write
 from filbertlb.table.contact import FollowerContact
+from filbertlb.table.contact import PromptContact
 from filbertlb.table.memory import MemoryTable
 from filbertlb.table.mirror import Follower
 from filbertlb.table.mirror import MIN_CHANGES_BYTES
@@ -233,3 +236,16 @@
     assert 0.125 <= pauses[0] <= 0.25
     assert all(0.5 <= pause <= 1.0 for pause in pauses[2:])
     assert len(set(pauses)) == len(pauses)
+
+
+@pytest.mark.parametrize(
+    ("reachable", "response_s", "wanted"),
+    [(True, 0.0, True), (True, 1.24, False), (False, 0.0, False)],
+)
+def test_caller_waited_for_a_write_that_a_slow_table_could_not_confirm(
+    reachable, response_s, wanted
+):
+    response = ResponseTimeout(0.8, 3.2)
+    response.on_answer(response_s, response_s)
+    inner = StaticContact(reachable=reachable)
+    assert PromptContact(inner, response, 0.8).reachable == wanted
