Test again that large answers of other entries are refused

The test that an answer over the budget of Peers is refused went when the whole row was replaced by parts; its successor bounds the row that is put together, not the answer. It fails if the budget isn't passed to the call: refused is 0.

--- a/tests/batch/test_row_exchange.py
+++ b/tests/batch/test_row_exchange.py
@@ -7,10 +7,12 @@
 
 import attrs
 import pytest
+from msgspec.json import encode
 
 from filbertlb.admission import AnswerBudget
 from filbertlb.batch.peers import Peers
 from filbertlb.batch.row_exchange import PART_PATH
+from filbertlb.batch.row_exchange import PartReply
 from filbertlb.batch.row_exchange import RowExchange
 from filbertlb.batch.row_parts import offered_row
 from filbertlb.batch.row_parts import PART_BYTES
@@ -20,6 +22,7 @@
 from filbertlb.standin.wsgi import serving
 from filbertlb.table.base import Row
 from filbertlb.table.mirror import Mirror
+from filbertlb.typedserver import Response
 from filbertlb.typedserver import Service
 
 LARGE = Random(5).randbytes(10 * PART_BYTES)
@@ -55,8 +58,8 @@
 @contextmanager
 def exchange_with(*entries):
     mirror = Mirror()
-    peers = Peers("a", "unused:1", mirror)
     answers = AnswerBudget(BUDGET_BYTES, BUDGET_BYTES)
+    peers = Peers("a", "unused:1", mirror, answers)
     with ExitStack() as stack:
         for number, entry in enumerate(entries):
             url = stack.enter_context(serving(Service(entry.handlers())))
@@ -123,6 +126,23 @@
         assert exchange.answers.held_bytes == 0
 
 
+class EndlessEntry(OtherEntry):
+    """Another entry whose answers are larger than all memory for them."""
+
+    def handlers(self):
+        reply = Response(200, encode(PartReply(bytes(BUDGET_BYTES))))
+        return {**super().handlers(), PART_PATH: lambda *_: reply}
+
+
+def test_answers_of_other_entries_are_within_the_budget():
+    """Guards against memory that follows from what other entries send."""
+    with exchange_with(EndlessEntry(row(3, b"x" * 100))) as exchange:
+        assert exchange.fetch_newer() is None
+        assert exchange.answers.refused == 1
+        exchange._drop_partial()
+        assert exchange.answers.held_bytes == 0
+
+
 @pytest.mark.parametrize(
     "fields",
     [
