Name reports in orders and reports

Orders can tell the latest report that their decider had processed, and a report from which number on the agent waits for that. Nothing writes or reads the fields yet: what agents and deciders do with them follows.

--- a/filbertlb/batch/model.py
+++ b/filbertlb/batch/model.py
@@ -365,6 +365,26 @@
         return (self.task, self.attempt)
 
 
+@attrs.frozen
+class ReportMark:
+    """Names one report of one agent process.
+
+    Parameters
+    ----------
+    registration : str
+        Token of the agent process.
+    sequence : int
+        Number of its report.
+    """
+
+    registration: str
+    sequence: Count
+
+    def covers(self, registration: str, sequence: int) -> bool:
+        """Return whether this is a given report or a later one."""
+        return self.registration == registration and self.sequence >= sequence
+
+
 @attrs.frozen
 class Orders:
     """Desired runs of one worker; replaces all previous orders.
@@ -375,11 +395,14 @@
         Fencing epoch of the decider that wrote the orders.
     payload_by_job_id : dict of str to str
         Payloads of the jobs that the orders refer to.
+    confirmed : ReportMark, optional
+        Latest report that the decider had processed when it wrote the row.
     """
 
     epoch: Count
     orders: tuple[Order, ...] = ()
     payload_by_job_id: dict[str, str] = attrs.Factory(dict)
+    confirmed: ReportMark | None = None
 
     def without_newest(self, count: int) -> Orders:
         """Return the row without its last orders, which are the newest.
@@ -394,7 +417,7 @@
             for job_id, payload in self.payload_by_job_id.items()
             if job_id in job_ids
         }
-        return Orders(self.epoch, orders, payloads)
+        return attrs.evolve(self, orders=orders, payload_by_job_id=payloads)
 
 
 @attrs.frozen
@@ -487,6 +510,9 @@
         Increases with each report of a registration.
     answers : bool
         Whether the worker responds to the agent.
+    awaited_sequence : int
+        The agent waits for orders that confirm a report of its registration
+        with this number or a higher one.
     """
 
     node: str
@@ -496,6 +522,12 @@
     answers: bool = False
     running: tuple[Run, ...] = ()
     ended: tuple[RunEnd, ...] = ()
+    awaited_sequence: Count = 0
+
+    @property
+    def mark(self) -> ReportMark:
+        """Name of this report."""
+        return ReportMark(self.registration, self.sequence)
 
 
 def task_name(job_id: str, occurrence: int, step: int, index: int) -> str:
