--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,6 +10,7 @@
 import attrs
 from gevent import sleep
 from gevent import spawn
+from loguru import logger
 
 MAX_STRIKE_DELAY_S = 0.15
 MAX_DECISION_S = 0.5
@@ -203,10 +204,12 @@
             task.get()
 
     def _run(self, running, target):
+        logger.info("{:.2f} {} begins on {}", monotonic(), running, target)
         try:
             for _ in running:
                 pass
         finally:
+            logger.info("{:.2f} {} is over", monotonic(), running)
             self._busy.discard(target)
 
 
--- a/tests/soak/jobs.py
+++ b/tests/soak/jobs.py
@@ -16,6 +16,8 @@
 """Ranges of the time until a run fails; the first counts as early."""
 FAILURE_SPREADS_MS = ((0, 0), (1, 50), (200, 600))
 """Ranges of the time from one member's failure to the next one's."""
+LONG_RUN_MS = (2000, 12_000)
+LASTING_RUN_MS = (16_000, 24_000)
 SPLITS = ((5, 3), (5, 4), (4, 3), (4, 4))
 """Members of gangs that fail whole, and how many of them a worker takes."""
 WHOLE_FAILURE_MS = (50, 500)
@@ -29,6 +31,16 @@
     return _job(random, str(random.randint(50, 4000)), random.randint(1, 3))
 
 
+def long_job(random):
+    """Return a job whose tasks work for some seconds."""
+    return _job(random, str(random.randint(*LONG_RUN_MS)), 2, gpu=0)
+
+
+def lasting_job(random):
+    """Return a job that works on when a silent machine is given up."""
+    return _job(random, str(random.randint(*LASTING_RUN_MS)), 2, gpu=0)
+
+
 def failing_job(random):
     """Return a job whose only task fails in its first runs."""
     failures = [
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 from contextlib import contextmanager
+from contextlib import ExitStack
 from json import dumps
 from json import loads
 
@@ -24,13 +25,15 @@
 from tests.platform.operators import configuration
 from tests.ports import free_address
 from tests.ports import free_port
+from tests.soak.store_link import StoreLink
 from tests.soak.workers import HEARTBEAT_S
 from tests.soak.workers import History
 from tests.soak.workers import WorkerMachine
 
 HEADERS = {"Host": "site.example", "X-Api-Key": "key"}
 CALL_TIMEOUT_S = 2.0
-MACHINES = 3
+WORKER_PACES = (1.0, 1.0, 1.0)
+"""Seconds that the clock of each machine's worker counts in a second."""
 ENTRIES = 2
 NOT_ACCEPTED = (429, 503)
 REGION = "coast"
@@ -68,6 +71,7 @@
     role: str
     settings_path: str
     log_path: str
+    store: StoreLink
     running: subprocess.Popen | None = None
 
     def start(self):
@@ -93,9 +97,17 @@
 
 
 class Site:
-    """Entries, and an agent beside the worker of each machine."""
+    """Entries, and an agent beside the worker of each machine.
 
-    def __init__(self, folder, store, store_url):
+    Parameters
+    ----------
+    serving_stores : ExitStack
+        Ends the listeners of the store, one for each process.
+    paces : sequence of float
+        Pace of the clock of each machine's worker.
+    """
+
+    def __init__(self, folder, store, serving_stores, paces):
         self.queue_by_job_id = {}
         self.history = History(self.attempts)
         self.machines = []
@@ -107,7 +119,7 @@
         self._polls = 0
         self._store = store
         self._folder = folder
-        self._store_address = store_url.removeprefix("http://")
+        self._serving_stores = serving_stores
         for number in range(ENTRIES):
             client_address = free_address()
             self.callers.append(HttpCaller(f"http://{client_address}"))
@@ -115,12 +127,12 @@
                 self._process("entry", number, {"clientAddr": client_address})
             )
         gangs = Gangs()
-        for number in range(MACHINES):
+        for number, pace in enumerate(paces):
             admin_address, port = free_address(), free_port()
             self.machines.append(
                 WorkerMachine(
                     *(f"w{number}", port, admin_address),
-                    *(self.history, gangs),
+                    *(self.history, gangs, pace),
                 )
             )
             self.agents.append(
@@ -135,6 +147,10 @@
     def _process(self, role, number, listen, **more):
         name = f"{role}-{number}"
         port = free_port()
+        link = StoreLink(name, self._store)
+        store_url = self._serving_stores.enter_context(
+            serving(link.application())
+        )
         settings = {
             "node": name,
             "role": role,
@@ -143,13 +159,14 @@
             "region": REGION,
             "heartbeatMs": int(HEARTBEAT_S * 1000),
             "listen": {"readiness": free_address(), **listen},
-            "platform": {"addr": self._store_address},
+            "platform": {"addr": store_url.removeprefix("http://")},
             "portRange": [port, port + 4],
             **more,
         }
         path = self._folder / f"{name}.json"
         path.write_text(dumps(settings))
-        return Process(role, str(path), str(self._folder / f"{name}.log"))
+        log_path = self._folder / f"{name}.log"
+        return Process(role, str(path), str(log_path), link)
 
     def attempts(self, job_id):
         """Return the failed runs that the queue of a job allows."""
@@ -182,6 +199,10 @@
         """Return the stored progress of a job as bytes, or None."""
         return self._store.read("progress", job_id)
 
+    def report(self, number):
+        """Return the stored report of a machine as bytes, or None."""
+        return self._store.read("workers", f"agent-{number}")
+
     def poll(self):
         """Ask an entry, another one each time, for all unfinished jobs.
 
@@ -230,12 +251,12 @@
 
 
 @contextmanager
-def running_site(folder):
+def running_site(folder, paces=WORKER_PACES):
     """Run a site until the block ends."""
     store = RowStore()
     store.write("op", "config", CONFIGURATION)
-    with serving(store.application()) as store_url:
-        site = Site(folder, store, store_url)
+    with ExitStack() as serving_stores:
+        site = Site(folder, store, serving_stores, paces)
         processes = [*site.entries, *site.agents]
         try:
             for process in processes:
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -7,13 +7,17 @@
 from collections.abc import Callable
 from contextlib import ExitStack
 from contextlib import suppress
+from errno import ECONNRESET
+from io import BytesIO
 from json import dumps
+from random import Random
 from time import monotonic
 from time import time
 
 import attrs
 from gevent import sleep
 from gevent import spawn
+from gevent import spawn_later
 from gevent.event import Event
 from geventhttpclient import HTTPClient
 
@@ -21,6 +25,7 @@
 from filbertlb.batch.model import EndCause
 from filbertlb.batch.model import job_id_of
 from filbertlb.batch.model import task_group_of
+from filbertlb.platform.http import json_application
 from filbertlb.standin.leased_worker import LeasedWorker
 from filbertlb.standin.wsgi import serving
 
@@ -50,6 +55,10 @@
     end_s: float | None = None
     how: str = ""
 
+    @property
+    def key(self):
+        return self.task, self.attempt
+
     def __str__(self):
         end = "open" if self.end_s is None else f"{self.end_s:.2f} {self.how}"
         return (
@@ -107,10 +116,24 @@
     def acknowledge(self, task, attempt, how):
         """Record that the end of a run was acknowledged."""
         if how is EndCause.DONE:
-            self.done.add(self._unit_by_task[task])
+            self._acknowledge_done(task, attempt)
         elif how is EndCause.FAILED:
             self.failed[self._unit_by_task[task]].add(attempt)
 
+    def _acknowledge_done(self, task, attempt):
+        unit = self._unit_by_task[task]
+        if unit in self.done:
+            return
+        self.done.add(unit)
+        runs = [run for run in self.intervals if run.unit == unit]
+        end_s = max(run.end_s for run in runs if run.key == (task, attempt))
+        for run in runs:
+            if run.begin_s > end_s:
+                self.broken.append(
+                    f"{run} began after attempt {attempt} of {task} was done "
+                    f"at {end_s:.2f}, which was acknowledged later"
+                )
+
     def overlaps(self):
         """Yield a line for each two runs of a task or gang at one time."""
         for number, one in enumerate(self.intervals):
@@ -152,12 +175,13 @@
 
 @attrs.frozen
 class BootClock:
-    """Clock that starts anew with each incarnation."""
+    """Clock that starts anew with each incarnation, and may be slow."""
 
+    pace: float = 1.0
     started_s: float = attrs.Factory(monotonic)
 
     def monotonic(self):
-        return 1.0 + monotonic() - self.started_s
+        return 1.0 + self.pace * (monotonic() - self.started_s)
 
 
 @attrs.define
@@ -170,6 +194,8 @@
     state: str = "ready"
     _interval_by_task: dict[str, Interval] = attrs.Factory(dict)
     _stops_ms: dict[str, int] = attrs.Factory(dict)
+    _ended_ms_by_number: dict[int, int] = attrs.Factory(dict)
+    _lapsed_ms: int = -1
 
     def end(self):
         """End all runs with the worker."""
@@ -192,9 +218,12 @@
             on_start()
             sleep(UNANSWERED_S)
         began = len(self.starts)
+        previous = self._interval_by_task.get(body["task"])
         answer = LeasedWorker._start(self, body)
         if len(self.starts) > began:
             task = body["task"]
+            if previous is not None:
+                self._replace(previous, body["attempt"])
             self._interval_by_task[task] = self.history.begin(
                 task,
                 body["attempt"],
@@ -203,6 +232,13 @@
             )
         return answer
 
+    def _replace(self, previous, attempt):
+        """End a run under which another attempt of its task begins."""
+        previous.end_s, previous.how = monotonic(), "replaced"
+        self.history.broken.append(
+            f"attempt {attempt} begins under {previous}"
+        )
+
     def _stop(self, body):
         task = body["task"]
         if self._run(task, body["attempt"]) is not None:
@@ -213,7 +249,7 @@
     def _hold(self, body):
         acked = body.get("ackedSeq", 0)
         for number, task, attempt, how, _ in self.finished:
-            if number <= acked:
+            if number <= acked and not self._lapsed_since(number):
                 self.history.acknowledge(task, attempt, how)
         self.finished = [end for end in self.finished if end[0] > acked]
         end_s = monotonic() + body.get("waitMs", 0) / 1000
@@ -222,6 +258,20 @@
             self._advance()
         return LeasedWorker._hold(self, body)
 
+    def _extend(self, until_ms):
+        if self.lease_end_ms <= self._now_ms():
+            self._lapsed_ms = self.lease_end_ms
+        LeasedWorker._extend(self, until_ms)
+
+    def _lapsed_since(self, number):
+        """Return whether the lease lapsed after an end.
+
+        By the rules nobody takes note of such an end any more.
+        """
+        if self.lease_end_ms <= self._now_ms():
+            return True
+        return self._lapsed_ms >= self._ended_ms_by_number[number]
+
     def _advance(self):
         if not self.up:
             return
@@ -234,10 +284,12 @@
 
     def _end(self, task, how, ended_ms):
         interval = self._interval_by_task.pop(task)
-        interval.end_s = monotonic() - (self._now_ms() - ended_ms) / 1000
+        ago_s = (self._now_ms() - ended_ms) / 1000 / self.clock.pace
+        interval.end_s = monotonic() - ago_s
         interval.how = how
         failing = self._runs[task].plan.failing(interval.attempt)
         LeasedWorker._end(self, task, how, ended_ms)
+        self._ended_ms_by_number[self._number] = ended_ms
         if how is EndCause.FAILED and len(failing) > 1:
             if not self.history.on_failed.is_set():
                 self.history.first_failed = (job_id_of(task), self.instance_id)
@@ -250,6 +302,29 @@
             sleep(ADVANCE_STEP_S)
 
 
+@attrs.define
+class LateCalls:
+    """Decides which calls to a worker are carried out late.
+
+    Attributes
+    ----------
+    share : float
+        Share of the calls.
+    longest_s : float
+        Longest time by which they are late.
+    """
+
+    share: float = 0.0
+    longest_s: float = 0.0
+    random: Random = attrs.Factory(Random)
+
+    def delay_s(self):
+        """Return the time by which the next call is late; 0 mostly."""
+        if self.share == 0 or self.random.random() >= self.share:
+            return 0.0
+        return self.random.uniform(0.2, self.longest_s)
+
+
 class WorkerMachine:
     """A machine's worker through its incarnations.
 
@@ -259,31 +334,52 @@
         Where the agent on the machine receives heartbeats.
     """
 
-    def __init__(self, name, port, heartbeat_address, history, gangs):
+    def __init__(
+        self, name, port, heartbeat_address, history, gangs, pace=1.0
+    ):
         self.name = name
+        self.late_calls = LateCalls()
         self.worker = None
         self._port = port
         self._heartbeat_address = heartbeat_address
         self._history = history
         self._gangs = gangs
+        self._pace = pace
         self._serving = ExitStack()
 
     def boot(self, silent_s=0.0):
         """Start an incarnation, which sends no heartbeat for some time."""
         worker = RecordedWorker(
             f"i-{self.name}",
-            BootClock(),
+            BootClock(self._pace),
             int(time() * 1000),
             self._gangs,
             history=self._history,
         )
         self.worker = worker
-        self._serving.enter_context(
-            serving(worker.application(), port=self._port)
-        )
+        application = json_application(self._handle)
+        self._serving.enter_context(serving(application, port=self._port))
         spawn(worker.advance_until_ended)
         spawn(self._send_heartbeats, worker, silent_s)
 
+    def _handle(self, environ):
+        """Answer one call, or carry it out late and without an answer."""
+        delay_s = self.late_calls.delay_s()
+        if delay_s == 0:
+            return self.worker.handle(environ)
+        call = {
+            **environ,
+            "wsgi.input": BytesIO(environ["wsgi.input"].read()),
+        }
+        spawn_later(delay_s, self._carry_out, call)
+        sleep(UNANSWERED_S)
+        raise ConnectionResetError(ECONNRESET, "carried out late")
+
+    def _carry_out(self, call):
+        """Carry out a late call, which the next incarnation may get."""
+        if self.worker.up:
+            self.worker.handle(call)
+
     def end(self):
         """End the incarnation."""
         self.worker.end()
