Tell contact, lease and clock in an agent's log

No logic changes.

Each start tells the age of the last contact and whether a lease was sent, and the client the deadline, the offset of the worker's clock and what set it. One line tells that extensions stop, one that they go on, with the ages of contact and answer and the time left of the lease; runs that are counted as lost tell how long ago it ran out. filbertlb_lease_left_seconds shows it.

--- a/filbertlb/batch/agent.py
+++ b/filbertlb/batch/agent.py
@@ -116,6 +116,7 @@
         self._last_contact_s = float("-inf")
         self._last_answer_s = float("-inf")
         self._silent = False
+        self._extending = False
         self._acked_number = 0
 
     def update_worker(self, worker: Worker) -> None:
@@ -162,6 +163,7 @@
         metrics.runs.set(len(self._reconciler.running(now_s)))
         age_s = now_s - self._last_contact_s
         metrics.contact_age_s.set(age_s)
+        metrics.lease_left_s.set(self._reconciler.lease_left_s(now_s))
 
     def run(self) -> None:
         """Register, then run until killed or superseded."""
@@ -248,10 +250,20 @@
         extensions either, so that its runs end by a known time.
         """
         now_s = self._clock.monotonic()
-        return (
+        extending = (
             now_s - self._last_contact_s < CONTACT_LOST_S
             and now_s - self._last_answer_s < WORKER_TIMEOUT_S
         )
+        if extending != self._extending:
+            self._extending = extending
+            logger.info(
+                "leases {} extended: last contact {:.1f} s ago, last answer "
+                "{:.1f} s ago, {:.1f} s left of the lease sent last",
+                "are" if extending else "are no longer",
+                *(now_s - self._last_contact_s, now_s - self._last_answer_s),
+                self._reconciler.lease_left_s(now_s),
+            )
+        return extending
 
     def _worker_responds(self, now_s: float) -> bool:
         """Return whether the worker answers calls and announces itself.
@@ -394,9 +406,10 @@
             # Whether the worker got the call is unknown, as after a timeout.
             logger.exception("start of {} failed", call.order.task)
         logger.info(
-            "start {} attempt {} with fence {}: {}",
+            "start {} attempt {} with fence {}: {}, last contact {:.1f} s "
+            "before, lease sent: {}",
             *(call.order.task, call.order.attempt, fence),
-            result.value,
+            *(result.value, now_s - self._last_contact_s, extend_lease),
         )
         if result is StartResult.FENCED and fence != self._fence:
             # This agent raised the token itself.
--- a/filbertlb/batch/local_expiry.py
+++ b/filbertlb/batch/local_expiry.py
@@ -23,11 +23,12 @@
     return now_s >= extended_s + lease_s
 
 
-def end_expired_runs(runs: LocalRuns) -> None:
+def end_expired_runs(runs: LocalRuns, expired_for_s: float) -> None:
     """End all runs as lost, since their lease has expired."""
+    reason = f"lease ran out {expired_for_s:.1f} s ago"
     for key, run in list(runs.by_key.items()):
         run_ms = run.run_ms(run.acked_s)
-        runs.end(key, EndCause.LOST, "lease ran out", run_ms)
+        runs.end(key, EndCause.LOST, reason, run_ms)
 
 
 def end_with_worker(runs: LocalRuns, orders: Orders, now_s: float) -> None:
--- a/filbertlb/batch/reconciler.py
+++ b/filbertlb/batch/reconciler.py
@@ -25,6 +25,7 @@
 from filbertlb.batch.local_stops import record_stop_reply
 from filbertlb.batch.local_stops import stop
 from filbertlb.batch.model import EndCause
+from filbertlb.batch.worker_link import LEASE_S
 from filbertlb.batch.worker_link import StartResult
 from filbertlb.batch.worker_presence import HEARTBEAT_PERIOD_S
 from filbertlb.batch.worker_presence import WorkerPresence
@@ -180,6 +181,10 @@
         """Record that a lease extension was sent, answered or not."""
         self._extended_s = max(self._created_s, now_s)
 
+    def lease_left_s(self, now_s: float) -> float:
+        """Return the time left of the latest lease; negative after it."""
+        return self._extended_s + LEASE_S - now_s
+
     def set_orders(self, orders: Orders) -> None:
         """Replace the orders; forget what concerns runs no longer ordered."""
         self.orders = orders
@@ -191,7 +196,7 @@
         if orders is None or self.fenced:
             return []
         if lease_expired(self._extended_s, now_s):
-            self._end_expired(orders)
+            self._end_expired(orders, now_s)
         if self.worker_gone:
             end_with_worker(self._runs, orders, now_s)
             return []
@@ -339,13 +344,13 @@
         )
         return [call for call in stops if call is not None]
 
-    def _end_expired(self, orders: Orders) -> None:
+    def _end_expired(self, orders: Orders, now_s: float) -> None:
         """End runs as lost, as their lease must have expired.
 
         Without a worker that has listed its runs, all orders end as lost.
         """
         record_crash_ages(self._runs, self._presence)
-        end_expired_runs(self._runs)
+        end_expired_runs(self._runs, -self.lease_left_s(now_s))
         if not self._presence.listed:
             reason = "no worker has listed its runs"
             self._runs.lose_orders(orders.orders, reason)
--- a/filbertlb/metrics.py
+++ b/filbertlb/metrics.py
@@ -123,6 +123,9 @@
         Runs that an agent's worker holds.
     contact_age_s : Gauge
         Time since the table answered last, in seconds.
+    lease_left_s : Gauge
+        Time until the latest lease that an agent sent to its worker ends,
+        in seconds; negative after it.
     learned_keys : ClearableGauge
         Learned statistics, by ``of``: ``queue``, ``kind`` of task or
         ``caller``; as all that follow, at the entry that decides.
@@ -197,6 +200,7 @@
         self.leader = gauge("leader")
         self.runs = gauge("runs")
         self.contact_age_s = gauge("contact_age_seconds")
+        self.lease_left_s = gauge("lease_left_seconds")
         self.learned_keys = ClearableGauge(meter, "learned_keys")
         self.expected_run_s = ClearableGauge(meter, "expected_run_seconds")
         self.estimate_correction = ClearableGauge(meter, "estimate_correction")
--- a/filbertlb/platform/runner.py
+++ b/filbertlb/platform/runner.py
@@ -114,11 +114,12 @@
         self._clock = clock
         self._instance_id = ""
         self._clock_offset_ms = 0.0
+        self._clock_source = "none"
 
     def on_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Update the worker's incarnation and the offset of its clock."""
         self._instance_id = instance_id_of(heartbeat.worker.incarnation)
-        self._set_clock(heartbeat.clock_ms)
+        self._set_clock(heartbeat.clock_ms, heartbeat.worker.incarnation)
 
     def start(
         self, order: Order, payload: str, fence: int, extend_lease: bool
@@ -133,6 +134,12 @@
         }
         if order.saved:
             body["checkpointed"] = order.saved
+        logger.info(
+            "start of {} attempt {} on {}: deadline {} ms, clock {:.0f} ms "
+            "ahead by {}",
+            *(order.task, order.attempt, order.incarnation),
+            *(body["deadlineMs"], self._clock_offset_ms, self._clock_source),
+        )
         try:
             reply = self._post(
                 "run-start",
@@ -233,11 +240,12 @@
     def _decode(self, reply: Reply, cls: type[_T]) -> _T:
         """Decode a reply and update the offset of the worker's clock."""
         message = decode_json(reply.body, cls)
-        self._set_clock(message.clock_ms)
+        self._set_clock(message.clock_ms, "an answer")
         return message
 
-    def _set_clock(self, clock_ms: int) -> None:
+    def _set_clock(self, clock_ms: int, source: str) -> None:
         if clock_ms:
+            self._clock_source = source
             now_ms = self._clock.monotonic() * 1000
             self._clock_offset_ms = clock_ms - now_ms
 
