Fix the end of a lease before the call, on the clock it is meant for

Two runs of one task were seen at once beside an agent whose store was out of reach. What the decider waits for was no bound, by two faults of one design: the link was told to extend the lease and took its end itself, when it built the call.

A clock of another incarnation (H2): the offset was that of whichever answer or heartbeat came last. Of an incarnation before, it gave a deadline of 506000 ms where the worker's clock showed 3000 ms, so that the lease lasted 6 s from when the call was carried out, however late.

The agent now takes the end of the lease from the reading of the clock with which it checks the contact. The link translates it to the clock of the incarnation that the call is meant for, and sends none if that is unknown; an answer to a start names no incarnation and tells no clock. Runs count as lost after the latest end that was sent, with a margin of 0.5 s (6.5 s after the sending, 6.42 s before).

--- a/filbertlb/batch/agent.py
+++ b/filbertlb/batch/agent.py
@@ -21,6 +21,7 @@
 from filbertlb.batch.model import WORKER_PREFIX
 from filbertlb.batch.model import WorkerReport
 from filbertlb.batch.reconciler import WorkerReconciler
+from filbertlb.batch.worker_link import LEASE_S
 from filbertlb.batch.worker_link import StartCall
 from filbertlb.batch.worker_link import StartResult
 from filbertlb.batch.worker_link import StopCall
@@ -241,15 +242,16 @@
         self._reconciler.set_orders(orders)
         self._wake_loops()
 
-    def _may_extend_leases(self) -> bool:
-        """Return whether leases may be extended now.
+    def _next_lease_end_s(self, now_s: float) -> float | None:
+        """Return the end of the lease that a call sends; None for none.
 
         Leases are extended only for a limited time after the agent's
         last contact with the table, so the decider can wait until the
         last of them has expired. A worker that does not answer gets no
         extensions either, so that its runs end by a known time.
+
+        The end is fixed before the call, which may be held up.
         """
-        now_s = self._clock.monotonic()
         extending = (
             now_s - self._last_contact_s < CONTACT_LOST_S
             and now_s - self._last_answer_s < WORKER_TIMEOUT_S
@@ -263,7 +265,11 @@
                 *(now_s - self._last_contact_s, now_s - self._last_answer_s),
                 self._reconciler.lease_left_s(now_s),
             )
-        return extending
+        if not extending:
+            return None
+        lease_end_s = now_s + LEASE_S
+        self._reconciler.record_lease(lease_end_s)
+        return lease_end_s
 
     def _worker_responds(self, now_s: float) -> bool:
         """Return whether the worker answers calls and announces itself.
@@ -279,20 +285,20 @@
 
     def _listing_loop(self) -> None:
         while not self._reconciler.fenced:
-            if self._reconciler.worker is None or self._reconciler.worker_gone:
+            worker = self._reconciler.worker
+            if worker is None or self._reconciler.worker_gone:
                 sleep(RETRY_S)
                 continue
             sent_s = self._clock.monotonic()
-            extend_lease = self._may_extend_leases()
-            if extend_lease:
-                self._reconciler.record_extension(sent_s)
+            lease_end_s = self._next_lease_end_s(sent_s)
             fence = self._fence
             wait_s = self._long_poll_s()
             try:
                 listing = self._link.list_runs(
+                    worker.incarnation,
                     fence,
                     self._number_to_acknowledge(),
-                    extend_lease,
+                    lease_end_s,
                     wait_s,
                 )
             except WorkerSilentError as error:
@@ -394,22 +400,22 @@
 
     def _start(self, call: StartCall, fence: int) -> None:
         now_s = self._clock.monotonic()
-        extend_lease = self._may_extend_leases()
-        if extend_lease:
-            self._reconciler.record_extension(now_s)
+        lease_end_s = self._next_lease_end_s(now_s)
+        contact_age_s = now_s - self._last_contact_s
         result = StartResult.UNKNOWN
         try:
             result = self._link.start(
-                call.order, call.payload, fence, extend_lease
+                call.order, call.payload, fence, lease_end_s
             )
         except Exception:
             # Whether the worker got the call is unknown, as after a timeout.
             logger.exception("start of {} failed", call.order.task)
         logger.info(
             "start {} attempt {} with fence {}: {}, last contact {:.1f} s "
-            "before, lease sent: {}",
+            "before, lease of {} s",
             *(call.order.task, call.order.attempt, fence),
-            *(result.value, now_s - self._last_contact_s, extend_lease),
+            *(result.value, contact_age_s),
+            0 if lease_end_s is None else round(lease_end_s - now_s, 1),
         )
         if result is StartResult.FENCED and fence != self._fence:
             # This agent raised the token itself.
--- a/filbertlb/batch/local_expiry.py
+++ b/filbertlb/batch/local_expiry.py
@@ -6,21 +6,18 @@
 
 from filbertlb.batch.local_starts import START_RETRY_S
 from filbertlb.batch.model import EndCause
-from filbertlb.batch.worker_link import CLOCK_DRIFT
-from filbertlb.batch.worker_link import LEASE_S
 
 if TYPE_CHECKING:
     from filbertlb.batch.local_runs import LocalRuns
     from filbertlb.batch.model import Orders
 
-LEASE_MARGIN_S = 0.3
-"""Margin added to a lease before its runs count as lost."""
+LEASE_MARGIN_S = 0.5
+"""Margin added to the end of a lease before its runs count as lost."""
 
 
-def lease_expired(extended_s: float, now_s: float) -> bool:
-    """Return whether a lease that was last extended at a time has expired."""
-    lease_s = LEASE_S * CLOCK_DRIFT + LEASE_MARGIN_S
-    return now_s >= extended_s + lease_s
+def lease_expired(lease_end_s: float, now_s: float) -> bool:
+    """Return whether a lease that was to end at a time has surely expired."""
+    return now_s >= lease_end_s + LEASE_MARGIN_S
 
 
 def end_expired_runs(runs: LocalRuns, expired_for_s: float) -> None:
--- a/filbertlb/batch/reconciler.py
+++ b/filbertlb/batch/reconciler.py
@@ -75,8 +75,8 @@
         self.orders: Orders | None = None
         self.fenced = False
         self.last_end_number = 0
-        self._created_s = created_s
-        self._extended_s = created_s
+        # The last process may have extended the lease until then.
+        self._lease_end_s = created_s + LEASE_S
         self._presence = WorkerPresence(heartbeat_period_s)
         self._runs = LocalRuns()
         self._starts = LocalStarts(self._presence, self._runs)
@@ -177,13 +177,13 @@
         """Record that another incarnation answers than was announced."""
         self._presence.record_other_incarnation()
 
-    def record_extension(self, now_s: float) -> None:
-        """Record that a lease extension was sent, answered or not."""
-        self._extended_s = max(self._created_s, now_s)
+    def record_lease(self, end_s: float) -> None:
+        """Record the end of a lease that is sent, answered or not."""
+        self._lease_end_s = max(self._lease_end_s, end_s)
 
     def lease_left_s(self, now_s: float) -> float:
         """Return the time left of the latest lease; negative after it."""
-        return self._extended_s + LEASE_S - now_s
+        return self._lease_end_s - now_s
 
     def set_orders(self, orders: Orders) -> None:
         """Replace the orders; forget what concerns runs no longer ordered."""
@@ -195,7 +195,7 @@
         orders = self.orders
         if orders is None or self.fenced:
             return []
-        if lease_expired(self._extended_s, now_s):
+        if lease_expired(self._lease_end_s, now_s):
             self._end_expired(orders, now_s)
         if self.worker_gone:
             end_with_worker(self._runs, orders, now_s)
--- a/filbertlb/batch/worker_link.py
+++ b/filbertlb/batch/worker_link.py
@@ -16,9 +16,20 @@
     from filbertlb.batch.model import RunEnd
 
 LEASE_S = 6.0
-"""Maximum duration of a lease that a worker grants."""
+"""Time from the sending of a call to the end of the lease that it sends.
+
+No worker grants a longer one. A run that the decider gives up has ended, by
+times that all follow from one contact, the sending of a stored report::
+
+    extended before    contact + CONTACT_LOST_S
+    lease ends by      contact + CONTACT_LOST_S + LEASE_S
+    given up after     contact + DEAD_AFTER_S
+
+where ``DEAD_AFTER_S >= CONTACT_LOST_S + LEASE_S``. The end is a time on the
+agent's clock, which a worker's clock of ``SLOWEST_RATE`` reaches in time.
+"""
 CLOCK_DRIFT = 1.02
-"""Factor on lease times, since a worker's clock may run 2% slow."""
+"""Factor by which the decider waits longer than a lease lasts."""
 
 
 class WorkerSilentError(UnavailableError):
@@ -110,15 +121,20 @@
     """
 
     def start(
-        self, order: Order, payload: str, fence: int, extend_lease: bool
+        self,
+        order: Order,
+        payload: str,
+        fence: int,
+        lease_end_s: float | None,
     ) -> StartResult:
         """Start a run.
 
         Parameters
         ----------
-        extend_lease : bool
-            Grant a lease of full duration; without it the worker
-            refuses the start.
+        lease_end_s : float, optional
+            Monotonic time by which the lease of all runs ends unless it is
+            extended again; None to extend none. The worker refuses the
+            start if no lease is left.
         """
         ...
 
@@ -127,17 +143,25 @@
         ...
 
     def list_runs(
-        self, fence: int, acked_number: int, extend_lease: bool, wait_s: float
+        self,
+        incarnation: str,
+        fence: int,
+        acked_number: int,
+        lease_end_s: float | None,
+        wait_s: float,
     ) -> RunListing:
         """Return the worker's runs and their ends, by a long poll.
 
         Parameters
         ----------
+        incarnation : str
+            Incarnation that the call is meant for.
         acked_number : int
             Highest number of an end that is stored; the worker drops
             the ends up to it.
-        extend_lease : bool
-            Extend the worker's lease to its full duration.
+        lease_end_s : float, optional
+            Monotonic time by which the lease of all runs ends unless it is
+            extended again; None to extend none.
         wait_s : float
             Maximum time to wait for an end, in seconds.
 
--- a/filbertlb/platform/runner.py
+++ b/filbertlb/platform/runner.py
@@ -4,7 +4,6 @@
 
 from typing import Any
 from typing import TYPE_CHECKING
-from typing import TypeVar
 
 import msgspec
 from loguru import logger
@@ -12,7 +11,7 @@
 from filbertlb.batch.model import EndCause
 from filbertlb.batch.model import Run
 from filbertlb.batch.model import RunEnd
-from filbertlb.batch.worker_link import LEASE_S
+from filbertlb.batch.worker_clock import WorkerClocks
 from filbertlb.batch.worker_link import ListedEnd
 from filbertlb.batch.worker_link import RunListing
 from filbertlb.batch.worker_link import StartResult
@@ -63,15 +62,12 @@
 }
 
 
-_T = TypeVar("_T", bound="_CallReply")
-
-
 class _CallReply(msgspec.Struct, rename="camel"):
-    clock_ms: Count = 0
     reason: str = ""
 
 
-class _HoldReply(_CallReply, rename="camel"):
+class _HoldReply(msgspec.Struct, rename="camel"):
+    clock_ms: Count = 0
     born: Count = 0
     running: list[msgspec.Raw] = []
     finished: list[msgspec.Raw] = []
@@ -113,32 +109,36 @@
         self._caller = HttpCaller(f"http://{address}", answers=answers)
         self._clock = clock
         self._instance_id = ""
-        self._clock_offset_ms = 0.0
-        self._clock_source = "none"
+        self._clocks = WorkerClocks()
 
     def on_heartbeat(self, heartbeat: Heartbeat) -> None:
-        """Update the worker's incarnation and the offset of its clock."""
-        self._instance_id = instance_id_of(heartbeat.worker.incarnation)
-        self._set_clock(heartbeat.clock_ms, heartbeat.worker.incarnation)
+        """Update the worker's instance and the reading of its clock."""
+        incarnation = heartbeat.worker.incarnation
+        self._instance_id = instance_id_of(incarnation)
+        self._record_clock(incarnation, heartbeat.clock_ms)
 
     def start(
-        self, order: Order, payload: str, fence: int, extend_lease: bool
+        self,
+        order: Order,
+        payload: str,
+        fence: int,
+        lease_end_s: float | None,
     ) -> StartResult:
-        """Start a run; with ``extend_lease``, extend the worker's lease."""
+        """Start a run, extending the worker's lease to ``lease_end_s``."""
+        deadline_ms = self._deadline_ms(order.incarnation, lease_end_s)
         body = {
             "task": order.task,
             "attempt": order.attempt,
             "spec": payload,
-            "deadlineMs": self._lease_end_ms() if extend_lease else 0,
+            "deadlineMs": deadline_ms or 0,
             "fencingToken": fence,
         }
         if order.saved:
             body["checkpointed"] = order.saved
         logger.info(
-            "start of {} attempt {} on {}: deadline {} ms, clock {:.0f} ms "
-            "ahead by {}",
-            *(order.task, order.attempt, order.incarnation),
-            *(body["deadlineMs"], self._clock_offset_ms, self._clock_source),
+            "start of {} attempt {}: deadline {} ms by {}",
+            *(order.task, order.attempt, deadline_ms),
+            self._clocks.get(order.incarnation),
         )
         try:
             reply = self._post(
@@ -169,23 +169,31 @@
         return reply.status == HTTP_OK
 
     def list_runs(
-        self, fence: int, acked_number: int, extend_lease: bool, wait_s: float
+        self,
+        incarnation: str,
+        fence: int,
+        acked_number: int,
+        lease_end_s: float | None,
+        wait_s: float,
     ) -> RunListing:
         """Return the worker's running and ended runs.
 
         Waits up to ``wait_s`` for a run to end. Ends up to ``acked_number``
-        are acknowledged; with ``extend_lease``, the worker's lease is
-        extended.
+        are acknowledged, and the worker's lease is extended to
+        ``lease_end_s``.
         """
         body: dict[str, Any] = {
             "fencingToken": fence,
             "ackedSeq": acked_number,
             "waitMs": int(wait_s * 1000),
         }
-        if extend_lease:
-            body["deadlineMs"] = self._lease_end_ms()
+        deadline_ms = self._deadline_ms(incarnation, lease_end_s)
+        if deadline_ms is not None:
+            body["deadlineMs"] = deadline_ms
+        instance_id = instance_id_of(incarnation)
+        timeout_s = wait_s + HOLD_TIMEOUT_MARGIN_S
         try:
-            reply = self._post("hold", body, wait_s + HOLD_TIMEOUT_MARGIN_S)
+            reply = self._post("hold", body, timeout_s, instance_id)
         except CallRefusedError as error:
             raise WorkerDownError(error.message) from error
         except (CallNotSentError, CallOutcomeUnknownError) as error:
@@ -195,10 +203,12 @@
                 f"status {reply.status!r}: {reply.body[:120]!r}"
             )
         try:
-            holding = self._decode(reply, _HoldReply)
+            holding = decode_json(reply.body, _HoldReply)
         except MalformedDataError as error:
             # What it would have listed has not ended.
             raise WorkerSilentError(f"unreadable reply: {error}") from error
+        answered = incarnation_name(instance_id, holding.born)
+        self._record_clock(answered, holding.clock_ms)
         runs = decode_entries(holding.running, _ListedRun)
         ends = decode_entries(holding.finished, _ListedEnd)
         # A run that is listed in an unreadable entry has not ended.
@@ -209,13 +219,13 @@
             tuple(_run(listed) for listed in runs),
             tuple(_numbered_ends(ends, holding.finished)),
             readable and len(holding.finished) < MAX_ENDS_PER_REPLY,
-            incarnation_name(self._instance_id, holding.born),
+            answered,
         )
 
     def _refusal(self, reply: Reply) -> StartResult:
         """Return why the worker refused a start."""
         try:
-            reason = self._decode(reply, _CallReply).reason
+            reason = decode_json(reply.body, _CallReply).reason
         except MalformedDataError as error:
             logger.warning("refusal of a start without reason: {}", error)
             return StartResult.INVALID
@@ -237,22 +247,22 @@
             headers,
         )
 
-    def _decode(self, reply: Reply, cls: type[_T]) -> _T:
-        """Decode a reply and update the offset of the worker's clock."""
-        message = decode_json(reply.body, cls)
-        self._set_clock(message.clock_ms, "an answer")
-        return message
-
-    def _set_clock(self, clock_ms: int, source: str) -> None:
-        if clock_ms:
-            self._clock_source = source
-            now_ms = self._clock.monotonic() * 1000
-            self._clock_offset_ms = clock_ms - now_ms
-
-    def _lease_end_ms(self) -> int:
-        """Return the end of a full lease from now, on the worker's clock."""
-        now_ms = self._clock.monotonic() * 1000
-        return int(now_ms + self._clock_offset_ms + LEASE_S * 1000)
+    def _record_clock(self, incarnation: str, clock_ms: int) -> None:
+        now_s = self._clock.monotonic()
+        self._clocks.record(incarnation, clock_ms, now_s)
+
+    def _deadline_ms(
+        self, incarnation: str, lease_end_s: float | None
+    ) -> int | None:
+        """Return the end of a lease on the clock of an incarnation.
+
+        None if there is no lease, or if that clock is not known: the clock
+        of another one tells nothing of it.
+        """
+        reading = self._clocks.get(incarnation)
+        if lease_end_s is None or reading is None:
+            return None
+        return reading.deadline_ms(lease_end_s)
 
 
 def _run(listed: _ListedRun) -> Run:
--- a/tests/batch/reconciling.py
+++ b/tests/batch/reconciling.py
@@ -5,6 +5,7 @@
 from filbertlb.batch.reconciler import WorkerReconciler
 from filbertlb.batch.testing import a_worker
 from filbertlb.batch.testing import some_orders
+from filbertlb.batch.worker_link import LEASE_S
 from filbertlb.batch.worker_link import StartCall
 from filbertlb.batch.worker_link import StartResult
 from filbertlb.batch.worker_presence import HEARTBEAT_PERIOD_S
@@ -21,7 +22,7 @@
     reconciler.set_worker(worker or a_worker())
     reconciler.record_announcement(0.0)
     reconciler.record_listing(0.0, [], [], ends_complete=True)
-    reconciler.record_extension(0.0)
+    reconciler.record_lease(LEASE_S)
     reconciler.set_orders(some_orders(*orders))
     return reconciler
 
--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -54,7 +54,7 @@
     calls: list = attrs.Factory(list)
     running: tuple = ()
 
-    def start(self, order, payload, fence, extend_lease):
+    def start(self, order, payload, fence, lease_end_s):
         self._call("start")
         self.running = (Run(order.task, order.attempt),)
         return StartResult.STARTED
@@ -63,7 +63,7 @@
         self._call("stop")
         return True
 
-    def list_runs(self, fence, acked_number, extend_lease, wait_s):
+    def list_runs(self, incarnation, fence, acked_number, lease_end_s, wait_s):
         sleep(0.01)
         return RunListing(self.running, (), ends_complete=True)
 
@@ -112,14 +112,14 @@
 
     down: bool = False
 
-    def start(self, order, payload, fence, extend_lease):
+    def start(self, order, payload, fence, lease_end_s):
         self.down = True
         return StartResult.STARTED
 
     def stop(self, task, attempt, fence):
         return False
 
-    def list_runs(self, fence, acked_number, extend_lease, wait_s):
+    def list_runs(self, incarnation, fence, acked_number, lease_end_s, wait_s):
         sleep(0.01)
         if self.down:
             raise WorkerDownError("no connection")
@@ -197,7 +197,7 @@
 
     incarnation: str = ""
 
-    def list_runs(self, fence, acked_number, extend_lease, wait_s):
+    def list_runs(self, incarnation, fence, acked_number, lease_end_s, wait_s):
         sleep(0.01)
         self._call("list")
         runs = () if self.incarnation else self.running
@@ -210,12 +210,12 @@
 
     down: bool = False
 
-    def list_runs(self, fence, acked_number, extend_lease, wait_s):
+    def list_runs(self, incarnation, fence, acked_number, lease_end_s, wait_s):
         self._call("list")
         if self.down:
             raise WorkerDownError("no connection")
         return FailingLink.list_runs(
-            self, fence, acked_number, extend_lease, wait_s
+            self, incarnation, fence, acked_number, lease_end_s, wait_s
         )
 
 
@@ -333,10 +333,10 @@
 
     extensions: list = attrs.Factory(list)
 
-    def list_runs(self, fence, acked_number, extend_lease, wait_s):
-        self.extensions.append(extend_lease)
+    def list_runs(self, incarnation, fence, acked_number, lease_end_s, wait_s):
+        self.extensions.append(lease_end_s)
         return FailingLink.list_runs(
-            self, fence, acked_number, extend_lease, wait_s
+            self, incarnation, fence, acked_number, lease_end_s, wait_s
         )
 
 
@@ -348,7 +348,7 @@
     with running(agent):
         while len(link.extensions) < 5:
             sleep(0.01)
-    assert not any(link.extensions)
+    assert all(end_s is None for end_s in link.extensions)
 
 
 @attrs.define
@@ -371,7 +371,7 @@
     late_start: Order | None = None
     late_fence: int = 0
 
-    def start(self, order, payload, fence, extend_lease):
+    def start(self, order, payload, fence, lease_end_s):
         self._call("start")
         if fence < self.fence:
             return StartResult.FENCED
@@ -384,7 +384,7 @@
         self.running = ()
         return True
 
-    def list_runs(self, fence, acked_number, extend_lease, wait_s):
+    def list_runs(self, incarnation, fence, acked_number, lease_end_s, wait_s):
         sleep(0.01)
         if not self.restarted:
             return RunListing((), (), True, "w@1")
@@ -423,9 +423,9 @@
 
     restart: Callable | None = None
 
-    def start(self, order, payload, fence, extend_lease):
+    def start(self, order, payload, fence, lease_end_s):
         if self.calls:
-            return FailingLink.start(self, order, payload, fence, extend_lease)
+            return FailingLink.start(self, order, payload, fence, lease_end_s)
         self._call("start")
         self.restart()
         self.running = (Run(order.task, order.attempt),)
@@ -457,11 +457,11 @@
     ends: dict = attrs.Factory(dict)
     silent: bool = False
 
-    def start(self, order, payload, fence, extend_lease):
+    def start(self, order, payload, fence, lease_end_s):
         self._call("start")
         return StartResult.UNKNOWN
 
-    def list_runs(self, fence, acked_number, extend_lease, wait_s):
+    def list_runs(self, incarnation, fence, acked_number, lease_end_s, wait_s):
         sleep(0.01)
         if self.silent:
             self.silent = False
@@ -544,14 +544,14 @@
     fences: list = attrs.Factory(list)
     start_fences: list = attrs.Factory(list)
 
-    def start(self, order, payload, fence, extend_lease):
+    def start(self, order, payload, fence, lease_end_s):
         self.start_fences.append(fence)
         return StartResult.UNKNOWN
 
-    def list_runs(self, fence, acked_number, extend_lease, wait_s):
+    def list_runs(self, incarnation, fence, acked_number, lease_end_s, wait_s):
         self.fences.append(fence)
         return FailingLink.list_runs(
-            self, fence, acked_number, extend_lease, wait_s
+            self, incarnation, fence, acked_number, lease_end_s, wait_s
         )
 
 
@@ -561,11 +561,13 @@
 
     waits_s: list = attrs.Factory(list)
 
-    def list_runs(self, fence, acked_number, extend_lease, wait_s):
+    def list_runs(self, incarnation, fence, acked_number, lease_end_s, wait_s):
         self.waits_s.append(wait_s)
         if len(self.waits_s) in (2, 3):
             raise WorkerSilentError("no answer")
-        return super().list_runs(fence, acked_number, extend_lease, wait_s)
+        return super().list_runs(
+            incarnation, fence, acked_number, lease_end_s, wait_s
+        )
 
 
 def test_worker_that_answered_again_was_taken_for_silent():
--- a/tests/batch/test_local_expiry.py
+++ b/tests/batch/test_local_expiry.py
@@ -10,6 +10,7 @@
 from filbertlb.batch.testing import a_worker
 from filbertlb.batch.testing import an_order
 from filbertlb.batch.testing import some_orders
+from filbertlb.batch.worker_link import LEASE_S
 from filbertlb.batch.worker_link import StartResult
 from tests.batch.reconciling import cause_by_task
 from tests.batch.reconciling import LEASE_EXPIRED_S
@@ -20,7 +21,7 @@
 def test_a_silent_worker_loses_its_runs_when_the_lease_is_out():
     reconciler = reconciler_with(an_order("j.0.0.0"))
     start_all(reconciler)
-    reconciler.record_extension(2.0)
+    reconciler.record_lease(2.0 + LEASE_S)
     reconciler.due_calls(2.0 + LEASE_EXPIRED_S - 0.2)
     assert cause_by_task(reconciler) == {}
     reconciler.due_calls(2.0 + LEASE_EXPIRED_S)
@@ -58,7 +59,7 @@
     reconciler.record_deregistration("w@1")
     for tick in range(1, 41):
         now_s = tick / 4
-        reconciler.record_extension(now_s)
+        reconciler.record_lease(now_s + LEASE_S)
         running = [Run("j.0.0.0", 1)]
         reconciler.record_listing(now_s, running, [], ends_complete=True)
         assert reconciler.due_calls(now_s) == []
@@ -73,7 +74,7 @@
     reconciler = reconciler_with(an_order("j.0.0.0"))
     start_all(reconciler)
     reconciler.set_worker(a_worker(draining=True))
-    reconciler.record_extension(2.0)
+    reconciler.record_lease(2.0 + LEASE_S)
     reconciler.record_deregistration("w@1")
     reconciler.due_calls(2.0 + LEASE_EXPIRED_S - 0.2)
     assert cause_by_task(reconciler) == {}
--- a/tests/batch/test_local_starts.py
+++ b/tests/batch/test_local_starts.py
@@ -11,6 +11,7 @@
 from filbertlb.batch.model import RunEnd
 from filbertlb.batch.testing import a_worker
 from filbertlb.batch.testing import an_order
+from filbertlb.batch.worker_link import LEASE_S
 from filbertlb.batch.worker_link import ListedEnd
 from filbertlb.batch.worker_link import StartResult
 from filbertlb.batch.worker_link import StopCall
@@ -102,7 +103,7 @@
     for tick in range(40):
         now_s = tick / 4
         reconciler.record_announcement(now_s)
-        reconciler.record_extension(now_s)
+        reconciler.record_lease(now_s + LEASE_S)
         for call in reconciler.due_calls(now_s):
             if isinstance(call, StopCall):
                 reconciler.record_stop(call, answered=True, now_s=now_s)
@@ -121,7 +122,7 @@
     for number in range(MAX_START_TRIES + 1):
         now_s = number * MAX_CALL_S
         reconciler.record_announcement(now_s)
-        reconciler.record_extension(now_s)
+        reconciler.record_lease(now_s + LEASE_S)
         calls += reconciler.due_calls(now_s)
     starts = [call for call in calls if not isinstance(call, StopCall)]
     assert len(starts) == MAX_START_TRIES
--- a/tests/batch/test_local_stops.py
+++ b/tests/batch/test_local_stops.py
@@ -12,6 +12,7 @@
 from filbertlb.batch.testing import a_worker
 from filbertlb.batch.testing import an_order
 from filbertlb.batch.testing import some_orders
+from filbertlb.batch.worker_link import LEASE_S
 from filbertlb.batch.worker_link import StartCall
 from filbertlb.batch.worker_link import StartResult
 from filbertlb.batch.worker_link import StopCall
@@ -71,7 +72,7 @@
         for call in reconciler.due_calls(now_s):
             reconciler.record_stop(call, answered=True, now_s=now_s)
         if now_s - listing_sent_s >= LONG_POLL_S:
-            reconciler.record_extension(listing_sent_s)
+            reconciler.record_lease(listing_sent_s + LEASE_S)
             reconciler.record_listing(
                 listing_sent_s, [], [], ends_complete=True
             )
@@ -86,7 +87,7 @@
     later, earlier = (a_worker(incarnation=name) for name in ("w@2", "w@1"))
     reconciler.set_worker(later)
     reconciler.record_announcement(0.0)
-    reconciler.record_extension(0.0)
+    reconciler.record_lease(LEASE_S)
     reconciler.record_listing(0.0, (), (), ends_complete=True)
     reconciler.set_orders(some_orders(order))
     (start,) = reconciler.due_calls(0.0)
--- a/tests/batch/test_worker_presence.py
+++ b/tests/batch/test_worker_presence.py
@@ -7,6 +7,7 @@
 from filbertlb.batch.testing import a_worker
 from filbertlb.batch.testing import an_order
 from filbertlb.batch.testing import some_orders
+from filbertlb.batch.worker_link import LEASE_S
 from filbertlb.batch.worker_presence import HEARTBEAT_PERIOD_S
 from filbertlb.batch.worker_presence import MAX_HEARTBEAT_PERIODS
 from tests.batch.reconciling import cause_by_task
@@ -36,7 +37,7 @@
     order = an_order("j.0.0.0")
     reconciler = reconciler_with(order, heartbeat_period_s=period_s)
     age_s = periods * period_s
-    reconciler.record_extension(age_s)
+    reconciler.record_lease(age_s + LEASE_S)
     assert len(reconciler.due_calls(age_s)) == starts
     assert cause_by_task(reconciler) == {}
 
--- a/tests/platform/test_runner.py
+++ b/tests/platform/test_runner.py
@@ -20,7 +20,7 @@
 
 def query_runs(address):
     return PlatformWorkerClient(address, VirtualClock()).list_runs(
-        1, 0, True, 0.0
+        "i@1", 1, 0, 1.0, 0.0
     )
 
 
@@ -143,5 +143,5 @@
             url.removeprefix("http://"), VirtualClock()
         )
         client.on_heartbeat(Heartbeat(a_worker(incarnation="i-2@9"), 1, 9, 0))
-        client.start(an_order("j.0.0.0", incarnation="i-1@5"), "", 1, True)
+        client.start(an_order("j.0.0.0", incarnation="i-1@5"), "", 1, 1.0)
     assert instance_ids == ["i-1"]
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -98,13 +98,13 @@
 def list_runs(body):
     client = PlatformWorkerClient("127.0.0.1:1", VirtualClock())
     client._caller = FixedCaller(200, body)
-    client.list_runs(1, 0, True, 0.0)
+    client.list_runs("i@1", 1, 0, 1.0, 0.0)
 
 
 def start_run(body):
     client = PlatformWorkerClient("127.0.0.1:1", VirtualClock())
     client._caller = FixedCaller(409, body)
-    client.start(an_order("j.0.0.0"), "", 1, True)
+    client.start(an_order("j.0.0.0"), "", 1, 1.0)
 
 
 def call_peer(status):
--- a/tests/test_odd_numbers.py
+++ b/tests/test_odd_numbers.py
@@ -120,9 +120,10 @@
 def list_runs(body):
     client = PlatformWorkerClient("127.0.0.1:1", VirtualClock())
     client._caller = FixedCaller(body)
-    client.list_runs(1, 0, True, 0.0)
+    client.list_runs("i@1", 1, 0, 1.0, 0.0)
     # The clock of the reply is part of each later call.
-    return [client.list_runs(1, 0, True, 0.0), client._lease_end_ms()]
+    listing = client.list_runs("i@1", 1, 0, 1.0, 0.0)
+    return [listing, client._deadline_ms(listing.incarnation, 1.0)]
 
 
 def read_changes(body):
