Confirm processed reports in the orders rows

An agent can't tell whether the decider that wrote its orders knows that the agent is back in contact, nor whether an end that it reports has been taken into account.

The decider now remembers the latest report that it has processed of each worker and writes its name into the worker's orders row. A row is written for this alone only if the agent process is new or waits for a report after the one that the row confirms, so calm times cost no further writes. A report that cannot be read names nothing. A new decider writes all rows anyway.

--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -230,6 +230,7 @@
                     self.state.set_job_state(
                         progress.job_id, JobState.ACTIVE, now_ms
                     )
+        self.state.confirm(report)
 
     def _apply_end(self, end: RunEnd, now_ms: int, now_s: float) -> None:
         self.run_ends[end.cause] += 1
--- a/filbertlb/batch/planner_state.py
+++ b/filbertlb/batch/planner_state.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from filbertlb.batch.confirmations import Confirmations
 from filbertlb.batch.job_check import MAX_JOB_PAYLOAD_BYTES
 from filbertlb.batch.model import FINAL_STATES
 from filbertlb.batch.model import has_step
@@ -27,6 +28,7 @@
     from filbertlb.batch.model import GangFailures
     from filbertlb.batch.model import Job
     from filbertlb.batch.model import Step
+    from filbertlb.batch.model import WorkerReport
     from filbertlb.core.amounts import Amount
 
 ALLOCATED_PHASES = (TaskPhase.ORDERED, TaskPhase.STOPPING)
@@ -101,6 +103,8 @@
     rack_wait_since_ms : dict of str to int
         Time since which a task group that fits elsewhere waits for a rack.
         It is not stored: under the next decider the wait begins again.
+    confirmations : Confirmations
+        Reports that were processed, as the orders rows tell the agents.
     """
 
     jobs: dict[str, Job] = attrs.Factory(dict)
@@ -118,6 +122,7 @@
     preempted: set[str] = attrs.Factory(set)
     with_reservation: set[str] = attrs.Factory(set)
     rack_wait_since_ms: dict[str, int] = attrs.Factory(dict)
+    confirmations: Confirmations = attrs.Factory(Confirmations)
     _tasks_by_node: dict[str, set[str]] = attrs.Factory(dict)
 
     def add_job(self, job: Job) -> None:
@@ -187,6 +192,12 @@
             self.changed_tasks_by_job.pop(job_id, None)
         for node in nodes:
             self.tasks_lost_by_node.pop(node, None)
+        self.confirmations.record_written(nodes)
+
+    def confirm(self, report: WorkerReport) -> None:
+        """Record that a report was processed, as its agent may wait for."""
+        if self.confirmations.record_processed(report):
+            self.changed_nodes.add(report.node)
 
     def _mark_status(self, job_id: str) -> None:
         self.changed_jobs.add(job_id)
@@ -438,4 +449,5 @@
                 )
             )
             payloads[job_id] = self.jobs[job_id].payload
-        return Orders(epoch, tuple(orders), payloads)
+        confirmed = self.confirmations.processed(node)
+        return Orders(epoch, tuple(orders), payloads, confirmed)
