Log reported ends of runs that are not applied

Nothing told that the decider passed an end over, or why: of an earlier attempt, of a run that was given up, of a task that is done, of a job that is not known.

Each such end is logged once, with the task's record, though it stands in several reports. The end of a gang's member that another one represents, and that of a run just applied, tell nothing and are left out.

--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -18,6 +18,9 @@
 from filbertlb.batch.crash_evidence import culprits_among
 from filbertlb.batch.crashes import MAX_BLAME_MS
 from filbertlb.batch.durations import DeclaredDurations
+from filbertlb.batch.end_standing import EndStanding
+from filbertlb.batch.end_standing import standing_of
+from filbertlb.batch.end_standing import UnappliedEnds
 from filbertlb.batch.evacuation import Evacuations
 from filbertlb.batch.evacuation_log import EvacuationLog
 from filbertlb.batch.evacuation_log import MIN_LOGGED_WAIT_MS
@@ -116,6 +119,7 @@
     queue_report: QueueReport = attrs.Factory(QueueReport)
     _unprocessed_nodes: set[str] = attrs.Factory(set)
     _crash_rate: CrashRate = attrs.Factory(CrashRate)
+    _unapplied_ends: UnappliedEnds = attrs.Factory(UnappliedEnds)
 
     def record_report(
         self, report: WorkerReport, now_s: float, recent: bool = True
@@ -206,14 +210,12 @@
         self._observe_progress(
             view, now_ms - round(1000 * (now_s - view.seen_s))
         )
+        standings: dict[RunKey, EndStanding] = {}
         for end in report.ended:
-            job_id = job_id_of(end.task)
-            if job_id not in self.state.jobs:
-                continue
-            record = self.state.record(end.task)
-            if (record.attempt, record.node) != (end.attempt, report.node):
-                continue
-            if record.phase in (TaskPhase.ORDERED, TaskPhase.STOPPING):
+            standing = standing_of(self.state, end, report.node)
+            standings[end.key] = standing
+            if standing is EndStanding.CURRENT:
+                record = self.state.record(end.task)
                 self._count_outcome(view, end, record, now_s)
                 self._update_start_health(view, end, record, now_s)
                 if culprits and end.task not in culprits:
@@ -222,6 +224,7 @@
                     end, self._observing(end.task), now_ms
                 )
                 self._apply_end(end, now_ms, now_s)
+        self._unapplied_ends.log(self.state, report, standings)
         for run in report.running:
             progress = self.state.progress.get(job_id_of(run.task))
             if progress is not None and not progress.started:
