Start runs only while the orders confirm the present contact

The agent read the order of before, began a run that it had never begun, under a lease that its new contact allowed, while the task was started elsewhere.

An agent now counts unbroken series of stored reports as contact sessions and starts runs only while its orders confirm a report of the present one; orders wait until then and are not refused. Reports tell from which number on they await that. A session begins with the agent process, and with each report whose answer came CONTACT_LOST_S or more after the sending of the stored one before: what was sent under an earlier session may still be begun late, so the fencing token is raised with each.

The test of an agent back after 14.7 s failed on: the worker had started [('j.0.0.0', 1)], "last contact 0.0 s before, lease of 6.0 s". Orders in tests that stand for a decider's now confirm the agent's registration, as a decider does; without it nothing starts.

--- a/filbertlb/batch/agent.py
+++ b/filbertlb/batch/agent.py
@@ -98,8 +98,9 @@
         self._registration = token_hex(6)
         self._report_key = WORKER_PREFIX + node
         self._reconciler = WorkerReconciler(
-            clock.monotonic(), heartbeat_period_s
+            self._registration, clock.monotonic(), heartbeat_period_s
         )
+        self._session = self._reconciler.session
         self._call_wake = Event()
         self._report_wake = Event()
         self._mirror = Mirror()
@@ -114,7 +115,7 @@
         self._report_version = ABSENT
         self._fence = 0
         self._sequence = 0
-        self._last_contact_s = float("-inf")
+        self._registration_sent_s = float("-inf")
         self._last_answer_s = float("-inf")
         self._silent = False
         self._extending = False
@@ -128,7 +129,7 @@
         if previous is None or previous.incarnation != worker.incarnation:
             self._acked_number = 0
             if previous is not None:
-                self._fence_incarnation()
+                self._raise_fence()
             logger.info(
                 "worker {} of {}, fencing token {}",
                 *(worker.incarnation, worker.service, self._fence),
@@ -140,7 +141,7 @@
             )
         self._wake_loops()
 
-    def _fence_incarnation(self) -> None:
+    def _raise_fence(self) -> None:
         """Raise the fencing token for a new incarnation of the worker.
 
         Calls that were meant for the one before are refused from its first
@@ -162,7 +163,7 @@
         """Set the gauges of this agent."""
         now_s = self._clock.monotonic()
         metrics.runs.set(len(self._reconciler.running(now_s)))
-        age_s = now_s - self._last_contact_s
+        age_s = now_s - self._session.contact_s
         metrics.contact_age_s.set(age_s)
         metrics.lease_left_s.set(self._reconciler.lease_left_s(now_s))
 
@@ -217,8 +218,11 @@
             write = Write(self._report_key, encode_value(report), version)
             # The next try may find this one's row, but not when it was
             # written.
-            self._last_contact_s = sent_s
+            self._registration_sent_s = sent_s
             self._report_version = self._table.commit((write,))[0]
+        self._session.record_stored(
+            *(0, self._registration_sent_s, self._clock.monotonic())
+        )
         self._fence = self._report_version * FENCES_PER_REGISTRATION
         logger.info("registered with fencing token {}", self._fence)
 
@@ -253,7 +257,7 @@
         The end is fixed before the call, which may be held up.
         """
         extending = (
-            now_s - self._last_contact_s < CONTACT_LOST_S
+            now_s - self._session.contact_s < CONTACT_LOST_S
             and now_s - self._last_answer_s < WORKER_TIMEOUT_S
         )
         if extending != self._extending:
@@ -262,7 +266,10 @@
                 "leases {} extended: last contact {:.1f} s ago, last answer "
                 "{:.1f} s ago, {:.1f} s left of the lease sent last",
                 "are" if extending else "are no longer",
-                *(now_s - self._last_contact_s, now_s - self._last_answer_s),
+                *(
+                    now_s - self._session.contact_s,
+                    now_s - self._last_answer_s,
+                ),
                 self._reconciler.lease_left_s(now_s),
             )
         if not extending:
@@ -401,7 +408,7 @@
     def _start(self, call: StartCall, fence: int) -> None:
         now_s = self._clock.monotonic()
         lease_end_s = self._next_lease_end_s(now_s)
-        contact_age_s = now_s - self._last_contact_s
+        contact_age_s = now_s - self._session.contact_s
         result = StartResult.UNKNOWN
         try:
             result = self._link.start(
@@ -485,6 +492,7 @@
             self._worker_responds(sent_s),
             self._reconciler.running(sent_s),
             self._reconciler.ended(),
+            self._session.awaited_sequence(self._sequence, sent_s),
         )
         try:
             write = Write(
@@ -498,11 +506,31 @@
         except FilbertlbError:
             self._reconciler.report_changed = True
             raise
-        self._last_contact_s = sent_s
+        self._record_contact(report, sent_s)
         current = self._reconciler.worker
         if current is not None and current.incarnation == incarnation:
             self._acked_number = max(self._acked_number, last_end_number)
 
+    def _record_contact(self, report: WorkerReport, sent_s: float) -> None:
+        """Record a stored report.
+
+        Starts that were sent under an earlier contact are refused from the
+        next listing on, also those that arrive late.
+        """
+        answered_s = self._clock.monotonic()
+        gap_s = answered_s - self._session.contact_s
+        if not self._session.record_stored(
+            report.sequence, sent_s, answered_s
+        ):
+            return
+        logger.warning(
+            "back in contact with report {} after {:.1f} s",
+            *(report.sequence, gap_s),
+        )
+        self._raise_fence()
+        # The next report tells what is awaited.
+        self._reconciler.report_changed = True
+
     def _reload_version(self) -> None:
         """Read the report row after a conflict or an unknown outcome.
 
--- a/filbertlb/batch/local_starts.py
+++ b/filbertlb/batch/local_starts.py
@@ -76,11 +76,9 @@
         refuse a start that it may still carry out.
         """
         key = order.key
-        if run.answer_due_s:
-            run.start_unanswered = True
-            run.tries += 1
+        self._record_unanswered(run)
         if not self._presence.may_start:
-            self._put_off(key, run, now_s)
+            self._await_worker(key, run, now_s)
             return None
         if self._may_repeat(run, now_s):
             return self._send(run, order, orders, now_s)
@@ -90,6 +88,11 @@
         del self._runs.by_key[key]
         return self.admit(order, orders, now_s)
 
+    def put_off(self, run: LocalRun, now_s: float) -> None:
+        """Let a start that was not confirmed wait before it is repeated."""
+        self._record_unanswered(run)
+        run.call_ended(now_s + START_RETRY_S)
+
     def record_reply(
         self, key: RunKey, run: LocalRun, result: StartResult, now_s: float
     ) -> None:
@@ -132,7 +135,13 @@
             and run.tries < MAX_START_TRIES
         )
 
-    def _put_off(self, key: RunKey, run: LocalRun, now_s: float) -> None:
+    def _record_unanswered(self, run: LocalRun) -> None:
+        """Count a call that got no answer in time, whatever became of it."""
+        if run.answer_due_s:
+            run.start_unanswered = True
+            run.tries += 1
+
+    def _await_worker(self, key: RunKey, run: LocalRun, now_s: float) -> None:
         """Wait for the worker with a start that may have been carried out.
 
         It gets no answer from a worker that is down, and the next
--- a/filbertlb/batch/reconciler.py
+++ b/filbertlb/batch/reconciler.py
@@ -9,7 +9,9 @@
 from typing import TYPE_CHECKING
 
 import attrs
+from loguru import logger
 
+from filbertlb.batch.contact_session import ContactSession
 from filbertlb.batch.crash_ages import record_crash_ages
 from filbertlb.batch.local_expiry import end_expired_runs
 from filbertlb.batch.local_expiry import end_with_worker
@@ -51,6 +53,8 @@
 
     Parameters
     ----------
+    registration : str
+        Token of this agent process.
     created_s : float
         Monotonic time at which this agent process started.
     heartbeat_period_s : float
@@ -58,6 +62,9 @@
 
     Attributes
     ----------
+    session : ContactSession
+        Contact with the table. Runs start only while it lasts and the
+        orders confirm it.
     orders : Orders, optional
         The latest orders; None before they are read.
     fenced : bool
@@ -69,9 +76,11 @@
 
     def __init__(
         self,
+        registration: str,
         created_s: float = 0.0,
         heartbeat_period_s: float = HEARTBEAT_PERIOD_S,
     ) -> None:
+        self.session = ContactSession(registration)
         self.orders: Orders | None = None
         self.fenced = False
         self.last_end_number = 0
@@ -188,6 +197,10 @@
     def set_orders(self, orders: Orders) -> None:
         """Replace the orders; forget what concerns runs no longer ordered."""
         self.orders = orders
+        was_confirmed = self.session.confirmed
+        self.session.record_confirmed(orders.confirmed)
+        if self.session.confirmed and not was_confirmed:
+            logger.info("orders confirm the contact: {}", orders.confirmed)
         self._runs.follow_orders(orders.orders)
 
     def due_calls(self, now_s: float) -> list[StartCall | StopCall]:
@@ -308,6 +321,9 @@
         ):
             return stop(order.key, run, now_s)
         if run.phase is RunPhase.STARTING and run.call_due(now_s):
+            if not self.session.allows_starts(now_s):
+                self._starts.put_off(run, now_s)
+                return None
             return self._starts.repeat(run, order, orders, now_s)
         return None
 
@@ -323,6 +339,8 @@
             reason = "stopped before it started"
             self._runs.end(key, EndCause.STOPPED, reason)
             return None
+        if not self.session.allows_starts(now_s):
+            return None
         return self._starts.admit(order, orders, now_s)
 
     def _for_other_incarnation(self, order: Order) -> bool:
--- a/filbertlb/batch/testing.py
+++ b/filbertlb/batch/testing.py
@@ -10,6 +10,7 @@
 from filbertlb.batch.model import Job
 from filbertlb.batch.model import Order
 from filbertlb.batch.model import Orders
+from filbertlb.batch.model import ReportMark
 from filbertlb.batch.model import Step
 from filbertlb.batch.model import Worker
 from filbertlb.batch.model import WorkerReport
@@ -76,10 +77,13 @@
     return Order(task, **(fields | changes))
 
 
-def some_orders(*orders: Order) -> Orders:
-    """Return an orders row with a payload for each job."""
+def some_orders(*orders: Order, registration: str = "agent") -> Orders:
+    """Return an orders row with a payload for each job.
+
+    It confirms the first report of an agent process.
+    """
     payloads = {order.job_id: "payload" for order in orders}
-    return Orders(1, orders, payloads)
+    return Orders(1, orders, payloads, ReportMark(registration, 0))
 
 
 @attrs.define
--- a/tests/batch/reconciling.py
+++ b/tests/batch/reconciling.py
@@ -15,10 +15,17 @@
 HALF_CAPACITY = (4, 16_000, 65_536)
 
 
+def a_reconciler(created_s=0.0, heartbeat_period_s=HEARTBEAT_PERIOD_S):
+    """Return the reconciler of an agent that has registered."""
+    reconciler = WorkerReconciler("agent", created_s, heartbeat_period_s)
+    reconciler.session.record_stored(0, created_s, created_s)
+    return reconciler
+
+
 def reconciler_with(
     *orders, worker=None, heartbeat_period_s=HEARTBEAT_PERIOD_S
 ):
-    reconciler = WorkerReconciler(heartbeat_period_s=heartbeat_period_s)
+    reconciler = a_reconciler(heartbeat_period_s=heartbeat_period_s)
     reconciler.set_worker(worker or a_worker())
     reconciler.record_announcement(0.0)
     reconciler.record_listing(0.0, [], [], ends_complete=True)
--- a/tests/batch/simulated_system.py
+++ b/tests/batch/simulated_system.py
@@ -58,11 +58,6 @@
 """Ticks in which an agent learns of a smaller capacity and stops a start."""
 
 
-def registration_of(agent):
-    """Return the token of an agent process."""
-    return f"agent-{agent.fence // FENCES_PER_AGENT}"
-
-
 class SimulatedSystem:
     """Two entries and three agents with workers, connected by rows."""
 
@@ -139,16 +134,19 @@
 
     def new_agent(self, node):
         self.fence += FENCES_PER_AGENT
-        reconciler = WorkerReconciler(self.now_s)
-        agent = SimAgent(reconciler, self.fence, self.now_s)
+        registration = f"agent-{self.fence // FENCES_PER_AGENT}"
+        reconciler = WorkerReconciler(registration, self.now_s)
+        reconciler.session.record_stored(0, self.now_s, self.now_s)
+        agent = SimAgent(reconciler, self.fence)
         previous = self.reports.get(node)
         if previous is not None:
             reconciler.restore(previous.ended)
-            registration = registration_of(agent)
             self.store_row(
                 attrs.evolve(
                     previous,
                     registration=registration,
+                    sequence=0,
+                    awaited_sequence=0,
                     answers=False,
                     running=(),
                 )
@@ -381,7 +379,7 @@
             agent.reconciler.set_orders(self.orders[node])
 
     def may_lease_end_ss(self, agent):
-        return self.now_s - agent.contact_s < CONTACT_LOST_S
+        return self.now_s - agent.reconciler.session.contact_s < CONTACT_LOST_S
 
     def make_start(self, node, order, fence):
         if not self.may_lease_end_ss(self.agents[node]):
@@ -413,14 +411,17 @@
         if not self.reaches_table(node):
             return
         reconciler = agent.reconciler
+        session = reconciler.session
+        agent.sequence += 1
         report = WorkerReport(
             node,
-            registration_of(agent),
-            0,
+            session.registration,
+            agent.sequence,
             reconciler.worker,
             answers,
             reconciler.running(self.now_s),
             reconciler.ended(),
+            session.awaited_sequence(agent.sequence, self.now_s),
         )
         for end in report.ended:
             if end.crashed_after_ms is not None and self.awaits(end, node):
@@ -429,7 +430,7 @@
         assert all(
             counts[task] <= MAX_TOLD_CRASHES for task in self.crashing_tasks
         ), self.told_crashes
-        agent.contact_s = self.now_s
+        session.record_stored(agent.sequence, self.now_s, self.now_s)
         agent.acked_number = reconciler.last_end_number
         for end in report.ended:
             if end.cause is EndCause.DONE:
--- a/tests/batch/simulated_worker.py
+++ b/tests/batch/simulated_worker.py
@@ -78,5 +78,5 @@
 class SimAgent:
     reconciler: WorkerReconciler
     fence: int
-    contact_s: float
+    sequence: int = 0
     acked_number: int = 0
--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -84,8 +84,12 @@
 
 
 def put_orders(table, *orders):
-    value = encode_value(some_orders(*orders))
-    table.commit([Write(orders_key("n"), value)])
+    """Order runs as a decider that has read the agent's registration."""
+    while table.get(f"{WORKER_PREFIX}n") is None:
+        sleep(0.01)
+    report = decode_row(table.get(f"{WORKER_PREFIX}n"), WorkerReport)
+    row = some_orders(*orders, registration=report.registration)
+    table.commit([Write(orders_key("n"), encode_value(row))])
 
 
 @pytest.mark.parametrize("failing", ["start", "stop"])
@@ -94,8 +98,8 @@
     agent = Agent(table, link, SystemClock(), "n")
     agent.update_worker(a_worker())
     order = an_order("j.0.0.0")
-    put_orders(table, order)
     with running(agent):
+        put_orders(table, order)
         while "start" not in link.calls:
             sleep(0.01)
             agent.update_worker(a_worker())
@@ -496,8 +500,8 @@
     table, link = MemoryTable(), EndingLink("")
     agent = Agent(table, link, SystemClock(), "n")
     agent.update_worker(a_worker())
-    put_orders(table, an_order("j.0.0.0"), an_order("k.0.0.0"))
     with running(agent):
+        put_orders(table, an_order("j.0.0.0"), an_order("k.0.0.0"))
         while link.calls.count("start") < 2:
             sleep(0.01)
         link.ends[5] = RunEnd("j.0.0.0", 1, EndCause.DONE)
--- a/tests/batch/test_crash_ages.py
+++ b/tests/batch/test_crash_ages.py
@@ -6,11 +6,11 @@
 
 from filbertlb.batch.model import EndCause
 from filbertlb.batch.model import Run
-from filbertlb.batch.reconciler import WorkerReconciler
 from filbertlb.batch.testing import a_worker
 from filbertlb.batch.testing import an_order
 from filbertlb.batch.testing import some_orders
 from filbertlb.batch.worker_link import StartResult
+from tests.batch.reconciling import a_reconciler
 from tests.batch.reconciling import LEASE_EXPIRED_S
 from tests.batch.reconciling import reconciler_with
 from tests.batch.reconciling import returns
@@ -67,7 +67,7 @@
 
 
 def test_run_that_another_agent_process_started_is_not_blamed():
-    reconciler = WorkerReconciler()
+    reconciler = a_reconciler()
     reconciler.set_worker(a_worker())
     reconciler.set_orders(some_orders(an_order("j.0.0.0")))
     running = [Run("j.0.0.0", 1)]
--- a/tests/batch/test_local_expiry.py
+++ b/tests/batch/test_local_expiry.py
@@ -6,12 +6,12 @@
 
 from filbertlb.batch.model import EndCause
 from filbertlb.batch.model import Run
-from filbertlb.batch.reconciler import WorkerReconciler
 from filbertlb.batch.testing import a_worker
 from filbertlb.batch.testing import an_order
 from filbertlb.batch.testing import some_orders
 from filbertlb.batch.worker_link import LEASE_S
 from filbertlb.batch.worker_link import StartResult
+from tests.batch.reconciling import a_reconciler
 from tests.batch.reconciling import cause_by_task
 from tests.batch.reconciling import LEASE_EXPIRED_S
 from tests.batch.reconciling import reconciler_with
@@ -29,7 +29,7 @@
 
 
 def test_orders_end_if_no_worker_comes_after_a_restart():
-    reconciler = WorkerReconciler(created_s=10.0)
+    reconciler = a_reconciler(created_s=10.0)
     reconciler.set_orders(some_orders(an_order("j.0.0.0")))
     reconciler.due_calls(10.0 + LEASE_EXPIRED_S - 0.2)
     assert cause_by_task(reconciler) == {}
@@ -85,7 +85,7 @@
 @pytest.mark.parametrize("incarnation", ["w@1", "w@2"])
 def test_orders_end_if_the_worker_never_answers_a_new_agent(incarnation):
     # The agent reported on, so the decider left the tasks there for ever.
-    reconciler = WorkerReconciler(created_s=10.0)
+    reconciler = a_reconciler(created_s=10.0)
     reconciler.set_worker(a_worker(incarnation=incarnation))
     reconciler.set_orders(some_orders(an_order("j.0.0.0")))
     reconciler.due_calls(10.0 + LEASE_EXPIRED_S - 0.2)
--- a/tests/batch/test_local_listings.py
+++ b/tests/batch/test_local_listings.py
@@ -8,7 +8,6 @@
 from filbertlb.batch.model import MAX_SAVED_BYTES
 from filbertlb.batch.model import Run
 from filbertlb.batch.model import RunEnd
-from filbertlb.batch.reconciler import WorkerReconciler
 from filbertlb.batch.testing import a_worker
 from filbertlb.batch.testing import an_order
 from filbertlb.batch.testing import some_orders
@@ -17,6 +16,7 @@
 from filbertlb.batch.worker_link import StopCall
 from filbertlb.table.base import Row
 from filbertlb.table.rows import decode_row
+from tests.batch.reconciling import a_reconciler
 from tests.batch.reconciling import cause_by_task
 from tests.batch.reconciling import HALF_CAPACITY
 from tests.batch.reconciling import NEXT_INCARNATION
@@ -35,7 +35,7 @@
 
 
 def test_restarted_agent_adopts_running_runs():
-    reconciler = WorkerReconciler()
+    reconciler = a_reconciler()
     reconciler.set_worker(a_worker())
     reconciler.set_orders(some_orders(an_order("j.0.0.0")))
     assert reconciler.due_calls(0.0) == []
@@ -48,7 +48,7 @@
 
 def test_adopted_run_listed_before_its_order_kept_its_worker_from_starts():
     # After a restart the listing may come before the orders are read.
-    reconciler = WorkerReconciler()
+    reconciler = a_reconciler()
     reconciler.set_worker(a_worker(capacity=HALF_CAPACITY))
     reconciler.record_announcement(0.0)
     reconciler.record_listing(0.1, [Run("j.0.0.0", 1)], [], ends_complete=True)
@@ -86,7 +86,7 @@
 
 
 def test_checkpoint_of_a_lost_run_outlives_the_agent():
-    reconciler = WorkerReconciler()
+    reconciler = a_reconciler()
     reconciler.restore([], [Run("j.0.0.0", 1, "stored", 40)])
     reconciler.set_orders(some_orders(an_order("j.0.0.0")))
     replace_worker(reconciler)
@@ -95,7 +95,7 @@
 
 
 def test_restarted_agent_gave_up_a_run_that_the_next_incarnation_lists():
-    reconciler = WorkerReconciler()
+    reconciler = a_reconciler()
     reconciler.set_worker(NEXT_INCARNATION)
     reconciler.set_orders(some_orders(an_order("j.0.0.0")))
     running = [Run("j.0.0.0", 1)]
--- a/tests/batch/test_local_stops.py
+++ b/tests/batch/test_local_stops.py
@@ -8,7 +8,6 @@
 from filbertlb.batch.local_run import MAX_CALL_S
 from filbertlb.batch.model import EndCause
 from filbertlb.batch.model import Run
-from filbertlb.batch.reconciler import WorkerReconciler
 from filbertlb.batch.testing import a_worker
 from filbertlb.batch.testing import an_order
 from filbertlb.batch.testing import some_orders
@@ -16,6 +15,7 @@
 from filbertlb.batch.worker_link import StartCall
 from filbertlb.batch.worker_link import StartResult
 from filbertlb.batch.worker_link import StopCall
+from tests.batch.reconciling import a_reconciler
 from tests.batch.reconciling import cause_by_task
 from tests.batch.reconciling import FULL_CAPACITY
 from tests.batch.reconciling import HALF_CAPACITY
@@ -82,7 +82,7 @@
 
 def test_unanswered_start_is_stopped_after_an_earlier_incarnation_was_heard():
     # The start was forgotten, and an end reported that nothing proved.
-    reconciler = WorkerReconciler()
+    reconciler = a_reconciler()
     order = an_order("j.0.0.0", incarnation="w@2")
     later, earlier = (a_worker(incarnation=name) for name in ("w@2", "w@1"))
     reconciler.set_worker(later)
--- a/tests/batch/test_reconciler.py
+++ b/tests/batch/test_reconciler.py
@@ -6,13 +6,13 @@
 
 from filbertlb.batch.model import EndCause
 from filbertlb.batch.model import RunEnd
-from filbertlb.batch.reconciler import WorkerReconciler
 from filbertlb.batch.testing import a_worker
 from filbertlb.batch.testing import an_order
 from filbertlb.batch.testing import some_orders
 from filbertlb.batch.worker_link import ListedEnd
 from filbertlb.batch.worker_link import StartCall
 from filbertlb.batch.worker_link import StartResult
+from tests.batch.reconciling import a_reconciler
 from tests.batch.reconciling import cause_by_task
 from tests.batch.reconciling import reconciler_with
 from tests.batch.reconciling import start_all
@@ -60,7 +60,7 @@
 
 
 def test_restarted_agent_keeps_ends_of_previous_process():
-    reconciler = WorkerReconciler()
+    reconciler = a_reconciler()
     reconciler.restore([RunEnd("j.0.0.0", 1, EndCause.DONE)])
     reconciler.set_worker(a_worker())
     reconciler.set_orders(some_orders(an_order("j.0.0.0")))
--- a/tests/batch/test_worker_presence.py
+++ b/tests/batch/test_worker_presence.py
@@ -38,6 +38,7 @@
     reconciler = reconciler_with(order, heartbeat_period_s=period_s)
     age_s = periods * period_s
     reconciler.record_lease(age_s + LEASE_S)
+    reconciler.session.record_stored(1, age_s / 2, age_s / 2)
     assert len(reconciler.due_calls(age_s)) == starts
     assert cause_by_task(reconciler) == {}
 
--- a/tests/platform/test_leases.py
+++ b/tests/platform/test_leases.py
@@ -17,6 +17,7 @@
 
 from filbertlb.batch.agent import Agent
 from filbertlb.batch.model import orders_key
+from filbertlb.batch.model import ReportMark
 from filbertlb.batch.model import WORKER_PREFIX
 from filbertlb.batch.model import WorkerReport
 from filbertlb.batch.testing import an_order
@@ -130,8 +131,13 @@
         greenlet.kill()
 
 
-def put_orders(table, *orders, **changes):
-    row = attrs.evolve(some_orders(*orders), **changes)
+def put_orders(table, *orders, sequence=0):
+    """Order runs as a decider that has read a report of the agent."""
+    row = MemoryTable.get(table, f"{WORKER_PREFIX}n")
+    registration = decode_row(row, WorkerReport).registration
+    row = attrs.evolve(
+        some_orders(*orders), confirmed=ReportMark(registration, sequence)
+    )
     write = Write(orders_key("n"), encode_value(row))
     MemoryTable.commit(table, [write])
 
@@ -244,3 +250,44 @@
 
 def test_run_was_given_up_before_its_last_lease_had_ended():
     assert DEAD_AFTER_S >= CONTACT_LOST_S + LEASE_S
+
+
+@contextmanager
+def agent_that_was_cut_off(table, clock, silent_s):
+    """Run an agent that reads an old order as it is back in contact."""
+    worker = LeasedWorker("i", clock)
+    client = a_client(worker, clock)
+    agent = Agent(table, client, clock, "n")
+    with running(agent):
+        announce(worker, client, agent)
+        last = await_report(table, lambda report: report.answers).sequence
+        table.faults.down = True
+        clock.advance(silent_s)
+        announce(worker, client, agent)
+        table.faults.down = False
+        await_report(table, lambda report: report.sequence > last)
+        put_orders(table, an_order("j.0.0.0", incarnation="i@1"))
+        yield agent, worker
+
+
+def test_order_that_was_given_up_was_begun_by_an_agent_back_in_contact():
+    # The decider that gave it up had not seen yet that the agent was back.
+    table, clock = MemoryTable(), VirtualClock(100.0)
+    with agent_that_was_cut_off(table, clock, 14.7) as (agent, worker):
+        report = await_report(table, lambda report: report.awaited_sequence)
+        sleep(0.5)
+        assert worker.starts == []
+        put_orders(
+            table,
+            an_order("j.0.0.0", incarnation="i@1"),
+            sequence=report.awaited_sequence,
+        )
+        while not worker.starts:
+            sleep(0.01)
+
+
+def test_order_of_before_a_short_silence_starts_without_a_confirmation():
+    table, clock = MemoryTable(), VirtualClock(100.0)
+    with agent_that_was_cut_off(table, clock, 5.0) as (agent, worker):
+        while not worker.starts:
+            sleep(0.01)
