Believe a late end done of a run that was given up

Cause: an agent without the store for longer than a lease is given up, and its runs with it. It may have an end done by then that it could not report. When it was back, the decider passed the end over, as the task had a later attempt or waited for one, and the work was done again, up to four times.

A late end done now makes its task done: if the task waits it is not placed again; a later attempt leaves the orders, so that its agent stops it, and the step goes on. One such end represents a whole gang. Not for tasks that last, cancelled or ended jobs, nor an attempt that the decider has not ordered. Run times, crashes and the health of workers are not learned from it, as the run was counted as lost.

Progress is written before, or together with, the orders that follow from it, so a decider that dies in between leaves nothing that starts the task again; the next one finds the end in the agent's report.

--- a/filbertlb/batch/end_standing.py
+++ b/filbertlb/batch/end_standing.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from filbertlb.batch.model import EndCause
+from filbertlb.batch.model import FINAL_STATES
 from filbertlb.batch.model import job_id_of
 from filbertlb.batch.model import TaskPhase
 from filbertlb.batch.planner_state import ALLOCATED_PHASES
@@ -29,6 +30,11 @@
     DONE = "task is done"
     GIVEN_UP = "run was given up"
     EARLIER_ATTEMPT = "earlier attempt"
+    LATE_DONE = "late, but done"
+    """The run was given up, and the work need not be done again."""
+
+
+APPLIED = (EndStanding.CURRENT, EndStanding.LATE_DONE)
 
 
 def standing_of(state: PlannerState, end: RunEnd, node: str) -> EndStanding:
@@ -42,11 +48,22 @@
         return EndStanding.UNKNOWN_ATTEMPT
     if record.phase is TaskPhase.DONE:
         return EndStanding.DONE
-    if end.attempt < record.attempt:
-        return EndStanding.EARLIER_ATTEMPT
-    if record.phase in ALLOCATED_PHASES:
+    earlier = end.attempt < record.attempt
+    if record.phase in ALLOCATED_PHASES and not earlier:
         return EndStanding.CURRENT
-    return EndStanding.GIVEN_UP
+    if end.cause is EndCause.DONE and _still_counts(state, end.task):
+        return EndStanding.LATE_DONE
+    return EndStanding.EARLIER_ATTEMPT if earlier else EndStanding.GIVEN_UP
+
+
+def _still_counts(state: PlannerState, task: str) -> bool:
+    """Return whether a task's job goes on once one of its runs is done."""
+    job_id = job_id_of(task)
+    return (
+        not state.step_of(task).long_running
+        and job_id not in state.cancelled
+        and state.progress[job_id].state not in FINAL_STATES
+    )
 
 
 @attrs.define
@@ -73,7 +90,7 @@
         self._listed_by_node[report.node] = frozenset(standings)
         for end in report.ended:
             standing = standings[end.key]
-            if end.key in before or standing is EndStanding.CURRENT:
+            if end.key in before or standing in APPLIED:
                 continue
             _log_unapplied(state, report.node, end, standing)
 
--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -41,6 +41,7 @@
 from filbertlb.batch.planner_state import TaskGroup
 from filbertlb.batch.queue_report import QueueReport
 from filbertlb.batch.run_ends import apply_end
+from filbertlb.batch.run_ends import apply_late_done
 from filbertlb.batch.run_observation import observed_run
 from filbertlb.batch.start_health import SURVIVAL_MS
 from filbertlb.batch.workers import has_crashed
@@ -224,6 +225,8 @@
                     end, self._observing(end.task), now_ms
                 )
                 self._apply_end(end, now_ms, now_s)
+            elif standing is EndStanding.LATE_DONE:
+                apply_late_done(self.state, end, report.node, now_ms)
         self._unapplied_ends.log(self.state, report, standings)
         for run in report.running:
             progress = self.state.progress.get(job_id_of(run.task))
--- a/filbertlb/batch/run_ends.py
+++ b/filbertlb/batch/run_ends.py
@@ -80,6 +80,28 @@
     return run_failed
 
 
+def apply_late_done(
+    state: PlannerState, end: RunEnd, node: str, now_ms: int
+) -> None:
+    """End a task or gang of which a run was given up, and was done.
+
+    A later run loses its order, so its agent stops it. The task becomes
+    done before, or together with, the rows of its job and orders, so a
+    decider that is cut off leaves nothing that starts it again.
+    """
+    record = state.record(end.task)
+    logger.info(
+        "late end of {} attempt {} on {}: done; its attempt {} on {} was {}",
+        *(end.task, end.attempt, node, record.attempt),
+        *(record.node or "no node", record.phase.value),
+    )
+    state.set_phase(end.task, TaskPhase.DONE, now_ms)
+    gang = state.step_of(end.task).gang
+    state.preempted.discard(task_group_of(end.task) if gang else end.task)
+    if gang:
+        _end_gang(state, end.task, True, now_ms)
+
+
 def _count_gang_failure(state: PlannerState, end: RunEnd) -> bool:
     group = task_group_of(end.task)
     is_new = count_failed_run(state, group, end.attempt)
