Write no new order before its progress for a worker that is back

The orders of a silent worker are written together with the tasks that left it, before the progress of other jobs. A refused write keeps these for the next decision, and the worker may be back by then and get new work: its row then held an order whose progress was not stored yet.

A worker with lost tasks that are still to be written gets no new work. Nor is its new report processed until they are: its row, written first, would confirm ends of tasks whose progress comes later.

Tests: test_orders_of_a_worker_back_from_silence_preceded_their_progress failed before with "Extra items in the left set: 'progress/b'"; and test_report_after_a_silence_was_confirmed_before_lost_tasks_were_written.

--- a/filbertlb/batch/placing_context.py
+++ b/filbertlb/batch/placing_context.py
@@ -67,13 +67,18 @@
     now_s: float,
     evacuations: Evacuations,
 ) -> AvailableCapacity:
-    """Return the free resources of the workers that may get new work."""
+    """Return the free resources of the workers that may get new work.
+
+    One that is back while its lost tasks are still to be written gets none:
+    its orders are written with them, before the progress of other jobs.
+    """
     workers = {}
     for node, view in sorted(views.items()):
         worker = view.report.worker
         if (
             worker is not None
             and view.usable(now_s)
+            and node not in state.tasks_lost_by_node
             and worker.zone not in evacuations.version_by_domain
         ):
             workers[node] = worker
--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -152,9 +152,7 @@
     def decide(self, now_s: float, now_ms: int) -> None:
         """Process new reports, then stop, finish and place tasks."""
         self._crash_rate.record_time(now_s)
-        for node in sorted(self._unprocessed_nodes):
-            self._process_report(self.workers[node], now_s, now_ms)
-        self._unprocessed_nodes.clear()
+        self._process_reports(now_s, now_ms)
         known_s = min(now_s, self.reports_complete_s)
         self._end_runs_of_dead_workers(known_s, now_ms)
         self._stop_cancelled_jobs(now_ms)
@@ -202,6 +200,19 @@
         state.fail_job(job_id, FailureCause.TOO_LARGE.value, now_ms)
         self.failed_jobs[FailureCause.TOO_LARGE] += 1
 
+    def _process_reports(self, now_s: float, now_ms: int) -> None:
+        """Process the new reports, but of workers with unwritten lost tasks.
+
+        Their rows are written before those of other jobs, so they must not
+        confirm ends of tasks of these.
+        """
+        put_off = (
+            self._unprocessed_nodes & self.state.tasks_lost_by_node.keys()
+        )
+        for node in sorted(self._unprocessed_nodes - put_off):
+            self._process_report(self.workers[node], now_s, now_ms)
+        self._unprocessed_nodes = put_off
+
     def _process_report(
         self, view: WorkerView, now_s: float, now_ms: int
     ) -> None:
--- a/tests/batch/test_confirmations.py
+++ b/tests/batch/test_confirmations.py
@@ -124,3 +124,18 @@
         orders_key("n1"): ReportMark("agent", 1)
     }
     assert planner.state.tasks_on("n1") == []
+
+
+def test_report_after_a_silence_was_confirmed_before_lost_tasks_were_written():
+    planner = Planner()
+    planner.state.add_job(a_job("a"))
+    decide_on(planner, 0.0, a_report("n1", sequence=1))
+    now_s = DEAD_AFTER_S + 1
+    planner.decide(now_s, round(1000 * now_s))
+    back = a_report("n1", sequence=2, awaited_sequence=2)
+    assert decide_on(planner, now_s, back) == {
+        orders_key("n1"): ReportMark("agent", 1)
+    }
+    assert decide_on(planner, now_s) == {
+        orders_key("n1"): ReportMark("agent", 2)
+    }
--- a/tests/batch/test_write_plan.py
+++ b/tests/batch/test_write_plan.py
@@ -121,6 +121,31 @@
     ]
 
 
+def test_orders_of_a_worker_back_from_silence_preceded_their_progress():
+    # Its lost tasks were still to be written, as writes had been refused.
+    planner = Planner()
+    planner.record_report(a_report("n1"), 0.0)
+    planner.state.add_job(a_job("a"))
+    planner.decide(0.0, 0)
+    planner.state.mark_written(frozenset(("a",)), frozenset(("n1",)))
+    now_s = DEAD_AFTER_S + 1
+    planner.decide(now_s, int(now_s * 1000))
+    planner.state.add_job(a_job("b"))
+    planner.record_report(a_report("n1"), now_s)
+    planner.decide(now_s, int(now_s * 1000))
+    stored = set()
+    for unit in changed_units(planner.state, epoch=1):
+        keys = {write.key for write in unit.writes}
+        stored |= {key for key in keys if key.startswith(PROGRESS_PREFIX)}
+        if orders_key("n1") in keys:
+            orders = planner.state.orders_of("n1", 1).orders
+            jobs = {PROGRESS_PREFIX + order.job_id for order in orders}
+            assert jobs <= stored
+        planner.state.mark_written(unit.jobs, unit.nodes)
+    planner.decide(now_s, int(now_s * 1000))
+    assert len(planner.state.tasks_on("n1")) == 2
+
+
 def test_status_is_written_only_when_it_changes():
     planner = Planner()
     planner.state.add_job(a_job("j"))
