Log the inputs of the decision to give a silent worker up

What was seen: in the users' record a dozen workers are "silent for 14.6 s: its leases have run out".

Cause: the line had the node and the time only.

Change: the line also tells the report (sequence and registration), how long ago it was seen or, if its age is not known, from when it is counted, the bound, up to when all reports were known, and how many of the worker's tasks end. It is left out if none ends, as their writes wait. The first line on a silent worker tells the bound too. No decision changes.

Evidence: test_worker_is_given_up_with_the_inputs_of_the_decision failed before with "...: its leases have run out" and nothing after it.

--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -40,6 +40,7 @@
 from filbertlb.batch.run_ends import apply_end
 from filbertlb.batch.run_observation import observed_run
 from filbertlb.batch.start_health import SURVIVAL_MS
+from filbertlb.batch.workers import DEAD_AFTER_S
 from filbertlb.batch.workers import has_crashed
 from filbertlb.batch.workers import is_eligible
 from filbertlb.batch.workers import may_quarantine_one
@@ -151,7 +152,7 @@
             self._process_report(self.workers[node], now_s, now_ms)
         self._unprocessed_nodes.clear()
         known_s = min(now_s, self.reports_complete_s)
-        self._end_runs_of_dead_workers(known_s, now_ms)
+        self._end_runs_of_dead_workers(known_s, now_s, now_ms)
         self._stop_cancelled_jobs(now_ms)
         self._vacate_draining_workers(now_ms)
         self._withdraw_evacuated_orders(now_s, now_ms)
@@ -341,7 +342,9 @@
                     *(view.report.node, end.task, end.attempt, end.run_ms),
                 )
 
-    def _end_runs_of_dead_workers(self, known_s: float, now_ms: int) -> None:
+    def _end_runs_of_dead_workers(
+        self, known_s: float, now_s: float, now_ms: int
+    ) -> None:
         """End the runs whose leases ran out before a monotonic time."""
         for node in self.state.occupied_nodes():
             view = self.workers.get(node)
@@ -350,13 +353,12 @@
             if not view.dead(known_s):
                 self._log_silence(view, known_s)
                 continue
-            logger.warning(
-                "worker {} is silent for {:.1f} s: its leases have run out",
-                *(node, known_s - view.seen_s),
-            )
             unwritten = self.state.tasks_lost_by_node.get(node, ())
             count = max(0, MAX_LOST_TASKS - len(unwritten))
-            for task in self.state.tasks_on(node)[:count]:
+            tasks = self.state.tasks_on(node)
+            if count:
+                _log_given_up(view, known_s, now_s, count, len(tasks))
+            for task in tasks[:count]:
                 attempt = self.state.record(task).attempt
                 self.state.mark_lost(task, node)
                 saved = _reported_checkpoint(view.report, task, attempt)
@@ -372,10 +374,11 @@
         report = view.report
         logger.warning(
             "worker {} is silent for {:.1f} s since report {} of agent {}: "
-            "{} tasks wait for it or for the end of its leases",
+            "{} tasks wait for it or for the end of its leases, at most "
+            "{:.2f} s after that report",
             *(report.node, now_s - view.seen_s),
             *(report.sequence, report.registration),
-            len(self.state.tasks_on(report.node)),
+            *(len(self.state.tasks_on(report.node)), DEAD_AFTER_S),
         )
 
     def _stop_cancelled_jobs(self, now_ms: int) -> None:
@@ -560,6 +563,23 @@
         return within_guarantee
 
 
+def _log_given_up(
+    view: WorkerView, known_s: float, now_s: float, count: int, tasks: int
+) -> None:
+    """Log what a decision to end the runs of a silent worker is based on."""
+    report = view.report
+    logger.warning(
+        "worker {} is silent for {:.1f} s: its leases have run out; report {} "
+        "of agent {} {} {:.2f} s ago, bound {:.2f} s, reports known up to "
+        "{:.2f} s ago, {} of {} tasks end",
+        *(report.node, known_s - view.seen_s),
+        *(report.sequence, report.registration),
+        "seen" if view.recent else "of unknown age, counted from",
+        *(now_s - view.seen_s, DEAD_AFTER_S, now_s - known_s),
+        *(min(count, tasks), tasks),
+    )
+
+
 def _reported_checkpoint(report: WorkerReport, task: str, attempt: int) -> str:
     """Return the checkpoint of a run in a report, or an empty string."""
     for run in report.running:
--- a/tests/batch/test_planner.py
+++ b/tests/batch/test_planner.py
@@ -266,6 +266,28 @@
     assert "1 tasks wait" in line
 
 
+@pytest.mark.parametrize(
+    ("recent", "seen"),
+    [(True, "seen"), (False, "of unknown age, counted from")],
+)
+def test_worker_is_given_up_with_the_inputs_of_the_decision(
+    lines, recent, seen
+):
+    # Nothing told on which report a worker was given up.
+    planner = planner_with(a_job("a"), nodes=1)
+    planner.decide(0.0, 0)
+    report = a_report("n0", registration="agent-1", sequence=7)
+    planner.record_report(report, 1.0, recent)
+    planner.reports_complete_s = 16.0
+    planner.decide(16.5, 16_500)
+    (line,) = [line for line in lines if "leases have run out" in line]
+    assert line == (
+        "worker n0 is silent for 15.0 s: its leases have run out; report 7 "
+        f"of agent agent-1 {seen} 15.50 s ago, bound {DEAD_AFTER_S:.2f} s, "
+        "reports known up to 0.50 s ago, 1 of 1 tasks end"
+    )
+
+
 def full_planner_with_urgent_gang(guaranteed):
     """Return a planner with full workers and a waiting urgent gang."""
     low = a_job("low", a_step(2, needs=ALL_ACCELERATORS, estimate_ms=9000))
