Find tasks that could run and do not move, and log why

What was seen: in the users' record a task stood still while it could run, and the only lines are those of its end before. An order that no agent has begun, a run on a silent worker, a stop that is not answered, and a step that waits for one task that runs again told nothing; groups that placing holds back were told of eight at a time, in decisions that place.

Cause: nobody looked at tasks as such, only at groups in placing.

Change: once a second, with the count of waiting groups, the planner looks at the groups that are ready and not placed, at each task that is ordered or to be stopped beside its worker's latest report, and at the steps that wait only for tasks which do not move or run again. It works while evacuation requests are outdated and while no worker is known. No decision changes.

--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -39,6 +39,8 @@
 from filbertlb.batch.queue_report import QueueReport
 from filbertlb.batch.run_ends import apply_end
 from filbertlb.batch.run_observation import observed_run
+from filbertlb.batch.standing import Look
+from filbertlb.batch.standing_report import StandingReport
 from filbertlb.batch.start_health import SURVIVAL_MS
 from filbertlb.batch.workers import DEAD_AFTER_S
 from filbertlb.batch.workers import has_crashed
@@ -99,6 +101,8 @@
         Present if ready tasks are ordered by benefit instead of deadline.
     queue_report : QueueReport
         Tells what waits and why.
+    standing : StandingReport
+        Tells which tasks could run and do not move, and why.
     """
 
     state: PlannerState = attrs.Factory(PlannerState)
@@ -115,6 +119,7 @@
     _evacuation_log: EvacuationLog = attrs.Factory(EvacuationLog)
     demand: Demand | None = None
     queue_report: QueueReport = attrs.Factory(QueueReport)
+    standing: StandingReport = attrs.Factory(StandingReport)
     _unprocessed_nodes: set[str] = attrs.Factory(set)
     _crash_rate: CrashRate = attrs.Factory(CrashRate)
 
@@ -157,10 +162,17 @@
         self._vacate_draining_workers(now_ms)
         self._withdraw_evacuated_orders(now_s, now_ms)
         self._finish_jobs(now_ms)
+        if self._place(now_s, now_ms):
+            self.standing.update(
+                *(self.state, self.workers, self.queue_report.waiting),
+                Look(now_s, now_ms, known_s),
+            )
+
+    def _place(self, now_s: float, now_ms: int) -> bool:
+        """Place ready tasks; return whether those that wait were counted."""
         if not self._may_place(now_s):
             ready = self._ready_groups(now_ms)
-            self.queue_report.update_outdated(ready, now_s, now_ms)
-            return
+            return self.queue_report.update_outdated(ready, now_s, now_ms)
         available = available_capacity(
             self.state, self.workers, now_s, self.evacuations
         )
@@ -178,9 +190,10 @@
         )
         placer = Placer(context)
         placer.place(self._ready_groups(now_ms))
-        self.queue_report.update(placer, now_s)
+        counted = self.queue_report.update(placer, now_s)
         if self.evacuations.version_by_domain:
             self._log_waiting_jobs(now_s, now_ms)
+        return counted
 
     def fail_oversized_job(self, job_id: str, now_ms: int) -> None:
         """Fail a job of which a part of the progress is too large for a row.
--- a/filbertlb/batch/queue_report.py
+++ b/filbertlb/batch/queue_report.py
@@ -18,13 +18,12 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
-    from collections.abc import Sequence
 
     from filbertlb.batch.placing import Placer
     from filbertlb.batch.planner_state import TaskGroup
 
 COUNT_PERIOD_S = 1.0
-"""Time between two counts, as one looks at all workers."""
+"""Time between two counts, as one looks at all workers and tasks."""
 LOG_PERIOD_S = 5.0
 """Time between two log lines while groups wait."""
 LOGGED_GROUPS = 8
@@ -60,16 +59,25 @@
     ----------
     count_by_reason : dict of str to int
         Number of waiting groups.
+    waiting : list of tuple
+        Waiting groups in their order, and why they wait.
     """
 
     count_by_reason: dict[str, int] = attrs.Factory(dict)
+    waiting: list[tuple[TaskGroup, WaitReason]] = attrs.Factory(list)
     _next_count_s: float = float("-inf")
     _next_log_s: float = float("-inf")
 
-    def update(self, placer: Placer, now_s: float) -> None:
-        """Count, and log from time to time, what still waits."""
+    def update(self, placer: Placer, now_s: float) -> bool:
+        """Count, and log from time to time, what still waits.
+
+        Returns
+        -------
+        bool
+            Whether a count was due.
+        """
         if now_s < self._next_count_s:
-            return
+            return False
         reasons = _Reasons(placer)
         waiting = [(group, reasons.of(group)) for group in placer.waiting]
         waiting += [(group, WaitReason.NOT_TRIED) for group in placer.untried]
@@ -79,31 +87,39 @@
             placer.context.now_ms,
             lambda group: f", {placer.order.explain(group)}",
         )
+        return True
 
     def update_outdated(
         self, groups: Iterable[TaskGroup], now_s: float, now_ms: int
-    ) -> None:
+    ) -> bool:
         """Count and log ready groups while evacuation requests are outdated.
 
         Their order is not known then; the oldest are logged first.
+
+        Returns
+        -------
+        bool
+            Whether a count was due.
         """
         if now_s < self._next_count_s:
-            return
+            return False
         oldest = sorted(
             groups, key=lambda item: (item.earliest_start_ms, item.name)
         )
         waiting = [(group, WaitReason.REQUESTS_OUTDATED) for group in oldest]
         self._record(waiting, now_s, now_ms, lambda _: "")
+        return True
 
     def _record(
         self,
-        waiting: Sequence[tuple[TaskGroup, WaitReason]],
+        waiting: list[tuple[TaskGroup, WaitReason]],
         now_s: float,
         now_ms: int,
         place: Callable[[TaskGroup], str],
     ) -> None:
         """Count what waits, and log it if a line is due."""
         self._next_count_s = now_s + COUNT_PERIOD_S
+        self.waiting = waiting
         self.count_by_reason = dict(
             Counter(reason.value for _, reason in waiting)
         )
