Show standing tasks on the metrics page of the entry that decides

filbertlb_standing_tasks tells by reason how many tasks could run and have not moved for 3 s, and filbertlb_stands_total how many began to stand, so that a short stand between two scrapes is seen as well. The report outlives the planners of a term: after a decision that could not be written nothing is told twice.

Test: test_standing_tasks_are_shown_by_reason.

--- a/filbertlb/batch/decider.py
+++ b/filbertlb/batch/decider.py
@@ -27,6 +27,7 @@
 from filbertlb.batch.retention import expired_job_units
 from filbertlb.batch.run_time_metrics import clear_run_times
 from filbertlb.batch.run_time_metrics import sample_run_times
+from filbertlb.batch.standing_report import StandingReport
 from filbertlb.batch.takeover import apply_report
 from filbertlb.batch.takeover import build_planner
 from filbertlb.batch.version_marks import marks_write
@@ -92,12 +93,15 @@
         Keeps a copy of the reports of the workers.
     planner : Planner, optional
         None until it is built, and after a write that was not just refused.
+    standing : StandingReport
+        Outlives the planners of the term, so that nothing is told twice.
     changed_reports : set of str
         Keys of the reports that the planner has not seen.
     """
 
     epoch: int
     workers: Follower
+    standing: StandingReport
     planner: Planner | None = None
     changed_reports: set[str] = attrs.Factory(set)
 
@@ -135,6 +139,8 @@
         Ends of runs that this process has processed, by cause.
     failed_runs : Counter of str
         Failed runs among them, by unit; a run of a gang counts once.
+    stands : Counter of str
+        Tasks that began to stand while this process decided, by reason.
     """
 
     def __init__(
@@ -157,6 +163,7 @@
         self.failed_jobs: Counter[str] = Counter()
         self.run_ends: Counter[str] = Counter()
         self.failed_runs: Counter[str] = Counter()
+        self.stands: Counter[str] = Counter()
         self._checkpoints = checkpoints or CheckpointCosts()
         self._table = table
         self._mirror = mirror
@@ -219,6 +226,14 @@
             return {}
         return term.planner.queue_report.count_by_reason
 
+    @property
+    def standing_tasks(self) -> dict[str, int]:
+        """Number of tasks that stand, by reason, while deciding."""
+        term = self._term
+        if term is None or term.planner is None:
+            return {}
+        return term.standing.count_by_reason
+
     def keep_lease(self) -> None:
         """Acquire and renew the lease until stepping down."""
         while not self._stepped_down:
@@ -269,6 +284,7 @@
         term = Term(
             lease.epoch,
             Follower(self._table, WORKER_TABLE, mirror, self._clock),
+            StandingReport(total_by_reason=self.stands),
         )
         mirror.add_listener(lambda key, _: term.changed_reports.add(key))
         following = spawn(term.workers.run)
@@ -399,6 +415,7 @@
         planner.failed_jobs = self.failed_jobs
         planner.run_ends = self.run_ends
         planner.failed_runs = self.failed_runs
+        planner.standing = term.standing
         planner.demand = Demand() if self._by_benefit else None
         logger.info(
             "deciding with epoch {} from version {} after {:.2f} s: {} jobs, "
--- a/filbertlb/metrics.py
+++ b/filbertlb/metrics.py
@@ -94,6 +94,11 @@
     waiting_groups : Gauge
         Groups of tasks that are ready and wait, by ``reason``, while this
         instance decides.
+    standing_tasks : Gauge
+        Tasks that could run and have not moved for 3 s, by ``reason``, while
+        this instance decides.
+    stands : Counter
+        Tasks that began to stand while this instance decided, by ``reason``.
     probation_workers : Gauge
         Workers that get one run at a time after runs that failed as soon as
         they started, while this instance decides.
@@ -185,6 +190,8 @@
         self.running_jobs = gauge("running_jobs")
         self.evacuated_domains = gauge("evacuated_domains")
         self.waiting_groups = gauge("waiting_groups")
+        self.standing_tasks = gauge("standing_tasks")
+        self.stands = counter("stands")
         self.probation_workers = gauge("probation_workers")
         self.guarantees_at_risk = gauge("guarantees_at_risk")
         self.lost_core_seconds = counter("lost_core_seconds")
--- a/filbertlb/platform/entry_metrics.py
+++ b/filbertlb/platform/entry_metrics.py
@@ -7,6 +7,7 @@
 
 from filbertlb.batch.model import JobState
 from filbertlb.batch.queue_report import WaitReason
+from filbertlb.batch.standing_report import STAND_REASONS
 from filbertlb.metrics_page import GrowthSampler
 
 if TYPE_CHECKING:
@@ -47,6 +48,7 @@
         self._failed_jobs = GrowthSampler("cause")
         self._run_ends = GrowthSampler("cause")
         self._failed_runs = GrowthSampler("unit")
+        self._stands = GrowthSampler("reason")
 
     def sample(self, metrics: Metrics) -> None:
         """Set the gauges, and add to the counters what is new."""
@@ -56,6 +58,10 @@
             metrics.waiting_groups.set(
                 waiting.get(reason.value, 0), {"reason": reason.value}
             )
+        standing = decider.standing_tasks
+        for name in STAND_REASONS:
+            metrics.standing_tasks.set(standing.get(name, 0), {"reason": name})
+        self._stands.sample(metrics.stands, decider.stands)
         metrics.leader.set(int(decider.deciding), {"scope": self._scope})
         self._lost_work.sample(metrics.lost_core_seconds, decider.lost_core_s)
         self._failed_jobs.sample(metrics.failed_jobs, decider.failed_jobs)
--- a/tests/test_logs_metrics.py
+++ b/tests/test_logs_metrics.py
@@ -1,8 +1,10 @@
 from __future__ import annotations
 
+from collections import Counter
 from contextlib import suppress
 from io import StringIO
 from json import loads
+from types import SimpleNamespace
 
 import gevent
 import pytest
@@ -10,6 +12,7 @@
 
 from filbertlb.admission import Admission
 from filbertlb.admission import AnswerBudget
+from filbertlb.batch.standing_report import STAND_REASONS
 from filbertlb.errors import FilbertlbError
 from filbertlb.logs import LineBudget
 from filbertlb.logs import log_context
@@ -18,9 +21,11 @@
 from filbertlb.metrics import metrics_of
 from filbertlb.metrics_page import AdmissionSampler
 from filbertlb.metrics_page import TransferSampler
+from filbertlb.platform.entry_metrics import DeciderSampler
 from filbertlb.transfers import Transfers
 
 SECRET = "s3cr3t-value"
+TOTALS = ("lost_core_s", "failed_jobs", "run_ends", "failed_runs")
 
 
 def test_json_lines_carry_the_ids_of_their_greenlet():
@@ -98,6 +103,32 @@
     assert "# TYPE filbertlb_answers_refused_total counter" in lines
 
 
+def test_standing_tasks_are_shown_by_reason():
+    decider = SimpleNamespace(
+        standing_tasks={"not_begun": 2},
+        stands=Counter(not_begun=3),
+        waiting_groups={},
+        deciding=True,
+        sample=lambda metrics: None,
+        **dict.fromkeys(TOTALS, Counter()),
+    )
+    sampler = DeciderSampler(decider, "coast")
+    with metrics_of("entry", "e1") as metrics:
+        sampler.sample(metrics)
+        shown = metrics.render().decode().splitlines()
+        decider.standing_tasks = {}
+        sampler.sample(metrics)
+        shown_after = metrics.render().decode().splitlines()
+    gauge = "filbertlb_standing_tasks"
+    assert len([line for line in shown if f"{gauge}{{" in line]) == len(
+        STAND_REASONS
+    )
+    assert f'{gauge}{{reason="not_begun"}} 2.0' in shown
+    assert f'{gauge}{{reason="no_room"}} 0.0' in shown
+    assert f'{gauge}{{reason="not_begun"}} 0.0' in shown_after
+    assert 'filbertlb_stands_total{reason="not_begun"} 3.0' in shown_after
+
+
 def test_reads_are_counted_by_call(lines):
     transfers = Transfers()
     sampler = TransferSampler(transfers)
