--- a/tests/batch/test_standing.py
+++ b/tests/batch/test_standing.py
@@ -212,7 +212,7 @@
 
 
 def busy_site(planner, now_s, nodes, jobs):
-    """Report every second; runs end after 4 s, and new jobs come."""
+    """Report every second; runs end after 6 s, and new jobs come."""
     if now_s % 1:
         return
     for node in nodes:
@@ -221,7 +221,7 @@
         done = [
             RunEnd(task, record.attempt, EndCause.DONE)
             for task, record in records.items()
-            if now_s * 1000 - record.since_ms >= 4000
+            if now_s * 1000 - record.since_ms >= 6000
         ]
         running = tuple(
             Run(task, record.attempt)
@@ -285,3 +285,25 @@
     for _ in play(planner, lambda planner, now_s: report(planner, now_s)):
         assert planner.standing.count_by_reason == {}
     assert planner.queue_report.count_by_reason == {"no_room": 1}
+
+
+def test_next_planner_of_a_term_tells_nothing_twice(lines):
+    # A decision that could not be written is followed by a new planner.
+    planner = Planner()
+    planner.state.add_job(a_job("a"))
+    assert list(play(planner, not_begun, 5.0))
+    rebuilt = Planner(state=planner.state, standing=planner.standing)
+    not_begun(rebuilt, 5.0)
+    rebuilt.decide(5.0, 5000)
+    assert rebuilt.standing.count_by_reason == {"not_begun": 1}
+    (_,) = [line for line in lines if line.startswith("standing")]
+
+
+def test_step_behind_one_that_lasts_until_cancelled_is_not_held():
+    planner = Planner()
+    steps = (a_step(long_running=True), a_step(after=(0,)))
+    planner.state.add_job(a_job("a", *steps))
+    record = TaskRecord(TaskPhase.ORDERED, 2, node="n0", incarnation="n0@1")
+    planner.state.set_record("a.0.0.0", record)
+    for _ in play(planner, lambda planner, now_s: report(planner, now_s)):
+        assert planner.standing.count_by_reason == {}
