--- a/filbertlb/batch/standing.py
+++ b/filbertlb/batch/standing.py
@@ -101,6 +101,8 @@
         Monotonic time of the last movement; None if it is not known.
     detail : str
         What the reason was found from, for logs.
+    node : str
+        Where a task is ordered; empty if it is not placed.
     """
 
     key: RunKey
@@ -109,6 +111,7 @@
     reason: WaitReason | StandReason
     since_s: float | None
     detail: str
+    node: str = ""
 
 
 def find_still(
@@ -180,7 +183,8 @@
         1,
         StandReason.WORKER_UNKNOWN,
         look.monotonic_s(record.since_ms),
-        f"{record.phase.value} on {record.node}, of which no report is known",
+        f"{record.phase.value}, no report is known",
+        record.node,
     )
 
 
@@ -215,7 +219,8 @@
             1,
             reason,
             since_s,
-            f"{record.phase.value} on {record.node}, {self._detail(reason)}",
+            f"{record.phase.value}, {self._detail(reason)}",
+            record.node,
         )
 
     def _reason(self, key: RunKey, record: TaskRecord) -> StandReason | None:
