Place nothing on a worker whose last report is of unknown age

After a gap in what an entry reads, a worker that had gone in the gap got work for 2.6 s.

Cause: the copy of the state table told until when a report had been written at the latest, and a report newer than the first recorded version counted as just written. In a gap of 20 s it may be 20 s old. The times that an earlier process hands on had the same gap: a mark bears the time of the next answer.

Change: a version also has an earliest time, that of the last answer without it, in the copy of the state or in that of the reports, whichever is later. A report may be as old as that; if the two times are more than MAX_REPORT_AGE_S apart, its worker gets no work until the next report. Leases are waited out from the latest time as before, so no run is given up earlier.

Left: a report in a gap of up to 2.6 s may be older by that time when its worker gets work, 5.2 s at most, and by the time the last answer before the gap was on its way.

Tests: written_since_first is replaced by earliest_write_s, and its tests by the stricter ones of the time itself. That a version after a handed-on mark counts as recent is not asserted any more, but the opposite: it was wrong.

--- a/filbertlb/batch/takeover.py
+++ b/filbertlb/batch/takeover.py
@@ -19,6 +19,7 @@
 from filbertlb.batch.progress_rows import progress_job_id
 from filbertlb.batch.stored import decode_report_row
 from filbertlb.batch.version_marks import restore_marks
+from filbertlb.batch.workers import MAX_REPORT_AGE_S
 from filbertlb.table.base import HistoryLostError
 from filbertlb.table.base import TableUnavailableError
 from filbertlb.table.rows import UnreadableRowError
@@ -111,9 +112,10 @@
     worker gets no new work, and its runs end once the row is too old.
 
     A report that this decider has just read may be old. Its age is counted
-    from when this entry's copy of the state table had reached its version.
-    One from before the first version whose time is known may be of any age:
-    it proves no worker alive, and its leases are waited out from that time.
+    from when this entry's copy of the state table had reached its version,
+    and its leases are waited out from that time. It may have been written
+    long before, at any time since the last answer without it: then it proves
+    no worker alive.
     """
     row = worker_mirror.row_by_key.get(key)
     if row is None:
@@ -134,10 +136,19 @@
         run for run in report.running if planner.state.may_be_task(run.task)
     )
     report = attrs.evolve(report, running=running)
-    recent = state_mirror.versions.written_since_first(row.version)
+    earliest_s = _earliest_write_s(row.version, state_mirror, worker_mirror)
+    recent = seen_s - earliest_s <= MAX_REPORT_AGE_S
     planner.record_report(report, seen_s, recent)
 
 
+def _earliest_write_s(version: int, *mirrors: Mirror) -> float:
+    """Return a time before which no copy could have had a version."""
+    times = (mirror.versions.earliest_write_s(version) for mirror in mirrors)
+    return max(
+        (at_s for at_s in times if at_s is not None), default=float("-inf")
+    )
+
+
 def _catch_up(
     table: WatchedTable, mirror: Mirror, clock: Clock, version: int
 ) -> None:
@@ -146,8 +157,9 @@
         changes = table.changes(STATE_TABLE, mirror.version, 0.0)
     except HistoryLostError as error:
         logger.info("reading the whole state table: {}", error)
+        sent_s = clock.monotonic()
         snapshot = table.snapshot(f"{STATE_TABLE}/")
-        mirror.replace(snapshot, clock.monotonic())
+        mirror.replace(snapshot, clock.monotonic(), sent_s)
     else:
         mirror.apply(changes, clock.monotonic())
     if mirror.version < version:
--- a/filbertlb/table/mirror.py
+++ b/filbertlb/table/mirror.py
@@ -89,15 +89,24 @@
         """
         self._listeners.append(listener)
 
-    def replace(self, snapshot: Snapshot, now_s: float) -> None:
-        """Apply a snapshot; rows that are missing in it were deleted."""
+    def replace(
+        self, snapshot: Snapshot, now_s: float, sent_s: float | None = None
+    ) -> None:
+        """Apply a snapshot; rows that are missing in it were deleted.
+
+        Parameters
+        ----------
+        sent_s : float, optional
+            Monotonic time at which the snapshot was asked for. Its rows may
+            be newer than its version.
+        """
         present = {row.key for row in snapshot.rows}
         for key, row in list(self.row_by_key.items()):
             if key not in present and row.version <= snapshot.version:
                 self.delete(key, snapshot.version)
         for row in snapshot.rows:
             self.put(row, now_s)
-        self._advance(snapshot.version, now_s, snapshot.clock_ms)
+        self._advance(snapshot.version, now_s, snapshot.clock_ms, sent_s)
         self.loaded = True
         self.changed.set()
 
@@ -135,9 +144,15 @@
             self._deletion_version_by_key[key] = version
             self._notify_listeners(key, None)
 
-    def _advance(self, version: int, now_s: float, clock_ms: int) -> None:
+    def _advance(
+        self,
+        version: int,
+        now_s: float,
+        clock_ms: int,
+        sent_s: float | None = None,
+    ) -> None:
         self.version = max(self.version, version)
-        self.versions.observe(self.version, now_s, clock_ms)
+        self.versions.observe(self.version, now_s, clock_ms, sent_s)
 
     def _notify_listeners(self, key: str, row: Row | None) -> None:
         for listener in self._listeners:
@@ -234,7 +249,7 @@
         sent_s = self.clock.monotonic()
         if not self.mirror.loaded:
             snapshot = self.table.snapshot(self.prefix or f"{self.name}/")
-            self.mirror.replace(snapshot, self.clock.monotonic())
+            self.mirror.replace(snapshot, self.clock.monotonic(), sent_s)
             self.complete_s = sent_s
         else:
             changes = self._read_changes()
--- a/filbertlb/table/version_times.py
+++ b/filbertlb/table/version_times.py
@@ -1,7 +1,7 @@
 """Times by which the table service had reached its versions.
 
-The versions of all tables come from one counter, so the time of a version
-tells the greatest possible age of each row that is not newer. Marks on the
+The versions of all tables come from one counter, so the times of two
+versions bound the time at which a row between them was written. Marks on the
 service's own clock carry the times from one process to the next.
 """
 
@@ -40,6 +40,8 @@
 class _ReachedVersion:
     version: int
     at_s: float
+    # Time at which no later version was written; None if not known.
+    newest_s: float | None = None
     # Time of the service's clock in the next answer; 0 until then.
     clock_ms: int = 0
 
@@ -57,7 +59,13 @@
     _clock_ms: int = 0
     _clock_read_s: float = 0.0
 
-    def observe(self, version: int, now_s: float, clock_ms: int = 0) -> None:
+    def observe(
+        self,
+        version: int,
+        now_s: float,
+        clock_ms: int = 0,
+        sent_s: float | None = None,
+    ) -> None:
         """Record an answer of the service.
 
         Parameters
@@ -66,6 +74,9 @@
             Monotonic time of this process.
         clock_ms : int
             Time of the service's clock in the answer; 0 if it has none.
+        sent_s : float, optional
+            Time of the call if it asked for more than one answer. The
+            version is that of the first.
         """
         if clock_ms > 0:
             self._clock_ms = clock_ms
@@ -76,7 +87,8 @@
             not self._reached
             or now_s - self._reached[-1].at_s >= RECORD_PERIOD_S
         ):
-            self._reached.append(_ReachedVersion(version, now_s))
+            newest_s = now_s if sent_s is None else sent_s
+            self._reached.append(_ReachedVersion(version, now_s, newest_s))
 
     def reached_s(self, version: int) -> float | None:
         """Return a monotonic time at which a version had been written.
@@ -88,12 +100,17 @@
                 return reached.at_s
         return None
 
-    def written_since_first(self, version: int) -> bool:
-        """Return whether a version is newer than the first recorded one.
+    def earliest_write_s(self, version: int) -> float | None:
+        """Return a monotonic time before which a version was not written.
 
-        Older versions may be of any age.
+        It is that of the last answer that did not have it, and so too late
+        by at most the time which that answer took to arrive. None if there
+        was no such answer: the version may be of any age.
         """
-        return bool(self._reached) and version > self._reached[0].version
+        for reached in reversed(self._reached):
+            if reached.version < version:
+                return reached.newest_s
+        return None
 
     def marks(self) -> tuple[VersionMark, ...]:
         """Return recent versions with their times on the service's clock."""
@@ -113,6 +130,8 @@
         """Add the marks of an earlier process that are older than all here.
 
         Marks from after the present time of the service's clock are ignored.
+        The time of a mark is that of a later answer, so it does not tell
+        that the next version was not yet written.
         """
         if not self._clock_ms or not self._reached:
             return
@@ -127,5 +146,5 @@
                 and len(self._reached) < MAX_RECORDED
             ):
                 self._reached.appendleft(
-                    _ReachedVersion(mark.version, at_s, mark.clock_ms)
+                    _ReachedVersion(mark.version, at_s, clock_ms=mark.clock_ms)
                 )
--- a/tests/table/test_version_times.py
+++ b/tests/table/test_version_times.py
@@ -34,13 +34,25 @@
 
 
 @pytest.mark.parametrize(
-    ("version", "written"), [(9, False), (10, False), (11, True)]
+    ("version", "earliest_s"),
+    [(9, None), (10, None), (11, 0.0), (12, 0.0), (13, 20.0), (99, 20.0)],
 )
-def test_only_later_versions_are_known_to_be_recent(version, written):
+def test_version_was_written_after_the_last_answer_without_it(
+    version, earliest_s
+):
+    times = VersionTimes()
+    assert times.earliest_write_s(version) is None
+    for answered_s, newest in ((0.0, 10), (0.2, 11), (20.0, 12)):
+        times.observe(newest, answered_s)
+    assert times.earliest_write_s(version) == earliest_s
+
+
+def test_rows_of_a_snapshot_may_be_as_old_as_its_call():
+    # Later pages have rows that are newer than the snapshot's version.
     times = VersionTimes()
-    assert not times.written_since_first(version)
-    times.observe(10, 0.0)
-    assert times.written_since_first(version) is written
+    times.observe(10, 9.0, sent_s=1.0)
+    assert times.earliest_write_s(11) == 1.0
+    assert times.reached_s(10) == 9.0
 
 
 def process_that_ran(seconds, clock_ms):
@@ -68,7 +80,9 @@
     assert times.reached_s(138) == 7.0 - 10.0
     assert times.reached_s(137) == 7.0 - 12.0
     assert times.reached_s(140) == 7.0
-    assert times.written_since_first(135)
+    # A mark is from the next answer, which may have had version 135 already.
+    assert times.earliest_write_s(135) is None
+    assert times.earliest_write_s(151) == 7.0
     times.restore(marks)
     times.observe(151, 8.0, 52_000)
     assert times.marks()[-2:] == (marks[-1], VersionMark(150, 52_000))
