End tasks on a node without a report row despite take-overs

If a worker's report row is gone, its tasks stand for ever if a new decider takes over more often than every 14.6 s.

Cause: a decider that finds no row counts the leases from its own take-over, and the next one does so anew. Nothing that lasts tells since when the row has been missing.

Change: the decider stores an empty report for such a node, on condition that there is no row. All reports that the node ever stored are older than that row, so its version starts the wait of DEAD_AFTER_S for all later deciders, by the same times as for any other report. A report that comes meanwhile wins, and an agent that registers replaces the row. If the write fails, the take-over goes on as before.

--- a/filbertlb/batch/takeover.py
+++ b/filbertlb/batch/takeover.py
@@ -20,8 +20,12 @@
 from filbertlb.batch.stored import decode_report_row
 from filbertlb.batch.version_marks import restore_marks
 from filbertlb.batch.workers import MAX_REPORT_AGE_S
+from filbertlb.errors import FilbertlbError
+from filbertlb.table.base import ABSENT
 from filbertlb.table.base import HistoryLostError
 from filbertlb.table.base import TableUnavailableError
+from filbertlb.table.base import Write
+from filbertlb.table.rows import encode_value
 from filbertlb.table.rows import UnreadableRowError
 
 if TYPE_CHECKING:
@@ -76,6 +80,7 @@
         _yield_sometimes(number)
     for node in set(planner.state.occupied_nodes()) - set(planner.workers):
         logger.error("worker {} has tasks and no report row", node)
+        _store_empty_report(table, node)
         planner.record_report(
             WorkerReport(node, ""), clock.monotonic(), recent=False
         )
@@ -149,6 +154,20 @@
     )
 
 
+def _store_empty_report(table: WatchedTable, node: str) -> None:
+    """Store a report without a worker for a node that has no row.
+
+    Its version tells later deciders since when the leases there have been
+    running out: all reports that the node may have had are older. A report
+    that has come meanwhile stays.
+    """
+    report = encode_value(WorkerReport(node, ""))
+    try:
+        table.commit((Write(WORKER_PREFIX + node, report, ABSENT),))
+    except FilbertlbError as error:
+        logger.warning("empty report of {} not stored: {}", node, error)
+
+
 def _catch_up(
     table: WatchedTable, mirror: Mirror, clock: Clock, version: int
 ) -> None:
--- a/tests/batch/test_takeover.py
+++ b/tests/batch/test_takeover.py
@@ -337,3 +337,11 @@
     remove(site)
     site.run(10 * DEAD_AFTER_S)
     assert site.record("j.0.0.0").node == "n1"
+
+
+def test_take_over_keeps_a_report_that_came_after_its_copy():
+    site = site_with_a_run_on_a_worker_that_goes(1, 100.0)
+    row = site.table.get(WORKER_PREFIX + "n0")
+    entry = site.entries[0]
+    build_planner(site.table, entry.mirror, entry.index, Mirror(), entry.clock)
+    assert site.table.get(WORKER_PREFIX + "n0") == row
