Find silent members dead although all ticks of an entry are late

An entry whose ticks come more than 1 s apart never found a silent member dead.

Cause: each gap of more than 1 s between two ticks counts as a pause of the observer, and nothing of it as silence of the members. If all ticks are late, no time counts at all.

Change: such a gap counts as 0.125 s of silence, as the observer has run for a moment between the two ticks and would have heard a member that is well. It isn't more, as one long pause after the other must not add up to the silence of a member that was well.

A member that joins later, without the first tick, which counts whole, has a test too.

--- a/filbertlb/core/members.py
+++ b/filbertlb/core/members.py
@@ -17,6 +17,13 @@
 
 OBSERVER_PAUSE_S = 1.0
 """Gap between two ticks, in seconds, that shows a pause of the observer."""
+LATE_TICK_SILENCE_S = 0.125
+"""Silence that such a gap counts for, in seconds.
+
+The observer has run for a moment between two ticks. Without it no member
+would be silent for an observer whose ticks are all late. It is so short that
+a member is heard many times before it counts as dead, if it is well.
+"""
 
 MAX_FORMER_INCARNATIONS = 8
 """Number of former incarnations that are kept for each member."""
@@ -226,7 +233,8 @@
         """Return the changes caused by silence.
 
         To be called a few times a second. Time during which the observer
-        itself was paused doesn't count as silence of the members.
+        itself was paused doesn't count as silence of the members, but for
+        a moment.
         """
         self._discount_observer_pause(now_s)
         changes: list[MemberChange] = []
@@ -248,9 +256,9 @@
         last_s, self._ticked_at_s = self._ticked_at_s, now_s
         if last_s is None or now_s - last_s <= OBSERVER_PAUSE_S:
             return
+        paused_s = now_s - last_s - LATE_TICK_SILENCE_S
         for member in self.by_id.values():
-            heard_at_s = member.heard_at_s + now_s - last_s
-            member.heard_at_s = min(now_s, heard_at_s)
+            member.heard_at_s = min(now_s, member.heard_at_s + paused_s)
 
     def _transitions_on_silence(
         self, member: Member, now_s: float
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -386,3 +386,32 @@
         now_s += tick_s
         kinds |= {change.kind for change in table.tick(now_s)}
     assert ChangeKind.DEAD in kinds
+
+
+@pytest.mark.parametrize("tick_s", [1.1, 2.0])
+def test_member_that_joins_between_late_ticks_is_found_dead(tick_s):
+    # The first tick of a table counts whole; this member is not there yet.
+    table = MemberTable(MembershipTimes())
+    table.tick(0.0)
+    table.record_message(MemberMessage("e0", "i0", 1), 1.0, 0.0)
+    changes = []
+    for number in range(1, int(120.0 / tick_s)):
+        changes += table.tick(number * tick_s)
+    assert ChangeKind.DEAD in kinds(changes)
+
+
+@pytest.mark.parametrize("tick_s", [1.1, 2.0, 30.0])
+@pytest.mark.parametrize("ticks_per_message", [1, 10])
+def test_member_that_is_heard_between_late_ticks_is_never_silent(
+    tick_s, ticks_per_message
+):
+    # The moment that a late tick counts for must not add up.
+    table = MemberTable(MembershipTimes())
+    now_s, changes = 0.0, []
+    for number in range(1, 200):
+        now_s += tick_s
+        if number % ticks_per_message == 1 % ticks_per_message:
+            message = MemberMessage("e0", "i0", number)
+            changes += table.record_message(message, 1.0, now_s - 0.05)
+        changes += table.tick(now_s)
+    assert kinds(changes) == [ChangeKind.JOINED]
