Count no pause before an entry's first tick as silence of members

What callers saw: nothing reported. A trial of the membership machine with 3,000 random examples found it: an entry that has just started and is paused for 30 s before its first tick finds all members dead that it had heard.

Cause: a pause is the gap between two ticks, and before the first there is none.

Change: the first message counts as a tick.

Evidence: test_pause_before_the_first_tick_is_no_silence_of_members failed (suspect and dead, expected no change) and passes; the trial passes with 3,000 other random examples.

--- a/filbertlb/core/members.py
+++ b/filbertlb/core/members.py
@@ -212,6 +212,9 @@
         list of MemberChange or None
             Changes; None if the message is outdated.
         """
+        if self._ticked_at_s is None:
+            # A pause before the first tick is none of the members' silence.
+            self._ticked_at_s = now_s
         member = self.by_id.get(message.member_id)
         changes: list[MemberChange] = []
         if member is None:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -415,3 +415,10 @@
             changes += table.record_message(message, 1.0, now_s - 0.05)
         changes += table.tick(now_s)
     assert kinds(changes) == [ChangeKind.JOINED]
+
+
+def test_pause_before_the_first_tick_is_no_silence_of_members():
+    # An entry that had just started found all members dead after a pause.
+    table = MemberTable(MembershipTimes())
+    table.record_message(MemberMessage("e0", "i0", 1), 1.0, 0.0)
+    assert table.tick(30.0) == []
