Take guarantee units and the run table out of their import circle

cluster, guarantee_packing, packing, runs and search imported each other, if only for types. A unit and a run are data that the cluster refers to; what works on a cluster comes after it. No behaviour changes.

Evidence: a script over all imports finds no circle among them any more; the scheduling and packing tests pass.

--- a/filbertlb/core/cluster.py
+++ b/filbertlb/core/cluster.py
@@ -15,7 +15,7 @@
     from collections.abc import Iterator
 
     from filbertlb.core.amounts import Amount
-    from filbertlb.core.guarantee_packing import Unit
+    from filbertlb.core.guarantee_units import Unit
     from filbertlb.core.model import Worker
     from filbertlb.core.runs import Run
 
--- a/filbertlb/core/guarantee_packing.py
+++ b/filbertlb/core/guarantee_packing.py
@@ -19,6 +19,7 @@
 from filbertlb.core.amounts import needed
 from filbertlb.core.amounts import plus
 from filbertlb.core.amounts import times
+from filbertlb.core.guarantee_units import Unit
 from filbertlb.core.packing import MAX_SEARCHED_WORKERS
 from filbertlb.core.packing import PackingSearch
 from filbertlb.core.search import candidate_groups
@@ -37,7 +38,7 @@
 
 _REPACK_INTERVAL_S = 1.0
 
-Placements = dict["Unit", tuple[str, ...]]
+Placements = dict[Unit, tuple[str, ...]]
 
 
 def open_room(state: WorkerState) -> Amount:
@@ -45,37 +46,6 @@
     return state.open
 
 
-@attrs.define(eq=False)
-class Unit:
-    """One shape of a guarantee, which one job at a time can claim.
-
-    Parameters
-    ----------
-    organisation_id : str
-        Organisation that has the guarantee.
-    need : Amount
-        Resources that one member needs.
-    worker_ids : tuple of str
-        Worker of each member; empty if the unit has no placement.
-    claimed_by : str
-        Identifier of the job that claims the unit, or empty.
-    """
-
-    organisation_id: str
-    guarantee: Guarantee
-    need: Amount
-    worker_ids: tuple[str, ...] = ()
-    claimed_by: str = ""
-
-    @property
-    def packing_order(self) -> tuple[bool, int, int, int]:
-        """Return a sort key: units that are harder to place come first."""
-        shape = self.guarantee.shape
-        total = times(self.need, shape.members)
-        has_domain = shape.failure_domain is not None
-        return (not has_domain, -total[0], -total[1], -total[2])
-
-
 @attrs.define(eq=False)
 class GuaranteePacking:
     """Maintains a placement of every guarantee unit on a cluster.
--- a/filbertlb/core/packing.py
+++ b/filbertlb/core/packing.py
@@ -15,7 +15,7 @@
 
 if TYPE_CHECKING:
     from filbertlb.core.cluster import Cluster
-    from filbertlb.core.guarantee_packing import Unit
+    from filbertlb.core.guarantee_units import Unit
     from filbertlb.core.search import RoomFunction
 
 MAX_SEARCHED_WORKERS = 32
--- a/filbertlb/scheduling/claims.py
+++ b/filbertlb/scheduling/claims.py
@@ -19,7 +19,7 @@
 
 if TYPE_CHECKING:
     from filbertlb.core.amounts import Amount
-    from filbertlb.core.guarantee_packing import Unit
+    from filbertlb.core.guarantee_units import Unit
     from filbertlb.core.queueing import Bucket
     from filbertlb.core.queueing import WaitingJob
     from filbertlb.core.runs import Run
--- a/filbertlb/scheduling/first_fit.py
+++ b/filbertlb/scheduling/first_fit.py
@@ -11,8 +11,8 @@
 from filbertlb.core.amounts import needed
 from filbertlb.core.cluster import Cluster
 from filbertlb.core.model import Assignment
+from filbertlb.core.run_table import RunTable
 from filbertlb.core.runs import Run
-from filbertlb.core.runs import RunTable
 from filbertlb.core.scheduling import JobEnd
 from filbertlb.core.scheduling import StartJob
 from filbertlb.core.scheduling import WaitReason
--- a/filbertlb/scheduling/organisations.py
+++ b/filbertlb/scheduling/organisations.py
@@ -17,7 +17,7 @@
     from collections.abc import Iterator
 
     from filbertlb.core.guarantee_packing import GuaranteePacking
-    from filbertlb.core.guarantee_packing import Unit
+    from filbertlb.core.guarantee_units import Unit
     from filbertlb.core.model import Organisation
     from filbertlb.core.runs import Run
     from filbertlb.scheduling.state import SchedulerState
--- a/filbertlb/scheduling/reservations.py
+++ b/filbertlb/scheduling/reservations.py
@@ -31,7 +31,7 @@
 
     from filbertlb.core.amounts import Amount
     from filbertlb.core.cluster import WorkerState
-    from filbertlb.core.guarantee_packing import Unit
+    from filbertlb.core.guarantee_units import Unit
     from filbertlb.core.queueing import WaitingJob
     from filbertlb.core.reclaim import Eligible
     from filbertlb.core.runs import Run
--- a/filbertlb/scheduling/state.py
+++ b/filbertlb/scheduling/state.py
@@ -22,15 +22,15 @@
 from filbertlb.core.model import Assignment
 from filbertlb.core.queueing import JobQueue
 from filbertlb.core.queueing import Shares
+from filbertlb.core.run_table import RunTable
 from filbertlb.core.runs import Run
-from filbertlb.core.runs import RunTable
 from filbertlb.core.scheduling import StartJob
 from filbertlb.core.scheduling import StopJob
 
 if TYPE_CHECKING:
     from filbertlb.core.amounts import Amount
     from filbertlb.core.cluster import WorkerState
-    from filbertlb.core.guarantee_packing import Unit
+    from filbertlb.core.guarantee_units import Unit
     from filbertlb.core.queueing import WaitingJob
     from filbertlb.core.scheduling import Decision
     from filbertlb.scheduling.config import SchedulerConfig
