--- a/filbertlb/batch/gang_speeds.py
+++ b/filbertlb/batch/gang_speeds.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from filbertlb.batch.worker_speeds import GangRun
     from filbertlb.batch.worker_speeds import TimedRun
 
 MAX_GANGS = 1024
@@ -26,9 +27,6 @@
 Comparing large gangs with each further member would take seconds.
 """
 
-GangRun = tuple[str, int]
-"""Task group and attempt."""
-
 
 @attrs.define
 class GangPaces:
--- a/filbertlb/batch/speed_learning.py
+++ b/filbertlb/batch/speed_learning.py
@@ -15,6 +15,7 @@
 from filbertlb.batch.log_normal import LogNormal
 from filbertlb.batch.model import task_group_of
 from filbertlb.batch.run_track import CountedRuns
+from filbertlb.batch.worker_speeds import GangRun
 from filbertlb.batch.worker_speeds import MIN_SIBLINGS
 from filbertlb.batch.worker_speeds import Siblings
 from filbertlb.batch.worker_speeds import TimedRun
@@ -26,7 +27,6 @@
 
     from filbertlb.batch.durations import ObservedRun
     from filbertlb.batch.gang_speeds import GangPaces
-    from filbertlb.batch.gang_speeds import GangRun
     from filbertlb.batch.model import RunEnd
     from filbertlb.batch.run_track import RunTrack
 
--- a/filbertlb/batch/worker_speeds.py
+++ b/filbertlb/batch/worker_speeds.py
@@ -25,7 +25,6 @@
     from collections.abc import Iterable
     from collections.abc import Sequence
 
-    from filbertlb.batch.gang_speeds import GangRun
     from filbertlb.batch.model import Worker
 
 PRIOR_WEIGHT = 1 / 0.3**2
@@ -66,6 +65,9 @@
 With 750 workers the row has about half of the 48 KiB that a row may have.
 """
 
+GangRun = tuple[str, int]
+"""Task group and attempt."""
+
 SpeedSum = Annotated[float, Meta(ge=-1e4, le=1e4)]
 SpeedWeight = Annotated[float, Meta(ge=0, le=1e4)]
 
