--- a/benchmarks/capacity_process.py
+++ b/benchmarks/capacity_process.py
@@ -30,8 +30,8 @@
 from filbertlb.backend.http import HttpWorker
 from filbertlb.core.clock import SystemClock
 from filbertlb.core.model import Resources
-from filbertlb.entry.app import EntrySetup
 from filbertlb.entry.app import open_entry
+from filbertlb.entry.setup import EntrySetup
 from filbertlb.messages import Role
 from filbertlb.table.http import HttpTable
 from filbertlb.transport.codec import KeyRing
--- a/filbertlb/cli/roles.py
+++ b/filbertlb/cli/roles.py
@@ -19,8 +19,8 @@
 from filbertlb.cli.context import exit_code
 from filbertlb.cli.context import report_failure
 from filbertlb.core.clock import SystemClock
-from filbertlb.entry.app import EntrySetup
 from filbertlb.entry.app import open_entry
+from filbertlb.entry.setup import EntrySetup
 from filbertlb.errors import FilbertlbError
 from filbertlb.errors import InvalidInputError
 from filbertlb.lifecycle import serve_until_stopped
--- a/filbertlb/demo/plant.py
+++ b/filbertlb/demo/plant.py
@@ -19,8 +19,8 @@
 from filbertlb.backend.ledger import Ledger
 from filbertlb.client import Client
 from filbertlb.core.revisions import ChangeRequest
-from filbertlb.entry.app import EntrySetup
 from filbertlb.entry.app import open_entry
+from filbertlb.entry.setup import EntrySetup
 from filbertlb.errors import FilbertlbError
 from filbertlb.errors import UnavailableError
 from filbertlb.scheduling.dry_run import broken_guarantees
--- a/filbertlb/entry/app.py
+++ b/filbertlb/entry/app.py
@@ -55,7 +55,6 @@
 from filbertlb.routing.near_first import NearFirst
 from filbertlb.scheduling.guaranteed import GuaranteedScheduler
 from filbertlb.scheduling.job_checker import JobChecker
-from filbertlb.settings.process import Limits
 from filbertlb.table.guarded import GuardedTable
 from filbertlb.table.lease import LeaseManager
 from filbertlb.tasks import Mailbox
@@ -66,11 +65,11 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from filbertlb.api.auth import TokenRecord
     from filbertlb.core.clock import Clock
     from filbertlb.core.job_record import JobRecord
     from filbertlb.core.model import JobSpec
     from filbertlb.core.site import SiteConfig
+    from filbertlb.entry.setup import EntrySetup
     from filbertlb.metrics import Metrics
     from filbertlb.table.base import TableService
     from filbertlb.transport.codec import Envelope
@@ -80,36 +79,6 @@
 INCARNATION_BYTES = 6
 
 
-@attrs.frozen
-class EntrySetup:
-    """Start-up parameters of an entry.
-
-    Parameters
-    ----------
-    host : str
-        IP address to listen on.
-    http_port, link_port : int
-        Ports for callers and for the site's other processes; with 0 the
-        operating system chooses a free port.
-    scope : str
-        Scope for which the entry may become the decider.
-    limits : Limits
-        Limits on requests and connections.
-    operator : TokenRecord, optional
-        Token of an operator that is accepted even while the table
-        service is down.
-    """
-
-    entry_id: str
-    host: str
-    failure_domain: str
-    http_port: int = 0
-    link_port: int = 0
-    scope: str = "main"
-    limits: Limits = Limits()
-    operator: TokenRecord | None = None
-
-
 class _DeciderNotifier:
     """Forwards endpoint events to the decider's mailbox."""
 
--- a/filbertlb/entry/reporting.py
+++ b/filbertlb/entry/reporting.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import Any
+from typing import Protocol
 from typing import TYPE_CHECKING
 
 import attrs
@@ -10,11 +11,32 @@
 from filbertlb.messages import Role
 
 if TYPE_CHECKING:
-    from filbertlb.entry.app import Entry
+    from filbertlb.api.app import Application
+    from filbertlb.core.clock import Clock
+    from filbertlb.entry.admission_control import AdmissionController
+    from filbertlb.entry.configuration import ConfigWatcher
+    from filbertlb.entry.decider import Decider
+    from filbertlb.entry.directory import Directory
+    from filbertlb.entry.setup import EntrySetup
     from filbertlb.metrics import Metrics
+    from filbertlb.transport.link import Link
 
 
-def status_of(entry: Entry) -> dict[str, Any]:
+class ReportedEntry(Protocol):
+    """What is reported of an entry."""
+
+    setup: EntrySetup
+    clock: Clock
+    link: Link
+    watcher: ConfigWatcher
+    directory: Directory
+    decider: Decider
+    gatekeeper: AdmissionController
+    application: Application
+    weight_by_id: dict[str, float]
+
+
+def status_of(entry: ReportedEntry) -> dict[str, Any]:
     """Return the status of an instance for operators."""
     now_s = entry.clock.monotonic()
     return {
@@ -30,7 +52,7 @@
     }
 
 
-def render_metrics(entry: Entry, metrics: Metrics) -> bytes:
+def render_metrics(entry: ReportedEntry, metrics: Metrics) -> bytes:
     """Update the gauges and return the rendered metrics."""
     _set_traffic(entry, metrics)
     for role in Role:
@@ -48,7 +70,7 @@
     return metrics.render()
 
 
-def _set_traffic(entry: Entry, metrics: Metrics) -> None:
+def _set_traffic(entry: ReportedEntry, metrics: Metrics) -> None:
     traffic = entry.link.traffic
     for direction, frames, size in (
         ("in", traffic.frames_in, traffic.bytes_in),
@@ -59,7 +81,7 @@
         metrics.frame_bytes.set(size, label)
 
 
-def _set_guarantees_at_risk(entry: Entry, metrics: Metrics) -> None:
+def _set_guarantees_at_risk(entry: ReportedEntry, metrics: Metrics) -> None:
     missing_by_id = dict.fromkeys(entry.weight_by_id, 0)
     for risk in entry.decider.risks():
         subtotal = missing_by_id.get(risk.organisation_id, 0)
--- a/tests/api_site.py
+++ b/tests/api_site.py
@@ -19,8 +19,8 @@
 from filbertlb.client import Client
 from filbertlb.core.clock import SystemClock
 from filbertlb.core.model import Resources
-from filbertlb.entry.app import EntrySetup
 from filbertlb.entry.app import open_entry
+from filbertlb.entry.setup import EntrySetup
 from filbertlb.settings.process import Limits
 from filbertlb.table.base import ABSENT
 from filbertlb.table.memory import MemoryTable
