Break the import circle of a site's configuration and its check

The parts of the configuration have a module of their own, and the check names what it needs of the whole. No behaviour changes; the tests of the site, the configuration and the settings pass.

--- a/benchmarks/measure_membership.py
+++ b/benchmarks/measure_membership.py
@@ -29,7 +29,7 @@
 from filbertlb.core.membership import EndpointTable
 from filbertlb.core.membership_times import MembershipTimes
 from filbertlb.core.model import Resources
-from filbertlb.core.site import SiteLimits
+from filbertlb.core.site_parts import SiteLimits
 from filbertlb.messages import Announce
 from filbertlb.messages import AnnounceAck
 from filbertlb.messages import Beat
--- a/filbertlb/api/configuration.py
+++ b/filbertlb/api/configuration.py
@@ -20,9 +20,9 @@
 from filbertlb.core.audit import filter_entries
 from filbertlb.core.revisions import ChangeRequest
 from filbertlb.core.revisions import NO_REVISION
-from filbertlb.core.site import GuaranteeConfig
-from filbertlb.core.site import OrganisationConfig
 from filbertlb.core.site import SiteConfig
+from filbertlb.core.site_parts import GuaranteeConfig
+from filbertlb.core.site_parts import OrganisationConfig
 from filbertlb.errors import ConflictError
 from filbertlb.errors import NotFoundError
 from filbertlb.errors import UnavailableError
--- a/filbertlb/core/site_check.py
+++ b/filbertlb/core/site_check.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from re import fullmatch
+from typing import Protocol
 from typing import TYPE_CHECKING
 
 from filbertlb.core.site_names import NAME_PATTERN
@@ -10,12 +11,49 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
     from collections.abc import Iterator
+    from collections.abc import Mapping
+    from collections.abc import Sequence
 
-    from filbertlb.core.site import OrganisationConfig
-    from filbertlb.core.site import SiteConfig
+    from filbertlb.core.model import Worker
+    from filbertlb.core.site_parts import FailureDomainConfig
+    from filbertlb.core.site_parts import GuaranteeConfig
+    from filbertlb.core.site_parts import OrganisationConfig
+    from filbertlb.core.site_parts import SiteLimits
 
 
-def find_inconsistencies(config: SiteConfig) -> Iterator[tuple[str, str]]:
+class CheckedSite(Protocol):
+    """What is checked of a site's configuration."""
+
+    @property
+    def failure_domains(self) -> Mapping[str, FailureDomainConfig]:
+        """Failure domains by name."""
+        ...
+
+    @property
+    def organisations(self) -> Mapping[str, OrganisationConfig]:
+        """Organisations by name."""
+        ...
+
+    @property
+    def limits(self) -> SiteLimits:
+        """Limits of the site."""
+        ...
+
+    @property
+    def scopes(self) -> Sequence[str]:
+        """All scopes."""
+        ...
+
+    def scope_of_guarantee(self, guarantee: GuaranteeConfig) -> str | None:
+        """Return the scope that provides a guarantee, or None if unknown."""
+        ...
+
+    def expected_workers(self) -> Sequence[Worker]:
+        """Return placeholders for all workers of the expected racks."""
+        ...
+
+
+def find_inconsistencies(config: CheckedSite) -> Iterator[tuple[str, str]]:
     """Yield the path and a description of each inconsistent value."""
     if not config.failure_domains:
         yield "failure_domains", "is empty; add a failure domain"
@@ -35,7 +73,7 @@
     yield from _overcommitted_guarantees(config)
 
 
-def _invalid_names(config: SiteConfig) -> Iterator[tuple[str, str]]:
+def _invalid_names(config: CheckedSite) -> Iterator[tuple[str, str]]:
     names_by_path: dict[str, Iterable[str]] = {
         "failure_domains": config.failure_domains,
         "organisations": config.organisations,
@@ -50,7 +88,7 @@
                 )
 
 
-def _duplicate_racks(config: SiteConfig) -> Iterator[tuple[str, str]]:
+def _duplicate_racks(config: CheckedSite) -> Iterator[tuple[str, str]]:
     domain_by_rack: dict[str, str] = {}
     for name, domain in config.failure_domains.items():
         for rack in domain.racks:
@@ -63,7 +101,7 @@
 
 
 def _invalid_guarantees(
-    config: SiteConfig, organisation: OrganisationConfig, path: str
+    config: CheckedSite, organisation: OrganisationConfig, path: str
 ) -> Iterator[tuple[str, str]]:
     for name, guarantee in organisation.guarantees.items():
         shape = guarantee.shape
@@ -90,7 +128,9 @@
             )
 
 
-def _overcommitted_guarantees(config: SiteConfig) -> Iterator[tuple[str, str]]:
+def _overcommitted_guarantees(
+    config: CheckedSite,
+) -> Iterator[tuple[str, str]]:
     expected = sum(
         worker.capacity.accelerators for worker in config.expected_workers()
     )
--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -14,9 +14,9 @@
 from filbertlb.core.membership_times import MembershipTimes
 from filbertlb.core.revision_gate import RevisionGate
 from filbertlb.core.revisions import ChangeRequest
-from filbertlb.core.site import FailureDomainConfig
-from filbertlb.core.site import OrganisationConfig
 from filbertlb.core.site import SiteConfig
+from filbertlb.core.site_parts import FailureDomainConfig
+from filbertlb.core.site_parts import OrganisationConfig
 from filbertlb.core.spread import rank_entries
 from filbertlb.core.spread import takeover_delay_s
 from filbertlb.errors import FilbertlbError
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -26,9 +26,9 @@
 from filbertlb.core.revisions import ChangeRequest
 from filbertlb.core.revisions import ConfigRefusedError
 from filbertlb.core.revisions import RevisionConflictError
-from filbertlb.core.site import FailureDomainConfig
-from filbertlb.core.site import OrganisationConfig
 from filbertlb.core.site import SiteConfig
+from filbertlb.core.site_parts import FailureDomainConfig
+from filbertlb.core.site_parts import OrganisationConfig
 from filbertlb.errors import ConflictError
 from filbertlb.errors import UnavailableError
 from filbertlb.table.audit import AUDIT_PREFIX
