--- a/filbertlb/metrics.py
+++ b/filbertlb/metrics.py
@@ -94,6 +94,11 @@
     waiting_groups : Gauge
         Groups of tasks that are ready and wait, by ``reason``, while this
         instance decides.
+    standing_tasks : Gauge
+        Tasks that could run and have not moved for 3 s, by ``reason``, while
+        this instance decides.
+    stands : Counter
+        Tasks that began to stand while this instance decided, by ``reason``.
     probation_workers : Gauge
         Workers that get one run at a time after runs that failed as soon as
         they started, while this instance decides.
@@ -123,6 +128,9 @@
         Runs that an agent's worker holds.
     contact_age_s : Gauge
         Time since the table answered last, in seconds.
+    lease_left_s : Gauge
+        Time until the latest lease that an agent sent to its worker ends,
+        in seconds; negative after it.
     learned_keys : ClearableGauge
         Learned statistics, by ``of``: ``queue``, ``kind`` of task or
         ``caller``; as all that follow, at the entry that decides.
@@ -185,6 +193,8 @@
         self.running_jobs = gauge("running_jobs")
         self.evacuated_domains = gauge("evacuated_domains")
         self.waiting_groups = gauge("waiting_groups")
+        self.standing_tasks = gauge("standing_tasks")
+        self.stands = counter("stands")
         self.probation_workers = gauge("probation_workers")
         self.guarantees_at_risk = gauge("guarantees_at_risk")
         self.lost_core_seconds = counter("lost_core_seconds")
@@ -197,6 +207,7 @@
         self.leader = gauge("leader")
         self.runs = gauge("runs")
         self.contact_age_s = gauge("contact_age_seconds")
+        self.lease_left_s = gauge("lease_left_seconds")
         self.learned_keys = ClearableGauge(meter, "learned_keys")
         self.expected_run_s = ClearableGauge(meter, "expected_run_seconds")
         self.estimate_correction = ClearableGauge(meter, "estimate_correction")
