--- a/filbertlb/batch/crash_evidence.py
+++ b/filbertlb/batch/crash_evidence.py
@@ -29,6 +29,8 @@
     from filbertlb.batch.model import Crash
     from filbertlb.batch.planner_state import PlannerState
 
+START_MS = 500
+"""Time after a start within which a run counts as beginning."""
 PROMPT_CRASH_MS = 1000
 """Time after a start within which a crash is most likely due to the run."""
 MIN_CULPRIT_CRASHES = 2
@@ -92,21 +94,29 @@
         return 0.0
 
 
-CULPRIT_KINDS = (
-    CulpritKind(0.6, (CrashDensity(500, 2.0),)),
-    CulpritKind(0.1, (CrashDensity(PROMPT_CRASH_MS, 1.0),)),
-    CulpritKind(0.1, (CrashDensity(MAX_BLAME_MS, 0.1),)),
-    CulpritKind(
-        0.2,
-        (
-            CrashDensity(500, 1.4),
-            CrashDensity(PROMPT_CRASH_MS, 0.2),
-            CrashDensity(MAX_BLAME_MS, 0.02),
-        ),
+CRASHING_AT_START = CulpritKind(0.6, (CrashDensity(START_MS, 2.0),))
+CRASHING_PROMPTLY = CulpritKind(0.1, (CrashDensity(PROMPT_CRASH_MS, 1.0),))
+CRASHING_AT_ANY_AGE = CulpritKind(0.1, (CrashDensity(MAX_BLAME_MS, 0.1),))
+CRASHING_MOSTLY_EARLY = CulpritKind(
+    0.2,
+    (
+        CrashDensity(START_MS, 1.4),
+        CrashDensity(PROMPT_CRASH_MS, 0.2),
+        CrashDensity(MAX_BLAME_MS, 0.02),
     ),
 )
-"""Most such tasks end their workers as they begin, others at any time until
-their run shows that they don't; a few do both."""
+CULPRIT_KINDS = (
+    CRASHING_AT_START,
+    CRASHING_PROMPTLY,
+    CRASHING_AT_ANY_AGE,
+    CRASHING_MOSTLY_EARLY,
+)
+"""Assumed kinds of tasks that end their workers.
+
+Most do so as they begin, others at any time until their run shows that they
+don't; a few do both. The shares add up to 1, and so do, nearly, the densities
+of each kind over the ages.
+"""
 
 
 def odds(crashes: tuple[Crash, ...]) -> float:
