--- a/benchmarks/figures.py
+++ b/benchmarks/figures.py
@@ -13,8 +13,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from benchmarks.replay import Job
     from benchmarks.replay import Outcome
+    from benchmarks.replayed_job import Job
     from benchmarks.sites import Site
 
 URGENT_BOUND_S = 1.4
--- a/benchmarks/fragmentation.py
+++ b/benchmarks/fragmentation.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from benchmarks.replay import Job
+    from benchmarks.replayed_job import Job
     from benchmarks.sites import Site
     from filbertlb.core.amounts import Amount
     from filbertlb.core.model import Shape
--- a/benchmarks/replay.py
+++ b/benchmarks/replay.py
@@ -12,6 +12,7 @@
 
 from benchmarks.arrivals import HOUR_S
 from benchmarks.fragmentation import fragmentation
+from benchmarks.replayed_job import Job
 from filbertlb.core.model import Resources
 from filbertlb.core.queueing import Shares
 from filbertlb.core.scheduling import ImpossibleJobError
@@ -35,33 +36,6 @@
 CHECKPOINT_TAKES_S = 5.0
 
 
-@attrs.define
-class Job:
-    """What happened to one job.
-
-    Parameters
-    ----------
-    left_s : float
-        Work that is left, in seconds of running.
-    at_risk : bool
-        Some guarantee of its organisation was at risk when it arrived,
-        or all of its shapes were claimed.
-    at_quota : bool
-        Its organisation was at its quota when it arrived.
-    """
-
-    arrival: Arrival
-    left_s: float
-    run: int = 0
-    started_at_s: float = 0.0
-    first_start_s: float | None = None
-    done_at_s: float | None = None
-    failed: bool = False
-    at_risk: bool = False
-    at_quota: bool = False
-    worker_ids: tuple[str, ...] = ()
-
-
 @attrs.define
 class Outcome:
     """What one replay measured."""
