Write a job under the epoch in which it was decided

An entry that lost its lease and acquired it again could still record a decision of the epoch before: a start that nobody follows, or the loss of a gang that the other decider had kept running.

Cause: the writer looks only whether the lease is held when a write that has waited is sent, and the row's own epoch tells nothing if the decider between has not written it, as one that adopts a running gang does not.

--- a/filbertlb/entry/job_writer.py
+++ b/filbertlb/entry/job_writer.py
@@ -25,13 +25,15 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from typing import Any
+    from collections.abc import Sequence
 
     from filbertlb.core.gang_plan import GangOutcome
     from filbertlb.core.gang_plan import GangPlan
     from filbertlb.core.job_record import JobRecord
     from filbertlb.entry.job_table import JobTable
     from filbertlb.messages import TaskStatus
+    from filbertlb.table.base import Write
+    from filbertlb.table.commit import Proof
     from filbertlb.table.lease import LeaseManager
     from filbertlb.tasks import Mailbox
 
@@ -49,8 +51,8 @@
 class JobWriter:
     """Reads and writes job rows in greenlet pools.
 
-    Every write is committed under the lease of the scope. Results are
-    posted to the decider's mailbox.
+    Every write is committed under the lease of the scope, in the epoch in
+    which it was decided. Results are posted to the decider's mailbox.
 
     Parameters
     ----------
@@ -106,9 +108,7 @@
         def transition(record: JobRecord) -> JobRecord:
             return job_transitions.started(record, plan)
 
-        self._write_pool.spawn(
-            self._update_with_retry, _job_reference(plan), transition
-        )
+        self._write_pool.spawn(self._update_with_retry, plan, transition)
 
     def write_stopping(self, plan: GangPlan) -> None:
         """Record that a gang is being stopped; posts nothing."""
@@ -116,9 +116,7 @@
         def transition(record: JobRecord) -> JobRecord:
             return job_transitions.stopping(record, plan)
 
-        self._write_pool.spawn(
-            self._update_with_retry, _job_reference(plan), transition
-        )
+        self._write_pool.spawn(self._update_with_retry, plan, transition)
 
     def write_outcome(
         self, plan: GangPlan, outcome: GangOutcome, max_failures: int
@@ -181,7 +179,7 @@
             return job_transitions.decided(record, plan)
 
         try:
-            found = self._update(_job_reference(plan), transition)
+            found = self._update(plan, transition)
             written = WriteStatus.CONFLICT if found is None else WriteStatus.OK
         except ConflictError:
             written = WriteStatus.CONFLICT
@@ -200,37 +198,37 @@
                 record, outcome, plan.epoch, max_failures=max_failures
             )
 
-        found = self._update_with_retry(_job_reference(plan), transition)
+        found = self._update_with_retry(plan, transition)
         self._mailbox.post(OutcomeWritten(plan.attempt_id, found))
 
     def _update_with_retry(
-        self, job: OpenJob, transition: Callable[[JobRecord], JobRecord]
+        self, plan: GangPlan, transition: Callable[[JobRecord], JobRecord]
     ) -> JobRecord | None:
         """Retry an update until written, superseded or the lease is lost."""
         while self._holds_lease():
             try:
-                return self._update(job, transition)
+                return self._update(plan, transition)
             except NON_RETRYABLE_ERRORS as error:
                 logger.info(
-                    "update of job {} dropped: {}", job.job_id, error.message
+                    "update of job {} dropped: {}", plan.job_id, error.message
                 )
                 return None
             except FilbertlbError as error:
                 logger.warning(
                     "update of job {} failed, retrying: {}",
-                    job.job_id,
+                    plan.job_id,
                     error.message,
                 )
                 sleep(RETRY_PERIOD_S)
         return None
 
     def _update(
-        self, job: OpenJob, transition: Callable[[JobRecord], JobRecord]
+        self, plan: GangPlan, transition: Callable[[JobRecord], JobRecord]
     ) -> JobRecord | None:
-        return self._jobs.update(job, transition, self._commit)
+        def commit(writes: Sequence[Write], proof: Proof) -> None:
+            self._keeper.commit(writes, epoch=plan.epoch)
 
-    def _commit(self, writes: Any, proof: Any) -> None:
-        self._keeper.commit(writes)
+        return self._jobs.update(_job_reference(plan), transition, commit)
 
     def _holds_lease(self) -> bool:
         return self._keeper.held() is not None
