Apply answers to writes only in the epoch of the write

An entry that acquired its lease again could release a gang that it was still claiming, when the answer to the first decision of that attempt came late: a start although another decider may have recorded that it did not run. The answer to an earlier outcome dropped the gang and failed with an assertion, so its room stayed taken and nobody followed it.

Cause: answers name the attempt only, and a gang that is taken over keeps its attempt.

Change: they name the epoch too; those of another epoch are passed over. So is an outcome for a gang that has none yet, which was read before that outcome was written (a changed scheduler setting takes gangs over in one epoch).

Evidence: test_decision_written_in_an_earlier_epoch_releases_nothing failed (released with epoch 3 on the answer of epoch 1), and test_outcome_written_before_a_take_over_ends_no_gang failed with the assertion in both cases; they pass.

--- a/filbertlb/entry/decider.py
+++ b/filbertlb/entry/decider.py
@@ -57,6 +57,7 @@
     from filbertlb.core.scheduling import SchedulingPolicy
     from filbertlb.core.scheduling import WaitReason
     from filbertlb.core.site import SiteConfig
+    from filbertlb.entry.gang_driver import ActiveGang
     from filbertlb.entry.job_writer import JobWriter
     from filbertlb.messages import Announce
     from filbertlb.tasks import Mailbox
@@ -491,22 +492,36 @@
     def _on_decision_written(
         self, message: DecisionWritten, now_s: float
     ) -> None:
-        active = self._gangs.get(message.attempt_id)
+        active = self._written_gang(message)
         if active is not None:
             effects = active.gang.decision_written(message.written, now_s)
             self._gangs.execute(active, effects)
 
+    def _written_gang(
+        self, message: DecisionWritten | OutcomeWritten
+    ) -> ActiveGang | None:
+        """Return the gang whose write was answered.
+
+        The answer to a write of an earlier epoch tells nothing of the gang
+        that was taken over under the same attempt.
+        """
+        active = self._gangs.get(message.attempt_id)
+        if active is None or active.gang.plan.epoch != message.epoch:
+            return None
+        return active
+
     def _on_outcome_written(
         self, message: OutcomeWritten, now_s: float
     ) -> None:
         job = message.job
-        active = self._gangs.remove(
-            message.attempt_id, acknowledge=job is not None
-        )
+        active = self._written_gang(message)
         if active is None:
             return
         outcome = active.gang.outcome
-        assert outcome is not None
+        if outcome is None:
+            # The gang was taken over from a row read before this write.
+            return
+        self._gangs.remove(message.attempt_id, acknowledge=job is not None)
         job_id = active.job.spec.job_id
         self._policy.ended(
             run_end(active.gang.plan, outcome), self._clock.wall()
--- a/filbertlb/entry/events.py
+++ b/filbertlb/entry/events.py
@@ -88,9 +88,10 @@
 
 @attrs.frozen
 class DecisionWritten:
-    """The result of writing a decision record."""
+    """The result of writing a decision record in an epoch."""
 
     attempt_id: str
+    epoch: int
     written: WriteStatus
 
 
@@ -100,12 +101,15 @@
 
     Parameters
     ----------
+    epoch : int
+        Epoch in which the outcome was decided.
     job : JobRecord, optional
         The written record; None if nothing was written, because the
         row has changed or the lease was lost.
     """
 
     attempt_id: str
+    epoch: int
     job: JobRecord | None
 
 
--- a/filbertlb/entry/job_writer.py
+++ b/filbertlb/entry/job_writer.py
@@ -188,7 +188,9 @@
                 "outcome of the decision write is unknown: {}", error.message
             )
             written = WriteStatus.UNKNOWN
-        self._mailbox.post(DecisionWritten(plan.attempt_id, written))
+        self._mailbox.post(
+            DecisionWritten(plan.attempt_id, plan.epoch, written)
+        )
 
     def _write_outcome(
         self, plan: GangPlan, outcome: GangOutcome, max_failures: int
@@ -199,7 +201,7 @@
             )
 
         found = self._update_with_retry(plan, transition)
-        self._mailbox.post(OutcomeWritten(plan.attempt_id, found))
+        self._mailbox.post(OutcomeWritten(plan.attempt_id, plan.epoch, found))
 
     def _update_with_retry(
         self, plan: GangPlan, transition: Callable[[JobRecord], JobRecord]
