Count ends that are reported late

filbertlb_late_ends_total by cause counts the ends that agents report after their runs had counted as ended, at the entry that decided, so that an operator sees from the metrics, too, that agents were silent for longer than a lease, and how much work was done meanwhile.

A run may count as ended for another reason than a silent agent: the log line of an end that is not applied says so now.

--- a/filbertlb/batch/decider.py
+++ b/filbertlb/batch/decider.py
@@ -137,6 +137,9 @@
         Jobs that failed while this process decided, by cause.
     run_ends : Counter of str
         Ends of runs that this process has processed, by cause.
+    late_ends : Counter of str
+        Ends reported to this process of runs that had counted as ended, by
+        cause.
     failed_runs : Counter of str
         Failed runs among them, by unit; a run of a gang counts once.
     stands : Counter of str
@@ -162,6 +165,7 @@
         self.lost_core_s: dict[str, float] = {}
         self.failed_jobs: Counter[str] = Counter()
         self.run_ends: Counter[str] = Counter()
+        self.late_ends: Counter[str] = Counter()
         self.failed_runs: Counter[str] = Counter()
         self.stands: Counter[str] = Counter()
         self._checkpoints = checkpoints or CheckpointCosts()
@@ -414,6 +418,7 @@
         planner.lost_core_s = self.lost_core_s
         planner.failed_jobs = self.failed_jobs
         planner.run_ends = self.run_ends
+        planner.late_ends = self.late_ends
         planner.failed_runs = self.failed_runs
         planner.standing = term.standing
         planner.demand = Demand() if self._by_benefit else None
--- a/filbertlb/batch/end_standing.py
+++ b/filbertlb/batch/end_standing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
@@ -28,13 +29,18 @@
     UNKNOWN_JOB = "unknown job"
     UNKNOWN_ATTEMPT = "unknown attempt"
     DONE = "task is done"
-    GIVEN_UP = "run was given up"
+    COUNTED = "run counted as ended before"
     EARLIER_ATTEMPT = "earlier attempt"
     LATE_DONE = "late, but done"
     """The run was given up, and the work need not be done again."""
 
 
 APPLIED = (EndStanding.CURRENT, EndStanding.LATE_DONE)
+LATE = (
+    EndStanding.LATE_DONE,
+    EndStanding.EARLIER_ATTEMPT,
+    EndStanding.COUNTED,
+)
 
 
 def standing_of(state: PlannerState, end: RunEnd, node: str) -> EndStanding:
@@ -53,7 +59,7 @@
         return EndStanding.CURRENT
     if end.cause is EndCause.DONE and _still_counts(state, end.task):
         return EndStanding.LATE_DONE
-    return EndStanding.EARLIER_ATTEMPT if earlier else EndStanding.GIVEN_UP
+    return EndStanding.EARLIER_ATTEMPT if earlier else EndStanding.COUNTED
 
 
 def _still_counts(state: PlannerState, task: str) -> bool:
@@ -68,31 +74,43 @@
 
 @attrs.define
 class UnappliedEnds:
-    """Logs the reported ends that are not applied, each once."""
+    """Logs the reported ends that are not applied, and counts late ones.
+
+    Each once, though it stands in several reports.
+    """
 
     _listed_by_node: dict[str, frozenset[RunKey]] = attrs.Factory(dict)
 
-    def log(
+    def record(
         self,
         state: PlannerState,
         report: WorkerReport,
         standings: dict[RunKey, EndStanding],
-    ) -> None:
-        """Log the ends that the report before did not list.
+    ) -> Counter[str]:
+        """Record the ends that the report before did not list.
 
         Parameters
         ----------
         standings : dict of RunKey to EndStanding
             Standings of the ends as the report was read, before any of
             them was applied.
+
+        Returns
+        -------
+        Counter of str
+            Late ends by cause.
         """
+        late: Counter[str] = Counter()
         before = self._listed_by_node.get(report.node, frozenset())
         self._listed_by_node[report.node] = frozenset(standings)
         for end in report.ended:
             standing = standings[end.key]
-            if end.key in before or standing in APPLIED:
+            if end.key in before:
                 continue
-            _log_unapplied(state, report.node, end, standing)
+            late[end.cause] += standing in LATE
+            if standing not in APPLIED:
+                _log_unapplied(state, report.node, end, standing)
+        return late
 
 
 def _log_unapplied(
--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -97,6 +97,8 @@
         Jobs that failed so far, by cause.
     run_ends : Counter of str
         Ends of runs processed so far, by cause.
+    late_ends : Counter of str
+        Ends reported so far of runs that had counted as ended, by cause.
     failed_runs : Counter of str
         Failed runs so far, by unit: ``task`` or ``gang``.
     evacuations : Evacuations
@@ -118,6 +120,7 @@
     lost_core_s: dict[str, float] = attrs.Factory(dict)
     failed_jobs: Counter[str] = attrs.Factory(Counter)
     run_ends: Counter[str] = attrs.Factory(Counter)
+    late_ends: Counter[str] = attrs.Factory(Counter)
     failed_runs: Counter[str] = attrs.Factory(Counter)
     evacuations: Evacuations = attrs.Factory(Evacuations)
     _evacuation_log: EvacuationLog = attrs.Factory(EvacuationLog)
@@ -252,7 +255,9 @@
                 self._apply_end(end, now_ms, now_s)
             elif standing is EndStanding.LATE_DONE:
                 apply_late_done(self.state, end, report.node, now_ms)
-        self._unapplied_ends.log(self.state, report, standings)
+        self.late_ends += self._unapplied_ends.record(
+            self.state, report, standings
+        )
         for run in report.running:
             progress = self.state.progress.get(job_id_of(run.task))
             if progress is not None and not progress.started:
--- a/filbertlb/metrics.py
+++ b/filbertlb/metrics.py
@@ -114,6 +114,9 @@
     run_ends : Counter
         Ends of runs that this instance processed while it decided, by
         ``cause``; one for each member of a gang.
+    late_ends : Counter
+        Ends that were reported after their runs had counted as ended, by
+        ``cause``; as all that the decider counts, at the entry that decides.
     failed_runs : Counter
         Failed runs among them, by ``unit``: ``task`` or ``gang``. A run of a
         gang counts once, however many of its members fail.
@@ -200,6 +203,7 @@
         self.lost_core_seconds = counter("lost_core_seconds")
         self.failed_jobs = counter("failed_jobs")
         self.run_ends = counter("run_ends")
+        self.late_ends = counter("late_ends")
         self.failed_runs = counter("failed_runs")
         self.revision = gauge("revision")
         self.revision_row = gauge("revision_row")
--- a/filbertlb/platform/entry_metrics.py
+++ b/filbertlb/platform/entry_metrics.py
@@ -47,6 +47,7 @@
         self._lost_work = GrowthSampler("cause")
         self._failed_jobs = GrowthSampler("cause")
         self._run_ends = GrowthSampler("cause")
+        self._late_ends = GrowthSampler("cause")
         self._failed_runs = GrowthSampler("unit")
         self._stands = GrowthSampler("reason")
 
@@ -66,6 +67,7 @@
         self._lost_work.sample(metrics.lost_core_seconds, decider.lost_core_s)
         self._failed_jobs.sample(metrics.failed_jobs, decider.failed_jobs)
         self._run_ends.sample(metrics.run_ends, decider.run_ends)
+        self._late_ends.sample(metrics.late_ends, decider.late_ends)
         self._failed_runs.sample(metrics.failed_runs, decider.failed_runs)
         decider.sample(metrics)
 
--- a/tests/batch/test_end_standing.py
+++ b/tests/batch/test_end_standing.py
@@ -34,7 +34,7 @@
 @pytest.mark.parametrize(
     ("record", "end", "reason"),
     [
-        ((TaskPhase.WAITING, 1), (TASK, 1, "failed"), "run was given up"),
+        ((TaskPhase.WAITING, 1), (TASK, 1, "failed"), "counted as ended"),
         ((TaskPhase.WAITING, 2), (TASK, 1, "failed"), "earlier attempt"),
         ((TaskPhase.ORDERED, 2), (TASK, 1, "stopped"), "earlier attempt"),
         ((TaskPhase.ORDERED, 2), (TASK, 3, "done"), "unknown attempt"),
--- a/tests/batch/test_late_ends.py
+++ b/tests/batch/test_late_ends.py
@@ -171,3 +171,4 @@
     decide(planner, 1.0, ended_on("n1", stopped), report)
     assert planner.state.record(TASK) == done
     assert planner.run_ends == {}
+    assert planner.late_ends == {"done": 1}
--- a/tests/test_logs_metrics.py
+++ b/tests/test_logs_metrics.py
@@ -25,7 +25,9 @@
 from filbertlb.transfers import Transfers
 
 SECRET = "s3cr3t-value"
-TOTALS = ("lost_core_s", "failed_jobs", "run_ends", "failed_runs")
+TOTALS = (
+    *("lost_core_s", "failed_jobs", "run_ends", "late_ends", "failed_runs"),
+)
 
 
 def test_json_lines_carry_the_ids_of_their_greenlet():
