Take the end of a run for more than its presumed loss

An agent that had counted a run as lost, since its lease had run out or a listing lacked it, threw the end away that the worker listed later, and then acknowledged it: the decider never read that the task was done, or that the run counts as an attempt.

An end done or failed now replaces a loss, and the reports that told the loss do not count as having told it.

The test failed before in its four cases, e.g. cause lost instead of done.

--- a/filbertlb/batch/local_listings.py
+++ b/filbertlb/batch/local_listings.py
@@ -19,6 +19,7 @@
     from filbertlb.batch.local_runs import LocalRuns
     from filbertlb.batch.model import Order
     from filbertlb.batch.model import Run
+    from filbertlb.batch.model import RunEnd
     from filbertlb.batch.model import RunKey
     from filbertlb.batch.worker_link import ListedEnd
 
@@ -28,6 +29,9 @@
 ) -> None:
     """Record an end; one that is listed again counts once.
 
+    It replaces a loss that the agent had only presumed if the task is done,
+    or the run counts as failed.
+
     Parameters
     ----------
     received_s : float, optional
@@ -35,8 +39,10 @@
     """
     end = listed.end
     run = runs.by_key.pop(end.key, None)
-    if end.key in runs.ended:
+    if end.key in runs.ended and not _refutes(end, runs.ended[end.key]):
         return
+    # The reports before told the loss.
+    runs.told_by_run.pop(end.key, None)
     run_ms = None
     if run is not None and received_s is not None:
         run_ms = run.run_ms(received_s)
@@ -128,6 +134,14 @@
             runs.end(key, cause, "not listed by the worker", run_ms)
 
 
+def _refutes(listed: RunEnd, known: RunEnd) -> bool:
+    """Return whether a listed end shows that a run was not lost."""
+    return known.cause is EndCause.LOST and listed.cause in (
+        EndCause.DONE,
+        EndCause.FAILED,
+    )
+
+
 def _storable(saved: str) -> str:
     """Return a checkpoint, or none if it is too long to be stored."""
     size_bytes = len(saved.encode(errors="replace"))
--- a/tests/batch/test_local_late_ends.py
+++ b/tests/batch/test_local_late_ends.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import attrs
+import pytest
 
 from filbertlb.batch.late_ends import MAX_LATE_ENDS
 from filbertlb.batch.model import EndCause
@@ -14,6 +15,7 @@
 from filbertlb.batch.testing import some_orders
 from filbertlb.batch.worker_link import ListedEnd
 from tests.batch.reconciling import a_reconciler
+from tests.batch.reconciling import LEASE_EXPIRED_S
 from tests.batch.reconciling import reconciler_with
 from tests.batch.reconciling import start_all
 
@@ -67,6 +69,33 @@
     assert not any(end.saved for end in kept)
 
 
+def is_presumed_lost(reconciler):
+    reconciler.due_calls(LEASE_EXPIRED_S + 0.2)
+
+
+def is_not_listed(reconciler):
+    list_ends(reconciler, 1.0)
+
+
+@pytest.mark.parametrize("what_happens", [is_presumed_lost, is_not_listed])
+@pytest.mark.parametrize("cause", [EndCause.DONE, EndCause.FAILED])
+def test_listed_end_of_a_run_that_was_presumed_lost_was_thrown_away(
+    what_happens, cause
+):
+    # It was acknowledged, so that the worker forgot it.
+    reconciler = reconciler_with(an_order("j.0.0.0"))
+    start_all(reconciler, 0.5)
+    what_happens(reconciler)
+    (lost,) = reconciler.ended()
+    assert lost.cause is EndCause.LOST
+    reconciler.record_told(a_report("n", sequence=3, ended=(lost,)))
+    end = attrs.evolve(DONE, cause=cause)
+    list_ends(reconciler, 9.0, end)
+    assert reconciler.ended() == (end,)
+    set_confirmed(reconciler, 3)
+    assert reconciler.ended() == (end,)
+
+
 def test_end_that_was_listed_is_not_replaced():
     reconciler = reconciler_with(an_order("j.0.0.0"))
     list_ends(reconciler, 1.0, DONE)
