Tell an agent whose orders confirm nothing from one that does not begin

Agents report the number that they await for as long as a contact lasts, also once it is confirmed, so each order that was not begun would have been counted as not confirmed. The reason now follows from the report that the worker's row, as it was written, confirms; the line tells both.

Test: not_confirmed in tests/batch/test_standing.py, with the row not written.

--- a/filbertlb/batch/confirmations.py
+++ b/filbertlb/batch/confirmations.py
@@ -28,6 +28,10 @@
         """Return the latest processed report of a worker, if any."""
         return self._processed_by_node.get(node)
 
+    def written(self, node: str) -> ReportMark | None:
+        """Return the report that a worker's row confirms, if any."""
+        return self._written_by_node.get(node)
+
     def record_processed(self, report: WorkerReport) -> bool:
         """Record a processed report; return whether its row lags behind.
 
--- a/filbertlb/batch/standing.py
+++ b/filbertlb/batch/standing.py
@@ -43,8 +43,8 @@
     NOT_BEGUN = "not_begun"
     """Its agent reports, and has not begun the run."""
     NOT_CONFIRMED = "not_confirmed"
-    """Its agent has not begun the run, as it waits for the confirmation of a
-    report."""
+    """Its agent has not begun the run, as its orders do not confirm the report
+    that it awaits."""
     NOT_LISTED = "not_listed"
     """The run had begun, and reports tell neither of it nor of its end."""
     NOT_STOPPED = "not_stopped"
@@ -236,9 +236,17 @@
             return StandReason.NOT_STOPPED
         if key in view.begun:
             return StandReason.NOT_LISTED
-        if view.report.awaited_sequence:
-            return StandReason.NOT_CONFIRMED
-        return StandReason.NOT_BEGUN
+        if self._confirmed():
+            return StandReason.NOT_BEGUN
+        return StandReason.NOT_CONFIRMED
+
+    def _confirmed(self) -> bool:
+        """Return whether the orders row confirms what the agent awaits."""
+        report = self.view.report
+        mark = self.state.confirmations.written(report.node)
+        return mark is not None and mark.covers(
+            report.registration, report.awaited_sequence
+        )
 
     def _detail(self, reason: StandReason) -> str:
         view, look = self.view, self.look
@@ -254,7 +262,11 @@
             age_s = look.now_s - look.known_s
             return f"{detail}, reports known up to {age_s:.1f} s ago"
         if reason is StandReason.NOT_CONFIRMED:
-            return f"{detail} awaits that {report.awaited_sequence} is known"
+            mark = self.state.confirmations.written(report.node)
+            return (
+                f"{detail} awaits that its orders confirm report "
+                f"{report.awaited_sequence}, they confirm {mark}"
+            )
         return f"{detail}, {self._worker_detail()}"
 
     def _worker_detail(self) -> str:
--- a/tests/batch/test_standing.py
+++ b/tests/batch/test_standing.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from filbertlb.batch.confirmations import Confirmations
 from filbertlb.batch.evacuation import Evacuations
 from filbertlb.batch.model import EndCause
 from filbertlb.batch.model import Run
@@ -75,8 +76,15 @@
 
 
 def not_confirmed(planner, now_s):
-    awaited = 0 if now_s >= MOVES_S else 7
-    report(planner, now_s, listed=not awaited, awaited_sequence=awaited)
+    # The agent is back in contact, and its orders row is not written.
+    if now_s < MOVES_S:
+        planner.state.confirmations = Confirmations()
+    report(
+        *(planner, now_s),
+        listed=now_s >= MOVES_S,
+        sequence=9,
+        awaited_sequence=7,
+    )
 
 
 def not_listed(planner, now_s):
@@ -119,11 +127,15 @@
 
 
 def play(planner, feed, until_s=END_S):
-    """Decide again and again; yield the time after each decision."""
+    """Decide and write again and again; yield each time after that."""
     for number in range(round(until_s / DECISION_PERIOD_S)):
         now_s = round(number * DECISION_PERIOD_S, 3)
         feed(planner, now_s)
         planner.decide(now_s, round(now_s * 1000))
+        state = planner.state
+        state.mark_written(
+            frozenset(state.changed_jobs), frozenset(state.changed_nodes)
+        )
         yield now_s
 
 
@@ -194,7 +206,11 @@
             not_begun,
             "on n0 for 3.0 s, ordered, report 0 of agent agent seen 0",
         ),
-        (ONE, not_confirmed, "seen 0.0 s ago awaits that 7 is known"),
+        (
+            ONE,
+            not_confirmed,
+            "awaits that its orders confirm report 7, they confirm None",
+        ),
         (ONE, worker_silent, "leases end within 11.6 s"),
         (
             *(TWO_STEPS, not_begun),
