--- a/filbertlb/batch/reconciler.py
+++ b/filbertlb/batch/reconciler.py
@@ -9,8 +9,13 @@
 from typing import TYPE_CHECKING
 
 import attrs
+from loguru import logger
 
+from filbertlb.batch.contact_session import ContactSession
 from filbertlb.batch.crash_ages import record_crash_ages
+from filbertlb.batch.late_ends import awaited_sequence
+from filbertlb.batch.late_ends import drop_confirmed
+from filbertlb.batch.late_ends import record_told
 from filbertlb.batch.local_expiry import end_expired_runs
 from filbertlb.batch.local_expiry import end_with_worker
 from filbertlb.batch.local_expiry import lease_expired
@@ -25,6 +30,7 @@
 from filbertlb.batch.local_stops import record_stop_reply
 from filbertlb.batch.local_stops import stop
 from filbertlb.batch.model import EndCause
+from filbertlb.batch.worker_link import LEASE_S
 from filbertlb.batch.worker_link import StartResult
 from filbertlb.batch.worker_presence import HEARTBEAT_PERIOD_S
 from filbertlb.batch.worker_presence import WorkerPresence
@@ -36,7 +42,9 @@
     from filbertlb.batch.model import Orders
     from filbertlb.batch.model import Run
     from filbertlb.batch.model import RunEnd
+    from filbertlb.batch.model import RunKey
     from filbertlb.batch.model import Worker
+    from filbertlb.batch.model import WorkerReport
     from filbertlb.batch.worker_link import ListedEnd
     from filbertlb.batch.worker_link import StartCall
     from filbertlb.batch.worker_link import StopCall
@@ -50,6 +58,8 @@
 
     Parameters
     ----------
+    registration : str
+        Token of this agent process.
     created_s : float
         Monotonic time at which this agent process started.
     heartbeat_period_s : float
@@ -57,6 +67,9 @@
 
     Attributes
     ----------
+    session : ContactSession
+        Contact with the table. Runs start only while it lasts and the
+        orders confirm it.
     orders : Orders, optional
         The latest orders; None before they are read.
     fenced : bool
@@ -68,14 +81,16 @@
 
     def __init__(
         self,
+        registration: str,
         created_s: float = 0.0,
         heartbeat_period_s: float = HEARTBEAT_PERIOD_S,
     ) -> None:
+        self.session = ContactSession(registration)
         self.orders: Orders | None = None
         self.fenced = False
         self.last_end_number = 0
-        self._created_s = created_s
-        self._extended_s = created_s
+        # The last process may have extended the lease until then.
+        self._lease_end_s = created_s + LEASE_S
         self._presence = WorkerPresence(heartbeat_period_s)
         self._runs = LocalRuns()
         self._starts = LocalStarts(self._presence, self._runs)
@@ -176,22 +191,31 @@
         """Record that another incarnation answers than was announced."""
         self._presence.record_other_incarnation()
 
-    def record_extension(self, now_s: float) -> None:
-        """Record that a lease extension was sent, answered or not."""
-        self._extended_s = max(self._created_s, now_s)
+    def record_lease(self, end_s: float) -> None:
+        """Record the end of a lease that is sent, answered or not."""
+        self._lease_end_s = max(self._lease_end_s, end_s)
+
+    def lease_left_s(self, now_s: float) -> float:
+        """Return the time left of the latest lease; negative after it."""
+        return self._lease_end_s - now_s
 
     def set_orders(self, orders: Orders) -> None:
         """Replace the orders; forget what concerns runs no longer ordered."""
         self.orders = orders
+        was_confirmed = self.session.confirmed
+        self.session.record_confirmed(orders.confirmed)
+        if self.session.confirmed and not was_confirmed:
+            logger.info("orders confirm the contact: {}", orders.confirmed)
         self._runs.follow_orders(orders.orders)
+        drop_confirmed(self._runs, self._ordered(), self.session)
 
     def due_calls(self, now_s: float) -> list[StartCall | StopCall]:
         """Return the calls to send now."""
         orders = self.orders
         if orders is None or self.fenced:
             return []
-        if lease_expired(self._extended_s, now_s):
-            self._end_expired(orders)
+        if lease_expired(self._lease_end_s, now_s):
+            self._end_expired(orders, now_s)
         if self.worker_gone:
             end_with_worker(self._runs, orders, now_s)
             return []
@@ -263,6 +287,25 @@
         """Return the ends that the decider has not processed yet."""
         return tuple(self._runs.ended.values())
 
+    def record_told(self, report: WorkerReport) -> None:
+        """Record what a stored report has told."""
+        record_told(self._runs, report.sequence, report.ended)
+
+    def awaited_sequence(self, sequence: int, sent_s: float) -> int:
+        """Return the number of the report that the decider must confirm.
+
+        Parameters
+        ----------
+        sequence : int
+            Number of the report that is about to be sent.
+        sent_s : float
+            Monotonic time.
+        """
+        return max(
+            self.session.awaited_sequence(sequence, sent_s),
+            awaited_sequence(self._runs, self._ordered(), sequence),
+        )
+
     def next_pause_s(self, now_s: float) -> float:
         """Return the time in seconds until the next call may be due."""
         times = [
@@ -277,6 +320,10 @@
         due_s = min(times, default=now_s + MAX_PAUSE_S)
         return max(MIN_PAUSE_S, due_s - now_s)
 
+    def _ordered(self) -> set[RunKey]:
+        orders = () if self.orders is None else self.orders.orders
+        return {order.key for order in orders}
+
     def _calls_for_orders(
         self, orders: Orders, now_s: float
     ) -> list[StartCall | StopCall]:
@@ -303,6 +350,9 @@
         ):
             return stop(order.key, run, now_s)
         if run.phase is RunPhase.STARTING and run.call_due(now_s):
+            if not self.session.allows_starts(now_s):
+                self._starts.put_off(run, now_s)
+                return None
             return self._starts.repeat(run, order, orders, now_s)
         return None
 
@@ -318,6 +368,8 @@
             reason = "stopped before it started"
             self._runs.end(key, EndCause.STOPPED, reason)
             return None
+        if not self.session.allows_starts(now_s):
+            return None
         return self._starts.admit(order, orders, now_s)
 
     def _for_other_incarnation(self, order: Order) -> bool:
@@ -339,13 +391,13 @@
         )
         return [call for call in stops if call is not None]
 
-    def _end_expired(self, orders: Orders) -> None:
+    def _end_expired(self, orders: Orders, now_s: float) -> None:
         """End runs as lost, as their lease must have expired.
 
         Without a worker that has listed its runs, all orders end as lost.
         """
         record_crash_ages(self._runs, self._presence)
-        end_expired_runs(self._runs)
+        end_expired_runs(self._runs, -self.lease_left_s(now_s))
         if not self._presence.listed:
             reason = "no worker has listed its runs"
             self._runs.lose_orders(orders.orders, reason)
--- a/filbertlb/batch/takeover.py
+++ b/filbertlb/batch/takeover.py
@@ -19,8 +19,13 @@
 from filbertlb.batch.progress_rows import progress_job_id
 from filbertlb.batch.stored import decode_report_row
 from filbertlb.batch.version_marks import restore_marks
+from filbertlb.batch.workers import MAX_REPORT_AGE_S
+from filbertlb.errors import FilbertlbError
+from filbertlb.table.base import ABSENT
 from filbertlb.table.base import HistoryLostError
 from filbertlb.table.base import TableUnavailableError
+from filbertlb.table.base import Write
+from filbertlb.table.rows import encode_value
 from filbertlb.table.rows import UnreadableRowError
 
 if TYPE_CHECKING:
@@ -75,6 +80,7 @@
         _yield_sometimes(number)
     for node in set(planner.state.occupied_nodes()) - set(planner.workers):
         logger.error("worker {} has tasks and no report row", node)
+        _store_empty_report(table, node)
         planner.record_report(
             WorkerReport(node, ""), clock.monotonic(), recent=False
         )
@@ -111,9 +117,10 @@
     worker gets no new work, and its runs end once the row is too old.
 
     A report that this decider has just read may be old. Its age is counted
-    from when this entry's copy of the state table had reached its version.
-    One from before the first version whose time is known may be of any age:
-    it proves no worker alive, and its leases are waited out from that time.
+    from when this entry's copy of the state table had reached its version,
+    and its leases are waited out from that time. It may have been written
+    long before, at any time since the last answer without it: then it proves
+    no worker alive.
     """
     row = worker_mirror.row_by_key.get(key)
     if row is None:
@@ -134,10 +141,33 @@
         run for run in report.running if planner.state.may_be_task(run.task)
     )
     report = attrs.evolve(report, running=running)
-    recent = state_mirror.versions.written_since_first(row.version)
+    earliest_s = _earliest_write_s(row.version, state_mirror, worker_mirror)
+    recent = seen_s - earliest_s <= MAX_REPORT_AGE_S
     planner.record_report(report, seen_s, recent)
 
 
+def _earliest_write_s(version: int, *mirrors: Mirror) -> float:
+    """Return a time before which no copy could have had a version."""
+    times = (mirror.versions.earliest_write_s(version) for mirror in mirrors)
+    return max(
+        (at_s for at_s in times if at_s is not None), default=float("-inf")
+    )
+
+
+def _store_empty_report(table: WatchedTable, node: str) -> None:
+    """Store a report without a worker for a node that has no row.
+
+    Its version tells later deciders since when the leases there have been
+    running out: all reports that the node may have had are older. A report
+    that has come meanwhile stays.
+    """
+    report = encode_value(WorkerReport(node, ""))
+    try:
+        table.commit((Write(WORKER_PREFIX + node, report, ABSENT),))
+    except FilbertlbError as error:
+        logger.warning("empty report of {} not stored: {}", node, error)
+
+
 def _catch_up(
     table: WatchedTable, mirror: Mirror, clock: Clock, version: int
 ) -> None:
@@ -146,8 +176,9 @@
         changes = table.changes(STATE_TABLE, mirror.version, 0.0)
     except HistoryLostError as error:
         logger.info("reading the whole state table: {}", error)
+        sent_s = clock.monotonic()
         snapshot = table.snapshot(f"{STATE_TABLE}/")
-        mirror.replace(snapshot, clock.monotonic())
+        mirror.replace(snapshot, clock.monotonic(), sent_s)
     else:
         mirror.apply(changes, clock.monotonic())
     if mirror.version < version:
--- a/tests/batch/test_local_stops.py
+++ b/tests/batch/test_local_stops.py
@@ -8,13 +8,14 @@
 from filbertlb.batch.local_run import MAX_CALL_S
 from filbertlb.batch.model import EndCause
 from filbertlb.batch.model import Run
-from filbertlb.batch.reconciler import WorkerReconciler
 from filbertlb.batch.testing import a_worker
 from filbertlb.batch.testing import an_order
 from filbertlb.batch.testing import some_orders
+from filbertlb.batch.worker_link import LEASE_S
 from filbertlb.batch.worker_link import StartCall
 from filbertlb.batch.worker_link import StartResult
 from filbertlb.batch.worker_link import StopCall
+from tests.batch.reconciling import a_reconciler
 from tests.batch.reconciling import cause_by_task
 from tests.batch.reconciling import FULL_CAPACITY
 from tests.batch.reconciling import HALF_CAPACITY
@@ -71,7 +72,7 @@
         for call in reconciler.due_calls(now_s):
             reconciler.record_stop(call, answered=True, now_s=now_s)
         if now_s - listing_sent_s >= LONG_POLL_S:
-            reconciler.record_extension(listing_sent_s)
+            reconciler.record_lease(listing_sent_s + LEASE_S)
             reconciler.record_listing(
                 listing_sent_s, [], [], ends_complete=True
             )
@@ -81,12 +82,12 @@
 
 def test_unanswered_start_is_stopped_after_an_earlier_incarnation_was_heard():
     # The start was forgotten, and an end reported that nothing proved.
-    reconciler = WorkerReconciler()
+    reconciler = a_reconciler()
     order = an_order("j.0.0.0", incarnation="w@2")
     later, earlier = (a_worker(incarnation=name) for name in ("w@2", "w@1"))
     reconciler.set_worker(later)
     reconciler.record_announcement(0.0)
-    reconciler.record_extension(0.0)
+    reconciler.record_lease(LEASE_S)
     reconciler.record_listing(0.0, (), (), ends_complete=True)
     reconciler.set_orders(some_orders(order))
     (start,) = reconciler.due_calls(0.0)
