--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -25,9 +25,9 @@
 from tests.platform.operators import configuration
 from tests.ports import free_address
 from tests.ports import free_port
+from tests.soak.history import History
 from tests.soak.store_link import StoreLink
 from tests.soak.workers import HEARTBEAT_S
-from tests.soak.workers import History
 from tests.soak.workers import WorkerMachine
 
 HEADERS = {"Host": "site.example", "X-Api-Key": "key"}
