Never start an order that has ended as lost

Cause: the lease of a start counted only once its task ran. If the loop that makes calls was woken again before, it looked at the old lease, which had run out, and ended the order; the start then went out under a new lease. The reconciler alone shows it: due_calls twice at the same time printed "reported: {'j.0.0.0': 'lost'}" beside the start to be sent. It needs no fault of the store, only an agent that has extended nothing for a while.

The lease of a start is now fixed and counted where the start is decided. A start that may still be on its way when its order is given up is refused: the agent raises its fencing token before the next call, which is what could extend a lease under which it would be carried out.

--- a/filbertlb/batch/agent.py
+++ b/filbertlb/batch/agent.py
@@ -272,11 +272,7 @@
                 ),
                 self._reconciler.lease_left_s(now_s),
             )
-        if not extending:
-            return None
-        lease_end_s = now_s + LEASE_S
-        self._reconciler.record_lease(lease_end_s)
-        return lease_end_s
+        return now_s + LEASE_S if extending else None
 
     def _worker_responds(self, now_s: float) -> bool:
         """Return whether the worker answers calls and announces itself.
@@ -298,6 +294,8 @@
                 continue
             sent_s = self._clock.monotonic()
             lease_end_s = self._next_lease_end_s(sent_s)
+            if lease_end_s is not None:
+                self._reconciler.record_lease(lease_end_s)
             fence = self._fence
             wait_s = self._long_poll_s()
             try:
@@ -389,7 +387,13 @@
     def _call_loop(self) -> None:
         while not self._reconciler.fenced:
             now_s = self._clock.monotonic()
-            for call in self._reconciler.due_calls(now_s):
+            calls = self._reconciler.due_calls(
+                now_s, self._next_lease_end_s(now_s)
+            )
+            if self._reconciler.fence_outdated:
+                self._reconciler.fence_outdated = False
+                self._raise_fence()
+            for call in calls:
                 if isinstance(call, StartCall):
                     spawn(self._start, call, self._fence)
                 else:
@@ -407,7 +411,7 @@
 
     def _start(self, call: StartCall, fence: int) -> None:
         now_s = self._clock.monotonic()
-        lease_end_s = self._next_lease_end_s(now_s)
+        lease_end_s = call.lease_end_s
         contact_age_s = now_s - self._session.contact_s
         result = StartResult.UNKNOWN
         try:
--- a/filbertlb/batch/reconciler.py
+++ b/filbertlb/batch/reconciler.py
@@ -31,7 +31,9 @@
 from filbertlb.batch.local_stops import stop
 from filbertlb.batch.model import EndCause
 from filbertlb.batch.worker_link import LEASE_S
+from filbertlb.batch.worker_link import StartCall
 from filbertlb.batch.worker_link import StartResult
+from filbertlb.batch.worker_link import StopCall
 from filbertlb.batch.worker_presence import HEARTBEAT_PERIOD_S
 from filbertlb.batch.worker_presence import WorkerPresence
 
@@ -46,8 +48,6 @@
     from filbertlb.batch.model import Worker
     from filbertlb.batch.model import WorkerReport
     from filbertlb.batch.worker_link import ListedEnd
-    from filbertlb.batch.worker_link import StartCall
-    from filbertlb.batch.worker_link import StopCall
 
 MIN_PAUSE_S = 0.02
 MAX_PAUSE_S = 1.0
@@ -77,6 +77,9 @@
         replaced this one, which must stop.
     last_end_number : int
         Highest number of an end that was recorded.
+    fence_outdated : bool
+        A start that the worker may still get was given up. The agent raises
+        its fencing token before the next call, so that it is refused.
     """
 
     def __init__(
@@ -88,6 +91,7 @@
         self.session = ContactSession(registration)
         self.orders: Orders | None = None
         self.fenced = False
+        self.fence_outdated = False
         self.last_end_number = 0
         # The last process may have extended the lease until then.
         self._lease_end_s = created_s + LEASE_S
@@ -209,8 +213,17 @@
         self._runs.follow_orders(orders.orders)
         drop_confirmed(self._runs, self._ordered(), self.session)
 
-    def due_calls(self, now_s: float) -> list[StartCall | StopCall]:
-        """Return the calls to send now."""
+    def due_calls(
+        self, now_s: float, lease_end_s: float | None = None
+    ) -> list[StartCall | StopCall]:
+        """Return the calls to send now.
+
+        Parameters
+        ----------
+        lease_end_s : float, optional
+            Monotonic time to which starts extend the lease; None if they
+            may not. It counts from here on, before they are sent.
+        """
         orders = self.orders
         if orders is None or self.fenced:
             return []
@@ -221,9 +234,21 @@
             return []
         if self.worker is None or not self._presence.listed:
             return []
-        calls = self._calls_for_orders(orders, now_s)
+        calls = [
+            self._with_lease(call, lease_end_s)
+            for call in self._calls_for_orders(orders, now_s)
+        ]
         return calls + self._stops_of_others(orders, now_s)
 
+    def _with_lease(
+        self, call: StartCall | StopCall, lease_end_s: float | None
+    ) -> StartCall | StopCall:
+        """Return a call, if it is a start with the lease that it extends."""
+        if isinstance(call, StopCall) or lease_end_s is None:
+            return call
+        self.record_lease(lease_end_s)
+        return attrs.evolve(call, lease_end_s=lease_end_s)
+
     def record_start(
         self, order: Order, result: StartResult, now_s: float
     ) -> None:
@@ -397,6 +422,8 @@
         Without a worker that has listed its runs, all orders end as lost.
         """
         record_crash_ages(self._runs, self._presence)
+        if any(run.start_pending for run in self._runs.by_key.values()):
+            self.fence_outdated = True
         end_expired_runs(self._runs, -self.lease_left_s(now_s))
         if not self._presence.listed:
             reason = "no worker has listed its runs"
--- a/filbertlb/batch/worker_link.py
+++ b/filbertlb/batch/worker_link.py
@@ -66,10 +66,13 @@
     ----------
     payload : str
         The work as the worker gets it; the agent does not read it.
+    lease_end_s : float, optional
+        Monotonic time to which the call extends the lease; None for none.
     """
 
     order: Order
     payload: str
+    lease_end_s: float | None = None
 
 
 @attrs.frozen
--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -275,10 +275,10 @@
     # The task that calls the worker ended, and the agent reported on.
     due_calls, errors = WorkerReconciler.due_calls, [KeyError("unexpected")]
 
-    def fail_once(reconciler, now_s):
+    def fail_once(reconciler, *times):
         if errors and reconciler.orders is not None:
             raise errors.pop()
-        return due_calls(reconciler, now_s)
+        return due_calls(reconciler, *times)
 
     monkeypatch.setattr(WorkerReconciler, "due_calls", fail_once)
     table, link = MemoryTable(), FailingLink("")
@@ -523,8 +523,8 @@
     table, link = MemoryTable(), TokenLink("")
     agent = Agent(table, link, SystemClock(), "n")
 
-    def announce_next(reconciler, now_s):
-        calls = due_calls(reconciler, now_s)
+    def announce_next(reconciler, *times):
+        calls = due_calls(reconciler, *times)
         if calls:
             spawn(agent.update_worker, next_worker)
         return calls
--- a/tests/batch/test_local_expiry.py
+++ b/tests/batch/test_local_expiry.py
@@ -107,3 +107,36 @@
     assert cause_by_task(reconciler) == {}
     reconciler.due_calls(LEASE_EXPIRED_S)
     assert cause_by_task(reconciler) == {"j.0.0.0": EndCause.LOST}
+
+
+def test_order_was_started_after_it_had_ended_as_lost():
+    # The start was decided, and not sent yet, when the old lease was looked
+    # at again.
+    reconciler = reconciler_with(an_order("j.0.0.0"))
+    reconciler.record_announcement(LEASE_EXPIRED_S)
+    lease_end_s = LEASE_EXPIRED_S + LEASE_S
+    (call,) = reconciler.due_calls(LEASE_EXPIRED_S, lease_end_s)
+    assert call.lease_end_s == lease_end_s
+    assert reconciler.due_calls(LEASE_EXPIRED_S, lease_end_s) == []
+    assert cause_by_task(reconciler) == {}
+
+
+@pytest.mark.parametrize(
+    ("results", "outdated"),
+    [
+        ([], True),
+        ([StartResult.UNKNOWN], True),
+        ([StartResult.TOO_LATE], False),
+        ([StartResult.STARTED], False),
+    ],
+)
+def test_start_was_carried_out_after_its_order_had_ended_as_lost(
+    results, outdated
+):
+    reconciler = reconciler_with(an_order("j.0.0.0"))
+    (call,) = reconciler.due_calls(0.0)
+    for result in results:
+        reconciler.record_start(call.order, result, 0.1)
+    reconciler.due_calls(LEASE_EXPIRED_S)
+    assert cause_by_task(reconciler) == {"j.0.0.0": EndCause.LOST}
+    assert reconciler.fence_outdated is outdated
