Test that reports alone prove workers alive while the state is not read

With the times of the state only, an entry that has lost its feed of the state for 2.6 s would place nothing.

--- a/tests/batch/test_takeover.py
+++ b/tests/batch/test_takeover.py
@@ -331,6 +331,22 @@
     assert planner.workers["n0"].usable(gap_s) is usable
 
 
+@pytest.mark.parametrize(("read_s", "usable"), [(19.0, True), (0.0, False)])
+def test_report_proves_its_worker_alive_while_the_state_cannot_be_read(
+    read_s, usable
+):
+    # Its age follows from the answer before it, whichever table that was of.
+    state, workers = Mirror(), Mirror()
+    state.apply(Changes((), {}, 5), 0.0)
+    workers.apply(Changes((), {}, 18), read_s)
+    key = WORKER_PREFIX + "n0"
+    row = Row(key, encode_value(a_report("n0")), 19)
+    workers.apply(Changes((row,), {}, 19), 20.0)
+    planner = Planner()
+    apply_report(planner, workers, state, key)
+    assert planner.workers["n0"].usable(20.0) is usable
+
+
 def test_task_on_a_node_without_a_report_row_ends_despite_take_overs():
     # Each take-over counted the leases of such a node anew.
     site = site_with_a_run_on_a_worker_that_goes(1, DEAD_AFTER_S - 1)
