--- a/tests/table/test_mirror.py
+++ b/tests/table/test_mirror.py
@@ -91,6 +91,31 @@
         following.kill()
 
 
+class SlowTable(MemoryTable):
+    """Table whose clock moves on by some seconds in each snapshot."""
+
+    clock = VirtualClock()
+
+    def snapshot(self, prefix):
+        snapshot = super().snapshot(prefix)
+        self.clock.advance(9.0)
+        return snapshot
+
+
+def test_rows_of_a_slow_snapshot_may_be_as_old_as_its_call():
+    table = SlowTable()
+    began_s = table.clock.monotonic()
+    follower = Follower(table, "t", Mirror(), table.clock)
+    following = spawn(follower.run)
+    try:
+        with Timeout(10.0):
+            follower.mirror.changed.wait()
+    finally:
+        following.kill()
+    versions = follower.mirror.versions
+    assert versions.earliest_write_s(follower.mirror.version + 1) == began_s
+
+
 class SilentTable(MemoryTable):
     """Table that refuses one call and then leaves calls without an answer."""
 
