Keep the reading of a worker's clock that proves most

A reading that was long on its way, such as a heartbeat that waited while its agent was paused, replaced a newer one and shortened the leases that were sent next by the time it had waited: runs could lapse for it, and their work be thrown away. Each reading bounds the clock from below, so the one that proves the later time is kept.

--- a/filbertlb/batch/worker_clock.py
+++ b/filbertlb/batch/worker_clock.py
@@ -40,11 +40,17 @@
     _by_incarnation: dict[str, WorkerClock] = attrs.Factory(dict)
 
     def record(self, incarnation: str, clock_ms: int, read_s: float) -> None:
-        """Record a reading; 0 is none."""
+        """Record a reading; 0 is none.
+
+        One that was long on its way is dropped if an earlier one proves that
+        the clock is further on: it would only shorten leases.
+        """
         if not clock_ms:
             return
-        self._by_incarnation.pop(incarnation, None)
         reading = WorkerClock(incarnation, clock_ms, read_s)
+        known = self._by_incarnation.pop(incarnation, None)
+        if known is not None and known.deadline_ms(read_s) > clock_ms:
+            reading = known
         self._by_incarnation[incarnation] = reading
         if len(self._by_incarnation) > MAX_INCARNATIONS:
             del self._by_incarnation[next(iter(self._by_incarnation))]
