--- a/filbertlb/batch/standing.py
+++ b/filbertlb/batch/standing.py
@@ -19,6 +19,7 @@
 from filbertlb.batch.workers import MAX_REPORT_AGE_S
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
     from collections.abc import Iterator
     from collections.abc import Mapping
@@ -99,8 +100,8 @@
         Number of tasks.
     since_s : float, optional
         Monotonic time of the last movement; None if it is not known.
-    detail : str
-        What the reason was found from, for logs.
+    detail : callable
+        Returns what the reason was found from; few are logged.
     node : str
         Where a task is ordered; empty if it is not placed.
     """
@@ -110,7 +111,7 @@
     count: int
     reason: WaitReason | StandReason
     since_s: float | None
-    detail: str
+    detail: Callable[[], str]
     node: str = ""
 
 
@@ -171,8 +172,10 @@
         count - placed,
         reason,
         look.monotonic_s(max(times_ms)),
-        f"{count - placed} of its {count} tasks are ready and not placed, "
-        f"{runs} run",
+        lambda: (
+            f"{count - placed} of its {count} tasks are ready and not "
+            f"placed, {runs} run"
+        ),
     )
 
 
@@ -183,7 +186,7 @@
         1,
         StandReason.WORKER_UNKNOWN,
         look.monotonic_s(record.since_ms),
-        f"{record.phase.value}, no report is known",
+        lambda: f"{record.phase.value}, no report is known",
         record.node,
     )
 
@@ -219,7 +222,7 @@
             1,
             reason,
             since_s,
-            f"{record.phase.value}, {self._detail(reason)}",
+            lambda: f"{record.phase.value}, {self._detail(reason)}",
             record.node,
         )
 
--- a/filbertlb/batch/standing_report.py
+++ b/filbertlb/batch/standing_report.py
@@ -154,7 +154,7 @@
                 sum(stand.still.count for stand in stands),
                 *(still.group[:MAX_NAME_LENGTH], still.reason.value),
                 *(_names(stands), look.now_s - stands[0].since_s),
-                *("first " if len(stands) > 1 else "", still.detail),
+                *("first " if len(stands) > 1 else "", still.detail()),
             )
             for stand in stands:
                 stand.logged.add(still.reason.value)
--- a/filbertlb/batch/standing_steps.py
+++ b/filbertlb/batch/standing_steps.py
@@ -163,5 +163,7 @@
         group.step.count,
         StandReason.STEP_HELD if stills else StandReason.STEP_RERUN,
         max(times_s) if all_still else None,
-        f"waits for {len(holders)} tasks of earlier steps, first {first}",
+        lambda: (
+            f"waits for {len(holders)} tasks of earlier steps, first {first}"
+        ),
     )
