--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -31,15 +31,17 @@
 from filbertlb.batch.model import job_id_of
 from filbertlb.batch.model import JobState
 from filbertlb.batch.model import RunEnd
-from filbertlb.batch.model import task_group_of
 from filbertlb.batch.model import TaskPhase
+from filbertlb.batch.order_withdrawal import stop_run
+from filbertlb.batch.order_withdrawal import withdraw_evacuated_orders
 from filbertlb.batch.placing import Placer
 from filbertlb.batch.placing_context import available_capacity
 from filbertlb.batch.placing_context import CheckpointCosts
 from filbertlb.batch.placing_context import PlacingContext
 from filbertlb.batch.planner_state import PlannerState
-from filbertlb.batch.planner_state import TaskGroup
 from filbertlb.batch.queue_report import QueueReport
+from filbertlb.batch.ready_groups import jobs_within_guarantee
+from filbertlb.batch.ready_groups import ready_groups
 from filbertlb.batch.run_ends import apply_end
 from filbertlb.batch.run_ends import apply_late_done
 from filbertlb.batch.run_observation import observed_run
@@ -54,7 +56,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Iterable
 
     from filbertlb.batch.demand import Demand
     from filbertlb.batch.durations import DurationModel
@@ -65,9 +66,6 @@
     from filbertlb.batch.model import TaskRecord
     from filbertlb.batch.model import WorkerReport
 
-EARLY_START_MS = 100
-"""Maximum time by which an occurrence starts before it is due."""
-
 MAX_LOST_TASKS = 12
 """Ended tasks of one silent worker that are not written; others follow.
 
@@ -177,7 +175,7 @@
     def _place(self, now_s: float, now_ms: int) -> bool:
         """Place ready tasks; return whether those that wait were counted."""
         if not self._may_place(now_s):
-            ready = self._ready_groups(now_ms)
+            ready = ready_groups(self.state, now_ms)
             return self.queue_report.update_outdated(ready, now_s, now_ms)
         available = available_capacity(
             self.state, self.workers, now_s, self.evacuations
@@ -185,7 +183,7 @@
         context = PlacingContext(
             self.state,
             available,
-            self._jobs_within_guarantee(),
+            jobs_within_guarantee(self.state, self.guaranteed),
             self.durations,
             now_ms,
             now_s,
@@ -195,7 +193,7 @@
             self.demand,
         )
         placer = Placer(context)
-        placer.place(self._ready_groups(now_ms))
+        placer.place(ready_groups(self.state, now_ms))
         counted = self.queue_report.update(placer, now_s)
         if self.evacuations.version_by_domain:
             self._log_waiting_jobs(now_s, now_ms)
@@ -441,9 +439,7 @@
                 step = self.state.step_of(task)
                 resumable = step.checkpointable or step.long_running
                 if resumable:
-                    self._stop_group(
-                        task_group_of(task), step.gang, task, now_ms
-                    )
+                    stop_run(self.state, task, now_ms)
 
     def _ordered_runs(self, node: str) -> set[RunKey]:
         return {
@@ -452,55 +448,14 @@
         }
 
     def _withdraw_evacuated_orders(self, now_s: float, now_ms: int) -> None:
-        """Stop orders in evacuated domains whose runs have not begun.
-
-        An agent that carried them out late would start work there after the
-        bound. A gang whose members have not all begun is stopped whole.
-        Orders of a worker whose domain is not known are withdrawn too.
-        """
-        version_by_domain = self.evacuations.version_by_domain
         self._evacuation_log.update(
             self.evacuations,
             Counter(view.zone for view in self.workers.values()),
             now_s,
         )
-        if not version_by_domain:
-            return
-        for node in self.state.occupied_nodes():
-            view = self.workers.get(node)
-            if view is None:
-                continue
-            if view.zone is None:
-                versions = dict(version_by_domain)
-            elif view.zone in version_by_domain:
-                versions = {view.zone: version_by_domain[view.zone]}
-            else:
-                continue
-            for task in self.state.tasks_on(node):
-                record = self.state.record(task)
-                if (
-                    record.phase is TaskPhase.ORDERED
-                    and (task, record.attempt) not in view.begun
-                ):
-                    self._withdraw_order(task, versions, now_ms)
-
-    def _withdraw_order(
-        self, task: str, versions: dict[str, int], now_ms: int
-    ) -> None:
-        gang = self.state.step_of(task).gang
-        group = task_group_of(task)
-        record = self.state.record(task)
-        nodes = [record.node]
-        if gang:
-            members = self.state.members(group).values()
-            nodes = sorted({member.node for member in members})
-        logger.info(
-            "order {} attempt {} on {} withdrawn: not begun on {}, requests "
-            "of versions {} evacuate failure domains",
-            *(group if gang else task, record.attempt, ",".join(nodes)),
-            *(record.node, versions),
+        withdraw_evacuated_orders(
+            self.state, self.workers, self.evacuations, now_ms
         )
-        self._stop_group(group, gang, task, now_ms)
 
     def _may_place(self, now_s: float) -> bool:
         """Return whether the evacuation requests are recent enough."""
@@ -513,7 +468,7 @@
         if not self._evacuation_log.waits_due(now_s):
             return
         zones_by_need: dict[tuple[str, str], Counter[str]] = {}
-        for group in self._ready_groups(now_ms):
+        for group in ready_groups(self.state, now_ms):
             waited_ms = now_ms - group.earliest_start_ms
             if waited_ms < MIN_LOGGED_WAIT_MS:
                 continue
@@ -529,13 +484,6 @@
                 group.name, waited_ms, self.evacuations, zones_by_need[need]
             )
 
-    def _stop_group(
-        self, group: str, gang: bool, task: str, now_ms: int
-    ) -> None:
-        for other, record in self.state.members(group).items():
-            if record.phase is TaskPhase.ORDERED and (gang or other == task):
-                self.state.set_phase(other, TaskPhase.STOPPING, now_ms)
-
     def _finish_jobs(self, now_ms: int) -> None:
         """Finish jobs that are complete or have to fail."""
         for job, progress in self.state.unfinished_jobs():
@@ -559,45 +507,6 @@
             *(job.job_id, job.attempts, failure),
         )
 
-    def _ready_groups(self, now_ms: int) -> Iterable[TaskGroup]:
-        for job, _ in self.state.unfinished_jobs():
-            if job.job_id in self.state.cancelled or job.advised:
-                continue
-            if job_failure(self.state, job) is not None:
-                continue
-            for occurrence in range(_due_count(job, now_ms)):
-                yield from self._ready_steps(job, occurrence)
-
-    def _ready_steps(self, job: Job, occurrence: int) -> Iterable[TaskGroup]:
-        groups = [
-            TaskGroup(job, occurrence, index)
-            for index in range(len(job.steps))
-        ]
-        for group in groups:
-            unplaced = self.state.waiting(group) or self.state.restarts(group)
-            if unplaced and all(
-                self.state.done(groups[index]) for index in group.step.after
-            ):
-                yield group
-
-    def _jobs_within_guarantee(self) -> set[str]:
-        """Return the urgent jobs that fit within the guarantees.
-
-        Guaranteed accelerators are assigned in the order of acceptance.
-        """
-        within_guarantee = set()
-        remaining = dict(self.guaranteed)
-        for job, _ in sorted(
-            self.state.unfinished_jobs(), key=lambda item: item[0].accepted_ms
-        ):
-            if job.priority > 0 or job.job_id in self.state.cancelled:
-                continue
-            required = max(step.count * step.needs[0] for step in job.steps)
-            if required <= remaining.get(job.organisation, 0):
-                remaining[job.organisation] -= required
-                within_guarantee.add(job.job_id)
-        return within_guarantee
-
 
 def _log_given_up(
     view: WorkerView, known_s: float, now_s: float, count: int, tasks: int
@@ -622,15 +531,3 @@
         if run.key == (task, attempt):
             return run.saved
     return ""
-
-
-def _due_count(job: Job, now_ms: int) -> int:
-    """Return the number of occurrences that are due."""
-    if not job.times:
-        return 1
-    since_ms = now_ms + EARLY_START_MS - job.first_due_ms
-    if since_ms < 0:
-        return 0
-    if job.interval_ms <= 0:
-        return job.times
-    return min(job.times, 1 + since_ms // job.interval_ms)
