--- a/tests/batch/lagging_system.py
+++ b/tests/batch/lagging_system.py
@@ -153,9 +153,14 @@
         yield
         yield from self.list_runs(node, agent)
         yield
-        for call in reconciler.due_calls(self.now_s):
+        lease_end_s = self.next_lease_end_s(agent)
+        calls = reconciler.due_calls(self.now_s, lease_end_s)
+        if reconciler.fence_outdated:
+            reconciler.fence_outdated = False
+            agent.fence += 1
+        for call in calls:
             if isinstance(call, StartCall):
-                yield from self.start_run(node, agent, call.order)
+                yield from self.start_run(node, agent, call, agent.fence)
             else:
                 yield from self.stop_run(node, agent, call)
             yield
@@ -174,9 +179,7 @@
         answer_age_s = self.now_s - agent.answer_s
         if contact_age_s >= CONTACT_LOST_S or answer_age_s >= WORKER_TIMEOUT_S:
             return None
-        lease_end_s = self.now_s + LEASE_S
-        agent.reconciler.record_lease(lease_end_s)
-        return lease_end_s
+        return self.now_s + LEASE_S
 
     def list_runs(self, node, agent):
         reconciler = agent.reconciler
@@ -185,6 +188,8 @@
         incarnation, fence = reconciler.worker.incarnation, agent.fence
         acked = agent.acked_number if reconciler.runs_known else 0
         sent_s, lease_end_s = self.now_s, self.next_lease_end_s(agent)
+        if lease_end_s is not None:
+            reconciler.record_lease(lease_end_s)
         yield
         call = (node, incarnation, fence, acked, lease_end_s)
         answer = self.call(node, lambda: self.carry_out_listing(*call))
@@ -198,10 +203,10 @@
         agent.answer_s = self.now_s
         reconciler.record_listing(sent_s, running, ends, ends_complete=True)
 
-    def start_run(self, node, agent, order):
-        fence, lease_end_s = agent.fence, self.next_lease_end_s(agent)
+    def start_run(self, node, agent, start, fence):
+        order = start.order
         yield
-        call = (node, order, fence, lease_end_s)
+        call = (node, order, fence, start.lease_end_s)
         result = self.call(node, lambda: self.carry_out_start(*call))
         yield
         if result is StartResult.FENCED and fence != agent.fence:
