Wait for an unanswered start although a later one was refused

A start without an answer may have been carried out. When its repetition was refused as meant for another incarnation, which it also counts as when the agent has raised its own fencing token meanwhile, the order ended as lost at once: the task could be started elsewhere while the run went on until a listing showed it.

Such a run now waits for a listing, or is withdrawn by a stop after three tries, as after any other refusal. The test failed before: lost instead of no end.

--- a/filbertlb/batch/local_starts.py
+++ b/filbertlb/batch/local_starts.py
@@ -171,9 +171,12 @@
         given_up = result in FINAL_REFUSALS or run.tries >= MAX_START_TRIES
         if result is StartResult.UNKNOWN:
             run.start_unanswered = True
+        elif run.start_unanswered:
+            # A listing tells what became of the call before.
+            return
         elif result is StartResult.OTHER_INCARNATION:
             self._runs.end(key, EndCause.LOST, "other incarnation")
-        elif given_up and not run.start_unanswered:
+        elif given_up:
             self._refuse(key, result.value)
 
     def _refuse(self, key: RunKey, reason: str) -> None:
--- a/tests/batch/test_local_starts.py
+++ b/tests/batch/test_local_starts.py
@@ -96,6 +96,19 @@
     assert cause_by_task(reconciler) == {"j.0.0.0": EndCause.LOST}
 
 
+def test_unanswered_start_was_given_up_as_its_repetition_was_refused():
+    # The worker may have begun it, or the next incarnation may begin it.
+    reconciler = reconciler_with(an_order("j.0.0.0"))
+    (call,) = reconciler.due_calls(0.0)
+    reconciler.record_start(call.order, StartResult.UNKNOWN, 0.8)
+    (again,) = reconciler.due_calls(1.1)
+    reconciler.record_start(again.order, StartResult.OTHER_INCARNATION, 1.2)
+    assert cause_by_task(reconciler) == {}
+    running = [Run("j.0.0.0", 1)]
+    reconciler.record_listing(1.4, running, [], ends_complete=True)
+    assert reconciler.running(1.4) == (Run("j.0.0.0", 1),)
+
+
 @pytest.mark.parametrize("later", [StartResult.UNHEALTHY, StartResult.UNKNOWN])
 def test_start_without_an_answer_is_not_repeated_for_ever(later):
     reconciler = reconciler_with(an_order("j.0.0.0"))
