Send a start again that the agent's own newer token refused

An agent raises its fencing token for a new incarnation and, since, when it is back in contact. A start that came after it counted as refused by another incarnation, and its order ended as lost, also on the worker that it was meant for: an attempt was spent on nothing.

The worker has done nothing then, so the start is sent again with the newer token, if the order is still for that incarnation. The test failed before with an end lost instead of a run.

--- a/filbertlb/batch/agent.py
+++ b/filbertlb/batch/agent.py
@@ -429,8 +429,8 @@
             0 if lease_end_s is None else round(lease_end_s - now_s, 1),
         )
         if result is StartResult.FENCED and fence != self._fence:
-            # This agent raised the token itself.
-            result = StartResult.OTHER_INCARNATION
+            # This agent raised the token itself; the worker did nothing.
+            result = StartResult.UNHEALTHY
         self._reconciler.record_start(
             call.order, result, self._clock.monotonic()
         )
--- a/tests/batch/lagging_system.py
+++ b/tests/batch/lagging_system.py
@@ -210,7 +210,7 @@
         result = self.call(node, lambda: self.carry_out_start(*call))
         yield
         if result is StartResult.FENCED and fence != agent.fence:
-            result = StartResult.OTHER_INCARNATION
+            result = StartResult.UNHEALTHY
         result = result or StartResult.UNKNOWN
         agent.reconciler.record_start(order, result, self.now_s)
 
--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -585,3 +585,31 @@
     assert [wait_s > 0 for wait_s in link.waits_s[:5]] == [
         *(False, True, False, False, True),
     ]
+
+
+@attrs.define
+class RefusingLink(FailingLink):
+    """Worker link of an agent that is back in contact as it sends a start."""
+
+    back_in_contact: Callable | None = None
+
+    def start(self, order, payload, fence, lease_end_s):
+        if self.calls:
+            return FailingLink.start(self, order, payload, fence, lease_end_s)
+        self._call("start")
+        self.back_in_contact()
+        return StartResult.FENCED
+
+
+def test_order_was_lost_as_its_start_came_after_the_agents_newer_token():
+    # The worker was the same, and had done nothing.
+    table, link = MemoryTable(), RefusingLink("")
+    agent = Agent(table, link, SystemClock(), "n")
+    agent.update_worker(a_worker())
+    link.back_in_contact = agent._raise_fence
+    with running(agent):
+        put_orders(table, an_order("j.0.0.0"))
+        report = await_report(
+            table, lambda report: report.ended or report.running
+        )
+    assert not report.ended
