--- a/tests/batch/test_confirmations.py
+++ b/tests/batch/test_confirmations.py
@@ -4,9 +4,12 @@
 
 import pytest
 
+from filbertlb.batch.model import EndCause
 from filbertlb.batch.model import Orders
 from filbertlb.batch.model import orders_key
+from filbertlb.batch.model import PROGRESS_PREFIX
 from filbertlb.batch.model import ReportMark
+from filbertlb.batch.model import RunEnd
 from filbertlb.batch.model import WorkerReport
 from filbertlb.batch.planner import Planner
 from filbertlb.batch.testing import a_job
@@ -139,3 +142,19 @@
     assert decide_on(planner, now_s) == {
         orders_key("n1"): ReportMark("agent", 2)
     }
+
+
+def test_late_end_is_stored_before_its_report_is_confirmed():
+    planner = Planner()
+    planner.state.add_job(a_job("a"))
+    decide_on(planner, 0.0, a_report("n1", sequence=1))
+    decide_on(planner, DEAD_AFTER_S + 1)
+    ended = (RunEnd("a.0.0.0", 1, EndCause.DONE),)
+    report = a_report("n1", sequence=2, awaited_sequence=2, ended=ended)
+    planner.record_report(report, DEAD_AFTER_S + 2)
+    planner.decide(DEAD_AFTER_S + 2, round(1000 * DEAD_AFTER_S) + 2000)
+    units = changed_units(planner.state, epoch=1)
+    keys = [write.key for unit in units for write in unit.writes]
+    assert keys.index(PROGRESS_PREFIX + "a") < keys.index(orders_key("n1"))
+    row = planner.state.orders_of("n1", 1)
+    assert (row.orders, row.confirmed) == ((), ReportMark("agent", 2))
