--- a/filbertlb/batch/late_ends.py
+++ b/filbertlb/batch/late_ends.py
@@ -62,6 +62,7 @@
     for key in _late(runs, ordered):
         told = runs.told_by_run.get(key)
         if told is not None and session.confirms(told):
+            runs.read_cause_by_run[key] = runs.ended[key].cause
             runs.forget_end(key)
             continue
         kept.append(key)
--- a/filbertlb/batch/local_listings.py
+++ b/filbertlb/batch/local_listings.py
@@ -41,6 +41,9 @@
     run = runs.by_key.pop(end.key, None)
     if end.key in runs.ended and not _refutes(end, runs.ended[end.key]):
         return
+    if runs.read_cause_by_run.get(end.key) is end.cause:
+        # The worker was not told, as an end before this one is unreadable.
+        return
     # The reports before told the loss.
     runs.told_by_run.pop(end.key, None)
     run_ms = None
--- a/filbertlb/batch/local_runs.py
+++ b/filbertlb/batch/local_runs.py
@@ -14,6 +14,7 @@
 from filbertlb.batch.model import RunEnd
 
 if TYPE_CHECKING:
+    from collections.abc import Container
     from collections.abc import Iterable
 
     from filbertlb.batch.local_run import LocalRun
@@ -33,6 +34,8 @@
         Ends that the decider has not processed yet.
     told_by_run : dict of RunKey to int
         Numbers of the first stored reports that told these ends.
+    read_cause_by_run : dict of RunKey to EndCause
+        Ends that the decider has read, as long as the worker may list them.
     waiting_since_s : dict of RunKey to float
         Monotonic times since which orders wait for capacity.
     checkpoint_by_run : dict of RunKey to str
@@ -46,6 +49,7 @@
     by_key: dict[RunKey, LocalRun] = attrs.Factory(dict)
     ended: dict[RunKey, RunEnd] = attrs.Factory(dict)
     told_by_run: dict[RunKey, int] = attrs.Factory(dict)
+    read_cause_by_run: dict[RunKey, EndCause] = attrs.Factory(dict)
     waiting_since_s: dict[RunKey, float] = attrs.Factory(dict)
     checkpoint_by_run: dict[RunKey, str] = attrs.Factory(dict)
     crash_age_ms_by_run: dict[RunKey, int] = attrs.Factory(dict)
@@ -95,6 +99,13 @@
             for key in entries.keys() - wanted.keys():
                 del entries[key]
 
+    def forget_read_ends(self, listed: Container[RunKey]) -> None:
+        """Forget the ends that were read and are no longer listed."""
+        for key in [
+            key for key in self.read_cause_by_run if key not in listed
+        ]:
+            del self.read_cause_by_run[key]
+
     def forget_end(self, key: RunKey) -> None:
         """Forget the end of a run."""
         del self.ended[key]
--- a/filbertlb/batch/reconciler.py
+++ b/filbertlb/batch/reconciler.py
@@ -301,6 +301,7 @@
         for run in running:
             listed.add(run.key)
             record_listed_run(self._runs, run, orders, sent_s, received_s)
+        self._runs.forget_read_ends(listed)
         if ends_complete:
             end_unlisted(self._runs, sent_s, listed)
 
