Send no lease to a worker of which another incarnation answers

From the first answer of the next incarnation, or the first refused connection, until it has announced itself and listed its runs, no lease is sent. What remains: calls that were sent before that and are carried out late by the next incarnation.

--- a/filbertlb/batch/reconciler.py
+++ b/filbertlb/batch/reconciler.py
@@ -210,6 +210,12 @@
         self.session.record_confirmed(orders.confirmed)
         if self.session.confirmed and not was_confirmed:
             logger.info("orders confirm the contact: {}", orders.confirmed)
+        elif orders.orders and not self.session.confirmed:
+            logger.info(
+                "{} orders wait for a row that confirms this agent's contact, "
+                "{} was read",
+                *(len(orders.orders), orders.confirmed),
+            )
         self._runs.follow_orders(orders.orders)
         drop_confirmed(self._runs, self._ordered(), self.session)
 
--- a/tests/batch/test_own_tokens.py
+++ b/tests/batch/test_own_tokens.py
@@ -118,3 +118,33 @@
         while len(link.fences) < after + 2:
             sleep(0.01)
     assert link.fences[after + 1] > link.fences[before + 1]
+
+
+@attrs.define
+class ReplacedLink(FailingLink):
+    """Worker link behind which the next incarnation answers.
+
+    Attributes
+    ----------
+    lease_ends_s : list of float or None
+        Leases sent with the listings.
+    """
+
+    lease_ends_s: list = attrs.Factory(list)
+
+    def list_runs(self, incarnation, fence, acked_number, lease_end_s, wait_s):
+        self.lease_ends_s.append(lease_end_s)
+        sleep(0.01)
+        answered = "w@2" if len(self.lease_ends_s) > 1 else incarnation
+        return RunListing((), (), True, answered)
+
+
+def test_lease_was_sent_to_an_incarnation_that_was_not_announced():
+    # It would have taken the end for a time on its own clock.
+    table, link = MemoryTable(), ReplacedLink("")
+    agent = Agent(table, link, SystemClock(), "n")
+    agent.update_worker(a_worker())
+    with running(agent):
+        while len(link.lease_ends_s) < 4:
+            sleep(0.01)
+    assert link.lease_ends_s[2:] == [None, None]
--- a/tests/platform/test_leases.py
+++ b/tests/platform/test_leases.py
@@ -249,7 +249,8 @@
 
 
 def test_run_was_given_up_before_its_last_lease_had_ended():
-    assert DEAD_AFTER_S >= CONTACT_LOST_S + LEASE_S
+    # Also if the agent's clock and the decider's differ by two percent.
+    assert DEAD_AFTER_S >= 1.02 * (CONTACT_LOST_S + LEASE_S)
 
 
 @contextmanager
