--- a/filbertlb/batch/agent.py
+++ b/filbertlb/batch/agent.py
@@ -21,6 +21,7 @@
 from filbertlb.batch.model import WORKER_PREFIX
 from filbertlb.batch.model import WorkerReport
 from filbertlb.batch.reconciler import WorkerReconciler
+from filbertlb.batch.worker_link import LEASE_S
 from filbertlb.batch.worker_link import StartCall
 from filbertlb.batch.worker_link import StartResult
 from filbertlb.batch.worker_link import StopCall
@@ -97,8 +98,9 @@
         self._registration = token_hex(6)
         self._report_key = WORKER_PREFIX + node
         self._reconciler = WorkerReconciler(
-            clock.monotonic(), heartbeat_period_s
+            self._registration, clock.monotonic(), heartbeat_period_s
         )
+        self._session = self._reconciler.session
         self._call_wake = Event()
         self._report_wake = Event()
         self._mirror = Mirror()
@@ -113,9 +115,10 @@
         self._report_version = ABSENT
         self._fence = 0
         self._sequence = 0
-        self._last_contact_s = float("-inf")
+        self._registration_sent_s = float("-inf")
         self._last_answer_s = float("-inf")
         self._silent = False
+        self._extending = False
         self._acked_number = 0
 
     def update_worker(self, worker: Worker) -> None:
@@ -126,7 +129,7 @@
         if previous is None or previous.incarnation != worker.incarnation:
             self._acked_number = 0
             if previous is not None:
-                self._fence_incarnation()
+                self._raise_fence()
             logger.info(
                 "worker {} of {}, fencing token {}",
                 *(worker.incarnation, worker.service, self._fence),
@@ -138,10 +141,10 @@
             )
         self._wake_loops()
 
-    def _fence_incarnation(self) -> None:
-        """Raise the fencing token for a new incarnation of the worker.
+    def _raise_fence(self) -> None:
+        """Raise the fencing token for a new incarnation or contact.
 
-        Calls that were meant for the one before are refused from its first
+        Calls that were sent under the one before are refused from its first
         listing on, also those that arrive late.
         """
         if (self._fence + 1) % FENCES_PER_REGISTRATION:
@@ -160,8 +163,9 @@
         """Set the gauges of this agent."""
         now_s = self._clock.monotonic()
         metrics.runs.set(len(self._reconciler.running(now_s)))
-        age_s = now_s - self._last_contact_s
+        age_s = now_s - self._session.contact_s
         metrics.contact_age_s.set(age_s)
+        metrics.lease_left_s.set(self._reconciler.lease_left_s(now_s))
 
     def run(self) -> None:
         """Register, then run until killed or superseded."""
@@ -214,8 +218,11 @@
             write = Write(self._report_key, encode_value(report), version)
             # The next try may find this one's row, but not when it was
             # written.
-            self._last_contact_s = sent_s
+            self._registration_sent_s = sent_s
             self._report_version = self._table.commit((write,))[0]
+        self._session.record_stored(
+            *(0, self._registration_sent_s, self._clock.monotonic())
+        )
         self._fence = self._report_version * FENCES_PER_REGISTRATION
         logger.info("registered with fencing token {}", self._fence)
 
@@ -239,19 +246,33 @@
         self._reconciler.set_orders(orders)
         self._wake_loops()
 
-    def _may_extend_leases(self) -> bool:
-        """Return whether leases may be extended now.
+    def _next_lease_end_s(self, now_s: float) -> float | None:
+        """Return the end of the lease that a call sends; None for none.
 
         Leases are extended only for a limited time after the agent's
         last contact with the table, so the decider can wait until the
         last of them has expired. A worker that does not answer gets no
         extensions either, so that its runs end by a known time.
+
+        The end is fixed before the call, which may be held up.
         """
-        now_s = self._clock.monotonic()
-        return (
-            now_s - self._last_contact_s < CONTACT_LOST_S
+        extending = (
+            now_s - self._session.contact_s < CONTACT_LOST_S
             and now_s - self._last_answer_s < WORKER_TIMEOUT_S
         )
+        if extending != self._extending:
+            self._extending = extending
+            logger.info(
+                "leases {} extended: last contact {:.1f} s ago, last answer "
+                "{:.1f} s ago, {:.1f} s left of the lease sent last",
+                "are" if extending else "are no longer",
+                *(
+                    now_s - self._session.contact_s,
+                    now_s - self._last_answer_s,
+                ),
+                self._reconciler.lease_left_s(now_s),
+            )
+        return now_s + LEASE_S if extending else None
 
     def _worker_responds(self, now_s: float) -> bool:
         """Return whether the worker answers calls and announces itself.
@@ -267,20 +288,22 @@
 
     def _listing_loop(self) -> None:
         while not self._reconciler.fenced:
-            if self._reconciler.worker is None or self._reconciler.worker_gone:
+            worker = self._reconciler.worker
+            if worker is None or self._reconciler.worker_gone:
                 sleep(RETRY_S)
                 continue
             sent_s = self._clock.monotonic()
-            extend_lease = self._may_extend_leases()
-            if extend_lease:
-                self._reconciler.record_extension(sent_s)
+            lease_end_s = self._next_lease_end_s(sent_s)
+            if lease_end_s is not None:
+                self._reconciler.record_lease(lease_end_s)
             fence = self._fence
             wait_s = self._long_poll_s()
             try:
                 listing = self._link.list_runs(
+                    worker.incarnation,
                     fence,
                     self._number_to_acknowledge(),
-                    extend_lease,
+                    lease_end_s,
                     wait_s,
                 )
             except WorkerSilentError as error:
@@ -364,7 +387,13 @@
     def _call_loop(self) -> None:
         while not self._reconciler.fenced:
             now_s = self._clock.monotonic()
-            for call in self._reconciler.due_calls(now_s):
+            calls = self._reconciler.due_calls(
+                now_s, self._next_lease_end_s(now_s)
+            )
+            if self._reconciler.fence_outdated:
+                self._reconciler.fence_outdated = False
+                self._raise_fence()
+            for call in calls:
                 if isinstance(call, StartCall):
                     spawn(self._start, call, self._fence)
                 else:
@@ -382,21 +411,22 @@
 
     def _start(self, call: StartCall, fence: int) -> None:
         now_s = self._clock.monotonic()
-        extend_lease = self._may_extend_leases()
-        if extend_lease:
-            self._reconciler.record_extension(now_s)
+        lease_end_s = call.lease_end_s
+        contact_age_s = now_s - self._session.contact_s
         result = StartResult.UNKNOWN
         try:
             result = self._link.start(
-                call.order, call.payload, fence, extend_lease
+                call.order, call.payload, fence, lease_end_s
             )
         except Exception:
             # Whether the worker got the call is unknown, as after a timeout.
             logger.exception("start of {} failed", call.order.task)
         logger.info(
-            "start {} attempt {} with fence {}: {}",
+            "start {} attempt {} with fence {}: {}, last contact {:.1f} s "
+            "before, lease of {} s",
             *(call.order.task, call.order.attempt, fence),
-            result.value,
+            *(result.value, contact_age_s),
+            0 if lease_end_s is None else round(lease_end_s - now_s, 1),
         )
         if result is StartResult.FENCED and fence != self._fence:
             # This agent raised the token itself.
@@ -466,6 +496,7 @@
             self._worker_responds(sent_s),
             self._reconciler.running(sent_s),
             self._reconciler.ended(),
+            self._reconciler.awaited_sequence(self._sequence, sent_s),
         )
         try:
             write = Write(
@@ -479,11 +510,32 @@
         except FilbertlbError:
             self._reconciler.report_changed = True
             raise
-        self._last_contact_s = sent_s
+        self._reconciler.record_told(report)
+        self._record_contact(report, sent_s)
         current = self._reconciler.worker
         if current is not None and current.incarnation == incarnation:
             self._acked_number = max(self._acked_number, last_end_number)
 
+    def _record_contact(self, report: WorkerReport, sent_s: float) -> None:
+        """Record a stored report.
+
+        Starts that were sent under an earlier contact are refused from the
+        next listing on, also those that arrive late.
+        """
+        answered_s = self._clock.monotonic()
+        gap_s = answered_s - self._session.contact_s
+        if not self._session.record_stored(
+            report.sequence, sent_s, answered_s
+        ):
+            return
+        logger.warning(
+            "back in contact with report {} after {:.1f} s",
+            *(report.sequence, gap_s),
+        )
+        self._raise_fence()
+        # The next report tells what is awaited.
+        self._reconciler.report_changed = True
+
     def _reload_version(self) -> None:
         """Read the report row after a conflict or an unknown outcome.
 
--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -18,6 +18,9 @@
 from filbertlb.batch.crash_evidence import culprits_among
 from filbertlb.batch.crashes import MAX_BLAME_MS
 from filbertlb.batch.durations import DeclaredDurations
+from filbertlb.batch.end_standing import EndStanding
+from filbertlb.batch.end_standing import standing_of
+from filbertlb.batch.end_standing import UnappliedEnds
 from filbertlb.batch.evacuation import Evacuations
 from filbertlb.batch.evacuation_log import EvacuationLog
 from filbertlb.batch.evacuation_log import MIN_LOGGED_WAIT_MS
@@ -38,8 +41,12 @@
 from filbertlb.batch.planner_state import TaskGroup
 from filbertlb.batch.queue_report import QueueReport
 from filbertlb.batch.run_ends import apply_end
+from filbertlb.batch.run_ends import apply_late_done
 from filbertlb.batch.run_observation import observed_run
+from filbertlb.batch.standing import Look
+from filbertlb.batch.standing_report import StandingReport
 from filbertlb.batch.start_health import SURVIVAL_MS
+from filbertlb.batch.workers import DEAD_AFTER_S
 from filbertlb.batch.workers import has_crashed
 from filbertlb.batch.workers import is_eligible
 from filbertlb.batch.workers import may_quarantine_one
@@ -90,6 +97,8 @@
         Jobs that failed so far, by cause.
     run_ends : Counter of str
         Ends of runs processed so far, by cause.
+    late_ends : Counter of str
+        Ends reported so far of runs that had counted as ended, by cause.
     failed_runs : Counter of str
         Failed runs so far, by unit: ``task`` or ``gang``.
     evacuations : Evacuations
@@ -98,6 +107,8 @@
         Present if ready tasks are ordered by benefit instead of deadline.
     queue_report : QueueReport
         Tells what waits and why.
+    standing : StandingReport
+        Tells which tasks could run and do not move, and why.
     """
 
     state: PlannerState = attrs.Factory(PlannerState)
@@ -109,13 +120,16 @@
     lost_core_s: dict[str, float] = attrs.Factory(dict)
     failed_jobs: Counter[str] = attrs.Factory(Counter)
     run_ends: Counter[str] = attrs.Factory(Counter)
+    late_ends: Counter[str] = attrs.Factory(Counter)
     failed_runs: Counter[str] = attrs.Factory(Counter)
     evacuations: Evacuations = attrs.Factory(Evacuations)
     _evacuation_log: EvacuationLog = attrs.Factory(EvacuationLog)
     demand: Demand | None = None
     queue_report: QueueReport = attrs.Factory(QueueReport)
+    standing: StandingReport = attrs.Factory(StandingReport)
     _unprocessed_nodes: set[str] = attrs.Factory(set)
     _crash_rate: CrashRate = attrs.Factory(CrashRate)
+    _unapplied_ends: UnappliedEnds = attrs.Factory(UnappliedEnds)
 
     def record_report(
         self, report: WorkerReport, now_s: float, recent: bool = True
@@ -147,19 +161,24 @@
     def decide(self, now_s: float, now_ms: int) -> None:
         """Process new reports, then stop, finish and place tasks."""
         self._crash_rate.record_time(now_s)
-        for node in sorted(self._unprocessed_nodes):
-            self._process_report(self.workers[node], now_s, now_ms)
-        self._unprocessed_nodes.clear()
+        self._process_reports(now_s, now_ms)
         known_s = min(now_s, self.reports_complete_s)
-        self._end_runs_of_dead_workers(known_s, now_ms)
+        self._end_runs_of_dead_workers(known_s, now_s, now_ms)
         self._stop_cancelled_jobs(now_ms)
         self._vacate_draining_workers(now_ms)
         self._withdraw_evacuated_orders(now_s, now_ms)
         self._finish_jobs(now_ms)
+        if self._place(now_s, now_ms):
+            self.standing.update(
+                *(self.state, self.workers, self.queue_report.waiting),
+                Look(now_s, now_ms, known_s),
+            )
+
+    def _place(self, now_s: float, now_ms: int) -> bool:
+        """Place ready tasks; return whether those that wait were counted."""
         if not self._may_place(now_s):
             ready = self._ready_groups(now_ms)
-            self.queue_report.update_outdated(ready, now_s, now_ms)
-            return
+            return self.queue_report.update_outdated(ready, now_s, now_ms)
         available = available_capacity(
             self.state, self.workers, now_s, self.evacuations
         )
@@ -177,9 +196,10 @@
         )
         placer = Placer(context)
         placer.place(self._ready_groups(now_ms))
-        self.queue_report.update(placer, now_s)
+        counted = self.queue_report.update(placer, now_s)
         if self.evacuations.version_by_domain:
             self._log_waiting_jobs(now_s, now_ms)
+        return counted
 
     def fail_oversized_job(self, job_id: str, now_ms: int) -> None:
         """Fail a job of which a part of the progress is too large for a row.
@@ -197,6 +217,19 @@
         state.fail_job(job_id, FailureCause.TOO_LARGE.value, now_ms)
         self.failed_jobs[FailureCause.TOO_LARGE] += 1
 
+    def _process_reports(self, now_s: float, now_ms: int) -> None:
+        """Process the new reports, but of workers with unwritten lost tasks.
+
+        Their rows are written before those of other jobs, so they must not
+        confirm ends of tasks of these.
+        """
+        put_off = (
+            self._unprocessed_nodes & self.state.tasks_lost_by_node.keys()
+        )
+        for node in sorted(self._unprocessed_nodes - put_off):
+            self._process_report(self.workers[node], now_s, now_ms)
+        self._unprocessed_nodes = put_off
+
     def _process_report(
         self, view: WorkerView, now_s: float, now_ms: int
     ) -> None:
@@ -206,14 +239,12 @@
         self._observe_progress(
             view, now_ms - round(1000 * (now_s - view.seen_s))
         )
+        standings: dict[RunKey, EndStanding] = {}
         for end in report.ended:
-            job_id = job_id_of(end.task)
-            if job_id not in self.state.jobs:
-                continue
-            record = self.state.record(end.task)
-            if (record.attempt, record.node) != (end.attempt, report.node):
-                continue
-            if record.phase in (TaskPhase.ORDERED, TaskPhase.STOPPING):
+            standing = standing_of(self.state, end, report.node)
+            standings[end.key] = standing
+            if standing is EndStanding.CURRENT:
+                record = self.state.record(end.task)
                 self._count_outcome(view, end, record, now_s)
                 self._update_start_health(view, end, record, now_s)
                 if culprits and end.task not in culprits:
@@ -222,6 +253,11 @@
                     end, self._observing(end.task), now_ms
                 )
                 self._apply_end(end, now_ms, now_s)
+            elif standing is EndStanding.LATE_DONE:
+                apply_late_done(self.state, end, report.node, now_ms)
+        self.late_ends += self._unapplied_ends.record(
+            self.state, report, standings
+        )
         for run in report.running:
             progress = self.state.progress.get(job_id_of(run.task))
             if progress is not None and not progress.started:
@@ -230,6 +266,7 @@
                     self.state.set_job_state(
                         progress.job_id, JobState.ACTIVE, now_ms
                     )
+        self.state.confirm(report)
 
     def _apply_end(self, end: RunEnd, now_ms: int, now_s: float) -> None:
         self.run_ends[end.cause] += 1
@@ -341,7 +378,9 @@
                     *(view.report.node, end.task, end.attempt, end.run_ms),
                 )
 
-    def _end_runs_of_dead_workers(self, known_s: float, now_ms: int) -> None:
+    def _end_runs_of_dead_workers(
+        self, known_s: float, now_s: float, now_ms: int
+    ) -> None:
         """End the runs whose leases ran out before a monotonic time."""
         for node in self.state.occupied_nodes():
             view = self.workers.get(node)
@@ -350,13 +389,12 @@
             if not view.dead(known_s):
                 self._log_silence(view, known_s)
                 continue
-            logger.warning(
-                "worker {} is silent for {:.1f} s: its leases have run out",
-                *(node, known_s - view.seen_s),
-            )
             unwritten = self.state.tasks_lost_by_node.get(node, ())
             count = max(0, MAX_LOST_TASKS - len(unwritten))
-            for task in self.state.tasks_on(node)[:count]:
+            tasks = self.state.tasks_on(node)
+            if count:
+                _log_given_up(view, known_s, now_s, count, len(tasks))
+            for task in tasks[:count]:
                 attempt = self.state.record(task).attempt
                 self.state.mark_lost(task, node)
                 saved = _reported_checkpoint(view.report, task, attempt)
@@ -372,10 +410,11 @@
         report = view.report
         logger.warning(
             "worker {} is silent for {:.1f} s since report {} of agent {}: "
-            "{} tasks wait for it or for the end of its leases",
+            "{} tasks wait for it or for the end of its leases, at most "
+            "{:.2f} s after that report",
             *(report.node, now_s - view.seen_s),
             *(report.sequence, report.registration),
-            len(self.state.tasks_on(report.node)),
+            *(len(self.state.tasks_on(report.node)), DEAD_AFTER_S),
         )
 
     def _stop_cancelled_jobs(self, now_ms: int) -> None:
@@ -560,6 +599,23 @@
         return within_guarantee
 
 
+def _log_given_up(
+    view: WorkerView, known_s: float, now_s: float, count: int, tasks: int
+) -> None:
+    """Log what a decision to end the runs of a silent worker is based on."""
+    report = view.report
+    logger.warning(
+        "worker {} is silent for {:.1f} s: its leases have run out; report {} "
+        "of agent {} {} {:.2f} s ago, bound {:.2f} s, reports known up to "
+        "{:.2f} s ago, {} of {} tasks end",
+        *(report.node, known_s - view.seen_s),
+        *(report.sequence, report.registration),
+        "seen" if view.recent else "of unknown age, counted from",
+        *(now_s - view.seen_s, DEAD_AFTER_S, now_s - known_s),
+        *(min(count, tasks), tasks),
+    )
+
+
 def _reported_checkpoint(report: WorkerReport, task: str, attempt: int) -> str:
     """Return the checkpoint of a run in a report, or an empty string."""
     for run in report.running:
--- a/tests/batch/reconciling.py
+++ b/tests/batch/reconciling.py
@@ -5,6 +5,7 @@
 from filbertlb.batch.reconciler import WorkerReconciler
 from filbertlb.batch.testing import a_worker
 from filbertlb.batch.testing import some_orders
+from filbertlb.batch.worker_link import LEASE_S
 from filbertlb.batch.worker_link import StartCall
 from filbertlb.batch.worker_link import StartResult
 from filbertlb.batch.worker_presence import HEARTBEAT_PERIOD_S
@@ -14,14 +15,21 @@
 HALF_CAPACITY = (4, 16_000, 65_536)
 
 
+def a_reconciler(created_s=0.0, heartbeat_period_s=HEARTBEAT_PERIOD_S):
+    """Return the reconciler of an agent that has registered."""
+    reconciler = WorkerReconciler("agent", created_s, heartbeat_period_s)
+    reconciler.session.record_stored(0, created_s, created_s)
+    return reconciler
+
+
 def reconciler_with(
     *orders, worker=None, heartbeat_period_s=HEARTBEAT_PERIOD_S
 ):
-    reconciler = WorkerReconciler(heartbeat_period_s=heartbeat_period_s)
+    reconciler = a_reconciler(heartbeat_period_s=heartbeat_period_s)
     reconciler.set_worker(worker or a_worker())
     reconciler.record_announcement(0.0)
     reconciler.record_listing(0.0, [], [], ends_complete=True)
-    reconciler.record_extension(0.0)
+    reconciler.record_lease(LEASE_S)
     reconciler.set_orders(some_orders(*orders))
     return reconciler
 
--- a/tests/batch/simulated_worker.py
+++ b/tests/batch/simulated_worker.py
@@ -78,5 +78,6 @@
 class SimAgent:
     reconciler: WorkerReconciler
     fence: int
-    contact_s: float
+    sequence: int = 0
     acked_number: int = 0
+    answer_s: float = float("-inf")
--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -54,7 +54,7 @@
     calls: list = attrs.Factory(list)
     running: tuple = ()
 
-    def start(self, order, payload, fence, extend_lease):
+    def start(self, order, payload, fence, lease_end_s):
         self._call("start")
         self.running = (Run(order.task, order.attempt),)
         return StartResult.STARTED
@@ -63,7 +63,7 @@
         self._call("stop")
         return True
 
-    def list_runs(self, fence, acked_number, extend_lease, wait_s):
+    def list_runs(self, incarnation, fence, acked_number, lease_end_s, wait_s):
         sleep(0.01)
         return RunListing(self.running, (), ends_complete=True)
 
@@ -84,8 +84,12 @@
 
 
 def put_orders(table, *orders):
-    value = encode_value(some_orders(*orders))
-    table.commit([Write(orders_key("n"), value)])
+    """Order runs as a decider that has read the agent's registration."""
+    while table.get(f"{WORKER_PREFIX}n") is None:
+        sleep(0.01)
+    report = decode_row(table.get(f"{WORKER_PREFIX}n"), WorkerReport)
+    row = some_orders(*orders, registration=report.registration)
+    table.commit([Write(orders_key("n"), encode_value(row))])
 
 
 @pytest.mark.parametrize("failing", ["start", "stop"])
@@ -94,8 +98,8 @@
     agent = Agent(table, link, SystemClock(), "n")
     agent.update_worker(a_worker())
     order = an_order("j.0.0.0")
-    put_orders(table, order)
     with running(agent):
+        put_orders(table, order)
         while "start" not in link.calls:
             sleep(0.01)
             agent.update_worker(a_worker())
@@ -112,14 +116,14 @@
 
     down: bool = False
 
-    def start(self, order, payload, fence, extend_lease):
+    def start(self, order, payload, fence, lease_end_s):
         self.down = True
         return StartResult.STARTED
 
     def stop(self, task, attempt, fence):
         return False
 
-    def list_runs(self, fence, acked_number, extend_lease, wait_s):
+    def list_runs(self, incarnation, fence, acked_number, lease_end_s, wait_s):
         sleep(0.01)
         if self.down:
             raise WorkerDownError("no connection")
@@ -197,7 +201,7 @@
 
     incarnation: str = ""
 
-    def list_runs(self, fence, acked_number, extend_lease, wait_s):
+    def list_runs(self, incarnation, fence, acked_number, lease_end_s, wait_s):
         sleep(0.01)
         self._call("list")
         runs = () if self.incarnation else self.running
@@ -210,12 +214,12 @@
 
     down: bool = False
 
-    def list_runs(self, fence, acked_number, extend_lease, wait_s):
+    def list_runs(self, incarnation, fence, acked_number, lease_end_s, wait_s):
         self._call("list")
         if self.down:
             raise WorkerDownError("no connection")
         return FailingLink.list_runs(
-            self, fence, acked_number, extend_lease, wait_s
+            self, incarnation, fence, acked_number, lease_end_s, wait_s
         )
 
 
@@ -271,10 +275,10 @@
     # The task that calls the worker ended, and the agent reported on.
     due_calls, errors = WorkerReconciler.due_calls, [KeyError("unexpected")]
 
-    def fail_once(reconciler, now_s):
+    def fail_once(reconciler, *times):
         if errors and reconciler.orders is not None:
             raise errors.pop()
-        return due_calls(reconciler, now_s)
+        return due_calls(reconciler, *times)
 
     monkeypatch.setattr(WorkerReconciler, "due_calls", fail_once)
     table, link = MemoryTable(), FailingLink("")
@@ -333,10 +337,10 @@
 
     extensions: list = attrs.Factory(list)
 
-    def list_runs(self, fence, acked_number, extend_lease, wait_s):
-        self.extensions.append(extend_lease)
+    def list_runs(self, incarnation, fence, acked_number, lease_end_s, wait_s):
+        self.extensions.append(lease_end_s)
         return FailingLink.list_runs(
-            self, fence, acked_number, extend_lease, wait_s
+            self, incarnation, fence, acked_number, lease_end_s, wait_s
         )
 
 
@@ -348,7 +352,7 @@
     with running(agent):
         while len(link.extensions) < 5:
             sleep(0.01)
-    assert not any(link.extensions)
+    assert all(end_s is None for end_s in link.extensions)
 
 
 @attrs.define
@@ -371,7 +375,7 @@
     late_start: Order | None = None
     late_fence: int = 0
 
-    def start(self, order, payload, fence, extend_lease):
+    def start(self, order, payload, fence, lease_end_s):
         self._call("start")
         if fence < self.fence:
             return StartResult.FENCED
@@ -384,7 +388,7 @@
         self.running = ()
         return True
 
-    def list_runs(self, fence, acked_number, extend_lease, wait_s):
+    def list_runs(self, incarnation, fence, acked_number, lease_end_s, wait_s):
         sleep(0.01)
         if not self.restarted:
             return RunListing((), (), True, "w@1")
@@ -423,9 +427,9 @@
 
     restart: Callable | None = None
 
-    def start(self, order, payload, fence, extend_lease):
+    def start(self, order, payload, fence, lease_end_s):
         if self.calls:
-            return FailingLink.start(self, order, payload, fence, extend_lease)
+            return FailingLink.start(self, order, payload, fence, lease_end_s)
         self._call("start")
         self.restart()
         self.running = (Run(order.task, order.attempt),)
@@ -457,11 +461,11 @@
     ends: dict = attrs.Factory(dict)
     silent: bool = False
 
-    def start(self, order, payload, fence, extend_lease):
+    def start(self, order, payload, fence, lease_end_s):
         self._call("start")
         return StartResult.UNKNOWN
 
-    def list_runs(self, fence, acked_number, extend_lease, wait_s):
+    def list_runs(self, incarnation, fence, acked_number, lease_end_s, wait_s):
         sleep(0.01)
         if self.silent:
             self.silent = False
@@ -496,8 +500,8 @@
     table, link = MemoryTable(), EndingLink("")
     agent = Agent(table, link, SystemClock(), "n")
     agent.update_worker(a_worker())
-    put_orders(table, an_order("j.0.0.0"), an_order("k.0.0.0"))
     with running(agent):
+        put_orders(table, an_order("j.0.0.0"), an_order("k.0.0.0"))
         while link.calls.count("start") < 2:
             sleep(0.01)
         link.ends[5] = RunEnd("j.0.0.0", 1, EndCause.DONE)
@@ -519,8 +523,8 @@
     table, link = MemoryTable(), TokenLink("")
     agent = Agent(table, link, SystemClock(), "n")
 
-    def announce_next(reconciler, now_s):
-        calls = due_calls(reconciler, now_s)
+    def announce_next(reconciler, *times):
+        calls = due_calls(reconciler, *times)
         if calls:
             spawn(agent.update_worker, next_worker)
         return calls
@@ -544,14 +548,14 @@
     fences: list = attrs.Factory(list)
     start_fences: list = attrs.Factory(list)
 
-    def start(self, order, payload, fence, extend_lease):
+    def start(self, order, payload, fence, lease_end_s):
         self.start_fences.append(fence)
         return StartResult.UNKNOWN
 
-    def list_runs(self, fence, acked_number, extend_lease, wait_s):
+    def list_runs(self, incarnation, fence, acked_number, lease_end_s, wait_s):
         self.fences.append(fence)
         return FailingLink.list_runs(
-            self, fence, acked_number, extend_lease, wait_s
+            self, incarnation, fence, acked_number, lease_end_s, wait_s
         )
 
 
@@ -561,11 +565,13 @@
 
     waits_s: list = attrs.Factory(list)
 
-    def list_runs(self, fence, acked_number, extend_lease, wait_s):
+    def list_runs(self, incarnation, fence, acked_number, lease_end_s, wait_s):
         self.waits_s.append(wait_s)
         if len(self.waits_s) in (2, 3):
             raise WorkerSilentError("no answer")
-        return super().list_runs(fence, acked_number, extend_lease, wait_s)
+        return super().list_runs(
+            incarnation, fence, acked_number, lease_end_s, wait_s
+        )
 
 
 def test_worker_that_answered_again_was_taken_for_silent():
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -2,27 +2,29 @@
 
 from __future__ import annotations
 
-from collections import Counter
-from collections import defaultdict
-from collections.abc import Callable
 from contextlib import ExitStack
 from contextlib import suppress
+from errno import ECONNRESET
+from io import BytesIO
 from json import dumps
+from random import Random
 from time import monotonic
 from time import time
 
 import attrs
 from gevent import sleep
 from gevent import spawn
-from gevent.event import Event
+from gevent import spawn_later
 from geventhttpclient import HTTPClient
 
 from filbertlb.addresses import split_address
 from filbertlb.batch.model import EndCause
 from filbertlb.batch.model import job_id_of
-from filbertlb.batch.model import task_group_of
+from filbertlb.platform.http import json_application
 from filbertlb.standin.leased_worker import LeasedWorker
 from filbertlb.standin.wsgi import serving
+from tests.soak.history import History
+from tests.soak.history import Interval
 
 HEARTBEAT_S = 0.5
 STOP_MS = 300
@@ -32,132 +34,15 @@
 """Time for which a call waits until its connection ends with the worker."""
 
 
-@attrs.define
-class Interval:
-    """Time during which a task ran on a worker.
-
-    Attributes
-    ----------
-    unit : str
-        The task, or the gang that it is a member of.
-    """
-
-    unit: str
-    task: str
-    attempt: int
-    incarnation: str
-    begin_s: float
-    end_s: float | None = None
-    how: str = ""
-
-    def __str__(self):
-        end = "open" if self.end_s is None else f"{self.end_s:.2f} {self.how}"
-        return (
-            f"{self.task} run {self.attempt} on {self.incarnation} from "
-            f"{self.begin_s:.2f} to {end}"
-        )
-
-
-@attrs.define
-class History:
-    """What the workers saw, and which promises were broken.
-
-    Attributes
-    ----------
-    attempts : callable
-        Returns, by the id of its job, the failed runs after which a task, or
-        a gang, is given up.
-    done : set of str
-        Tasks and gangs whose end as done was acknowledged.
-    failed : dict of str to set of int
-        Attempts of tasks and gangs with an acknowledged end as failed.
-    cut_off : list of str
-        Tasks whose start got no answer as the worker ended.
-    on_failed : Event
-        Set when one of several members that fail has ended.
-    first_failed : tuple of str
-        Its job and worker.
-    """
-
-    attempts: Callable[[str], int]
-    intervals: list[Interval] = attrs.Factory(list)
-    done: set[str] = attrs.Factory(set)
-    failed: dict[str, set[int]] = attrs.Factory(lambda: defaultdict(set))
-    cut_off: list[str] = attrs.Factory(list)
-    broken: list[str] = attrs.Factory(list)
-    on_failed: Event = attrs.Factory(Event)
-    first_failed: tuple[str, str] = ("", "")
-    _unit_by_task: dict[str, str] = attrs.Factory(dict)
-
-    def begin(self, task, attempt, incarnation, in_gang):
-        """Record that a run begins."""
-        unit = task_group_of(task) if in_gang else task
-        if unit in self.done:
-            self.broken.append(f"{task} begins again after it was done")
-        if len(self.failed[unit]) >= self.attempts(job_id_of(task)):
-            self.broken.append(
-                f"{task} run {attempt} begins after runs "
-                f"{sorted(self.failed[unit])} failed"
-            )
-        self._unit_by_task[task] = unit
-        interval = Interval(unit, task, attempt, incarnation, monotonic())
-        self.intervals.append(interval)
-        return interval
-
-    def acknowledge(self, task, attempt, how):
-        """Record that the end of a run was acknowledged."""
-        if how is EndCause.DONE:
-            self.done.add(self._unit_by_task[task])
-        elif how is EndCause.FAILED:
-            self.failed[self._unit_by_task[task]].add(attempt)
-
-    def overlaps(self):
-        """Yield a line for each two runs of a task or gang at one time."""
-        for number, one in enumerate(self.intervals):
-            for other in self.intervals[number + 1 :]:
-                if one.unit != other.unit or (
-                    one.task != other.task and one.attempt == other.attempt
-                ):
-                    continue
-                begin_s = max(one.begin_s, other.begin_s)
-                end_s = min(run.end_s or monotonic() for run in (one, other))
-                if begin_s < end_s:
-                    yield f"{end_s - begin_s:.2f} s: {one} and {other}"
-
-    def failed_runs(self, job_id):
-        """Return how many runs of one task or gang of a job failed."""
-        attempts = defaultdict(set)
-        for run in self.of_job(job_id):
-            if run.how == EndCause.FAILED:
-                attempts[run.unit].add(run.attempt)
-        return max(map(len, attempts.values()), default=0)
-
-    def of_job(self, job_id):
-        """Return the runs of a job."""
-        return [run for run in self.intervals if job_id_of(run.task) == job_id]
-
-    def crashes(self, job_id):
-        """Return how often runs and starts of one task ended with a worker.
-
-        The largest number of any task of the job counts.
-        """
-        tasks = [
-            run.task for run in self.intervals if run.how == "worker ended"
-        ]
-        crashes = Counter(
-            task for task in tasks + self.cut_off if job_id_of(task) == job_id
-        )
-        return max(crashes.values(), default=0)
-
-
 @attrs.frozen
 class BootClock:
-    """Clock that starts anew with each incarnation."""
+    """Clock that starts anew with each incarnation, and may be slow."""
 
+    pace: float = 1.0
     started_s: float = attrs.Factory(monotonic)
 
     def monotonic(self):
-        return 1.0 + monotonic() - self.started_s
+        return 1.0 + self.pace * (monotonic() - self.started_s)
 
 
 @attrs.define
@@ -170,6 +55,8 @@
     state: str = "ready"
     _interval_by_task: dict[str, Interval] = attrs.Factory(dict)
     _stops_ms: dict[str, int] = attrs.Factory(dict)
+    _ended_ms_by_number: dict[int, int] = attrs.Factory(dict)
+    _lapsed_ms: int = -1
 
     def end(self):
         """End all runs with the worker."""
@@ -192,9 +79,12 @@
             on_start()
             sleep(UNANSWERED_S)
         began = len(self.starts)
+        previous = self._interval_by_task.get(body["task"])
         answer = LeasedWorker._start(self, body)
         if len(self.starts) > began:
             task = body["task"]
+            if previous is not None:
+                self._replace(previous, body["attempt"])
             self._interval_by_task[task] = self.history.begin(
                 task,
                 body["attempt"],
@@ -203,6 +93,13 @@
             )
         return answer
 
+    def _replace(self, previous, attempt):
+        """End a run under which another attempt of its task begins."""
+        previous.end_s, previous.how = monotonic(), "replaced"
+        self.history.broken.append(
+            f"attempt {attempt} begins under {previous}"
+        )
+
     def _stop(self, body):
         task = body["task"]
         if self._run(task, body["attempt"]) is not None:
@@ -213,7 +110,7 @@
     def _hold(self, body):
         acked = body.get("ackedSeq", 0)
         for number, task, attempt, how, _ in self.finished:
-            if number <= acked:
+            if number <= acked and not self._lapsed_since(number):
                 self.history.acknowledge(task, attempt, how)
         self.finished = [end for end in self.finished if end[0] > acked]
         end_s = monotonic() + body.get("waitMs", 0) / 1000
@@ -222,6 +119,20 @@
             self._advance()
         return LeasedWorker._hold(self, body)
 
+    def _extend(self, until_ms):
+        if self.lease_end_ms <= self._now_ms():
+            self._lapsed_ms = self.lease_end_ms
+        LeasedWorker._extend(self, until_ms)
+
+    def _lapsed_since(self, number):
+        """Return whether the lease lapsed after an end.
+
+        By the rules nobody takes note of such an end any more.
+        """
+        if self.lease_end_ms <= self._now_ms():
+            return True
+        return self._lapsed_ms >= self._ended_ms_by_number[number]
+
     def _advance(self):
         if not self.up:
             return
@@ -234,10 +145,12 @@
 
     def _end(self, task, how, ended_ms):
         interval = self._interval_by_task.pop(task)
-        interval.end_s = monotonic() - (self._now_ms() - ended_ms) / 1000
+        ago_s = (self._now_ms() - ended_ms) / 1000 / self.clock.pace
+        interval.end_s = monotonic() - ago_s
         interval.how = how
         failing = self._runs[task].plan.failing(interval.attempt)
         LeasedWorker._end(self, task, how, ended_ms)
+        self._ended_ms_by_number[self._number] = ended_ms
         if how is EndCause.FAILED and len(failing) > 1:
             if not self.history.on_failed.is_set():
                 self.history.first_failed = (job_id_of(task), self.instance_id)
@@ -250,6 +163,29 @@
             sleep(ADVANCE_STEP_S)
 
 
+@attrs.define
+class LateCalls:
+    """Decides which calls to a worker are carried out late.
+
+    Attributes
+    ----------
+    share : float
+        Share of the calls.
+    longest_s : float
+        Longest time by which they are late.
+    """
+
+    share: float = 0.0
+    longest_s: float = 0.0
+    random: Random = attrs.Factory(Random)
+
+    def delay_s(self):
+        """Return the time by which the next call is late; 0 mostly."""
+        if self.share == 0 or self.random.random() >= self.share:
+            return 0.0
+        return self.random.uniform(0.2, self.longest_s)
+
+
 class WorkerMachine:
     """A machine's worker through its incarnations.
 
@@ -259,31 +195,52 @@
         Where the agent on the machine receives heartbeats.
     """
 
-    def __init__(self, name, port, heartbeat_address, history, gangs):
+    def __init__(
+        self, name, port, heartbeat_address, history, gangs, pace=1.0
+    ):
         self.name = name
+        self.late_calls = LateCalls()
         self.worker = None
         self._port = port
         self._heartbeat_address = heartbeat_address
         self._history = history
         self._gangs = gangs
+        self._pace = pace
         self._serving = ExitStack()
 
     def boot(self, silent_s=0.0):
         """Start an incarnation, which sends no heartbeat for some time."""
         worker = RecordedWorker(
             f"i-{self.name}",
-            BootClock(),
+            BootClock(self._pace),
             int(time() * 1000),
             self._gangs,
             history=self._history,
         )
         self.worker = worker
-        self._serving.enter_context(
-            serving(worker.application(), port=self._port)
-        )
+        application = json_application(self._handle)
+        self._serving.enter_context(serving(application, port=self._port))
         spawn(worker.advance_until_ended)
         spawn(self._send_heartbeats, worker, silent_s)
 
+    def _handle(self, environ):
+        """Answer one call, or carry it out late and without an answer."""
+        delay_s = self.late_calls.delay_s()
+        if delay_s == 0:
+            return self.worker.handle(environ)
+        call = {
+            **environ,
+            "wsgi.input": BytesIO(environ["wsgi.input"].read()),
+        }
+        spawn_later(delay_s, self._carry_out, call)
+        sleep(UNANSWERED_S)
+        raise ConnectionResetError(ECONNRESET, "carried out late")
+
+    def _carry_out(self, call):
+        """Carry out a late call, which the next incarnation may get."""
+        if self.worker.up:
+            self.worker.handle(call)
+
     def end(self):
         """End the incarnation."""
         self.worker.end()
