Never lower an agent's token where its range is used up

If no report was stored since the registration, the version of the latest one is that of the registration itself.

--- a/filbertlb/batch/agent.py
+++ b/filbertlb/batch/agent.py
@@ -147,11 +147,12 @@
         Calls that were sent under the one before are refused from its first
         listing on, also those that arrive late.
         """
-        self._fence += 1
-        if self._fence % FENCES_PER_REGISTRATION == 0:
-            # Its own range is used up. That of its latest stored report is
-            # above it, and no other process has it.
-            self._fence = self._report_version * FENCES_PER_REGISTRATION
+        raised = self._fence + 1
+        if raised % FENCES_PER_REGISTRATION == 0:
+            # The range is used up. That of the latest stored report is above
+            # it, and no other process has it.
+            raised = self._report_version * FENCES_PER_REGISTRATION
+        self._fence = max(self._fence, raised)
 
     def worker_deregistered(self) -> None:
         """Record that the worker has deregistered."""
