--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -137,7 +137,8 @@
         Parameters
         ----------
         recent : bool
-            The report is known to be no older than ``now_s`` says.
+            The report is known to be at most ``MAX_REPORT_AGE_S`` older than
+            ``now_s`` says.
         """
         view = self.workers.get(report.node)
         before = None if view is None else view.report
--- a/filbertlb/batch/workers.py
+++ b/filbertlb/batch/workers.py
@@ -89,8 +89,8 @@
     starts : StartHealth
         What its runs tell about its ability to start runs.
     recent : bool
-        Whether the newest report is known to be no older than ``seen_s``
-        says. Otherwise it may be of any age.
+        Whether the newest report is known to be at most ``MAX_REPORT_AGE_S``
+        older than ``seen_s`` says. Otherwise it may be of any age.
     quarantined_until_s : float
         Monotonic time until which the worker gets no new work because
         runs of several jobs failed there.
