Tests: one copy of running, TokenLink and pause

Two tests had their own copy of the context that runs an agent and of the link that records tokens, and the soak of silent agents its own pause of a process.

--- a/tests/batch/test_own_tokens.py
+++ b/tests/batch/test_own_tokens.py
@@ -21,6 +21,7 @@
 from tests.batch.test_agent import FailingLink
 from tests.batch.test_agent import put_orders
 from tests.batch.test_agent import running
+from tests.batch.test_agent import TokenLink
 
 
 @attrs.define
@@ -89,19 +90,6 @@
     assert link.running == (Run("j.0.0.0", 1),)
 
 
-@attrs.define
-class TokenLink(FailingLink):
-    """Worker link that records the tokens of listings."""
-
-    fences: list = attrs.Factory(list)
-
-    def list_runs(self, incarnation, fence, acked_number, lease_end_s, wait_s):
-        self.fences.append(fence)
-        return FailingLink.list_runs(
-            self, incarnation, fence, acked_number, lease_end_s, wait_s
-        )
-
-
 def test_late_calls_were_accepted_once_the_tokens_of_a_process_ran_out():
     table, link = MemoryTable(), TokenLink("")
     agent = Agent(table, link, SystemClock(), "n")
--- a/tests/platform/test_leases.py
+++ b/tests/platform/test_leases.py
@@ -12,8 +12,6 @@
 import msgspec
 import pytest
 from gevent import sleep
-from gevent import spawn
-from gevent import Timeout
 
 from filbertlb.batch.agent import Agent
 from filbertlb.batch.model import orders_key
@@ -36,6 +34,7 @@
 from filbertlb.table.memory import MemoryTable
 from filbertlb.table.rows import decode_row
 from filbertlb.table.rows import encode_value
+from tests.batch.test_agent import running
 
 DEADLINE_S = 30.0
 
@@ -121,16 +120,6 @@
         return MemoryTable.commit(self, writes)
 
 
-@contextmanager
-def running(agent):
-    greenlet = spawn(agent.run)
-    try:
-        with Timeout(DEADLINE_S):
-            yield
-    finally:
-        greenlet.kill()
-
-
 def put_orders(table, *orders, sequence=0):
     """Order runs as a decider that has read a report of the agent."""
     row = MemoryTable.get(table, f"{WORKER_PREFIX}n")
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -71,7 +71,7 @@
     number, process = _any_process(site, random)
     paused_s = random.uniform(0.3, 3.5)
     yield process.role, number
-    _pause(process, paused_s)
+    pause(process, paused_s)
 
 
 def replace_entry(site, random):
@@ -91,7 +91,7 @@
         return
     process = site.entries[number]
     strike, time_s = random.choice(
-        [(_kill, random.uniform(0.0, 1.0)), (_pause, random.uniform(0.3, 3.5))]
+        [(_kill, random.uniform(0.0, 1.0)), (pause, random.uniform(0.3, 3.5))]
     )
     delay_s = random.uniform(0.0, MAX_STRIKE_DELAY_S)
     yield process.role, number
@@ -108,7 +108,7 @@
     number_sent, strike, time_s = random.choice(
         [
             (signal.SIGKILL, _kill, random.uniform(0.0, 1.0)),
-            (signal.SIGSTOP, _pause, random.uniform(0.3, 3.5)),
+            (signal.SIGSTOP, pause, random.uniform(0.3, 3.5)),
         ]
     )
     job_id, instance_id = site.history.first_failed
@@ -138,7 +138,8 @@
     process.start()
 
 
-def _pause(process, paused_s):
+def pause(process, paused_s):
+    """Stop a process for a while."""
     process.send(signal.SIGSTOP)
     sleep(paused_s)
     process.send(signal.SIGCONT)
--- a/tests/soak/silence.py
+++ b/tests/soak/silence.py
@@ -16,6 +16,7 @@
 from filbertlb.batch.workers import DEAD_AFTER_S
 from tests.soak.faults import Injector
 from tests.soak.faults import kill_process
+from tests.soak.faults import pause
 from tests.soak.faults import restart_worker
 from tests.soak.jobs import lasting_job
 from tests.soak.jobs import long_job
@@ -116,7 +117,7 @@
         return
     yield "entry", number
     sleep(random.uniform(0.0, 0.8))
-    _pause(site.entries[number], random.uniform(*DECIDER_PAUSE_S))
+    pause(site.entries[number], random.uniform(*DECIDER_PAUSE_S))
 
 
 def pause_agent(site, random):
@@ -124,7 +125,7 @@
     number = _silent_machine(site, random)
     yield "agent", number
     for _ in range(random.randint(1, 3)):
-        _pause(site.agents[number], random.uniform(*PAUSE_S))
+        pause(site.agents[number], random.uniform(*PAUSE_S))
         sleep(random.uniform(0.0, 1.0))
 
 
@@ -261,11 +262,5 @@
         spawn(site.submit, job_id, FEW_ATTEMPTS, kind(random), entry)
 
 
-def _pause(process, paused_s):
-    process.send(signal.SIGSTOP)
-    sleep(paused_s)
-    process.send(signal.SIGCONT)
-
-
 def _sleep_until(time_s):
     sleep(max(0.0, time_s - monotonic()))
