Tell of tasks that stand within 3 s

A task that could run and did not was told of 3.0 to 4.2 s after its last movement: the time without movement was 3.0 s, and looks are 1.0 to 1.2 s apart. It is 1.8 s now, so that 3 s hold with a look and a decision.

The test asks for 3 s where it asked for 4 s. Two reasons take longer and have their own bound, no looser than before: a worker counts as silent only after 2.6 s, and a step whose tasks run again is dated from the first look.

--- a/filbertlb/batch/standing_report.py
+++ b/filbertlb/batch/standing_report.py
@@ -26,8 +26,12 @@
     from filbertlb.batch.standing import Still
     from filbertlb.batch.workers import WorkerView
 
-STANDING_S = 3.0
-"""Time without movement after which a task stands."""
+STANDING_S = 1.8
+"""Time without movement after which a task stands.
+
+With the time between looks and that of a decision, one whose time is known
+is told of within 3 s.
+"""
 MAX_LINES = 8
 """Lines of one look on tasks that stand, and as many on those that move."""
 NAMED_TASKS = 3
--- a/tests/batch/test_standing.py
+++ b/tests/batch/test_standing.py
@@ -25,11 +25,13 @@
 from filbertlb.batch.testing import a_report
 from filbertlb.batch.testing import a_step
 from filbertlb.batch.testing import a_worker
+from filbertlb.batch.workers import MAX_REPORT_AGE_S
 
 DECISION_PERIOD_S = 0.2
 MOVES_S = 8.0
 """Time at which what stands moves again."""
 END_S = 10.0
+MAX_TOLD_S = 3.0
 WHOLE_WORKER = (8, 8_000, 8_000)
 
 
@@ -110,7 +112,8 @@
 
 
 def reports_outdated(planner, now_s):
-    planner.reports_complete_s = now_s if now_s >= MOVES_S else 0.0
+    # Known up to a while before the order, so outdated soon after it.
+    planner.reports_complete_s = now_s if now_s >= MOVES_S else -1.5
     if now_s == 0.0 or now_s >= MOVES_S:
         report(planner, now_s, listed=now_s >= MOVES_S)
 
@@ -139,6 +142,17 @@
         yield now_s
 
 
+def max_told_s(reason):
+    """Return the time after which a task that stands is told of."""
+    if reason == StandReason.WORKER_SILENT:
+        # It counts as silent no sooner.
+        return MAX_REPORT_AGE_S + COUNT_PERIOD_S
+    if reason == StandReason.STEP_RERUN:
+        # It runs, and since when is known from the first look only.
+        return STANDING_S + 2 * COUNT_PERIOD_S
+    return MAX_TOLD_S
+
+
 ONE = (a_job("a"),)
 FULL = (
     a_job("a", a_step(needs=WHOLE_WORKER)),
@@ -183,9 +197,9 @@
         assert planner.standing.count_by_reason.keys() <= reasons
         for reason in planner.standing.count_by_reason:
             seen_s[reason].append(now_s)
-    for times_s in seen_s.values():
+    for reason, times_s in seen_s.items():
         assert onset_s + STANDING_S <= times_s[0]
-        assert times_s[0] <= onset_s + STANDING_S + COUNT_PERIOD_S
+        assert times_s[0] <= onset_s + max_told_s(reason)
         assert times_s[-1] >= MOVES_S - DECISION_PERIOD_S
         assert times_s[-1] <= MOVES_S + COUNT_PERIOD_S
     for reason in reasons:
@@ -204,7 +218,7 @@
         (
             ONE,
             not_begun,
-            "on n0 for 3.0 s, ordered, report 0 of agent agent seen 0",
+            "on n0 for 2.0 s, ordered, report 0 of agent agent seen 0",
         ),
         (
             ONE,
@@ -296,7 +310,7 @@
     (line,) = [line for line in lines if line.startswith("standing: ")]
     assert line.startswith("standing: 8 tasks of group a.0.0, not_begun: ")
     assert line.count("attempt 1") == NAMED_TASKS
-    assert f", {8 - NAMED_TASKS} more for 3." in line
+    assert f", {8 - NAMED_TASKS} more for 2." in line
 
 
 def test_the_rest_of_a_group_that_runs_does_not_stand():
