Begin no run under a lease that was meant for another worker

What callers see: a task could run twice at once. A worker that restarts under its id accepts calls that were meant for the incarnation before, until it knows a higher token. Their deadlines mean nothing to its clock, so it cuts them to its longest lease, 10 s on large deployments, from when it carries them out. Runs of the new incarnation that began under a contact of up to 8 s before then outlived the decider's wait of 14.62 s; the agent itself counted them as lost too early as well.

The first listing of an incarnation under the agent's own token ends such calls, so the agent takes the lease to last until the longest one from then is over, and begins runs only if the latest end of a lease is not after the time at which the decider may give them up. The longest lease is that of the settings, holdMaxMs, else 10 s. Usually nothing waits: the contact has to be older than 4.4 s.

Class of fault: an end of a lease that does not follow from one contact. Evidence: tests/batch/test_lagging_machine.py, 12 of 32 cases of test_call_for_a_crashed_worker_extended_runs_of_the_next_one failed before (leases up to 16.75 s after the contact), and both cases in tests/batch/test_local_expiry.py; all pass now. The lagging system grants the longest lease, and passes the time of a listing on, as the agent does.

--- a/filbertlb/batch/agent.py
+++ b/filbertlb/batch/agent.py
@@ -22,6 +22,7 @@
 from filbertlb.batch.model import WorkerReport
 from filbertlb.batch.reconciler import WorkerReconciler
 from filbertlb.batch.worker_link import LEASE_S
+from filbertlb.batch.worker_link import MAX_LEASE_S
 from filbertlb.batch.worker_link import StartCall
 from filbertlb.batch.worker_link import StartResult
 from filbertlb.batch.worker_link import StopCall
@@ -81,6 +82,8 @@
         Name of the machine; part of the keys of the agent's rows.
     heartbeat_period_s : float
         Time between the announcements of the worker.
+    max_lease_s : float
+        Longest lease that the worker grants, by its own clock.
     """
 
     def __init__(
@@ -90,6 +93,7 @@
         clock: Clock,
         node: str,
         heartbeat_period_s: float = HEARTBEAT_PERIOD_S,
+        max_lease_s: float = MAX_LEASE_S,
     ) -> None:
         self._table = table
         self._link = link
@@ -98,7 +102,8 @@
         self._registration = token_hex(6)
         self._report_key = WORKER_PREFIX + node
         self._reconciler = WorkerReconciler(
-            self._registration, clock.monotonic(), heartbeat_period_s
+            *(self._registration, clock.monotonic()),
+            *(heartbeat_period_s, max_lease_s),
         )
         self._session = self._reconciler.session
         self._call_wake = Event()
--- a/filbertlb/batch/reconciler.py
+++ b/filbertlb/batch/reconciler.py
@@ -30,12 +30,15 @@
 from filbertlb.batch.local_stops import record_stop_reply
 from filbertlb.batch.local_stops import stop
 from filbertlb.batch.model import EndCause
+from filbertlb.batch.worker_link import CLOCK_DRIFT
 from filbertlb.batch.worker_link import LEASE_S
+from filbertlb.batch.worker_link import MAX_LEASE_S
 from filbertlb.batch.worker_link import StartCall
 from filbertlb.batch.worker_link import StartResult
 from filbertlb.batch.worker_link import StopCall
 from filbertlb.batch.worker_presence import HEARTBEAT_PERIOD_S
 from filbertlb.batch.worker_presence import WorkerPresence
+from filbertlb.batch.workers import DEAD_AFTER_S
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -64,6 +67,8 @@
         Monotonic time at which this agent process started.
     heartbeat_period_s : float
         Time between the announcements of the worker.
+    max_lease_s : float
+        Longest lease that the worker grants, by its own clock.
 
     Attributes
     ----------
@@ -87,6 +92,7 @@
         registration: str,
         created_s: float = 0.0,
         heartbeat_period_s: float = HEARTBEAT_PERIOD_S,
+        max_lease_s: float = MAX_LEASE_S,
     ) -> None:
         self.session = ContactSession(registration)
         self.orders: Orders | None = None
@@ -95,6 +101,9 @@
         self.last_end_number = 0
         # The last process may have extended the lease until then.
         self._lease_end_s = created_s + LEASE_S
+        self._max_lease_s = max_lease_s
+        # Another incarnation, or another agent process, came before.
+        self._has_predecessor = False
         self._presence = WorkerPresence(heartbeat_period_s)
         self._runs = LocalRuns()
         self._starts = LocalStarts(self._presence, self._runs)
@@ -148,6 +157,7 @@
 
         A run that was lost meanwhile can resume from its checkpoint.
         """
+        self._has_predecessor = True
         self._runs.restore(ended, running)
 
     def set_worker(self, worker: Worker) -> None:
@@ -164,6 +174,7 @@
                 previous.incarnation, worker.incarnation
             )
             self._presence.begin_incarnation()
+            self._has_predecessor = True
             self.last_end_number = 0
         if previous is None or worker != attrs.evolve(
             previous, cold_left_ms=worker.cold_left_ms
@@ -297,6 +308,11 @@
             sends it as soon as a run ends, so it is the time of new ends.
             Without it, no run times are recorded.
         """
+        if not self._presence.listed and self._has_predecessor:
+            # Until this listing the worker accepted calls for the
+            # incarnation before, whose deadlines mean nothing to its clock.
+            listed_s = sent_s if received_s is None else received_s
+            self.record_lease(listed_s + self._max_lease_s * CLOCK_DRIFT)
         self._presence.record_listing()
         orders = () if self.orders is None else self.orders.orders
         listed = set()
@@ -382,7 +398,7 @@
         ):
             return stop(order.key, run, now_s)
         if run.phase is RunPhase.STARTING and run.call_due(now_s):
-            if not self.session.allows_starts(now_s):
+            if not self._may_begin(now_s):
                 self._starts.put_off(run, now_s)
                 return None
             return self._starts.repeat(run, order, orders, now_s)
@@ -400,10 +416,22 @@
             reason = "stopped before it started"
             self._runs.end(key, EndCause.STOPPED, reason)
             return None
-        if not self.session.allows_starts(now_s):
+        if not self._may_begin(now_s):
             return None
         return self._starts.admit(order, orders, now_s)
 
+    def _may_begin(self, now_s: float) -> bool:
+        """Return whether a run that begins now ends before it is given up.
+
+        While the worker may hold a longer lease, starts wait for a later
+        contact.
+        """
+        given_up_s = self.session.contact_s + DEAD_AFTER_S
+        return (
+            self.session.allows_starts(now_s)
+            and self._lease_end_s <= given_up_s
+        )
+
     def _for_other_incarnation(self, order: Order) -> bool:
         assert self.worker is not None
         return order.incarnation != self.worker.incarnation
--- a/filbertlb/batch/worker_link.py
+++ b/filbertlb/batch/worker_link.py
@@ -18,8 +18,8 @@
 LEASE_S = 6.0
 """Time from the sending of a call to the end of the lease that it sends.
 
-No worker grants a longer one. A run that the decider gives up has ended, by
-times that all follow from one contact, the sending of a stored report::
+A run that the decider gives up has ended, by times that all follow from one
+contact, the sending of a stored report::
 
     extended before    contact + CONTACT_LOST_S
     lease ends by      contact + CONTACT_LOST_S + LEASE_S
@@ -28,6 +28,11 @@
 where ``DEAD_AFTER_S >= CONTACT_LOST_S + LEASE_S``. The end is a time on the
 agent's clock, which a worker's clock of ``SLOWEST_RATE`` reaches in time.
 """
+MAX_LEASE_S = 10.0
+"""Longest lease that a worker grants, by its clock, if none is stated.
+
+A call that was meant for the incarnation before may get that much.
+"""
 CLOCK_DRIFT = 1.02
 """Factor by which the decider waits longer than a lease lasts."""
 
--- a/filbertlb/platform/agent.py
+++ b/filbertlb/platform/agent.py
@@ -36,7 +36,9 @@
     admission = open_admission(settings)
     worker = PlatformWorkerClient(settings.worker_address, clock, answers)
     agent = Agent(
-        table, worker, clock, settings.node, settings.heartbeat_period_s
+        *(table, worker, clock, settings.node),
+        heartbeat_period_s=settings.heartbeat_period_s,
+        max_lease_s=settings.max_lease_s,
     )
 
     def on_heartbeat(heartbeat: Heartbeat) -> None:
--- a/filbertlb/platform/settings.py
+++ b/filbertlb/platform/settings.py
@@ -11,6 +11,7 @@
 
 from filbertlb.admission import MIB
 from filbertlb.batch.durations import RunTimes
+from filbertlb.batch.worker_link import MAX_LEASE_S
 from filbertlb.decoding import decode_json
 from filbertlb.decoding import MalformedDataError
 from filbertlb.errors import InvalidInputError
@@ -86,6 +87,8 @@
     # Time until a run that resumes from a checkpoint does new work.
     restore_ms: Count = 100
     evacuate_ms: Count | None = None
+    # Longest lease that a worker grants.
+    hold_max_ms: Count = round(1000 * MAX_LEASE_S)
 
 
 class _File(msgspec.Struct, rename="camel"):
@@ -116,6 +119,8 @@
         Address on which an agent receives its worker's heartbeats.
     heartbeat_period_s : float
         Time between two heartbeats of a worker.
+    max_lease_s : float
+        Longest lease that a worker grants, by its own clock.
     worker_address : str
         Address at which an agent calls its worker.
     store_address : str
@@ -150,6 +155,7 @@
     readiness_address: str
     heartbeat_address: str
     heartbeat_period_s: float
+    max_lease_s: float
     worker_address: str
     store_address: str
     store_row_bytes: int
@@ -207,6 +213,7 @@
         file.listen.readiness,
         file.listen.admin,
         file.heartbeat_ms / 1000,
+        file.bounds.hold_max_ms / 1000,
         file.app,
         file.platform.addr,
         file.platform.row_bytes,
--- a/tests/batch/lagging_system.py
+++ b/tests/batch/lagging_system.py
@@ -13,6 +13,7 @@
 from filbertlb.batch.model import WORKER_PREFIX
 from filbertlb.batch.model import WorkerReport
 from filbertlb.batch.worker_link import LEASE_S
+from filbertlb.batch.worker_link import MAX_LEASE_S
 from filbertlb.batch.worker_link import StartCall
 from filbertlb.batch.worker_link import StartResult
 from filbertlb.batch.workers import CONTACT_LOST_S
@@ -201,7 +202,11 @@
             reconciler.record_other_incarnation()
             return
         agent.answer_s = self.now_s
-        reconciler.record_listing(sent_s, running, ends, ends_complete=True)
+        reconciler.record_listing(
+            *(sent_s, running, ends),
+            ends_complete=True,
+            received_s=self.now_s,
+        )
 
     def start_run(self, node, agent, start, fence):
         order = start.order
@@ -260,7 +265,7 @@
     def extend(self, worker, incarnation, lease_end_s):
         if lease_end_s is None:
             return
-        latest_s = self.now_s + LEASE_S
+        latest_s = self.now_s + MAX_LEASE_S
         if worker.incarnation != incarnation:
             # Its clock has begun anew, and shows an earlier time.
             lease_end_s = latest_s
--- a/tests/batch/test_lagging_machine.py
+++ b/tests/batch/test_lagging_machine.py
@@ -14,6 +14,7 @@
 
 from filbertlb.batch.model import JobState
 from filbertlb.batch.testing import a_step
+from filbertlb.batch.workers import DEAD_AFTER_S
 from tests.batch.lagging_system import LaggingSystem
 from tests.batch.simulated_system import ENTRIES
 from tests.batch.simulated_system import NODES
@@ -170,3 +171,31 @@
         advance(world, silent_s - 0.25)
         world.pause_by_node[NODES[0]] = (steps, pause_s)
         advance(world, 8.0)
+
+
+@pytest.mark.parametrize("steps", range(4))
+@pytest.mark.parametrize("delay_s", [4.5, 5.5, 6.5, 7.5])
+@pytest.mark.parametrize("lag_ticks", [0, 3])
+def test_call_for_a_crashed_worker_extended_runs_of_the_next_one(
+    lag_ticks, delay_s, steps
+):
+    # Its deadline means nothing to the clock of the next incarnation.
+    for pause_s in (4.0, 5.0, 6.0, 7.0):
+        world = a_world(lag_ticks)
+        node = NODES[0]
+        world.call_delay_s_by_node[node] = delay_s
+        world.tick()
+        world.new_worker(node, world.workers[node].instance_id)
+        world.long_jobs.add("j")
+        world.accept("j", a_step(3, needs=(8, 100, 100)))
+        for _ in range(3 + 2 * lag_ticks):
+            # The next one is not heard before the agent is cut off.
+            world.call_delay_s_by_node[node] = 2 * MAX_DELAY_S
+            world.tick()
+        world.cut_off_until_s[node] = world.now_s + 25.0
+        world.pause_by_node[node] = (steps, pause_s)
+        for _ in range(120):
+            world.tick()
+            worker, agent = world.workers[node], world.agents[node]
+            given_up_s = agent.reconciler.session.contact_s + DEAD_AFTER_S
+            assert not worker.runs or worker.lease_end_s <= given_up_s
--- a/tests/batch/test_local_expiry.py
+++ b/tests/batch/test_local_expiry.py
@@ -4,12 +4,15 @@
 
 import pytest
 
+from filbertlb.batch.local_expiry import LEASE_MARGIN_S
 from filbertlb.batch.model import EndCause
 from filbertlb.batch.model import Run
 from filbertlb.batch.testing import a_worker
 from filbertlb.batch.testing import an_order
 from filbertlb.batch.testing import some_orders
+from filbertlb.batch.worker_link import CLOCK_DRIFT
 from filbertlb.batch.worker_link import LEASE_S
+from filbertlb.batch.worker_link import MAX_LEASE_S
 from filbertlb.batch.worker_link import StartResult
 from tests.batch.reconciling import a_reconciler
 from tests.batch.reconciling import cause_by_task
@@ -28,6 +31,39 @@
     assert cause_by_task(reconciler) == {"j.0.0.0": EndCause.LOST}
 
 
+def replaces_its_worker(reconciler):
+    reconciler.set_worker(a_worker(incarnation="w@2"))
+
+
+def follows_another_process(reconciler):
+    reconciler.restore(())
+    reconciler.set_worker(a_worker(incarnation="w@2"))
+
+
+@pytest.mark.parametrize(
+    ("agent", "begin"),
+    [
+        (reconciler_with(), replaces_its_worker),
+        (a_reconciler(), follows_another_process),
+    ],
+    ids=["worker", "process"],
+)
+def test_runs_counted_as_lost_before_a_lease_meant_for_another_was_out(
+    agent, begin
+):
+    # A call for the incarnation before may come until the first listing.
+    begin(agent)
+    agent.record_announcement(1.0)
+    agent.record_listing(1.0, [], [], ends_complete=True, received_s=2.0)
+    agent.set_orders(some_orders(an_order("j.0.0.0", incarnation="w@2")))
+    start_all(agent, 2.0)
+    longest_s = MAX_LEASE_S * CLOCK_DRIFT
+    agent.due_calls(2.0 + longest_s)
+    assert cause_by_task(agent) == {}
+    agent.due_calls(2.0 + longest_s + LEASE_MARGIN_S)
+    assert cause_by_task(agent) == {"j.0.0.0": EndCause.LOST}
+
+
 def test_orders_end_if_no_worker_comes_after_a_restart():
     reconciler = a_reconciler(created_s=10.0)
     reconciler.set_orders(some_orders(an_order("j.0.0.0")))
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -66,6 +66,14 @@
     assert load_settings_file(path).heartbeat_period_s == period_s
 
 
+@pytest.mark.parametrize(
+    ("fields", "lease_s"), [({}, 10.0), ({"bounds": {"holdMaxMs": 6000}}, 6.0)]
+)
+def test_longest_lease_is_that_of_the_site(tmp_path, fields, lease_s):
+    path = write_settings(tmp_path, SETTINGS | fields)
+    assert load_settings_file(path).max_lease_s == lease_s
+
+
 @pytest.mark.parametrize(
     ("value", "run_times"),
     [(None, "declared"), ("declared", "declared"), ("learned", "learned")],
