Move an agent's report row into a module of its own

ReportRow in filbertlb/batch/report_row.py takes the row over, keeps its version and the range of fencing tokens that it stands for, writes reports and reads the version again after a conflict. The agent keeps its loops, the present token and what it records of a stored report. Nothing behaves differently; the order of reads, restores and writes is as before.

SupersededError stays in agent.py, which raises it: docs/errors.md names its module, and that page was outside this change. tests/batch/test_own_tokens.py imports FENCES_PER_REGISTRATION from the new module; nothing else changed in tests.

--- a/filbertlb/batch/agent.py
+++ b/filbertlb/batch/agent.py
@@ -9,7 +9,6 @@
 from secrets import token_hex
 from typing import TYPE_CHECKING
 
-import attrs
 from gevent import sleep
 from gevent import spawn
 from gevent.event import Event
@@ -18,9 +17,9 @@
 from filbertlb.batch.model import Orders
 from filbertlb.batch.model import orders_key
 from filbertlb.batch.model import orders_table
-from filbertlb.batch.model import WORKER_PREFIX
 from filbertlb.batch.model import WorkerReport
 from filbertlb.batch.reconciler import WorkerReconciler
+from filbertlb.batch.report_row import ReportRow
 from filbertlb.batch.worker_link import LEASE_S
 from filbertlb.batch.worker_link import MAX_LEASE_S
 from filbertlb.batch.worker_link import StartCall
@@ -31,14 +30,11 @@
 from filbertlb.batch.worker_presence import HEARTBEAT_PERIOD_S
 from filbertlb.batch.workers import CONTACT_LOST_S
 from filbertlb.errors import FilbertlbError
-from filbertlb.table.base import ABSENT
 from filbertlb.table.base import RowConflictError
-from filbertlb.table.base import Write
 from filbertlb.table.base import WriteOutcomeUnknownError
 from filbertlb.table.mirror import Follower
 from filbertlb.table.mirror import Mirror
 from filbertlb.table.rows import decode_row
-from filbertlb.table.rows import encode_value
 from filbertlb.table.rows import UnreadableRowError
 from filbertlb.tasks import run_again_after_errors
 
@@ -56,8 +52,6 @@
 """Time during which changes are gathered into one report."""
 LONG_POLL_S = 1.0
 RETRY_S = 0.25
-FENCES_PER_REGISTRATION = 1000
-"""Fencing tokens of one registration, each for one incarnation."""
 WORKER_TIMEOUT_S = 3.0
 """Time without an answer after which the worker counts as silent."""
 
@@ -95,12 +89,11 @@
         heartbeat_period_s: float = HEARTBEAT_PERIOD_S,
         max_lease_s: float = MAX_LEASE_S,
     ) -> None:
-        self._table = table
         self._link = link
         self._clock = clock
         self._node = node
         self._registration = token_hex(6)
-        self._report_key = WORKER_PREFIX + node
+        self._report_row = ReportRow(table, clock, node, self._registration)
         self._reconciler = WorkerReconciler(
             *(self._registration, clock.monotonic()),
             *(heartbeat_period_s, max_lease_s),
@@ -117,10 +110,8 @@
             clock,
             orders_key(node),
         )
-        self._report_version = ABSENT
         self._fence = 0
         self._sequence = 0
-        self._registration_sent_s = float("-inf")
         self._last_answer_s = float("-inf")
         self._silent = False
         self._extending = False
@@ -152,12 +143,7 @@
         Calls that were sent under the one before are refused from its first
         listing on, also those that arrive late.
         """
-        raised = self._fence + 1
-        if raised % FENCES_PER_REGISTRATION == 0:
-            # The range is used up. That of the latest stored report is above
-            # it, and no other process has it.
-            raised = self._report_version * FENCES_PER_REGISTRATION
-        self._fence = max(self._fence, raised)
+        self._fence = self._report_row.next_fence(self._fence)
 
     def worker_deregistered(self) -> None:
         """Record that the worker has deregistered."""
@@ -191,58 +177,15 @@
                 task.kill()
 
     def _register(self) -> None:
-        """Write the report row; its version becomes the fencing token."""
-        while True:
-            try:
-                self._try_register()
-                return
-            except FilbertlbError as error:
-                logger.warning("registration failed, retrying: {}", error)
-                sleep(RETRY_S)
-            except Exception:
-                logger.exception("registration failed unexpectedly")
-                sleep(RETRY_S)
-
-    def _try_register(self) -> None:
-        sent_s = self._clock.monotonic()
-        row = self._table.get(self._report_key)
-        previous = self._previous_report(row)
-        report = WorkerReport(self._node, self._registration)
-        if (
-            previous is not None
-            and previous.registration == self._registration
-        ):
-            assert row is not None
-            self._report_version = row.version
-        else:
-            if previous is not None:
-                self._reconciler.restore(previous.ended, previous.running)
-                report = attrs.evolve(
-                    report,
-                    ended=previous.ended,
-                    running=previous.running,
-                    worker=previous.worker,
-                )
-            version = ABSENT if row is None else row.version
-            write = Write(self._report_key, encode_value(report), version)
-            # The next try may find this one's row, but not when it was
-            # written.
-            self._registration_sent_s = sent_s
-            self._report_version = self._table.commit((write,))[0]
-        self._session.record_stored(
-            *(0, self._registration_sent_s, self._clock.monotonic())
-        )
-        self._fence = self._report_version * FENCES_PER_REGISTRATION
+        """Take the report row over; its version gives the fencing token."""
+        sent_s = self._report_row.register(self._restore)
+        self._session.record_stored(0, sent_s, self._clock.monotonic())
+        self._fence = self._report_row.first_fence
         logger.info("registered with fencing token {}", self._fence)
 
-    def _previous_report(self, row: Row | None) -> WorkerReport | None:
-        if row is None:
-            return None
-        try:
-            return decode_row(row, WorkerReport)
-        except UnreadableRowError as error:
-            logger.error("unreadable report row counts as missing: {}", error)
-            return None
+    def _restore(self, previous: WorkerReport) -> None:
+        """Restore what the last agent process reported."""
+        self._reconciler.restore(previous.ended, previous.running)
 
     def _on_orders(self, key: str, row: Row | None) -> None:
         if key != orders_key(self._node) or row is None:
@@ -511,13 +454,10 @@
             self._reconciler.awaited_sequence(self._sequence, sent_s),
         )
         try:
-            write = Write(
-                self._report_key, encode_value(report), self._report_version
-            )
-            self._report_version = self._table.commit((write,))[0]
+            self._report_row.store(report)
         except (RowConflictError, WriteOutcomeUnknownError):
             self._reconciler.report_changed = True
-            self._reload_version()
+            self._reload_row()
             raise
         except FilbertlbError:
             self._reconciler.report_changed = True
@@ -548,7 +488,7 @@
         # The next report tells what is awaited.
         self._reconciler.report_changed = True
 
-    def _reload_version(self) -> None:
+    def _reload_row(self) -> None:
         """Read the report row after a conflict or an unknown outcome.
 
         Raises
@@ -556,12 +496,8 @@
         SupersededError
             If another agent process has written the row.
         """
-        row = self._table.get(self._report_key)
-        previous = self._previous_report(row)
-        if previous is None or previous.registration != self._registration:
+        if not self._report_row.reload():
             raise SupersededError(
-                f"row {self._report_key!r} belongs to another agent process; "
-                "run one process beside each worker"
+                f"row {self._report_row.key!r} belongs to another agent "
+                "process; run one process beside each worker"
             )
-        assert row is not None
-        self._report_version = row.version
--- a/tests/batch/test_own_tokens.py
+++ b/tests/batch/test_own_tokens.py
@@ -9,8 +9,8 @@
 from gevent.event import Event
 
 from filbertlb.batch.agent import Agent
-from filbertlb.batch.agent import FENCES_PER_REGISTRATION
 from filbertlb.batch.model import Run
+from filbertlb.batch.report_row import FENCES_PER_REGISTRATION
 from filbertlb.batch.testing import a_worker
 from filbertlb.batch.testing import an_order
 from filbertlb.batch.worker_link import RunListing
