Move a decider's periodic writes into a module of their own

PeriodicWrites in filbertlb/batch/periodic_writes.py writes the rows that a decider writes from time to time beside its decisions: the times of versions, the learned run times and the deletions of ended jobs, with their due times. It also gives a new planner its durations, since it stores them. One object lives as long as its decider, so due times still outlast a term. Nothing behaves differently; the order of the writes is as before.

tests/batch/test_decider_learning.py replaces learned_write where it is used now: its import names periodic_writes, under the alias that the file had.

--- a/filbertlb/batch/decider.py
+++ b/filbertlb/batch/decider.py
@@ -14,24 +14,18 @@
 from loguru import logger
 
 from filbertlb.batch.demand import Demand
-from filbertlb.batch.durations import DeclaredDurations
 from filbertlb.batch.durations import RunTimes
 from filbertlb.batch.learned_durations import LearnedDurations
-from filbertlb.batch.learned_row import LEARNED_PERIOD_S
-from filbertlb.batch.learned_row import learned_write
-from filbertlb.batch.learned_row import read_learned
 from filbertlb.batch.model import CANCEL_PREFIX
 from filbertlb.batch.model import JOB_PREFIX
 from filbertlb.batch.model import WORKER_TABLE
+from filbertlb.batch.periodic_writes import PeriodicWrites
 from filbertlb.batch.placing_context import CheckpointCosts
-from filbertlb.batch.retention import expired_job_units
 from filbertlb.batch.run_time_metrics import clear_run_times
 from filbertlb.batch.run_time_metrics import sample_run_times
 from filbertlb.batch.standing_report import StandingReport
 from filbertlb.batch.takeover import apply_report
 from filbertlb.batch.takeover import build_planner
-from filbertlb.batch.version_marks import marks_write
-from filbertlb.batch.version_marks import WRITE_PERIOD_S
 from filbertlb.batch.write_plan import changed_units
 from filbertlb.batch.write_plan import divide
 from filbertlb.errors import FilbertlbError
@@ -45,7 +39,6 @@
 if TYPE_CHECKING:
     from collections.abc import Generator
 
-    from filbertlb.batch.durations import DurationModel
     from filbertlb.batch.evacuation import EvacuationSource
     from filbertlb.batch.index import JobIndex
     from filbertlb.batch.planner import Planner
@@ -80,7 +73,6 @@
 """
 STAND_ASIDE_S = 2.0
 """Time for which a decider that gave the lease up lets others take it."""
-CLEANUP_PERIOD_S = 10.0
 
 
 @attrs.define
@@ -178,7 +170,6 @@
         self._by_benefit = by_benefit
         self._limits = _without_lease(limits or TransactionLimits())
         self._batch_entries = self._limits.entries
-        self._run_times = run_times
         self._lease_delay_s = SLOW_MACHINE_DELAY_S if slow else 0.0
         self._holder_id = f"{node}-{token_hex(4)}"
         self._keeper = LeaseManager(
@@ -190,12 +181,13 @@
             LEASE_MARGIN_S,
             instance=node,
         )
+        self._periodic_writes = PeriodicWrites(
+            *(table, mirror, self._keeper, clock),
+            *(self._limits, run_times),
+        )
         self._term: Term | None = None
         self._wake = mirror.changed
         self._changed_keys: set[str] = set()
-        self._next_cleanup_s = 0.0
-        self._next_marks_s = 0.0
-        self._next_learned_s = 0.0
         self._backoff_s = MIN_BACKOFF_S
         self._last_success_s = clock.monotonic()
         self._aside_until_s = float("-inf")
@@ -388,9 +380,9 @@
         now_ms = int(self._clock.wall() * 1000)
         planner.decide(self._clock.monotonic(), now_ms)
         self._write(planner, term.epoch, now_ms)
-        self._hand_on_marks(term.epoch)
-        self._hand_on_run_times(planner, term.epoch)
-        self._delete_ended_jobs(planner, term.epoch, now_ms)
+        self._periodic_writes.write_due(
+            planner, term.epoch, now_ms, self._batch_entries
+        )
 
     def _take_over(self, term: Term) -> Planner:
         """Build a new planner from the rows of the table.
@@ -412,7 +404,7 @@
             self._index,
             term.workers.mirror,
             self._clock,
-            self._durations(),
+            self._periodic_writes.durations(),
         )
         planner.checkpoints = self._checkpoints
         planner.lost_core_s = self.lost_core_s
@@ -460,47 +452,6 @@
             self._commit(unit, epoch)
             planner.state.mark_written(unit.jobs, unit.nodes)
 
-    def _hand_on_marks(self, epoch: int) -> None:
-        """Store the times of versions for processes that start later."""
-        now_s = self._clock.monotonic()
-        if now_s < self._next_marks_s:
-            return
-        write = marks_write(self._mirror)
-        if write is not None:
-            self._keeper.commit((write,), epoch=epoch)
-        self._next_marks_s = now_s + WRITE_PERIOD_S
-
-    def _durations(self) -> DurationModel:
-        """Return the model that a new planner predicts run times with.
-
-        What the planner before learned without storing it is learned again:
-        its last decision may not be written.
-        """
-        if self._run_times is RunTimes.DECLARED:
-            return DeclaredDurations()
-        return read_learned(self._table, int(self._clock.wall() * 1000))
-
-    def _hand_on_run_times(self, planner: Planner, epoch: int) -> None:
-        """Store what was learned, for the next decider.
-
-        A failure costs only the row, so decisions go on.
-        """
-        durations = planner.durations
-        now_s = self._clock.monotonic()
-        if (
-            not isinstance(durations, LearnedDurations)
-            or not durations.changed
-            or now_s < self._next_learned_s
-        ):
-            return
-        self._next_learned_s = now_s + LEARNED_PERIOD_S
-        try:
-            self._keeper.commit((learned_write(durations),), epoch=epoch)
-        except FilbertlbError as error:
-            logger.warning("learned run times not stored: {}", error)
-            return
-        durations.changed = False
-
     def _plan_writes(self, planner: Planner, epoch: int) -> WritePlan:
         units = changed_units(planner.state, epoch, self._limits)
         return divide(units, self._limits, self._batch_entries)
@@ -513,23 +464,6 @@
             self._batch_entries = max(1, self._batch_entries // 2)
             raise
 
-    def _delete_ended_jobs(
-        self, planner: Planner, epoch: int, now_ms: int
-    ) -> None:
-        """Delete the rows of jobs whose retention period is over."""
-        now_s = self._clock.monotonic()
-        if now_s < self._next_cleanup_s:
-            return
-        self._next_cleanup_s = now_s + CLEANUP_PERIOD_S
-        units = expired_job_units(planner.state, now_ms)
-        plan = divide(units, self._limits, self._batch_entries)
-        for unit in plan.transactions:
-            self._keeper.commit(unit.writes, epoch=epoch)
-            for job_id in unit.jobs:
-                planner.state.forget(job_id)
-            if unit.jobs:
-                logger.info("rows of {} ended jobs deleted", len(unit.jobs))
-
 
 def _without_lease(limits: TransactionLimits) -> TransactionLimits:
     """Return the limits for the other rows of a transaction."""
--- a/tests/batch/test_decider_learning.py
+++ b/tests/batch/test_decider_learning.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from filbertlb.batch import decider as decider_module
+from filbertlb.batch import periodic_writes as decider_module
 from filbertlb.batch.durations import RunTimes
 from filbertlb.batch.learned_row import LEARNED_KEY
 from filbertlb.batch.learned_statistics import LearnedRunTimes
