Give two steps of the reconciler their own names

WorkerReconciler.set_worker and record_listing each held a step of another matter: what changes with a new incarnation, and the longest lease of a call for an earlier one. They are _replace_incarnation and _record_predecessors_lease now. Nothing behaves differently.

--- a/filbertlb/batch/reconciler.py
+++ b/filbertlb/batch/reconciler.py
@@ -169,13 +169,7 @@
         """
         previous = self.worker
         if previous is not None and previous.incarnation != worker.incarnation:
-            record_crash_ages(self._runs, self._presence)
-            self._runs.replace_incarnation(
-                previous.incarnation, worker.incarnation
-            )
-            self._presence.begin_incarnation()
-            self._has_predecessor = True
-            self.last_end_number = 0
+            self._replace_incarnation(previous, worker)
         if previous is None or worker != attrs.evolve(
             previous, cold_left_ms=worker.cold_left_ms
         ):
@@ -309,10 +303,8 @@
             Without it, no run times are recorded.
         """
         if not self._presence.listed and self._has_predecessor:
-            # Until this listing the worker accepted calls for the
-            # incarnation before, whose deadlines mean nothing to its clock.
             listed_s = sent_s if received_s is None else received_s
-            self.record_lease(listed_s + self._max_lease_s * CLOCK_DRIFT)
+            self._record_predecessors_lease(listed_s)
         self._presence.record_listing()
         orders = () if self.orders is None else self.orders.orders
         listed = set()
@@ -368,6 +360,24 @@
         due_s = min(times, default=now_s + MAX_PAUSE_S)
         return max(MIN_PAUSE_S, due_s - now_s)
 
+    def _replace_incarnation(self, previous: Worker, worker: Worker) -> None:
+        """Begin with a new incarnation, which counts its ends anew."""
+        record_crash_ages(self._runs, self._presence)
+        self._runs.replace_incarnation(
+            previous.incarnation, worker.incarnation
+        )
+        self._presence.begin_incarnation()
+        self._has_predecessor = True
+        self.last_end_number = 0
+
+    def _record_predecessors_lease(self, listed_s: float) -> None:
+        """Record the longest lease of a call for an earlier incarnation.
+
+        Until its first listing the worker accepted such calls, whose
+        deadlines mean nothing to its clock.
+        """
+        self.record_lease(listed_s + self._max_lease_s * CLOCK_DRIFT)
+
     def _ordered(self) -> set[RunKey]:
         orders = () if self.orders is None else self.orders.orders
         return {order.key for order in orders}
