Test: an end was confirmed with lost tasks before it was stored

What callers would see: a task that is done runs again, or twice by the rule TWICE. A decision that processes a report with an end done, and gives the other tasks of that worker up, writes the worker's orders row with the lost tasks first. That row confirms the report, while the job of the end is written in a later unit. If the decider dies between two transactions, the agent drops the end that nobody has stored. The next decider orders the same attempt again, which the worker refuses as old, and then the next one.

Cause: a report counts as processed from when it was read, not from when what it changed is stored. _process_reports guards the other order only: lost tasks that are unwritten when a report comes.

Evidence: both cases of test_end_was_confirmed_with_lost_tasks_before_it_was_stored fail; the whole chain of a dying decider was not played.

--- a/tests/batch/test_confirmations.py
+++ b/tests/batch/test_confirmations.py
@@ -158,3 +158,23 @@
     assert keys.index(PROGRESS_PREFIX + "a") < keys.index(orders_key("n1"))
     row = planner.state.orders_of("n1", 1)
     assert (row.orders, row.confirmed) == ((), ReportMark("agent", 2))
+
+
+@pytest.mark.parametrize("ended", ["a.0.0.0", "b.0.0.0"])
+def test_end_was_confirmed_with_lost_tasks_before_it_was_stored(ended):
+    # The agent then forgets it, and nobody knows that the task is done.
+    planner = Planner()
+    planner.state.add_job(a_job("a"))
+    planner.state.add_job(a_job("b"))
+    decide_on(planner, 0.0, a_report("n1", sequence=1))
+    ends = (RunEnd(ended, 1, EndCause.DONE),)
+    planner.record_report(a_report("n1", sequence=2, ended=ends), 1.0)
+    now_s = DEAD_AFTER_S + 2
+    planner.decide(now_s, round(1000 * now_s))
+    stored = set()
+    for unit in changed_units(planner.state, epoch=1):
+        keys = {write.key for write in unit.writes}
+        stored |= keys
+        if orders_key("n1") in keys:
+            assert PROGRESS_PREFIX + ended.partition(".")[0] in stored
+    assert orders_key("n1") in stored
