Test: the longest lease counted as over before a slow clock reached its end

A lease of 10 s by a clock of SLOWEST_RATE, 0.98, takes 10.204 s; the agent counts 10 * CLOCK_DRIFT = 10.2 s. Callers would hardly see the 4 ms: the local margin of 0.5 s covers them, that of starts does not.

Evidence: the new test fails, 10.2 < 10.2041.

--- a/tests/batch/test_local_expiry.py
+++ b/tests/batch/test_local_expiry.py
@@ -10,6 +10,7 @@
 from filbertlb.batch.testing import a_worker
 from filbertlb.batch.testing import an_order
 from filbertlb.batch.testing import some_orders
+from filbertlb.batch.worker_clock import SLOWEST_RATE
 from filbertlb.batch.worker_link import CLOCK_DRIFT
 from filbertlb.batch.worker_link import LEASE_S
 from filbertlb.batch.worker_link import MAX_LEASE_S
@@ -64,6 +65,13 @@
     assert cause_by_task(agent) == {"j.0.0.0": EndCause.LOST}
 
 
+def test_longest_lease_counted_as_over_before_a_slow_clock_reached_its_end():
+    agent = reconciler_with()
+    replaces_its_worker(agent)
+    agent.record_listing(1.0, [], [], ends_complete=True, received_s=2.0)
+    assert agent.lease_left_s(2.0) >= MAX_LEASE_S / SLOWEST_RATE
+
+
 def test_orders_end_if_no_worker_comes_after_a_restart():
     reconciler = a_reconciler(created_s=10.0)
     reconciler.set_orders(some_orders(an_order("j.0.0.0")))
