Test: a start ran on the next incarnation after it was given up

What callers would see: a task runs twice at once. A worker restarts under its id while a start for it is on its way and not answered, and the agent is out of action from then on. The next incarnation begins the run, since it knows no token, and cuts the deadline to its longest lease, 10 s from when it carries the start out. The decider gives the run up 14.62 s after the contact and orders the next attempt.

Cause: the inequality bounds when a start is decided on, at most 8 s after the contact, not when one is carried out by a worker with another clock.

Virtual time only. Not fixed: the choices are a longer wait for orders that no report has listed, or starts only soon after a contact, and both cost time.

--- a/tests/batch/test_lagging_machine.py
+++ b/tests/batch/test_lagging_machine.py
@@ -199,3 +199,41 @@
             worker, agent = world.workers[node], world.agents[node]
             given_up_s = agent.reconciler.session.contact_s + DEAD_AFTER_S
             assert not worker.runs or worker.lease_end_s <= given_up_s
+
+
+class LateStarts(LaggingSystem):
+    """A worker restarts as it is sent the first start, which comes late.
+
+    Its agent is out of action from then on.
+    """
+
+    delay_s = 0.0
+    node = None
+
+    def start_run(self, node, agent, start, fence):
+        if self.node is None:
+            self.node = node
+            self.new_worker(node, self.workers[node].instance_id, TICK_S)
+            if self.delay_s:
+                self.call_delay_s_by_node[node] = self.delay_s
+            self.pause_by_node[node] = (1, 18.0)
+        yield from super().start_run(node, agent, start, fence)
+
+
+@pytest.mark.parametrize("contact_age_s", [0.25, 1.5, 3.0])
+@pytest.mark.parametrize("delay_s", [0.0, 3.0, 4.0, MAX_DELAY_S])
+def test_start_ran_on_the_next_incarnation_after_it_was_given_up(
+    delay_s, contact_age_s
+):
+    # Its deadline, past or not, gives it the longest lease there.
+    world = LateStarts()
+    world.begin()
+    advance(world, 1.0)
+    world.delay_s = delay_s
+    world.long_jobs.add("j")
+    world.accept("j", a_step(needs=(8, 100, 100)))
+    world.tick()
+    node = next(node for node in NODES if world.orders[node].orders)
+    world.pause_by_node[node] = (4, contact_age_s - TICK_S)
+    advance(world, 40.0)
+    assert world.node == node
