Give a worker's tasks up only once the ends that it told are stored

What callers see: the fault of, a task that is done could run again. The decider now leaves the tasks of a silent worker until the tasks of the ends in its latest report are written, which is one decision later, some 0.2 s. The test also asks that they are given up then.

--- a/filbertlb/batch/planner.py
+++ b/filbertlb/batch/planner.py
@@ -388,6 +388,10 @@
             if not view.dead(known_s):
                 self._log_silence(view, known_s)
                 continue
+            if self._has_unwritten_ends(view):
+                # The rows of lost tasks are written first, and with them the
+                # orders row, which would confirm these ends.
+                continue
             unwritten = self.state.tasks_lost_by_node.get(node, ())
             count = max(0, MAX_LOST_TASKS - len(unwritten))
             tasks = self.state.tasks_on(node)
@@ -401,6 +405,14 @@
                 self.durations.record_end(end, self._observing(task), now_ms)
                 self._apply_end(end, now_ms, known_s)
 
+    def _has_unwritten_ends(self, view: WorkerView) -> bool:
+        """Return whether the tasks of reported ends are to be written."""
+        changed = self.state.changed_tasks_by_job
+        return any(
+            end.task in changed.get(job_id_of(end.task), ())
+            for end in view.report.ended
+        )
+
     def _log_silence(self, view: WorkerView, now_s: float) -> None:
         """Log once that tasks wait for a worker that may be gone."""
         if view.silence_logged or not view.silent(now_s):
--- a/tests/batch/test_confirmations.py
+++ b/tests/batch/test_confirmations.py
@@ -177,4 +177,8 @@
         stored |= keys
         if orders_key("n1") in keys:
             assert PROGRESS_PREFIX + ended.partition(".")[0] in stored
+        planner.state.mark_written(unit.jobs, unit.nodes)
     assert orders_key("n1") in stored
+    # The other task is not kept there for longer than a decision.
+    decide_on(planner, now_s + 0.2)
+    assert planner.state.tasks_on("n1") == []
