--- a/filbertlb/batch/agent.py
+++ b/filbertlb/batch/agent.py
@@ -261,9 +261,9 @@
         Leases are extended only for a limited time after the agent's
         last contact with the table, so the decider can wait until the
         last of them has expired. A worker that does not answer gets no
-        extensions either, so that its runs end by a known time, nor one of
-        which another incarnation answers: that would take the end for a time
-        on its own clock.
+        extensions either, so that its runs end by a known time, nor one that
+        has not listed its runs yet or of which another incarnation answers:
+        that would take the end for a time on its own clock.
 
         The end is fixed before the call, which may be held up.
         """
@@ -271,6 +271,7 @@
             now_s - self._session.contact_s < CONTACT_LOST_S
             and now_s - self._last_answer_s < WORKER_TIMEOUT_S
             and self._reconciler.may_start
+            and self._reconciler.runs_known
         )
         if extending != self._extending:
             self._extending = extending
