Count a process behind an unreadable report as not the first

Evidence: the case 'unreadable' of test_process_behind_an_unreadable_report_was_taken_for_the_first failed before and passes.

--- a/filbertlb/batch/agent.py
+++ b/filbertlb/batch/agent.py
@@ -223,6 +223,9 @@
                     running=previous.running,
                     worker=previous.worker,
                 )
+            elif row is not None:
+                # Another process came before, whatever it has reported.
+                self._reconciler.restore(())
             version = ABSENT if row is None else row.version
             write = Write(self._report_key, encode_value(report), version)
             # The next try may find this one's row, but not when it was
