--- a/filbertlb/batch/agent.py
+++ b/filbertlb/batch/agent.py
@@ -429,6 +429,15 @@
         now_s = self._clock.monotonic()
         lease_end_s = call.lease_end_s
         contact_age_s = now_s - self._session.contact_s
+        if lease_end_s is not None and now_s >= lease_end_s:
+            # The worker would refuse it as late, unless it has restarted
+            # under its id: the end means nothing to its next clock.
+            logger.info("start of {} held up, not sent", call.order.task)
+            self._reconciler.record_start(
+                call.order, StartResult.UNHEALTHY, now_s
+            )
+            self._wake_loops()
+            return
         result = StartResult.UNKNOWN
         try:
             result = self._link.start(
