--- a/filbertlb/batch/reconciler.py
+++ b/filbertlb/batch/reconciler.py
@@ -30,7 +30,7 @@
 from filbertlb.batch.local_stops import record_stop_reply
 from filbertlb.batch.local_stops import stop
 from filbertlb.batch.model import EndCause
-from filbertlb.batch.worker_link import CLOCK_DRIFT
+from filbertlb.batch.worker_clock import SLOWEST_RATE
 from filbertlb.batch.worker_link import LEASE_S
 from filbertlb.batch.worker_link import MAX_LEASE_S
 from filbertlb.batch.worker_link import StartCall
@@ -312,7 +312,7 @@
             # Until this listing the worker accepted calls for the
             # incarnation before, whose deadlines mean nothing to its clock.
             listed_s = sent_s if received_s is None else received_s
-            self.record_lease(listed_s + self._max_lease_s * CLOCK_DRIFT)
+            self.record_lease(listed_s + self._max_lease_s / SLOWEST_RATE)
         self._presence.record_listing()
         orders = () if self.orders is None else self.orders.orders
         listed = set()
