--- a/filbertlb/batch/agent.py
+++ b/filbertlb/batch/agent.py
@@ -183,9 +183,12 @@
         self._fence = self._report_row.first_fence
         logger.info("registered with fencing token {}", self._fence)
 
-    def _restore(self, previous: WorkerReport) -> None:
-        """Restore what the last agent process reported."""
-        self._reconciler.restore(previous.ended, previous.running)
+    def _restore(self, previous: WorkerReport | None) -> None:
+        """Restore what the last agent process reported, if it is known."""
+        if previous is None:
+            self._reconciler.restore(())
+        else:
+            self._reconciler.restore(previous.ended, previous.running)
 
     def _on_orders(self, key: str, row: Row | None) -> None:
         if key != orders_key(self._node) or row is None:
@@ -204,9 +207,9 @@
         Leases are extended only for a limited time after the agent's
         last contact with the table, so the decider can wait until the
         last of them has expired. A worker that does not answer gets no
-        extensions either, so that its runs end by a known time, nor one of
-        which another incarnation answers: that would take the end for a time
-        on its own clock.
+        extensions either, so that its runs end by a known time, nor one that
+        has not listed its runs yet or of which another incarnation answers:
+        that would take the end for a time on its own clock.
 
         The end is fixed before the call, which may be held up.
         """
@@ -214,6 +217,7 @@
             now_s - self._session.contact_s < CONTACT_LOST_S
             and now_s - self._last_answer_s < WORKER_TIMEOUT_S
             and self._reconciler.may_start
+            and self._reconciler.runs_known
         )
         if extending != self._extending:
             self._extending = extending
@@ -368,6 +372,15 @@
         now_s = self._clock.monotonic()
         lease_end_s = call.lease_end_s
         contact_age_s = now_s - self._session.contact_s
+        if lease_end_s is not None and now_s >= lease_end_s:
+            # The worker would refuse it as late, unless it has restarted
+            # under its id: the end means nothing to its next clock.
+            logger.info("start of {} held up, not sent", call.order.task)
+            self._reconciler.record_start(
+                call.order, StartResult.UNHEALTHY, now_s
+            )
+            self._wake_loops()
+            return
         result = StartResult.UNKNOWN
         try:
             result = self._link.start(
--- a/filbertlb/batch/reconciler.py
+++ b/filbertlb/batch/reconciler.py
@@ -30,7 +30,7 @@
 from filbertlb.batch.local_stops import record_stop_reply
 from filbertlb.batch.local_stops import stop
 from filbertlb.batch.model import EndCause
-from filbertlb.batch.worker_link import CLOCK_DRIFT
+from filbertlb.batch.worker_clock import SLOWEST_RATE
 from filbertlb.batch.worker_link import LEASE_S
 from filbertlb.batch.worker_link import MAX_LEASE_S
 from filbertlb.batch.worker_link import StartCall
@@ -376,7 +376,7 @@
         Until its first listing the worker accepted such calls, whose
         deadlines mean nothing to its clock.
         """
-        self.record_lease(listed_s + self._max_lease_s * CLOCK_DRIFT)
+        self.record_lease(listed_s + self._max_lease_s / SLOWEST_RATE)
 
     def _ordered(self) -> set[RunKey]:
         orders = () if self.orders is None else self.orders.orders
--- a/filbertlb/batch/report_row.py
+++ b/filbertlb/batch/report_row.py
@@ -82,14 +82,16 @@
             raised = self.first_fence
         return max(fence, raised)
 
-    def register(self, restore: Callable[[WorkerReport], None]) -> float:
+    def register(
+        self, restore: Callable[[WorkerReport | None], None]
+    ) -> float:
         """Take the row over; try again until that succeeds.
 
         Parameters
         ----------
         restore : callable
-            Called with the last report of an earlier process, if any,
-            before the row is written.
+            Called before the row of an earlier process is written, with
+            its last report; None if that cannot be read.
 
         Returns
         -------
@@ -130,13 +132,15 @@
         row = self._table.get(self.key)
         return self._adopt_version(row, _read_report(row))
 
-    def _try_register(self, restore: Callable[[WorkerReport], None]) -> float:
+    def _try_register(
+        self, restore: Callable[[WorkerReport | None], None]
+    ) -> float:
         sent_s = self._clock.monotonic()
         row = self._table.get(self.key)
         previous = _read_report(row)
         if self._adopt_version(row, previous):
             return self._registration_sent_s
-        if previous is not None:
+        if row is not None:
             restore(previous)
         report = self._first_report(previous)
         version = ABSENT if row is None else row.version
