Believe a wrong reading of a worker's clock for 5 s at most

What callers could see: two runs of a task at once. A reading of a worker's clock that was wrong, as in a liveness report of another writer, was kept for good since, as it proved the latest time. Each call then sent a deadline far ahead, and the worker granted its longest lease from when it carried the call out: 10 s on large deployments, where the inequality has 6.

A reading is kept before one that proves less for 5 s; the lease of each later call follows from one that is newer. Found by review, by reading. tests/batch/test_worker_clock.py: the case of 6 s failed before, both pass.

--- a/filbertlb/batch/worker_clock.py
+++ b/filbertlb/batch/worker_clock.py
@@ -6,6 +6,11 @@
 
 SLOWEST_RATE = 0.98
 """Rate of the slowest clock that a worker may have."""
+MAX_READING_AGE_S = 5.0
+"""Age up to which a reading is kept before one that proves less.
+
+A reading that was wrong is believed for no longer.
+"""
 MAX_INCARNATIONS = 4
 """Incarnations whose clocks are known at once."""
 
@@ -42,14 +47,18 @@
     def record(self, incarnation: str, clock_ms: int, read_s: float) -> None:
         """Record a reading; 0 is none.
 
-        One that was long on its way is dropped if an earlier one proves that
+        One that was long on its way is dropped if a recent one proves that
         the clock is further on: it would only shorten leases.
         """
         if not clock_ms:
             return
         reading = WorkerClock(incarnation, clock_ms, read_s)
         known = self._by_incarnation.pop(incarnation, None)
-        if known is not None and known.deadline_ms(read_s) > clock_ms:
+        if (
+            known is not None
+            and read_s - known.read_s <= MAX_READING_AGE_S
+            and known.deadline_ms(read_s) > clock_ms
+        ):
             reading = known
         self._by_incarnation[incarnation] = reading
         if len(self._by_incarnation) > MAX_INCARNATIONS:
--- a/tests/batch/test_worker_clock.py
+++ b/tests/batch/test_worker_clock.py
@@ -28,3 +28,13 @@
         clocks.record("w@1", clock_ms, read_s)
     assert clocks.get("w@1").deadline_ms(END_S) == deadline_ms
     assert clocks.get("w@2") is None
+
+
+@pytest.mark.parametrize(("wrong_s", "believed"), [(4.0, True), (6.0, False)])
+def test_wrong_reading_of_a_clock_was_believed_for_good(wrong_s, believed):
+    # Each call then got the longest lease of the worker.
+    clocks = WorkerClocks()
+    clocks.record("w@1", 9**9, READ_S)
+    for since_s in range(1, round(wrong_s) + 1):
+        clocks.record("w@1", 5_000 + 1000 * since_s, READ_S + since_s)
+    assert (clocks.get("w@1").deadline_ms(END_S) > 9**9) is believed
