--- a/tests/batch/test_decider_learning.py
+++ b/tests/batch/test_decider_learning.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from filbertlb.batch import periodic_writes as decider_module
+from filbertlb.batch import periodic_writes
 from filbertlb.batch.durations import RunTimes
 from filbertlb.batch.learned_row import LEARNED_KEY
 from filbertlb.batch.learned_statistics import LearnedRunTimes
@@ -113,7 +113,7 @@
     with deciding(table, run_times=RunTimes.LEARNED) as decider:
         wait_until(lambda: decider.deciding)
         reads = table.progress_reads
-        monkeypatch.setattr(decider_module, "learned_write", reject)
+        monkeypatch.setattr(periodic_writes, "learned_write", reject)
         for job_id in ("a", "b"):
             put(table, JOB_PREFIX + job_id, a_job(job_id))
             put_end(table, job_id, 8_000)
