Agent: one way to record a start; stale words about times

A start that is held up had its own copy of recording the result, and the stops of runs without an order counted the orders once more beside _ordered(). The logging of extensions leaves the method that decides them.

Docstrings: the gauge of standing tasks told the time of before, a lease counts from the decision on a call, and fencing tokens are for contacts, too. No change of behaviour.

--- a/filbertlb/batch/agent.py
+++ b/filbertlb/batch/agent.py
@@ -221,18 +221,20 @@
         )
         if extending != self._extending:
             self._extending = extending
-            logger.info(
-                "leases {} extended: last contact {:.1f} s ago, last answer "
-                "{:.1f} s ago, {:.1f} s left of the lease sent last",
-                "are" if extending else "are no longer",
-                *(
-                    now_s - self._session.contact_s,
-                    now_s - self._last_answer_s,
-                ),
-                self._reconciler.lease_left_s(now_s),
-            )
+            self._log_extending(now_s)
         return now_s + LEASE_S if extending else None
 
+    def _log_extending(self, now_s: float) -> None:
+        """Log that extensions have stopped or go on, and what decided it."""
+        logger.info(
+            "leases {} extended: last contact {:.1f} s ago, last answer "
+            "{:.1f} s ago, {:.1f} s left of the lease sent last",
+            "are" if self._extending else "are no longer",
+            now_s - self._session.contact_s,
+            now_s - self._last_answer_s,
+            self._reconciler.lease_left_s(now_s),
+        )
+
     def _worker_responds(self, now_s: float) -> bool:
         """Return whether the worker answers calls and announces itself.
 
@@ -370,17 +372,23 @@
 
     def _start(self, call: StartCall, fence: int) -> None:
         now_s = self._clock.monotonic()
-        lease_end_s = call.lease_end_s
-        contact_age_s = now_s - self._session.contact_s
-        if lease_end_s is not None and now_s >= lease_end_s:
+        if call.lease_end_s is not None and now_s >= call.lease_end_s:
             # The worker would refuse it as late, unless it has restarted
             # under its id: the end means nothing to its next clock.
             logger.info("start of {} held up, not sent", call.order.task)
-            self._reconciler.record_start(
-                call.order, StartResult.UNHEALTHY, now_s
-            )
-            self._wake_loops()
-            return
+            result = StartResult.UNHEALTHY
+        else:
+            result = self._send_start(call, fence, now_s)
+        self._reconciler.record_start(
+            call.order, result, self._clock.monotonic()
+        )
+        self._wake_loops()
+
+    def _send_start(
+        self, call: StartCall, fence: int, now_s: float
+    ) -> StartResult:
+        lease_end_s = call.lease_end_s
+        contact_age_s = now_s - self._session.contact_s
         result = StartResult.UNKNOWN
         try:
             result = self._link.start(
@@ -398,11 +406,8 @@
         )
         if result is StartResult.FENCED and fence != self._fence:
             # This agent raised the token itself; the worker did nothing.
-            result = StartResult.UNHEALTHY
-        self._reconciler.record_start(
-            call.order, result, self._clock.monotonic()
-        )
-        self._wake_loops()
+            return StartResult.UNHEALTHY
+        return result
 
     def _stop(self, call: StopCall) -> None:
         answered = False
--- a/filbertlb/batch/reconciler.py
+++ b/filbertlb/batch/reconciler.py
@@ -249,7 +249,7 @@
             self._with_lease(call, lease_end_s)
             for call in self._calls_for_orders(orders, now_s)
         ]
-        return calls + self._stops_of_others(orders, now_s)
+        return calls + self._stops_of_others(now_s)
 
     def _with_lease(
         self, call: StartCall | StopCall, lease_end_s: float | None
@@ -306,7 +306,7 @@
             listed_s = sent_s if received_s is None else received_s
             self._record_predecessors_lease(listed_s)
         self._presence.record_listing()
-        orders = () if self.orders is None else self.orders.orders
+        orders = self._current_orders()
         listed = set()
         for listed_end in ends:
             listed.add(listed_end.end.key)
@@ -378,9 +378,11 @@
         """
         self.record_lease(listed_s + self._max_lease_s / SLOWEST_RATE)
 
+    def _current_orders(self) -> tuple[Order, ...]:
+        return () if self.orders is None else self.orders.orders
+
     def _ordered(self) -> set[RunKey]:
-        orders = () if self.orders is None else self.orders.orders
-        return {order.key for order in orders}
+        return {order.key for order in self._current_orders()}
 
     def _calls_for_orders(
         self, orders: Orders, now_s: float
@@ -446,14 +448,9 @@
         assert self.worker is not None
         return order.incarnation != self.worker.incarnation
 
-    def _stops_of_others(
-        self, orders: Orders, now_s: float
-    ) -> list[StartCall | StopCall]:
+    def _stops_of_others(self, now_s: float) -> list[StartCall | StopCall]:
         """Return the stops due for runs without an order that goes on."""
-        ended = self._runs.ended
-        wanted = {
-            order.key for order in orders.orders if order.key not in ended
-        }
+        wanted = self._ordered() - self._runs.ended.keys()
         stops = (
             stop(key, run, now_s)
             for key, run in self._runs.by_key.items()
--- a/filbertlb/batch/report_row.py
+++ b/filbertlb/batch/report_row.py
@@ -29,7 +29,10 @@
     from filbertlb.table.base import TableService
 
 FENCES_PER_REGISTRATION = 1000
-"""Fencing tokens of one registration, each for one incarnation."""
+"""Fencing tokens of one registration.
+
+Each is for one incarnation of the worker and one contact with the table.
+"""
 REGISTRATION_RETRY_S = 0.25
 
 
--- a/filbertlb/batch/worker_link.py
+++ b/filbertlb/batch/worker_link.py
@@ -16,7 +16,7 @@
     from filbertlb.batch.model import RunEnd
 
 LEASE_S = 6.0
-"""Time from the sending of a call to the end of the lease that it sends.
+"""Time from the decision on a call to the end of the lease that it sends.
 
 A run that the decider gives up has ended, by times that all follow from one
 contact, the sending of a stored report::
--- a/filbertlb/metrics.py
+++ b/filbertlb/metrics.py
@@ -95,8 +95,8 @@
         Groups of tasks that are ready and wait, by ``reason``, while this
         instance decides.
     standing_tasks : Gauge
-        Tasks that could run and have not moved for 3 s, by ``reason``, while
-        this instance decides.
+        Tasks that could run and have stood still for long, by ``reason``,
+        while this instance decides.
     stands : Counter
         Tasks that began to stand while this instance decided, by ``reason``.
     probation_workers : Gauge
