--- a/tests/batch/test_evacuation_machine.py
+++ b/tests/batch/test_evacuation_machine.py
@@ -10,13 +10,12 @@
 
 import attrs
 import pytest
-from hypothesis import Phase
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import rule
 
 from filbertlb.batch.evacuation import Evacuations
 from filbertlb.batch.worker_link import StartResult
+from tests.batch.machine_settings import machine_settings
 from tests.batch.simulated_system import NODES
 from tests.batch.simulated_system import TICK_S
 from tests.batch.test_world_machine import World
@@ -116,15 +115,7 @@
         super().teardown()
 
 
-EvacuatedWorld.TestCase.settings = settings(
-    derandomize=True,
-    # Shrinking a failing run takes longer than the time limit of a test,
-    # which then hides the failure.
-    phases=(Phase.explicit, Phase.generate),
-    max_examples=60,
-    stateful_step_count=30,
-    deadline=None,
-)
+EvacuatedWorld.TestCase.settings = machine_settings(max_examples=60)
 TestEvacuatedWorld = EvacuatedWorld.TestCase
 
 
--- a/tests/batch/test_lagging_machine.py
+++ b/tests/batch/test_lagging_machine.py
@@ -5,8 +5,6 @@
 from itertools import product
 
 import pytest
-from hypothesis import Phase
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import initialize
 from hypothesis.stateful import rule
@@ -16,6 +14,7 @@
 from filbertlb.batch.testing import a_step
 from filbertlb.batch.workers import DEAD_AFTER_S
 from tests.batch.lagging_system import LaggingSystem
+from tests.batch.machine_settings import machine_settings
 from tests.batch.simulated_system import ENTRIES
 from tests.batch.simulated_system import NODES
 from tests.batch.simulated_system import TICK_S
@@ -111,15 +110,7 @@
             assert progress.state is JobState.COMPLETE, progress
 
 
-LaggingWorld.TestCase.settings = settings(
-    derandomize=True,
-    # Shrinking a failing run takes longer than the time limit of a test,
-    # which then hides the failure.
-    phases=(Phase.explicit, Phase.generate),
-    max_examples=60,
-    stateful_step_count=30,
-    deadline=None,
-)
+LaggingWorld.TestCase.settings = machine_settings(max_examples=60)
 TestLaggingWorld = LaggingWorld.TestCase
 
 
--- a/tests/batch/test_progress_machine.py
+++ b/tests/batch/test_progress_machine.py
@@ -9,12 +9,11 @@
 
 from unittest.mock import patch
 
-from hypothesis import Phase
-from hypothesis import settings
 from hypothesis.stateful import initialize
 
 from filbertlb.batch import progress_rows
 from filbertlb.table.base import TransactionLimits
+from tests.batch.machine_settings import machine_settings
 from tests.batch.test_world_machine import World
 
 
@@ -46,13 +45,5 @@
             self.patch.stop()
 
 
-DividedWorld.TestCase.settings = settings(
-    derandomize=True,
-    # Shrinking a failing run takes longer than the time limit of a test,
-    # which then hides the failure.
-    phases=(Phase.explicit, Phase.generate),
-    max_examples=40,
-    stateful_step_count=30,
-    deadline=None,
-)
+DividedWorld.TestCase.settings = machine_settings(max_examples=40)
 TestDividedWorld = DividedWorld.TestCase
--- a/tests/batch/test_world_machine.py
+++ b/tests/batch/test_world_machine.py
@@ -24,8 +24,6 @@
 
 from __future__ import annotations
 
-from hypothesis import Phase
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import initialize
 from hypothesis.stateful import rule
@@ -38,6 +36,7 @@
 from filbertlb.batch.testing import CAPACITY
 from filbertlb.batch.worker_link import StartResult
 from filbertlb.table.mirror import Mirror
+from tests.batch.machine_settings import machine_settings
 from tests.batch.simulated_system import ENTRIES
 from tests.batch.simulated_system import NODES
 from tests.batch.simulated_system import SimulatedSystem
@@ -252,13 +251,5 @@
         return states
 
 
-World.TestCase.settings = settings(
-    derandomize=True,
-    # Shrinking a failing run takes longer than the time limit of a test,
-    # which then hides the failure.
-    phases=(Phase.explicit, Phase.generate),
-    max_examples=80,
-    stateful_step_count=30,
-    deadline=None,
-)
+World.TestCase.settings = machine_settings(max_examples=80)
 TestWorld = World.TestCase
